Add the design, the project skeleton, links and the configuration value

Cause: the repository was empty.

Ruled out: separate HTTP calls between entries and agents.

Change: tool chain, proto and generated code, links over connect and in memory, values, outcomes, store interface.

Before: nothing.

--- /dev/null
+++ b/src/configuration/index.ts
@@ -0,0 +1,2 @@
+export * from "./configuration.js";
+export * from "./holder.js";
--- /dev/null
+++ b/src/link/memory.ts
@@ -0,0 +1,168 @@
+/**
+ * Links inside one process, for tests and the demo. Messages are encoded and decoded as on a real link, so that the two
+ * ends share no object. Delay and reachability are functions of the two addresses, which tests vary.
+ */
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { Channel } from "./channel.js";
+import { type Hello, HelloSchema, LinkMessageSchema } from "./generated/parsleyrun/link_pb.js";
+import {
+    type ConnectOutcome,
+    HELLO_TIMEOUT_MS,
+    type HelloInit,
+    type Link,
+    type LinkBody,
+    type LinkBodyInit,
+    type Listener,
+    MAXIMUM_QUEUED_MESSAGES,
+    type Network,
+} from "./link.js";
+
+/** Behaviour of the network between two addresses. */
+export interface MemoryNetworkOptions {
+    /** One-way delay in milliseconds. */
+    readonly delay?: (from: string, to: string) => number;
+    /** Whether messages pass; a message that does not pass is lost and the link stays open. */
+    readonly reachable?: (from: string, to: string) => boolean;
+}
+
+interface Registration {
+    readonly hello: () => HelloInit;
+    readonly accept: (link: Link) => void;
+}
+
+class MemoryLink implements Link {
+    readonly closed: Promise<string>;
+    private readonly incoming = Channel.create<LinkBody>(MAXIMUM_QUEUED_MESSAGES);
+    private other: MemoryLink | undefined;
+    private reason: string | undefined;
+    private resolveClosed: (reason: string) => void = () => undefined;
+    /** Delivery time of the last message sent, so that a shorter delay does not reorder messages. */
+    private lastDelivery = 0;
+
+    constructor(
+        readonly peer: Hello,
+        readonly localAddress: string,
+        private readonly remoteAddress: string,
+        private readonly network: MemoryNetwork,
+    ) {
+        this.closed = new Promise(resolve => {
+            this.resolveClosed = resolve;
+        });
+    }
+
+    get messages(): AsyncIterable<LinkBody> {
+        return this.incoming;
+    }
+
+    join(other: MemoryLink): void {
+        this.other = other;
+    }
+
+    send(body: LinkBodyInit): boolean {
+        if (this.reason !== undefined) return false;
+        const bytes = toBinary(LinkMessageSchema, create(LinkMessageSchema, { body }));
+        this.deliver(other => {
+            if (!other.incoming.push(fromBinary(LinkMessageSchema, bytes).body)) other.close("incoming queue is full");
+        });
+        return true;
+    }
+
+    close(reason: string): void {
+        if (!this.end(reason)) return;
+        this.deliver(other => other.end("closed by the peer"));
+    }
+
+    private end(reason: string): boolean {
+        if (this.reason !== undefined) return false;
+        this.reason = reason;
+        this.incoming.close();
+        this.resolveClosed(reason);
+        return true;
+    }
+
+    private deliver(action: (other: MemoryLink) => void): void {
+        const other = this.other;
+        if (other === undefined || !this.network.reachable(this.localAddress, this.remoteAddress)) return;
+        const now = performance.now();
+        const due = Math.max(this.lastDelivery, now + this.network.delay(this.localAddress, this.remoteAddress));
+        this.lastDelivery = due;
+        setTimeout(() => {
+            if (this.network.reachable(this.localAddress, this.remoteAddress)) action(other);
+        }, due - now);
+    }
+}
+
+/** A network inside one process. */
+export class MemoryNetwork {
+    private readonly registrations = new Map<string, Registration>();
+    private readonly links = new Set<MemoryLink>();
+
+    private constructor(private readonly options: MemoryNetworkOptions) {}
+
+    /** An empty network. Without options there is no delay and every address reaches every other. */
+    static create(options: MemoryNetworkOptions = {}): MemoryNetwork {
+        return new MemoryNetwork(options);
+    }
+
+    /** One-way delay in milliseconds. */
+    delay(from: string, to: string): number {
+        return this.options.delay?.(from, to) ?? 0;
+    }
+
+    /** Whether a message passes now. */
+    reachable(from: string, to: string): boolean {
+        return this.options.reachable?.(from, to) ?? true;
+    }
+
+    /** The network as the process at `localAddress` sees it. */
+    at(localAddress: string): Network {
+        return {
+            connect: (address, hello) => this.connect(localAddress, address, hello),
+            listen: (address, hello, accept) => this.listen(address, { hello, accept }),
+        };
+    }
+
+    /** Ends a process: its listener goes, and both ends of each of its links close. */
+    disconnect(localAddress: string): void {
+        this.registrations.delete(localAddress);
+        for (const link of this.links) {
+            if (link.localAddress === localAddress) link.close("process ended");
+        }
+    }
+
+    private async connect(from: string, to: string, hello: HelloInit): Promise<ConnectOutcome> {
+        if (!this.reachable(from, to) || !this.reachable(to, from)) {
+            await pause(HELLO_TIMEOUT_MS);
+            return { kind: "failed", message: `${to} does not answer` };
+        }
+        await pause(this.delay(from, to) + this.delay(to, from));
+        const registration = this.registrations.get(to);
+        if (registration === undefined) return { kind: "failed", message: `${to} refused the connection` };
+        const near = new MemoryLink(create(HelloSchema, registration.hello()), from, to, this);
+        const far = new MemoryLink(create(HelloSchema, hello), to, from, this);
+        near.join(far);
+        far.join(near);
+        this.track(near);
+        this.track(far);
+        registration.accept(far);
+        return { kind: "connected", link: near };
+    }
+
+    private track(link: MemoryLink): void {
+        this.links.add(link);
+        void link.closed.then(() => this.links.delete(link));
+    }
+
+    private listen(address: string, registration: Registration): Promise<Listener> {
+        this.registrations.set(address, registration);
+        const close = (): Promise<void> => {
+            if (this.registrations.get(address) === registration) this.registrations.delete(address);
+            return Promise.resolve();
+        };
+        return Promise.resolve({ address, close });
+    }
+}
+
+function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/model/identity.ts
@@ -0,0 +1,25 @@
+/** Identifiers of processes, requests and content. */
+import { createHash, randomBytes } from "node:crypto";
+
+/** A new random 64-bit incarnation, hexadecimal. Each process draws one at start. */
+export function createIncarnation(): string {
+    return randomBytes(8).toString("hex");
+}
+
+/** A new random request id, hexadecimal. */
+export function createRequestId(): string {
+    return randomBytes(12).toString("hex");
+}
+
+/** SHA-256 of the text, hexadecimal. */
+export function hashText(text: string): string {
+    return createHash("sha256").update(text).digest("hex");
+}
+
+/** The slot of an idempotency key: the same in every process, for a given number of slots. */
+export function slotOf(account: string, idempotencyKey: string, stage: string, slots: number): number {
+    const digest = createHash("sha256")
+        .update(JSON.stringify([account, idempotencyKey, stage]))
+        .digest();
+    return digest.readUInt32BE(0) % slots;
+}
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,1 @@
+export * from "./store.js";
--- /dev/null
+++ b/src/store/store.ts
@@ -0,0 +1,59 @@
+/**
+ * The platform's versioned object API as the system sees it. Every call returns an outcome; none throws.
+ *
+ * A write whose answer is lost may have taken effect. That is its own outcome (`unknown`), and a caller that needs to
+ * know reads the object again and compares a unique id in the value.
+ */
+
+/** An object as the store returned it. The store may serve an older version than the newest. */
+export interface StoredObject {
+    readonly key: string;
+    /** Rises with each write to this key; never reused. */
+    readonly version: number;
+    /** At most one megabyte. */
+    readonly value: string;
+}
+
+/** Outcome of a read. */
+export type ReadOutcome =
+    | { readonly kind: "found"; readonly object: StoredObject }
+    | { readonly kind: "missing" }
+    | { readonly kind: "unavailable"; readonly message: string };
+
+/** Outcome of a list. `revision` is the point from which a watch continues. */
+export type ListOutcome =
+    | { readonly kind: "listed"; readonly objects: readonly StoredObject[]; readonly revision: number }
+    | { readonly kind: "unavailable"; readonly message: string };
+
+/** Outcome of a conditional write or removal. */
+export type WriteOutcome =
+    | { readonly kind: "written"; readonly version: number }
+    /** The key's version was not the expected one; nothing changed. */
+    | { readonly kind: "conflict" }
+    /** The store refused the call (outage, rate limit); nothing changed. */
+    | { readonly kind: "unavailable"; readonly message: string }
+    /** No answer came; the write may have taken effect. */
+    | { readonly kind: "unknown"; readonly message: string };
+
+/** One change that a watch reports; `object` is absent after a removal. */
+export interface StoreEvent {
+    readonly key: string;
+    readonly object?: StoredObject;
+}
+
+/** Outcome of one waiting watch call. `revision` is where the next one continues. */
+export type WatchOutcome =
+    | { readonly kind: "changed"; readonly events: readonly StoreEvent[]; readonly revision: number }
+    | { readonly kind: "unavailable"; readonly message: string };
+
+/** A client of the object API. */
+export interface Store {
+    read(key: string): Promise<ReadOutcome>;
+    list(prefix: string): Promise<ListOutcome>;
+    /** Writes if the key's version is `expectedVersion`; 0 means that the key must not exist. */
+    write(key: string, value: string, expectedVersion: number): Promise<WriteOutcome>;
+    /** Removes if the key's version is `expectedVersion`. */
+    remove(key: string, expectedVersion: number): Promise<WriteOutcome>;
+    /** Waits up to `timeoutMilliseconds` for changes below `prefix` after `revision`. */
+    watch(prefix: string, revision: number, timeoutMilliseconds: number): Promise<WatchOutcome>;
+}
