--- /dev/null
+++ b/src/claims/index.ts
@@ -0,0 +1,1 @@
+export * from "./slot.js";
--- /dev/null
+++ b/src/claims/slot.ts
@@ -0,0 +1,44 @@
+/**
+ * Slots of a non-idempotent service. Each idempotency key hashes to one slot, and each slot has one owner: the agent
+ * that admits, runs and remembers the keys of the slot. The table is one object in the store, changed by conditional
+ * updates only.
+ */
+
+/** The owner of one slot. */
+export interface SlotOwner {
+    /** Name of the target whose agent owns the slot. */
+    readonly target: string;
+    readonly incarnation: string;
+    /** Rises with each change of owner. */
+    readonly epoch: number;
+    /** Journals with claims of this slot, oldest first; the last one is the owner's. */
+    readonly journals: readonly string[];
+}
+
+/** The slots of one service; the index is the slot's number. A slot without an owner is null in JSON and here absent. */
+export interface SlotTable {
+    readonly service: string;
+    readonly slots: readonly (SlotOwner | undefined)[];
+}
+
+/** Where the newest known slot tables are looked up. */
+export interface SlotDirectory {
+    /** The table of a service, if it is known. */
+    find(service: string): SlotTable | undefined;
+}
+
+/** Store key of a service's slot table. */
+export function slotTableKey(service: string): string {
+    return `slots/${service}`;
+}
+
+/** JSON text of a table. */
+export function encodeSlotTable(table: SlotTable): string {
+    return JSON.stringify({ service: table.service, slots: table.slots.map(owner => owner ?? null) });
+}
+
+/** The table in a JSON text that `encodeSlotTable` made. */
+export function decodeSlotTable(text: string): SlotTable {
+    const parsed = JSON.parse(text) as { service: string; slots: (SlotOwner | null)[] };
+    return { service: parsed.service, slots: parsed.slots.map(owner => owner ?? undefined) };
+}
--- /dev/null
+++ b/src/membership/index.ts
@@ -0,0 +1,1 @@
+export * from "./directory.js";
