Add the operators' lists, the change log and the configuration feed

Cause: operators need changes that are checked as a whole, that cannot overwrite each other and that never revert.

Ruled out: watching the whole change prefix, whose first list returns every change ever made; a head written before the change, which leaves a crash between the two ambiguous; removal of old changes, which lets a process that lags far behind create one of them again.

Conclusion: ready for the operators' interface.

--- /dev/null
+++ b/src/configuration/feed.ts
@@ -0,0 +1,172 @@
+/**
+ * The way of the configuration from the store into a process.
+ *
+ * At start the feed reads the newest snapshot and the changes after it. The store may answer with an older state, so
+ * the first version is put in force only after a conditional write of the head has shown that it is not stale, unless a
+ * peer has supplied it or a newer one. From then on the feed waits on the head and reads each following change by its
+ * version, so that no change is skipped and none is applied twice.
+ */
+import { setTimeout as pause } from "node:timers/promises";
+import type { Store } from "../store/index.js";
+import { Configuration, type ConfigurationChange, type ConfigurationRecord } from "./configuration.js";
+import { changeKey, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
+import type { ConfigurationHolder } from "./holder.js";
+
+/**
+ * Longest wait on the head. A change whose author died before it wrote the head is found after at most this time,
+ * which stays below the 4 s in which an accepted change has to be in force.
+ */
+const WATCH_TIMEOUT_MS = 1_500;
+
+const RETRY_PAUSE_MS = 100;
+
+/** Options of a feed. */
+export interface ConfigurationFeedOptions {
+    readonly store: Store;
+    readonly holder: ConfigurationHolder;
+}
+
+type LoadOutcome =
+    | { readonly kind: "loaded"; readonly configuration: Configuration }
+    | { readonly kind: "unavailable"; readonly message: string };
+
+/** Keeps a process's configuration up to date from the store until it is stopped. */
+export class ConfigurationFeed {
+    /** Resolves when the first version was confirmed, by the store or by a peer. */
+    readonly ready: Promise<void>;
+    private reachable = false;
+    private stopped = false;
+    private resolveReady: () => void = () => undefined;
+
+    private constructor(
+        private readonly store: Store,
+        private readonly holder: ConfigurationHolder,
+    ) {
+        this.ready = new Promise(resolve => {
+            this.resolveReady = resolve;
+        });
+    }
+
+    /** Starts a feed. It goes on by itself while the store is unavailable. */
+    static start(options: ConfigurationFeedOptions): ConfigurationFeed {
+        const feed = new ConfigurationFeed(options.store, options.holder);
+        void feed.run();
+        return feed;
+    }
+
+    /** Whether the store answered the last call. */
+    get available(): boolean {
+        return this.reachable;
+    }
+
+    /** Ends the feed; a call to the store that is under way is not waited for. */
+    stop(): void {
+        this.stopped = true;
+    }
+
+    private async run(): Promise<void> {
+        await this.begin();
+        if (this.stopped) return;
+        this.resolveReady();
+        await this.follow();
+    }
+
+    /** Brings the first version into force. */
+    private async begin(): Promise<void> {
+        while (!this.stopped) {
+            const loaded = await this.load();
+            this.reachable = loaded.kind === "loaded";
+            if (loaded.kind === "loaded" && (await this.confirm(loaded.configuration))) return;
+            // With the store down, a peer's configuration is the newest that can be had.
+            if (loaded.kind === "unavailable" && this.holder.current.version > 0) return;
+            await pause(RETRY_PAUSE_MS);
+        }
+    }
+
+    private async confirm(configuration: Configuration): Promise<boolean> {
+        if (this.holder.current.version > 0 && this.holder.current.version >= configuration.version) return true;
+        const head = await raiseHead(this.store, configuration.version);
+        this.reachable = head.kind !== "unavailable";
+        if (head.kind !== "confirmed" || head.version > configuration.version) return false;
+        this.holder.replace(configuration);
+        return true;
+    }
+
+    /** The newest configuration that the store shows, which may be an old one. */
+    private async load(): Promise<LoadOutcome> {
+        const head = await this.store.read(HEAD_KEY);
+        if (head.kind === "unavailable") return head;
+        const headVersion = head.kind === "found" ? decodeHead(head.object.value) : 0;
+        let configuration = await this.loadSnapshot(headVersion);
+        for (;;) {
+            const read = await this.store.read(changeKey(configuration.version + 1));
+            if (read.kind === "unavailable") return read;
+            if (read.kind === "missing") return { kind: "loaded", configuration };
+            const next = configuration.apply(JSON.parse(read.object.value) as ConfigurationChange);
+            if (next === undefined) return { kind: "unavailable", message: "a change has the wrong version" };
+            configuration = next;
+        }
+    }
+
+    /** The newest snapshot at or below a version. One that was not written is replaced by the one before it. */
+    private async loadSnapshot(version: number): Promise<Configuration> {
+        const newest = version - (version % SNAPSHOT_INTERVAL);
+        for (let candidate = newest; candidate > 0; candidate -= SNAPSHOT_INTERVAL) {
+            const read = await this.store.read(snapshotKey(candidate));
+            if (read.kind !== "found") continue;
+            return Configuration.of(candidate, JSON.parse(read.object.value) as readonly ConfigurationRecord[]);
+        }
+        return Configuration.empty;
+    }
+
+    private async follow(): Promise<void> {
+        let revision: number | undefined;
+        while (!this.stopped) {
+            revision ??= await this.listHead();
+            const caughtUp = revision !== undefined && (await this.catchUp());
+            if (this.stopped) return;
+            if (revision === undefined || !caughtUp) {
+                await pause(RETRY_PAUSE_MS);
+                continue;
+            }
+            const watched = await this.store.watch(HEAD_KEY, revision, WATCH_TIMEOUT_MS);
+            this.reachable = watched.kind === "changed";
+            revision = watched.kind === "changed" ? watched.revision : undefined;
+            if (revision === undefined) await pause(RETRY_PAUSE_MS);
+        }
+    }
+
+    /** The point from which the head can be watched. */
+    private async listHead(): Promise<number | undefined> {
+        const listed = await this.store.list(HEAD_KEY);
+        this.reachable = listed.kind === "listed";
+        return listed.kind === "listed" ? listed.revision : undefined;
+    }
+
+    /**
+     * Applies the changes after the one in force, until the store shows none. Returns false when the store was
+     * unavailable or showed fewer changes than its head counts, which a stale read does.
+     */
+    private async catchUp(): Promise<boolean> {
+        const head = await this.store.read(HEAD_KEY);
+        if (head.kind === "unavailable") return this.fail();
+        const target = head.kind === "found" ? decodeHead(head.object.value) : 0;
+        if (target - this.holder.current.version > SNAPSHOT_INTERVAL) {
+            this.holder.replace(await this.loadSnapshot(target));
+        }
+        for (;;) {
+            const version = this.holder.current.version + 1;
+            const read = await this.store.read(changeKey(version));
+            if (read.kind === "unavailable") return this.fail();
+            if (read.kind === "missing") return this.holder.current.version >= target;
+            const change = JSON.parse(read.object.value) as ConfigurationChange;
+            if (change.version !== version) throw new Error(`change ${version} in the store says ${change.version}`);
+            this.holder.advance(change);
+        }
+    }
+
+    private fail(): false {
+        this.reachable = false;
+        return false;
+    }
+}
--- /dev/null
+++ b/src/configuration/head.ts
@@ -0,0 +1,61 @@
+/**
+ * Where the change log lives in the store, and its head: the object that holds the highest version reported accepted.
+ *
+ * The head is written conditionally only, and only upwards. A conditional write cannot succeed on a stale read, so a
+ * process that writes the head has proof that it read the newest one.
+ */
+import type { Store } from "../store/index.js";
+
+/** Store key of the head. */
+export const HEAD_KEY = "configuration/head";
+
+/** A snapshot is written with each change whose version is a multiple of this. */
+export const SNAPSHOT_INTERVAL = 64;
+
+/** Store key of a change. */
+export function changeKey(version: number): string {
+    return `configuration/changes/${String(version).padStart(12, "0")}`;
+}
+
+/** Store key of a snapshot. */
+export function snapshotKey(version: number): string {
+    return `configuration/snapshots/${String(version).padStart(12, "0")}`;
+}
+
+/** What one try to raise the head comes to. */
+export type HeadOutcome =
+    /** The head was the newest one when it was read, and is now at `version`, which is at least what was asked for. */
+    | { readonly kind: "confirmed"; readonly version: number }
+    /** The read was stale, another process wrote at the same time, or the answer was lost: try again. */
+    | { readonly kind: "retry" }
+    | { readonly kind: "unavailable"; readonly message: string };
+
+/**
+ * Raises the head to `version` by one conditional write. A head that is already higher is written as it is, which
+ * confirms that the read was not stale.
+ */
+export async function raiseHead(store: Store, version: number): Promise<HeadOutcome> {
+    const read = await store.read(HEAD_KEY);
+    if (read.kind === "unavailable") return read;
+    const objectVersion = read.kind === "found" ? read.object.version : 0;
+    const target = Math.max(version, read.kind === "found" ? decodeHead(read.object.value) : 0);
+    const written = await store.write(HEAD_KEY, encodeHead(target), objectVersion);
+    switch (written.kind) {
+        case "written":
+            return { kind: "confirmed", version: target };
+        case "unavailable":
+            return written;
+        case "conflict":
+        case "unknown":
+            return { kind: "retry" };
+    }
+}
+
+/** The version in a head object. */
+export function decodeHead(value: string): number {
+    return (JSON.parse(value) as { readonly version: number }).version;
+}
+
+function encodeHead(version: number): string {
+    return JSON.stringify({ version });
+}
--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -1,2 +1,6 @@
 export * from "./configuration.js";
+export * from "./feed.js";
+export * from "./head.js";
 export * from "./holder.js";
+export * from "./lists.js";
+export * from "./log.js";
--- /dev/null
+++ b/src/configuration/lists.ts
@@ -0,0 +1,250 @@
+/**
+ * The operators' lists: one YAML file with any of the sections `accounts`, `plans`, `services`, `pipelines` and
+ * `budget`. A section replaces all records of its kind; a section that is absent leaves its records as they are. A file
+ * is checked as a whole, together with the records that it leaves, and is taken either whole or not at all.
+ */
+import { isDeepStrictEqual } from "node:util";
+import { type Document, isMap, isNode, isScalar, LineCounter, parseDocument } from "yaml";
+import { z } from "zod";
+import { hashText } from "../model/index.js";
+import type { Configuration, ConfigurationRecord, RecordKind, RecordValues } from "./configuration.js";
+import { checkRules, type ListedRecord, type ListPath } from "./rules.js";
+
+/** One fault in a file. Lines count from 1. */
+export interface ListError {
+    readonly line: number;
+    /** Place in the file, such as `plans[0].share`; empty for faults of the YAML syntax. */
+    readonly path: string;
+    readonly message: string;
+}
+
+/** Records that differ from a configuration. */
+export interface ConfigurationDifference {
+    readonly set: readonly ConfigurationRecord[];
+    readonly removed: readonly { readonly kind: RecordKind; readonly name: string }[];
+}
+
+/** What a file comes to. */
+export type ListsOutcome =
+    | {
+          readonly kind: "valid";
+          readonly difference: ConfigurationDifference;
+          /** The configuration version that the file says it was edited from, if it says so. */
+          readonly version: number | undefined;
+      }
+    | { readonly kind: "invalid"; readonly errors: readonly ListError[] };
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '_' or '-'");
+
+const serviceSchema = z.strictObject({
+    name,
+    kind: z.enum(["engine", "plain"]),
+    slots: z.int().min(0).max(4_096).default(0),
+    whenStoreUnavailable: z.enum(["refuse", "continue"]).default("refuse"),
+    fencing: z.enum(["enforced", "ignored"]).default("ignored"),
+    concurrency: z.int().min(1),
+    coldConcurrency: z.int().min(1).default(1),
+});
+
+const stageSchema = z.strictObject({
+    name,
+    service: name,
+    operation: name,
+    /** No default: a wrong guess would repeat a call that must not be repeated. */
+    idempotent: z.boolean(),
+    streaming: z.boolean().default(false),
+    maximumTokens: z.int().min(0).default(0),
+    costMilliseconds: z.number().positive(),
+});
+
+const pipelineSchema = z.strictObject({
+    name,
+    stages: z.array(stageSchema).min(1, "must have 1 to 6 stages").max(6, "must have 1 to 6 stages"),
+});
+
+const planSchema = z.strictObject({
+    name,
+    pipelines: z.array(name),
+    stages: z.array(name).default([]),
+    share: z.number().min(0).max(1),
+});
+
+const accountSchema = z
+    .strictObject({
+        name,
+        plan: name,
+        key: z.string().min(8, "must have at least 8 characters").optional(),
+        keyHash: z
+            .string()
+            .regex(/^[0-9a-f]{64}$/, "must be a SHA-256 in 64 lower-case hexadecimal digits")
+            .optional(),
+    })
+    .refine(account => (account.key === undefined) !== (account.keyHash === undefined), {
+        message: "needs either key or keyHash",
+    });
+
+const listsSchema = z.strictObject({
+    version: z.int().min(0).optional(),
+    budget: z.strictObject({ millisecondsPerSecond: z.number().positive() }).optional(),
+    services: z.array(serviceSchema).optional(),
+    pipelines: z.array(pipelineSchema).optional(),
+    plans: z.array(planSchema).optional(),
+    accounts: z.array(accountSchema).optional(),
+});
+
+type Lists = z.infer<typeof listsSchema>;
+
+/** Checks a file against the current configuration and returns what it would change, or every fault in it. */
+export function parseLists(text: string, current: Configuration): ListsOutcome {
+    const lines = new LineCounter();
+    const document = parseDocument(text, { lineCounter: lines });
+    if (document.errors.length > 0) {
+        const errors = document.errors.map(error => ({
+            line: error.linePos?.[0].line ?? 1,
+            path: "",
+            message: firstLine(error.message),
+        }));
+        return { kind: "invalid", errors };
+    }
+    const place = (path: ListPath): number => lineOf(document, lines, path);
+    const content = readContent(document);
+    if (content.kind === "unreadable") {
+        return { kind: "invalid", errors: [{ line: 1, path: "", message: content.message }] };
+    }
+    const parsed = listsSchema.safeParse(content.value);
+    if (!parsed.success) {
+        const errors = parsed.error.issues.flatMap(issue => schemaErrors(issue, place));
+        return { kind: "invalid", errors: sortErrors(errors) };
+    }
+    const listed = listRecords(parsed.data);
+    const sections = listedKinds(parsed.data);
+    const faults = checkRules(listed, sections, current);
+    if (faults.length > 0) {
+        const errors = faults.map(({ path, message }) => ({ line: place(path), path: pathText(path), message }));
+        return { kind: "invalid", errors: sortErrors(errors) };
+    }
+    return { kind: "valid", difference: differ(listed, sections, current), version: parsed.data.version };
+}
+
+/** Whether a difference changes nothing. */
+export function isEmptyDifference(difference: ConfigurationDifference): boolean {
+    return difference.set.length === 0 && difference.removed.length === 0;
+}
+
+/** A path as text, such as `plans[0].share`. */
+export function pathText(path: ListPath): string {
+    return path
+        .map((part, index) => (typeof part === "number" ? `[${part}]` : `${index === 0 ? "" : "."}${part}`))
+        .join("");
+}
+
+type Content =
+    { readonly kind: "read"; readonly value: unknown } | { readonly kind: "unreadable"; readonly message: string };
+
+/** An empty file is read as one without sections. Expanding too many aliases makes a file unreadable. */
+function readContent(document: Document): Content {
+    try {
+        return { kind: "read", value: document.toJS() ?? {} };
+    } catch (error) {
+        return { kind: "unreadable", message: error instanceof Error ? firstLine(error.message) : "unreadable" };
+    }
+}
+
+function schemaErrors(issue: z.core.$ZodIssue, place: (path: ListPath) => number): readonly ListError[] {
+    const path = issue.path.map(part => (typeof part === "number" ? part : String(part)));
+    if (issue.code !== "unrecognized_keys") {
+        return [{ line: place(path), path: pathText(path), message: issue.message }];
+    }
+    return issue.keys.map(key => {
+        const keyPath = [...path, key];
+        return { line: place(keyPath), path: pathText(keyPath), message: `unknown key "${key}"` };
+    });
+}
+
+/** Line of the last part of a path that the file has; the line of a key rather than of its value. */
+function lineOf(document: Document, lines: LineCounter, path: ListPath): number {
+    for (let length = path.length; length > 0; length -= 1) {
+        const offset = offsetOf(document, path.slice(0, length));
+        if (offset !== undefined) return lines.linePos(offset).line;
+    }
+    return 1;
+}
+
+function offsetOf(document: Document, path: ListPath): number | undefined {
+    const last = path.at(-1);
+    const parent = path.length === 1 ? document.contents : document.getIn(path.slice(0, -1), true);
+    if (isMap(parent)) {
+        const pair = parent.items.find(item => isScalar(item.key) && item.key.value === last);
+        return isScalar(pair?.key) ? pair.key.range?.[0] : undefined;
+    }
+    const node = document.getIn(path, true);
+    return isNode(node) ? node.range?.[0] : undefined;
+}
+
+function listRecords(lists: Lists): readonly ListedRecord[] {
+    const records: ListedRecord[] = [];
+    if (lists.budget !== undefined) {
+        records.push({ record: { kind: "budget", name: "common", value: lists.budget }, path: ["budget"] });
+    }
+    lists.services?.forEach((value, index) => {
+        records.push({ record: { kind: "service", name: value.name, value }, path: ["services", index] });
+    });
+    lists.pipelines?.forEach((value, index) => {
+        records.push({ record: { kind: "pipeline", name: value.name, value }, path: ["pipelines", index] });
+    });
+    lists.plans?.forEach((value, index) => {
+        records.push({ record: { kind: "plan", name: value.name, value }, path: ["plans", index] });
+    });
+    lists.accounts?.forEach(({ name: account, plan, key, keyHash }, index) => {
+        const value = { name: account, plan, keyHash: keyHash ?? hashText(key ?? "") };
+        records.push({ record: { kind: "account", name: account, value }, path: ["accounts", index] });
+    });
+    return records;
+}
+
+function listedKinds(lists: Lists): ReadonlySet<RecordKind> {
+    const kinds = new Set<RecordKind>();
+    if (lists.budget !== undefined) kinds.add("budget");
+    if (lists.services !== undefined) kinds.add("service");
+    if (lists.pipelines !== undefined) kinds.add("pipeline");
+    if (lists.plans !== undefined) kinds.add("plan");
+    if (lists.accounts !== undefined) kinds.add("account");
+    return kinds;
+}
+
+function differ(
+    listed: readonly ListedRecord[],
+    kinds: ReadonlySet<RecordKind>,
+    current: Configuration,
+): ConfigurationDifference {
+    const set = listed
+        .map(({ record }) => record)
+        .filter(record => !isDeepStrictEqual(valueOf(current, record), record.value));
+    const kept = new Set(listed.map(({ record }) => `${record.kind}/${record.name}`));
+    const removed = current
+        .list()
+        .filter(({ kind, name: present }) => isReplaced(kind, kinds) && !kept.has(keptKey(kind, present)))
+        .map(({ kind, name: present }) => ({ kind, name: present }));
+    return { set, removed };
+}
+
+/** Traffic splits belong to their service and go with it. */
+function isReplaced(kind: RecordKind, kinds: ReadonlySet<RecordKind>): boolean {
+    return kinds.has(kind === "traffic" ? "service" : kind);
+}
+
+function keptKey(kind: RecordKind, present: string): string {
+    return `${kind === "traffic" ? "service" : kind}/${present}`;
+}
+
+function valueOf(current: Configuration, record: ConfigurationRecord): RecordValues[RecordKind] | undefined {
+    return current.find(record.kind, record.name);
+}
+
+function sortErrors(errors: readonly ListError[]): readonly ListError[] {
+    return [...errors].sort((left, right) => left.line - right.line);
+}
+
+function firstLine(text: string): string {
+    return text.split("\n")[0] ?? text;
+}
--- /dev/null
+++ b/src/membership/vmlist.ts
@@ -0,0 +1,87 @@
+/**
+ * The platform's list of VMs, polled. The list lags, so a VM that has never been on it is not taken for gone: only one
+ * that was listed and is missing from two answers in a row is.
+ */
+import type { Vm } from "../model/index.js";
+
+const POLL_TIMEOUT_MS = 2_000;
+const MISSING_ANSWERS_UNTIL_GONE = 2;
+
+/** Options of a VM list. */
+export interface VmListOptions {
+    /** Address (host:port) that serves `GET /vms`. */
+    readonly address: string;
+    readonly intervalMilliseconds: number;
+}
+
+interface Sighting {
+    readonly vm: Vm;
+    readonly missing: number;
+}
+
+/** The newest known list. */
+export class VmList {
+    private sightings: ReadonlyMap<string, Sighting> = new Map();
+    private answered = false;
+    private timer: NodeJS.Timeout | undefined;
+    private stopped = false;
+
+    private constructor(private readonly options: VmListOptions) {}
+
+    /** Starts to poll. */
+    static start(options: VmListOptions): VmList {
+        const list = new VmList(options);
+        void list.poll();
+        return list;
+    }
+
+    /** Every VM that was ever listed, with its state. */
+    get vms(): readonly Vm[] {
+        return [...this.sightings.values()].map(({ vm }) => vm);
+    }
+
+    /** Whether the last poll was answered. */
+    get available(): boolean {
+        return this.answered;
+    }
+
+    /** State of a VM; undefined when it was never listed. */
+    state(name: string): Vm["state"] | undefined {
+        return this.sightings.get(name)?.vm.state;
+    }
+
+    /** Ends the polling. */
+    stop(): void {
+        this.stopped = true;
+        clearTimeout(this.timer);
+    }
+
+    private async poll(): Promise<void> {
+        const vms = await fetchVms(this.options.address);
+        this.answered = vms !== undefined;
+        if (vms !== undefined) this.sightings = merge(this.sightings, vms);
+        if (this.stopped) return;
+        this.timer = setTimeout(() => void this.poll(), this.options.intervalMilliseconds);
+        this.timer.unref();
+    }
+}
+
+async function fetchVms(address: string): Promise<readonly Vm[] | undefined> {
+    try {
+        const response = await fetch(`http://${address}/vms`, { signal: AbortSignal.timeout(POLL_TIMEOUT_MS) });
+        if (!response.ok) return undefined;
+        return ((await response.json()) as { readonly vms: readonly Vm[] }).vms;
+    } catch {
+        return undefined;
+    }
+}
+
+function merge(before: ReadonlyMap<string, Sighting>, listed: readonly Vm[]): ReadonlyMap<string, Sighting> {
+    const sightings = new Map<string, Sighting>();
+    for (const [name, { vm, missing }] of before) {
+        const gone = missing + 1 >= MISSING_ANSWERS_UNTIL_GONE;
+        sightings.set(name, { vm: gone ? { ...vm, state: "gone" } : vm, missing: missing + 1 });
+    }
+    for (const vm of listed) sightings.set(vm.name, { vm, missing: 0 });
+    return sightings;
+}
