Add the stand-in store and engine

Cause: entry, agent, claims and configuration are written side by side and need a store and targets to be tested against, in process and under fake timers.

Ruled out: a stale read that always serves the version before the last one; a key that was written long ago would then never be seen in its newest version. Stale reads show the state of a given time ago, lists with the matching revision.

Change: StandInStore with rates, watches, outage, slow and lost answers, stale reads, VM list and call counts; StandInEngine with batching, cold start, prefix cache, priorities, resume, cancel, orders and fault switches; the expected output as a function of operation and input.

Seen: in the first run of the tests, work above the cold concurrency completed when the first call had made the target warm before the second one ended. Excess work is now marked at its start.

--- /dev/null
+++ b/src/standins/index.ts
@@ -0,0 +1,3 @@
+export * from "./engine.js";
+export * from "./output.js";
+export * from "./store.js";
