--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -6,8 +6,8 @@
  * peer has supplied it or a newer one. From then on the feed waits on the head and reads each following change by its
  * version, so that no change is skipped and none is applied twice.
  */
-import { setTimeout as pause } from "node:timers/promises";
-import type { Store } from "../store/index.js";
+import { pause } from "../model/pause.js";
+import type { Store, StoredObject } from "../store/index.js";
 import { Configuration, type ConfigurationChange, type ConfigurationRecord } from "./configuration.js";
 import { changeKey, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
 import type { ConfigurationHolder } from "./holder.js";
@@ -36,6 +36,8 @@
     readonly ready: Promise<void>;
     private reachable = false;
     private stopped = false;
+    /** Highest version that the head has shown since the start. */
+    private headVersion = 0;
     private resolveReady: () => void = () => undefined;
 
     private constructor(
@@ -129,10 +131,7 @@
                 await pause(RETRY_PAUSE_MS);
                 continue;
             }
-            const watched = await this.store.watch(HEAD_KEY, revision, WATCH_TIMEOUT_MS);
-            this.reachable = watched.kind === "changed";
-            revision = watched.kind === "changed" ? watched.revision : undefined;
-            if (revision === undefined) await pause(RETRY_PAUSE_MS);
+            revision = await this.watchHead(revision);
         }
     }
 
@@ -140,33 +139,46 @@
     private async listHead(): Promise<number | undefined> {
         const listed = await this.store.list(HEAD_KEY);
         this.reachable = listed.kind === "listed";
-        return listed.kind === "listed" ? listed.revision : undefined;
+        if (listed.kind !== "listed") return undefined;
+        this.noteHead(listed.objects);
+        return listed.revision;
+    }
+
+    /** Waits for a new head. Undefined when it has to be listed again. */
+    private async watchHead(revision: number): Promise<number | undefined> {
+        const watched = await this.store.watch(HEAD_KEY, revision, WATCH_TIMEOUT_MS);
+        this.reachable = watched.kind === "changed";
+        if (watched.kind === "changed") {
+            this.noteHead(watched.events.flatMap(event => event.object ?? []));
+            return watched.revision;
+        }
+        await pause(RETRY_PAUSE_MS);
+        return undefined;
+    }
+
+    private noteHead(objects: readonly StoredObject[]): void {
+        const head = objects.find(object => object.key === HEAD_KEY);
+        if (head !== undefined) this.headVersion = Math.max(this.headVersion, decodeHead(head.value));
     }
 
     /**
      * Applies the changes after the one in force, until the store shows none. Returns false when the store was
-     * unavailable or showed fewer changes than its head counts, which a stale read does.
+     * unavailable or showed fewer changes than the head counts, which stale reads do.
      */
     private async catchUp(): Promise<boolean> {
-        const head = await this.store.read(HEAD_KEY);
-        if (head.kind === "unavailable") return this.fail();
-        const target = head.kind === "found" ? decodeHead(head.object.value) : 0;
-        if (target - this.holder.current.version > SNAPSHOT_INTERVAL) {
-            this.holder.replace(await this.loadSnapshot(target));
+        if (this.headVersion - this.holder.current.version > SNAPSHOT_INTERVAL) {
+            this.holder.replace(await this.loadSnapshot(this.headVersion));
         }
-        for (;;) {
+        while (!this.stopped) {
             const version = this.holder.current.version + 1;
             const read = await this.store.read(changeKey(version));
-            if (read.kind === "unavailable") return this.fail();
-            if (read.kind === "missing") return this.holder.current.version >= target;
+            this.reachable = read.kind !== "unavailable";
+            if (read.kind === "unavailable") return false;
+            if (read.kind === "missing") return this.holder.current.version >= this.headVersion;
             const change = JSON.parse(read.object.value) as ConfigurationChange;
             if (change.version !== version) throw new Error(`change ${version} in the store says ${change.version}`);
             this.holder.advance(change);
         }
-    }
-
-    private fail(): false {
-        this.reachable = false;
         return false;
     }
 }
--- a/src/configuration/log.ts
+++ b/src/configuration/log.ts
@@ -5,8 +5,8 @@
  * who change the same version, one creates it and the other reads what the first one changed. Changes are never
  * removed, because a process that lags far behind could otherwise create one of them a second time.
  */
-import { setTimeout as pause } from "node:timers/promises";
 import { createRequestId } from "../model/index.js";
+import { pause } from "../model/pause.js";
 import type { Store } from "../store/index.js";
 import type { Configuration, ConfigurationChange } from "./configuration.js";
 import { changeKey, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -4,7 +4,7 @@
  * The process that started last under a name owns the object. A write repeats until the store takes it; a removal
  * leaves the object of another incarnation alone.
  */
-import { setTimeout as pause } from "node:timers/promises";
+import { pause } from "../model/pause.js";
 import type { Store } from "../store/index.js";
 import { type EntryMember, entryMemberKey } from "./directory.js";
 
