Add settings loading, member views and rendering of lists

Cause: settings faults have to name the key's path and line; members and slot tables have to be looked up in the process.

Ruled out: one membership value for each event, which is quadratic over the first list of a large system.

Change: parseSettings, loadSettings, MembershipView, SlotView, renderLists.

--- a/src/configuration/index.ts
+++ b/src/configuration/index.ts
@@ -4,3 +4,4 @@
 export * from "./holder.js";
 export * from "./lists.js";
 export * from "./log.js";
+export * from "./rendering.js";
--- a/src/configuration/lists.ts
+++ b/src/configuration/lists.ts
@@ -120,7 +120,11 @@
     const sections = listedKinds(parsed.data);
     const faults = checkRules(listed, sections, current);
     if (faults.length > 0) {
-        const errors = faults.map(({ path, message }) => ({ line: place(path), path: pathText(path), message }));
+        const errors = faults.map(({ path, message }) => ({
+            line: place(path),
+            path: z.core.toDotPath(path),
+            message,
+        }));
         return { kind: "invalid", errors: sortErrors(errors) };
     }
     return { kind: "valid", difference: differ(listed, sections, current), version: parsed.data.version };
@@ -131,13 +135,6 @@
     return difference.set.length === 0 && difference.removed.length === 0;
 }
 
-/** A path as text, such as `plans[0].share`. */
-export function pathText(path: ListPath): string {
-    return path
-        .map((part, index) => (typeof part === "number" ? `[${part}]` : `${index === 0 ? "" : "."}${part}`))
-        .join("");
-}
-
 type Content =
     { readonly kind: "read"; readonly value: unknown } | { readonly kind: "unreadable"; readonly message: string };
 
@@ -153,11 +150,11 @@
 function schemaErrors(issue: z.core.$ZodIssue, place: (path: ListPath) => number): readonly ListError[] {
     const path = issue.path.map(part => (typeof part === "number" ? part : String(part)));
     if (issue.code !== "unrecognized_keys") {
-        return [{ line: place(path), path: pathText(path), message: issue.message }];
+        return [{ line: place(path), path: z.core.toDotPath(path), message: issue.message }];
     }
     return issue.keys.map(key => {
         const keyPath = [...path, key];
-        return { line: place(keyPath), path: pathText(keyPath), message: `unknown key "${key}"` };
+        return { line: place(keyPath), path: z.core.toDotPath(keyPath), message: `unknown key "${key}"` };
     });
 }
 
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,2 @@
+export * from "./load.js";
+export * from "./schema.js";
