--- /dev/null
+++ b/src/agent/engineprotocol.ts
@@ -0,0 +1,57 @@
+/** The lines of an execution and the statuses of calls that did not start, as docs/interfaces.md describes them. */
+import { z } from "zod";
+import type { EngineEvent } from "./engine.js";
+
+const lineSchema = z.union([
+    z.object({ started: z.literal(true), bootId: z.string(), cold: z.boolean() }),
+    z.object({ index: z.int().min(0), token: z.string() }),
+    z.object({
+        done: z.literal(true),
+        output: z.unknown().refine(output => output !== undefined),
+        tokens: z.int().min(0),
+        costMilliseconds: z.number().min(0),
+    }),
+    z.object({ failed: z.string() }),
+]);
+
+/** HTTP status of an event that ends a call before it started; undefined for all others. */
+export function statusOf(event: EngineEvent): number | undefined {
+    if (event.kind === "notStarted") return 503;
+    if (event.kind === "rejected") return 400;
+    return event.kind === "failed" ? 500 : undefined;
+}
+
+/** The terminal event of a call that was answered with a status other than 200. */
+export function eventOfStatus(status: number, message: string): EngineEvent {
+    if (status === 429 || status === 503) return { kind: "notStarted", message };
+    if (status === 400) return { kind: "rejected", message };
+    return { kind: "failed", message };
+}
+
+/** The line of an event. Only events of a call that has started have one. */
+export function encodeEvent(event: EngineEvent): string {
+    if (event.kind === "started") return JSON.stringify({ started: true, bootId: event.bootId, cold: event.cold });
+    if (event.kind === "token") return JSON.stringify({ index: event.index, token: event.token });
+    if (event.kind === "failed") return JSON.stringify({ failed: event.message });
+    if (event.kind !== "completed") throw new Error(`an event ${event.kind} has no line`);
+    const { tokens, costMilliseconds } = event;
+    return `{"done":true,"output":${event.output},"tokens":${tokens},"costMilliseconds":${costMilliseconds}}`;
+}
+
+/** The event of a line, or undefined when the line is malformed. */
+export function decodeEvent(line: string): EngineEvent | undefined {
+    let json: unknown;
+    try {
+        json = JSON.parse(line);
+    } catch {
+        return undefined;
+    }
+    const parsed = lineSchema.safeParse(json);
+    if (!parsed.success) return undefined;
+    const fields = parsed.data;
+    if ("started" in fields) return { kind: "started", bootId: fields.bootId, cold: fields.cold };
+    if ("index" in fields) return { kind: "token", index: fields.index, token: fields.token };
+    if ("failed" in fields) return { kind: "failed", message: fields.failed };
+    const { output, tokens, costMilliseconds } = fields;
+    return { kind: "completed", output: JSON.stringify(output), tokens, costMilliseconds };
+}
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -5,6 +5,7 @@
  * `batchLimit` waits by priority. A cold target is slow, and work beyond its cold concurrency fails.
  */
 import { randomBytes } from "node:crypto";
+import { once } from "node:events";
 import type { Engine, EngineEvent, EngineLoad, EngineOrder, EngineRequest, OrderOutcome } from "../agent/engine.js";
 import { Channel } from "../link/channel.js";
 import { hashText } from "../model/index.js";
@@ -41,18 +42,18 @@
 /** What a stand-in target has done since it was created, across restarts. */
 export interface EngineCounters {
     /** Runs that started. */
-    readonly runs: number;
-    readonly completed: number;
-    readonly cancelled: number;
-    /** Runs by idempotency key. */
-    readonly runsByKey: Readonly<Record<string, number>>;
-    readonly highestConcurrency: number;
+    runs: number;
+    completed: number;
+    cancelled: number;
+    highestConcurrency: number;
     /** Highest concurrency that a start reached while the target was cold. */
-    readonly highestColdConcurrency: number;
-    readonly prefixHits: number;
+    highestColdConcurrency: number;
+    prefixHits: number;
     /** Target time of all runs, including those that gave no result. */
-    readonly costMilliseconds: number;
-    readonly orders: readonly EngineOrder[];
+    costMilliseconds: number;
+    /** Runs by idempotency key. */
+    runsByKey: Record<string, number>;
+    orders: EngineOrder[];
 }
 
 /** One change of the prefix cache. */
@@ -68,6 +69,8 @@
 const MAXIMUM_EVENTS = 100_000;
 /** Slowdown of a full batch within the concurrency. */
 const FULL_BATCH_SLOWDOWN = 0.3;
+/** Time for which a crash marker keeps the target down, in calls. */
+const CRASH_DOWN_CALLS = 10;
 /** Part of a call's time that remains on a prefix hit. */
 const PREFIX_HIT_FACTOR = 0.3;
 /** Each cache event with a multiple of this sequence number is not published. */
@@ -105,11 +108,10 @@
     private readonly running = new Set<Run>();
     private queue: Run[] = [];
     private readonly prefixes = new Set<string>();
-    private readonly cacheLog: (CacheEvent & { readonly at: number })[] = [];
-    private loadReports: { readonly at: number; readonly load: EngineLoad }[] = [];
-    private readonly runsByKey = new Map<string, number>();
-    private readonly orders: EngineOrder[] = [];
-    private readonly totals = {
+    private readonly published: CacheEvent[] = [];
+    private cacheSequence = 0;
+    private reportedLoad: EngineLoad | undefined;
+    private readonly totals: EngineCounters = {
         runs: 0,
         completed: 0,
         cancelled: 0,
@@ -117,6 +119,8 @@
         highestColdConcurrency: 0,
         prefixHits: 0,
         costMilliseconds: 0,
+        runsByKey: {},
+        orders: [],
     };
     private bootId = randomBytes(6).toString("hex");
     private coldState = false;
@@ -125,20 +129,18 @@
     private highestFencing = 0;
     private downUntil = 0;
     private answering = true;
-    private readonly answerWaits = new Set<() => void>();
+    private readonly resumed = new EventTarget();
     private slowFactor = 1;
     private failures = 0;
     private rejections = 0;
     private truncations = 0;
-    private failFraction: { readonly fraction: number; readonly operation: string | undefined } = {
-        fraction: 0,
-        operation: undefined,
-    };
+    private failFraction = 0;
+    private failOperation: string | undefined;
     private crashMarker: string | undefined;
 
     private constructor(private readonly options: StandInEngineOptions) {
         if (options.startsCold ?? true) this.turnCold();
-        this.recordLoad();
+        this.reportedLoad = this.currentLoad();
     }
 
     /** A target that has just started. */
@@ -151,14 +153,9 @@
         return this.coldState;
     }
 
-    /** Whether the target answers. */
-    get answers(): boolean {
-        return this.answering;
-    }
-
-    /** What the target has done so far. */
-    counters(): EngineCounters {
-        return { ...this.totals, runsByKey: Object.fromEntries(this.runsByKey), orders: [...this.orders] };
+    /** A copy of what the target has done so far. */
+    counters(): Readonly<EngineCounters> {
+        return structuredClone(this.totals);
     }
 
     async *execute(request: EngineRequest, signal: AbortSignal): AsyncGenerator<EngineEvent> {
@@ -179,33 +176,24 @@
     }
 
     load(): Promise<EngineLoad | undefined> {
-        const silent = !this.answering || performance.now() < this.downUntil;
-        const visibleUntil = performance.now() - (this.options.loadLagMilliseconds ?? 0);
-        const report = this.loadReports.findLast(entry => entry.at <= visibleUntil) ?? this.loadReports[0];
-        return Promise.resolve(silent ? undefined : report?.load);
+        return Promise.resolve(this.silent() ? undefined : this.reportedLoad);
     }
 
     /** Applies an order. Loading a model or a version makes the target cold. */
     order(order: EngineOrder): Promise<OrderOutcome> {
-        if (!this.answering || performance.now() < this.downUntil) {
-            return Promise.resolve({ kind: "unavailable", message: "no answer" });
-        }
+        if (this.silent()) return Promise.resolve({ kind: "unavailable", message: "no answer" });
         if (this.options.fencing === "enforced" && order.fencing < this.highestFencing) {
             return Promise.resolve({ kind: "staleFencing", message: `${this.highestFencing} was seen` });
         }
         this.highestFencing = Math.max(this.highestFencing, order.fencing);
-        this.orders.push(order);
+        this.totals.orders.push(order);
         if (order.kind === "loadModel" || order.kind === "loadVersion") this.turnCold();
         return Promise.resolve({ kind: "applied" });
     }
 
     /** Changes of the prefix cache after a sequence number, late and with gaps. */
     cacheEvents(after: number): readonly CacheEvent[] {
-        const visibleUntil = performance.now() - (this.options.cacheEventLagMilliseconds ?? 0);
-        return this.cacheLog
-            .filter(event => event.sequence > after && event.at <= visibleUntil)
-            .filter(event => event.sequence % CACHE_EVENT_GAP !== 0)
-            .map(({ sequence, kind, prefixHash }) => ({ sequence, kind, prefixHash }));
+        return this.published.filter(event => event.sequence > after);
     }
 
     /** Makes the target cold without notice, without a restart. */
@@ -239,8 +227,7 @@
     /** Stops or resumes answering. Work that is running continues without being reported. */
     setAnswering(on: boolean): void {
         this.answering = on;
-        if (!on) return;
-        for (const wake of [...this.answerWaits]) wake();
+        if (on) this.resumed.dispatchEvent(new Event("resumed"));
     }
 
     /** Factor on all times. */
@@ -260,7 +247,8 @@
 
     /** A fraction of the runs, of one operation or of all, fails after the start. */
     setFailFraction(fraction: number, operation?: string): void {
-        this.failFraction = { fraction, operation };
+        this.failFraction = fraction;
+        this.failOperation = operation;
     }
 
     /** Runs whose input contains the text crash the target; undefined turns this off. */
@@ -305,7 +293,8 @@
         this.running.add(run);
         run.started = true;
         this.totals.runs += 1;
-        if (idempotencyKey !== "") this.runsByKey.set(idempotencyKey, (this.runsByKey.get(idempotencyKey) ?? 0) + 1);
+        const { runsByKey } = this.totals;
+        if (idempotencyKey !== "") runsByKey[idempotencyKey] = (runsByKey[idempotencyKey] ?? 0) + 1;
         this.totals.highestConcurrency = Math.max(this.totals.highestConcurrency, this.running.size);
         if (this.coldState) {
             run.excess = this.running.size > this.options.coldConcurrency;
@@ -323,7 +312,9 @@
         const remaining = Math.max(0, tokens.length - resumeAfter);
         const timePerToken = this.options.timePerToken ?? 0;
         await this.work(run, this.callTime(run.request.prefixHash) + (streaming ? 0 : remaining * timePerToken));
-        if (this.crashMarker !== undefined && input.includes(this.crashMarker)) return this.crash(this.restartTime());
+        if (this.crashMarker !== undefined && input.includes(this.crashMarker)) {
+            return this.crash(this.options.timePerCall * CRASH_DOWN_CALLS);
+        }
         if (fate === "fail") return this.end(run, { kind: "failed", message: "stand-in fault" });
         const deliveredUntil = fate === "truncate" ? resumeAfter + Math.floor(remaining / 2) : tokens.length;
         for (let index = resumeAfter; streaming && index < deliveredUntil; index += 1) {
@@ -338,11 +329,6 @@
         this.end(run, { kind: "completed", output, tokens: tokens.length, costMilliseconds: run.cost });
     }
 
-    /** A crash by a marker keeps the target down for ten calls. */
-    private restartTime(): number {
-        return this.options.timePerCall * 10;
-    }
-
     private decideFate(operation: string): Fate {
         if (this.failures > 0) {
             this.failures -= 1;
@@ -352,9 +338,9 @@
             this.truncations -= 1;
             return "truncate";
         }
-        const { fraction, operation: only } = this.failFraction;
+        if (this.failOperation !== undefined && this.failOperation !== operation) return "complete";
         const draw = Number.parseInt(hashText(`fail ${this.totals.runs}`).slice(0, 8), 16) / 2 ** 32;
-        return (only === undefined || only === operation) && draw < fraction ? "fail" : "complete";
+        return draw < this.failFraction ? "fail" : "complete";
     }
 
     /** Spends target time on a run; then fails it if a cold target has more work than it can handle. */
@@ -386,13 +372,11 @@
     }
 
     private logCache(kind: CacheEvent["kind"], prefixHash: string): void {
-        this.cacheLog.push({
-            sequence: (this.cacheLog.at(-1)?.sequence ?? 0) + 1,
-            kind,
-            prefixHash,
-            at: performance.now(),
-        });
-        if (this.cacheLog.length > 1_000) this.cacheLog.shift();
+        this.cacheSequence += 1;
+        const event = { sequence: this.cacheSequence, kind, prefixHash };
+        if (event.sequence % CACHE_EVENT_GAP === 0) return;
+        setTimeout(() => this.published.push(event), this.options.cacheEventLagMilliseconds ?? 0).unref();
+        if (this.published.length > 1_000) this.published.shift();
     }
 
     private cancel(run: Run): void {
@@ -414,33 +398,34 @@
         this.recordLoad();
     }
 
-    private recordLoad(): void {
-        const now = performance.now();
-        const keepFrom = this.loadReports.findLastIndex(
-            entry => entry.at <= now - (this.options.loadLagMilliseconds ?? 0),
-        );
-        this.loadReports = this.loadReports.slice(Math.max(0, keepFrom));
-        const load: EngineLoad = {
+    private currentLoad(): EngineLoad {
+        return {
             bootId: this.bootId,
             cold: this.coldState,
             running: this.running.size,
             queued: this.queue.length,
             capacity: this.coldState ? this.options.coldConcurrency : this.options.concurrency,
         };
-        this.loadReports.push({ at: now, load });
+    }
+
+    private recordLoad(): void {
+        const load = this.currentLoad();
+        const report = (): void => {
+            this.reportedLoad = load;
+        };
+        const lag = this.options.loadLagMilliseconds ?? 0;
+        if (lag === 0) report();
+        else setTimeout(report, lag).unref();
+    }
+
+    private silent(): boolean {
+        return !this.answering || performance.now() < this.downUntil;
     }
 
     private async untilAnswering(signal: AbortSignal): Promise<void> {
-        while (!this.answering && !signal.aborted) {
-            await new Promise<void>(resolve => {
-                const wake = (): void => {
-                    this.answerWaits.delete(wake);
-                    signal.removeEventListener("abort", wake);
-                    resolve();
-                };
-                this.answerWaits.add(wake);
-                signal.addEventListener("abort", wake);
-            });
-        }
+        if (this.answering || signal.aborted) return;
+        const waits = [once(this.resumed, "resumed"), once(signal, "abort")];
+        await Promise.race(waits);
+        return this.untilAnswering(signal);
     }
 }
--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -45,10 +45,7 @@
     readonly after: StoredObject | undefined;
 }
 
-interface Unavailable {
-    readonly kind: "unavailable";
-    readonly message: string;
-}
+type Unavailable = Extract<WriteOutcome, { kind: "unavailable" }>;
 
 /** Messages of `unavailable` outcomes. */
 export const STORE_OUTAGE = "outage";
@@ -61,19 +58,15 @@
 
 /** Allows `rate` calls a second, with bursts of at most one second's worth. */
 class RateLimit {
-    private available: number;
-    private updatedAt = performance.now();
+    private emptyUntil = -Infinity;
 
-    constructor(private readonly rate: number) {
-        this.available = rate;
-    }
+    constructor(private readonly rate: number) {}
 
     take(): boolean {
         const now = performance.now();
-        this.available = Math.min(this.rate, this.available + ((now - this.updatedAt) * this.rate) / 1_000);
-        this.updatedAt = now;
-        if (this.available < 1) return false;
-        this.available -= 1;
+        const next = Math.max(this.emptyUntil, now - 1_000) + 1_000 / this.rate;
+        if (next > now + 1e-6) return false;
+        this.emptyUntil = next;
         return true;
     }
 }
@@ -94,11 +87,9 @@
     private readonly counters = new Map<string, StoreCallCounts>();
     private readonly waiting = new Set<() => void>();
     private readonly clientsOut = new Set<string>();
-    private readonly vmLists: { readonly at: number; readonly vms: readonly Vm[] }[] = [];
+    private vms: readonly Vm[] | undefined;
     private readonly writes: RateLimit;
     private readonly reads: RateLimit;
-    private readonly maximumHistory: number;
-    private readonly vmListLag: number;
     private history: Change[] = [];
     private revision = 0;
     private outage = false;
@@ -106,11 +97,9 @@
     private staleMilliseconds = 0;
     private lostAnswers = { count: 0, applied: true };
 
-    private constructor(options: StandInStoreOptions) {
+    private constructor(private readonly options: StandInStoreOptions) {
         this.writes = new RateLimit(options.writesPerSecond ?? 400);
         this.reads = new RateLimit(options.readsPerSecond ?? 2_000);
-        this.maximumHistory = options.maximumHistory ?? 10_000;
-        this.vmListLag = options.vmListLagMilliseconds ?? 0;
     }
 
     /** An empty store. */
@@ -181,22 +170,21 @@
 
     /** Replaces the VM list; readers see it after the lag. The first list is visible at once. */
     setVms(vms: readonly Vm[]): void {
-        this.vmLists.push({ at: this.vmLists.length === 0 ? -Infinity : performance.now(), vms });
+        const show = (): void => {
+            this.vms = vms.filter(vm => vm.state !== "gone");
+        };
+        if (this.vms === undefined) show();
+        else setTimeout(show, this.options.vmListLagMilliseconds ?? 0).unref();
     }
 
     /** The VM list as readers see it. VMs that are gone are not in it. */
     listVms(): readonly Vm[] {
-        const visibleUntil = performance.now() - this.vmListLag;
-        const visible = this.vmLists.findLast(list => list.at <= visibleUntil);
-        return (visible?.vms ?? []).filter(vm => vm.state !== "gone");
+        return this.vms ?? [];
     }
 
     private countersOf(name: string): StoreCallCounts {
-        let counts = this.counters.get(name);
-        if (counts === undefined) {
-            counts = { read: 0, list: 0, write: 0, remove: 0, watch: 0, refused: 0 };
-            this.counters.set(name, counts);
-        }
+        const counts = this.counters.get(name) ?? { read: 0, list: 0, write: 0, remove: 0, watch: 0, refused: 0 };
+        this.counters.set(name, counts);
         return counts;
     }
 
@@ -287,7 +275,8 @@
         else this.objects.set(key, after);
         this.revision += 1;
         this.history.push({ revision: this.revision, at: performance.now(), key, before, after });
-        if (this.history.length > this.maximumHistory * 1.1) this.history = this.history.slice(-this.maximumHistory);
+        const maximum = this.options.maximumHistory ?? 10_000;
+        if (this.history.length > maximum * 1.1) this.history = this.history.slice(-maximum);
         this.wakeWatches();
         return { kind: "written", version };
     }
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,1 +1,5 @@
+export { HttpStore, type HttpStoreOptions } from "./client.js";
+export * from "./lease.js";
+export * from "./ledger.js";
 export * from "./store.js";
+export * from "./view.js";
--- /dev/null
+++ b/src/store/view.ts
@@ -0,0 +1,141 @@
+/**
+ * A copy of the objects below a prefix that follows the store: one list, then one waiting watch after the other.
+ *
+ * While the store cannot be reached, the copy keeps what it has. A list that is older than the copy is ignored, and no
+ * object is ever replaced by an older version of itself.
+ */
+import type { Store, StoredObject, StoreEvent } from "./store.js";
+
+/** What a view follows. */
+export interface StoreViewOptions {
+    readonly store: Store;
+    readonly prefix: string;
+    /** Time of one waiting watch. */
+    readonly watchMilliseconds?: number;
+}
+
+/** Called once for each change of the copy; `object` is absent after a removal. */
+export type ViewListener = (event: StoreEvent) => void;
+
+const WATCH_MS = 30_000;
+const FIRST_BACKOFF_MS = 50;
+/** Bounds the delay of changes after an outage; jitter spreads the calls of many processes over half of it. */
+const MAXIMUM_BACKOFF_MS = 1_000;
+/** Removed keys whose versions are remembered. */
+const MAXIMUM_REMOVED = 10_000;
+
+/** The watched copy. */
+export class StoreView {
+    /** Resolves after the first successful list. Stays pending if the view is stopped before that. */
+    readonly ready: Promise<void>;
+    private readonly current = new Map<string, StoredObject>();
+    /** Highest version seen of each key that was removed, so that an older version does not bring it back. */
+    private readonly removed = new Map<string, number>();
+    private readonly listeners = new Set<ViewListener>();
+    private stopped = false;
+    private wake: () => void = () => undefined;
+    private resolveReady: () => void = () => undefined;
+    /** Revision of the copy; undefined before the first list. */
+    private revision: number | undefined;
+    private reachable = false;
+
+    private constructor(private readonly options: StoreViewOptions) {
+        this.ready = new Promise(resolve => {
+            this.resolveReady = resolve;
+        });
+    }
+
+    /** Starts following a prefix. */
+    static start(options: StoreViewOptions): StoreView {
+        const view = new StoreView(options);
+        void view.follow();
+        return view;
+    }
+
+    /** The objects by key. */
+    get objects(): ReadonlyMap<string, StoredObject> {
+        return this.current;
+    }
+
+    /** Whether the last call to the store succeeded. */
+    get available(): boolean {
+        return this.reachable;
+    }
+
+    /** Calls the listener for each change from now on. Returns a function that ends this. */
+    subscribe(listener: ViewListener): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    /** Stops following. A watch that is waiting at the store ends by its own time-out. */
+    stop(): void {
+        this.stopped = true;
+        this.wake();
+        this.listeners.clear();
+    }
+
+    private async follow(): Promise<void> {
+        let failures = 0;
+        let listNeeded = true;
+        while (!this.stopped) {
+            const succeeded: boolean = listNeeded ? await this.list() : await this.watch();
+            if (this.stopped) return;
+            this.reachable = succeeded;
+            // An unavailable watch may mean that its revision is too old, which only a list mends.
+            listNeeded = !succeeded;
+            failures = succeeded ? 0 : failures + 1;
+            if (!succeeded) await this.backOff(failures);
+        }
+    }
+
+    private async list(): Promise<boolean> {
+        const outcome = await this.options.store.list(this.options.prefix);
+        if (this.stopped || outcome.kind === "unavailable") return false;
+        if (outcome.revision < (this.revision ?? 0)) return true;
+        const listed = new Set(outcome.objects.map(object => object.key));
+        for (const key of [...this.current.keys()]) {
+            if (!listed.has(key)) this.apply({ key });
+        }
+        for (const object of outcome.objects) this.apply({ key: object.key, object });
+        this.revision = outcome.revision;
+        this.resolveReady();
+        return true;
+    }
+
+    private async watch(): Promise<boolean> {
+        const { store, prefix, watchMilliseconds } = this.options;
+        const outcome = await store.watch(prefix, this.revision ?? 0, watchMilliseconds ?? WATCH_MS);
+        if (this.stopped || outcome.kind === "unavailable") return false;
+        for (const event of outcome.events) this.apply(event);
+        this.revision = Math.max(this.revision ?? 0, outcome.revision);
+        return true;
+    }
+
+    private apply(event: StoreEvent): void {
+        const { key, object } = event;
+        const known = this.current.get(key)?.version ?? this.removed.get(key) ?? 0;
+        if (object === undefined) {
+            if (!this.current.delete(key)) return;
+            this.removed.set(key, known);
+            const [oldest] = this.removed.keys();
+            if (oldest !== undefined && this.removed.size > MAXIMUM_REMOVED) this.removed.delete(oldest);
+        } else {
+            if (object.version <= known) return;
+            this.removed.delete(key);
+            this.current.set(key, object);
+        }
+        for (const listener of [...this.listeners]) listener(event);
+    }
+
+    private backOff(failures: number): Promise<void> {
+        const longest = Math.min(MAXIMUM_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1));
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, longest * (0.5 + Math.random() / 2));
+            this.wake = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+    }
+}
