--- /dev/null
+++ b/src/agent/gate.ts
@@ -0,0 +1,320 @@
+/**
+ * The concurrency gate of one target, shared by all links of its agent.
+ *
+ * A target in a cold start fails under more work than its cold limit. The gate starts at that limit, returns to it on
+ * any sign of coldness, and raises it by rounds of successes. Only what the target says at the start of an execution
+ * counts as evidence that it is warm, because load reports lag.
+ */
+import PQueue from "p-queue";
+import type { Metrics, StateLogger } from "../observability/index.js";
+import { type Deadline, type RefusalReason, refusedStage, type StageOutcome } from "../model/index.js";
+import type { EngineLoad } from "./engine.js";
+import { type AttemptOptions, AttemptQueue, DurationEstimate } from "./waiting.js";
+
+/** Failures in a row after which the target is treated as cold. */
+const FAILURES_UNTIL_COLD = 3;
+
+/** Factor by which the limit rises after as many successes as the limit. */
+const SLOW_START_FACTOR = 1.5;
+
+/** Shortest retry time that a refusal names, in milliseconds. */
+const MINIMUM_RETRY_MS = 20;
+
+/** Boot ids that a lagging load report may still name. */
+const RETAINED_BOOT_IDS = 8;
+
+/** Concurrency of one target. */
+export interface GateLimits {
+    readonly warm: number;
+    readonly cold: number;
+}
+
+/** Parts of the agent that the gate uses. */
+export interface GateOptions {
+    readonly maximumQueued: number;
+    readonly logger: StateLogger;
+    readonly metrics: Metrics;
+}
+
+/** An attempt that asks for admission. */
+export interface GateRequest {
+    readonly operation: string;
+    readonly priority: number;
+    readonly deadline: Deadline;
+    /** Whether the run may be cancelled when the target turns cold; never for non-idempotent stages. */
+    readonly cancellable: boolean;
+    /** Ends the wait, and the run if it is cancellable. */
+    readonly signal: AbortSignal;
+}
+
+/** How a run ended, as far as it tells about the target. */
+export type RunResult = "succeeded" | "failed" | "neutral";
+
+/** A run that the gate has admitted. */
+export interface GateRun {
+    /** Aborted when the run has to end early. */
+    readonly signal: AbortSignal;
+    /** Reports what the target said when the execution started. */
+    started(bootId: string, cold: boolean): void;
+    /** Reports how the run ended. */
+    finished(result: RunResult): void;
+}
+
+/** State of the gate, as entries read it. */
+export interface GateLoad {
+    readonly running: number;
+    readonly queued: number;
+    readonly limit: number;
+    readonly cold: boolean;
+}
+
+/** A refusal; nothing was sent to the target. */
+export type Refusal = Extract<StageOutcome, { kind: "refused" }>;
+
+class AdmittedRun implements GateRun {
+    private readonly controller = new AbortController();
+    private readonly startedAt = performance.now();
+    private startedWarm = false;
+
+    constructor(
+        readonly request: GateRequest,
+        private readonly gate: Gate,
+    ) {
+        if (request.cancellable) request.signal.addEventListener("abort", this.cancel, { once: true });
+    }
+
+    get signal(): AbortSignal {
+        return this.controller.signal;
+    }
+
+    readonly cancel = (): void => {
+        this.controller.abort();
+    };
+
+    started(bootId: string, cold: boolean): void {
+        this.startedWarm = !cold;
+        this.gate.observeStart(bootId, cold);
+    }
+
+    finished(result: RunResult): void {
+        this.gate.observeResult(this.request.operation, result, performance.now() - this.startedAt, this.startedWarm);
+    }
+
+    detach(): void {
+        this.request.signal.removeEventListener("abort", this.cancel);
+    }
+}
+
+/** Admits attempts to one target. */
+export class Gate {
+    private readonly queue = new PQueue<AttemptQueue, AttemptOptions>({ concurrency: 1, queueClass: AttemptQueue });
+    private readonly waiting = new Map<string, { request: GateRequest; refuse: (refusal: Refusal) => void }>();
+    /** In order of start. */
+    private readonly running = new Set<AdmittedRun>();
+    private readonly durations = DurationEstimate.create();
+    private limits: GateLimits = { warm: 1, cold: 1 };
+    private limit = 1;
+    private cold = true;
+    private successes = 0;
+    private failuresInRow = 0;
+    private bootIds: readonly string[] = [];
+    private reportedCold = false;
+    private nextId = 0;
+
+    private constructor(private readonly options: GateOptions) {}
+
+    /** A gate for a target about which nothing is known: cold, with limit 1. */
+    static create(options: GateOptions): Gate {
+        return new Gate(options);
+    }
+
+    /** What entries are told. */
+    get load(): GateLoad {
+        return { running: this.running.size, queued: this.waiting.size, limit: this.limit, cold: this.cold };
+    }
+
+    /** Takes the limits that the configuration defines. */
+    setLimits(limits: GateLimits): void {
+        const warm = Math.max(1, limits.warm);
+        this.limits = { warm, cold: Math.min(warm, Math.max(1, limits.cold)) };
+        const next = this.cold ? this.limits.cold : Math.min(Math.max(this.limit, this.limits.cold), warm);
+        this.changeLimit(next);
+        if (this.cold) this.cancelExcess();
+    }
+
+    /** Why an attempt would be refused now, or undefined when it would run or wait. */
+    refusal(request: Omit<GateRequest, "signal" | "cancellable">): Refusal | undefined {
+        const duration = this.durations.atLeast(request.operation);
+        const free = this.running.size + this.waiting.size < this.limit;
+        if (!free && this.waiting.size >= this.options.maximumQueued) {
+            const retry = Math.max(MINIMUM_RETRY_MS, (duration * this.waiting.size) / this.limit);
+            return refusedStage("overloaded", "the queue of the target is full", Math.ceil(retry));
+        }
+        const wait = free ? 0 : Math.floor(this.ahead(request) / this.limit) * duration;
+        if (request.deadline.remaining() <= wait + duration) {
+            return refusedStage("deadline", "the remaining budget is too short to finish");
+        }
+        return undefined;
+    }
+
+    /** Runs the task when the target has room. A refusal means that the task was never called. */
+    async run(request: GateRequest, task: (run: GateRun) => Promise<StageOutcome>): Promise<StageOutcome> {
+        if (request.signal.aborted) return cancelledWhileWaiting();
+        const refusal = this.refusal(request);
+        if (refusal !== undefined) return this.refused(refusal);
+        const id = String(this.nextId++);
+        const wait = new AbortController();
+        const cancel = (): void => this.waiting.get(id)?.refuse(cancelledWhileWaiting());
+        const timer = setTimeout(() => {
+            this.waiting.get(id)?.refuse(refusedStage("deadline", "the deadline passed before the target had room"));
+        }, request.deadline.remaining());
+        // The signal only ends the wait: p-queue would free the place of a running task while it still runs.
+        const refuse = (reason: Refusal): void => {
+            this.waiting.delete(id);
+            wait.abort(reason);
+        };
+        this.waiting.set(id, { request, refuse });
+        request.signal.addEventListener("abort", cancel, { once: true });
+        try {
+            const options = { id, priority: request.priority, deadlineAt: request.deadline.at, signal: wait.signal };
+            return await this.queue.add(() => this.admit(id, request, task), options);
+        } catch (error) {
+            if (wait.signal.aborted) return this.refused(wait.signal.reason as Refusal);
+            throw error;
+        } finally {
+            clearTimeout(timer);
+            request.signal.removeEventListener("abort", cancel);
+            this.waiting.delete(id);
+        }
+    }
+
+    /** Refuses waiting attempts that may run at another target. Others were admitted under this target's ownership. */
+    refuseWaiting(reason: RefusalReason, message: string): void {
+        for (const { request, refuse } of [...this.waiting.values()]) {
+            if (request.cancellable) refuse(refusedStage(reason, message));
+        }
+    }
+
+    /** Ends everything abruptly: waiting attempts are refused and all runs are cut off. */
+    kill(): void {
+        for (const { refuse } of [...this.waiting.values()]) refuse(refusedStage("stopping", "the agent ended"));
+        for (const run of this.running) run.cancel();
+    }
+
+    /** Takes a load report, which lags: boot ids that were replaced are ignored, and only a turn to cold counts. */
+    observeLoad(load: EngineLoad): void {
+        if (this.bootIds.indexOf(load.bootId) > 0) return;
+        this.observeBoot(load.bootId);
+        const turned = load.cold && !this.reportedCold;
+        this.reportedCold = load.cold;
+        if (turned) this.turnCold("load report");
+    }
+
+    /** Takes what the target said at the start of an execution. */
+    observeStart(bootId: string, cold: boolean): void {
+        this.observeBoot(bootId);
+        if (cold) {
+            this.turnCold("start of an execution");
+        } else if (this.cold) {
+            this.cold = false;
+            this.options.logger.info("target is warm, limit rises by successes", { limit: this.limit });
+        }
+    }
+
+    /** Takes the end of an execution. `warm` tells whether the target said at its start that it was not cold. */
+    observeResult(operation: string, result: RunResult, milliseconds: number, warm: boolean): void {
+        if (result === "neutral") return;
+        if (result === "failed") {
+            this.failuresInRow += 1;
+            if (this.failuresInRow >= FAILURES_UNTIL_COLD) this.turnCold("failures in a row");
+            return;
+        }
+        this.failuresInRow = 0;
+        this.durations.record(operation, milliseconds);
+        if (warm && !this.cold) this.countSuccess();
+    }
+
+    private async admit(
+        id: string,
+        request: GateRequest,
+        task: (run: GateRun) => Promise<StageOutcome>,
+    ): Promise<StageOutcome> {
+        this.waiting.delete(id);
+        if (request.deadline.remaining() <= this.durations.atLeast(request.operation)) {
+            return this.refused(refusedStage("deadline", "the remaining budget is too short to finish"));
+        }
+        const run = new AdmittedRun(request, this);
+        this.running.add(run);
+        try {
+            return await task(run);
+        } finally {
+            run.detach();
+            this.running.delete(run);
+        }
+    }
+
+    private ahead(request: Pick<GateRequest, "priority" | "deadline">): number {
+        let count = 0;
+        for (const { request: other } of this.waiting.values()) {
+            const before =
+                other.priority > request.priority ||
+                (other.priority === request.priority && other.deadline.at <= request.deadline.at);
+            if (before) count += 1;
+        }
+        return count;
+    }
+
+    private observeBoot(bootId: string): void {
+        const known = this.bootIds[0];
+        if (known === bootId) return;
+        this.bootIds = [bootId, ...this.bootIds.filter(other => other !== bootId)].slice(0, RETAINED_BOOT_IDS);
+        if (known !== undefined) this.turnCold("new boot id");
+    }
+
+    private turnCold(cause: string): void {
+        this.failuresInRow = 0;
+        this.successes = 0;
+        if (!this.cold) {
+            this.options.metrics.increment("gate.turnedCold", 1, { cause });
+            this.options.logger.warn("target turned cold", { cause, limit: this.limits.cold });
+        }
+        this.cold = true;
+        this.changeLimit(this.limits.cold);
+        this.cancelExcess();
+    }
+
+    private countSuccess(): void {
+        if (this.limit >= this.limits.warm) return;
+        this.successes += 1;
+        if (this.successes < this.limit) return;
+        this.successes = 0;
+        this.changeLimit(Math.min(this.limits.warm, Math.ceil(this.limit * SLOW_START_FACTOR)));
+    }
+
+    /** Cancels runs above the cold limit, youngest first, so that the work nearest to its end is kept. */
+    private cancelExcess(): void {
+        const active = [...this.running].filter(run => !run.signal.aborted);
+        let excess = active.length - this.limits.cold;
+        for (const run of active.reverse()) {
+            if (excess <= 0) return;
+            if (!run.request.cancellable) continue;
+            run.cancel();
+            this.options.metrics.increment("gate.cancelled");
+            excess -= 1;
+        }
+    }
+
+    private changeLimit(limit: number): void {
+        this.limit = limit;
+        if (this.queue.concurrency !== limit) this.queue.concurrency = limit;
+    }
+
+    private refused(refusal: Refusal): Refusal {
+        this.options.metrics.increment("gate.refused", 1, { reason: refusal.reason });
+        return refusal;
+    }
+}
+
+function cancelledWhileWaiting(): Refusal {
+    return refusedStage("withdrawn", "cancelled before it was given to the target");
+}
--- /dev/null
+++ b/test/agent/harness.ts
@@ -0,0 +1,151 @@
+/** A small deployment for tests of agents: agents with stand-in targets, and entries that are bare links. */
+import { Agent } from "../../src/agent/index.js";
+import { Configuration, type ConfigurationRecord } from "../../src/configuration/index.js";
+import {
+    type Link,
+    type LinkBody,
+    type LinkBodyInit,
+    MemoryNetwork,
+    Role,
+    type StageResult,
+} from "../../src/link/index.js";
+import type { Service } from "../../src/model/index.js";
+import { agentSettingsSchema } from "../../src/settings/schema.js";
+import { StandInEngine, type StandInEngineOptions, StandInStore } from "../../src/standins/index.js";
+
+const silent = (): undefined => undefined;
+
+export const logger = { debug: silent, info: silent, warn: silent, error: silent };
+export const metrics = { increment: silent };
+
+export const bookingService: Service = {
+    name: "booking",
+    kind: "plain",
+    slots: 8,
+    whenStoreUnavailable: "refuse",
+    fencing: "ignored",
+    concurrency: 6,
+    coldConcurrency: 2,
+};
+
+type BodyCase = NonNullable<LinkBody["case"]>;
+type BodyValue<Case extends BodyCase> = Extract<LinkBody, { case: Case }>["value"];
+
+/** One end of a link, as an entry holds it. */
+export class TestEntry {
+    readonly received: LinkBody[] = [];
+    private nextAttempt = 1;
+
+    private constructor(readonly link: Link) {
+        void (async () => {
+            for await (const body of link.messages) this.received.push(body);
+        })();
+    }
+
+    static async connect(network: MemoryNetwork, name: string, address: string): Promise<TestEntry> {
+        const outcome = await network.at(name).connect(address, { role: Role.ENTRY, name, incarnation: `${name}-1` });
+        if (outcome.kind !== "connected") throw new Error(outcome.message);
+        return new TestEntry(outcome.link);
+    }
+
+    /** Sends an attempt and returns its number. */
+    run(fields: Extract<LinkBodyInit, { case: "runStage" }>["value"]): number {
+        const attempt = this.nextAttempt++;
+        this.link.send({
+            case: "runStage",
+            value: {
+                attempt,
+                requestId: `request-${attempt}`,
+                account: "hire",
+                stage: "stage",
+                service: "booking",
+                operation: "check",
+                payload: `{"n":${attempt}}`,
+                remainingMilliseconds: 4_000,
+                idempotent: true,
+                ...fields,
+            },
+        });
+        return attempt;
+    }
+
+    result(attempt: number): StageResult | undefined {
+        const results = this.bodies("stageResult").filter(result => result.attempt === attempt);
+        if (results.length > 1) throw new Error(`attempt ${attempt} was answered ${results.length} times`);
+        return results[0];
+    }
+
+    /** Outcome of an attempt in short: `completed`, `replayed`, or kind and reason. */
+    outcome(attempt: number): string {
+        const outcome = this.result(attempt)?.outcome;
+        if (outcome?.case === undefined) return "open";
+        if (outcome.case === "completed") return outcome.value.replayed ? "replayed" : "completed";
+        return `${outcome.case} ${outcome.value.reason}`;
+    }
+
+    bodies<Case extends BodyCase>(name: Case): BodyValue<Case>[] {
+        return this.received.filter(body => body.case === name).map(body => body.value as BodyValue<Case>);
+    }
+}
+
+/** Agents of one service over one store and network. */
+export class Deployment {
+    readonly network = MemoryNetwork.create();
+    readonly store = StandInStore.create();
+    readonly agents: Agent[] = [];
+    readonly engines: StandInEngine[] = [];
+    private version = 0;
+
+    constructor(private readonly service: Service = bookingService) {}
+
+    async startAgent(name: string, engineOptions: Partial<StandInEngineOptions> = {}): Promise<Agent> {
+        const engine = StandInEngine.create({
+            operations: ["check", "book"],
+            nonIdempotent: ["book"],
+            concurrency: this.service.concurrency,
+            coldConcurrency: this.service.coldConcurrency,
+            timePerCall: 50,
+            startsCold: false,
+            ...engineOptions,
+        });
+        const port = 7_000 + this.agents.length;
+        const settings = agentSettingsSchema.parse({
+            name,
+            zone: "z1",
+            vm: `vm-${name}`,
+            systemKey: "test-system-key",
+            linkAddress: `127.0.0.1:${port}`,
+            store: { address: "127.0.0.1:6000" },
+            service: this.service.name,
+            version: "1",
+            targetAddress: "127.0.0.1:6100",
+        });
+        const agent = await Agent.start({
+            settings,
+            network: this.network.at(settings.linkAddress),
+            store: this.store.client(name),
+            engine,
+            logger,
+            metrics,
+        });
+        this.agents.push(agent);
+        this.engines.push(engine);
+        this.configure(agent);
+        return agent;
+    }
+
+    /** Gives an agent a configuration directly, as an entry's update would. */
+    configure(agent: Agent, records: readonly ConfigurationRecord[] = []): void {
+        this.version += 1;
+        const service = { kind: "service", name: this.service.name, value: this.service } as const;
+        agent.holder.replace(Configuration.of(this.version, [service, ...records]));
+    }
+
+    async connect(name: string, agent: Agent): Promise<TestEntry> {
+        return await TestEntry.connect(this.network, name, agent.address);
+    }
+
+    end(): void {
+        for (const agent of this.agents) agent.kill();
+    }
+}
