Add the operators' interface and the command line

Cause: operators need to apply lists, see who has which version, and move zones and traffic.

Ruled out: retrying lists after a conflict, which would overwrite what the other operator changed. A single record (zone state, traffic split) is set whole and is put on top of changes of other records.

Change: handler, changes and status below /operator/v1/; the parsleyrun command with its exit codes.

--- /dev/null
+++ b/src/commandline/client.ts
@@ -0,0 +1,119 @@
+/** Calls of the operators' HTTP interface. */
+import { request as httpRequest } from "node:http";
+import {
+    type ChangeResult,
+    type ConfigurationBody,
+    OPERATOR_PREFIX,
+    type OperatorError,
+    type ReportBody,
+    type StatusBody,
+} from "../operators/index.js";
+
+/** Longest wait for an answer. An entry that retries a lost answer of the store takes up to a few seconds. */
+const ANSWER_TIMEOUT_MS = 15_000;
+
+/** What a call comes to. */
+export type CallOutcome<Body> =
+    | { readonly kind: "answered"; readonly body: Body }
+    | { readonly kind: "refused"; readonly error: OperatorError }
+    /** No entry was reached; nothing was sent. */
+    | { readonly kind: "unreachable"; readonly message: string }
+    /** The call was sent and no usable answer came; a change may have been made. */
+    | { readonly kind: "noAnswer"; readonly message: string };
+
+/** Errors that occur before anything is sent. */
+const UNSENT_CODES = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL", "ENOTFOUND", "EAI_AGAIN"];
+
+/** A client that uses the first entry that can be reached. */
+export class OperatorClient {
+    private constructor(
+        private readonly entries: readonly string[],
+        private readonly key: string,
+    ) {}
+
+    /** A client for entries by address (host:port), in order of preference. */
+    static create(entries: readonly string[], key: string): OperatorClient {
+        return new OperatorClient(entries, key);
+    }
+
+    configuration(): Promise<CallOutcome<ConfigurationBody>> {
+        return this.call("GET", "configuration");
+    }
+
+    /** Status with regard to a version, by default the current one. */
+    status(version?: number): Promise<CallOutcome<StatusBody>> {
+        return this.call("GET", version === undefined ? "status" : `status?version=${version}`);
+    }
+
+    applyLists(body: object): Promise<CallOutcome<ChangeResult>> {
+        return this.call("POST", "lists", body);
+    }
+
+    changeZone(zone: string, body: object): Promise<CallOutcome<ChangeResult>> {
+        return this.call("POST", `zones/${encodeURIComponent(zone)}`, body);
+    }
+
+    changeTraffic(service: string, body: object): Promise<CallOutcome<ChangeResult>> {
+        return this.call("POST", `services/${encodeURIComponent(service)}/traffic`, body);
+    }
+
+    /** The report of each entry. */
+    reports(): Promise<readonly CallOutcome<ReportBody>[]> {
+        return Promise.all(this.entries.map(entry => send<ReportBody>(entry, this.key, "GET", "report")));
+    }
+
+    private async call<Body>(method: string, path: string, body?: object): Promise<CallOutcome<Body>> {
+        const messages: string[] = [];
+        for (const entry of this.entries) {
+            const outcome = await send<Body>(entry, this.key, method, path, body);
+            if (outcome.kind !== "unreachable") return outcome;
+            messages.push(outcome.message);
+        }
+        return { kind: "unreachable", message: messages.join("; ") };
+    }
+}
+
+function send<Body>(
+    entry: string,
+    key: string,
+    method: string,
+    path: string,
+    body?: object,
+): Promise<CallOutcome<Body>> {
+    return new Promise(resolve => {
+        const fail = (error: Error): void => {
+            const code = "code" in error ? String(error.code) : "";
+            const message = `${entry}: ${code || error.message}`;
+            resolve({ kind: UNSENT_CODES.includes(code) ? "unreachable" : "noAnswer", message });
+        };
+        const headers = { "authorization": `Bearer ${key}`, "content-type": "application/json" };
+        const url = `http://${entry}${OPERATOR_PREFIX}${path}`;
+        const request = httpRequest(url, { method, headers, timeout: ANSWER_TIMEOUT_MS }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("error", fail);
+            response.on("end", () => {
+                resolve(interpret(entry, response.statusCode ?? 0, Buffer.concat(chunks).toString()));
+            });
+        });
+        request.on("timeout", () => request.destroy(new Error("no answer in time")));
+        request.on("error", fail);
+        request.end(body === undefined ? undefined : JSON.stringify(body));
+    });
+}
+
+function interpret<Body>(entry: string, status: number, text: string): CallOutcome<Body> {
+    const body = parseJson(text);
+    if (status === 200 && typeof body === "object" && body !== null) return { kind: "answered", body: body as Body };
+    const error = (body as { readonly error?: OperatorError } | undefined)?.error;
+    if (error?.kind !== undefined) return { kind: "refused", error };
+    return { kind: "noAnswer", message: `${entry}: status ${status} without an answer of the operators' interface` };
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    } catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/commandline/index.ts
@@ -0,0 +1,2 @@
+export * from "./console.js";
+export { run } from "./run.js";
--- /dev/null
+++ b/src/commandline/run.ts
@@ -0,0 +1,190 @@
+/** The `parsleyrun` command: reads the arguments and runs one command. */
+import meow from "meow";
+import { OperatorClient } from "./client.js";
+import { applyCommand, trafficCommand, zoneCommand } from "./changes.js";
+import type { CommandContext } from "./command.js";
+import { type Console, ExitCode } from "./console.js";
+import { checkSettingsCommand, daemonCommand } from "./daemons.js";
+import { reportCommand, showCommand, statusCommand } from "./views.js";
+
+const HELP = `Usage
+  parsleyrun entry --settings FILE              run an entry
+  parsleyrun agent --settings FILE              run an agent
+  parsleyrun check-settings entry|agent FILE    check a settings file
+
+  parsleyrun apply FILE [--dry-run] [--base VERSION] [--wait]
+                                                apply lists
+  parsleyrun show                               print the lists in force
+  parsleyrun status                             who has which version, members, slots, zones, store
+  parsleyrun zone NAME out|back [--wait]        take a zone out of service or bring it back
+  parsleyrun traffic SERVICE --stable VERSION [--candidate VERSION --fraction F] [--wait]
+                                                split a service's traffic between versions
+  parsleyrun report                             counters and durations, merged over the entries named
+
+Options of the operators' commands
+  --entry ADDRESS    address (host:port) of an entry; may be repeated
+  --key KEY          operators' key; by default PARSLEYRUN_OPERATOR_KEY
+  --author NAME      who makes a change, for other operators to read
+  --wait             wait until a change is in force everywhere
+  --timeout SECONDS  longest wait, by default 10
+  --json             output as JSON
+
+  --help, --version
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings, 3 no entry can be reached.`;
+
+const FLAGS = {
+    settings: { type: "string" },
+    entry: { type: "string", isMultiple: true },
+    key: { type: "string" },
+    author: { type: "string" },
+    json: { type: "boolean" },
+    help: { type: "boolean", shortFlag: "h" },
+    version: { type: "boolean" },
+    dryRun: { type: "boolean" },
+    wait: { type: "boolean" },
+    timeout: { type: "number", default: 10 },
+    base: { type: "number" },
+    stable: { type: "string" },
+    candidate: { type: "string" },
+    fraction: { type: "number" },
+} as const;
+
+/** Thrown by the reading of arguments only; its message says what is wrong with them. */
+class UsageError extends Error {}
+
+type Arguments = ReturnType<typeof parseArguments>;
+
+/** Runs the command that the arguments name and returns its exit code. */
+export async function run(argv: readonly string[], console: Console): Promise<ExitCode> {
+    try {
+        return await dispatch(parseArguments(argv), console);
+    } catch (error) {
+        if (!(error instanceof UsageError)) throw error;
+        console.error(`error: ${error.message}`);
+        console.error("next: parsleyrun --help shows the usage");
+        return ExitCode.usage;
+    }
+}
+
+function parseArguments(argv: readonly string[]) {
+    const parsed = meow({
+        importMeta: import.meta,
+        argv: [...argv],
+        flags: FLAGS,
+        help: false,
+        autoHelp: false,
+        autoVersion: false,
+        booleanDefault: undefined,
+    });
+    const unknown = Object.keys(parsed.flags).filter(flag => !(flag in FLAGS));
+    if (unknown.length > 0) throw new UsageError(`unknown option: ${unknown.join(", ")}`);
+    for (const flag of ["timeout", "base", "fraction"] as const) {
+        if (Number.isNaN(parsed.flags[flag])) throw new UsageError(`--${flag} takes a number`);
+    }
+    return { input: parsed.input, flags: parsed.flags, version: parsed.pkg.version ?? "" };
+}
+
+async function dispatch({ input, flags, version }: Arguments, console: Console): Promise<ExitCode> {
+    const [command, ...operands] = input;
+    if (flags.version === true) console.out(version);
+    else if (flags.help === true) console.out(HELP);
+    if (flags.version === true || flags.help === true) return ExitCode.done;
+    switch (command) {
+        case undefined:
+            throw new UsageError("no command is given");
+        case "entry":
+        case "agent":
+            takeOperands(command, operands, []);
+            return daemonCommand(console, command, required(flags.settings, "--settings FILE"));
+        case "check-settings": {
+            const [role, file] = takeOperands(command, operands, ["entry|agent", "FILE"]);
+            return checkSettingsCommand(console, oneOf(role, ["entry", "agent"]), file);
+        }
+        default:
+            return operate(command, operands, flags, console);
+    }
+}
+
+function operate(
+    command: string,
+    operands: readonly string[],
+    flags: Arguments["flags"],
+    console: Console,
+): Promise<ExitCode> {
+    switch (command) {
+        case "apply": {
+            const [file] = takeOperands(command, operands, ["FILE"]);
+            const options = { file, dryRun: flags.dryRun === true, base: flags.base };
+            return applyCommand(contextOf(flags, console), options);
+        }
+        case "zone": {
+            const [zone, state] = takeOperands(command, operands, ["NAME", "out|back"]);
+            return zoneCommand(contextOf(flags, console), zone, oneOf(state, ["out", "back"]));
+        }
+        case "traffic": {
+            const [service] = takeOperands(command, operands, ["SERVICE"]);
+            const stable = required(flags.stable, "--stable VERSION");
+            return trafficCommand(contextOf(flags, console), { service, stable, candidate: candidateOf(flags) });
+        }
+        case "show":
+        case "status":
+        case "report": {
+            takeOperands(command, operands, []);
+            const views = { show: showCommand, status: statusCommand, report: reportCommand };
+            return views[command](contextOf(flags, console));
+        }
+        default:
+            throw new UsageError(`unknown command: ${command}`);
+    }
+}
+
+function contextOf(flags: Arguments["flags"], console: Console): CommandContext {
+    const entries = flags.entry ?? [];
+    if (entries.length === 0) throw new UsageError("--entry ADDRESS is required");
+    for (const entry of entries) {
+        if (!/^[^\s:/]+:\d{1,5}$/.test(entry)) throw new UsageError(`--entry ${entry} is not host:port`);
+    }
+    const key = required(flags.key ?? process.env["PARSLEYRUN_OPERATOR_KEY"], "--key or PARSLEYRUN_OPERATOR_KEY");
+    return {
+        client: OperatorClient.create(entries, key),
+        console,
+        json: flags.json === true,
+        author: flags.author ?? "operator",
+        wait: flags.wait === true,
+        timeoutMilliseconds: flags.timeout * 1_000,
+    };
+}
+
+function candidateOf(flags: Arguments["flags"]): { readonly version: string; readonly fraction: number } | undefined {
+    const { candidate, fraction } = flags;
+    if (candidate === undefined && fraction === undefined) return undefined;
+    if (candidate === undefined || fraction === undefined) {
+        throw new UsageError("--candidate and --fraction are given together");
+    }
+    return { version: candidate, fraction };
+}
+
+/** The operands of a command, which have to be as many as its usage names. */
+function takeOperands<Names extends readonly string[]>(
+    command: string,
+    operands: readonly string[],
+    names: readonly [...Names],
+): { readonly [Index in keyof Names]: string } {
+    if (operands.length !== names.length) {
+        const usage = names.length === 0 ? "no operands" : names.join(" ");
+        throw new UsageError(`${command} takes ${usage}`);
+    }
+    return operands as unknown as { readonly [Index in keyof Names]: string };
+}
+
+function required(value: string | undefined, what: string): string {
+    if (value === undefined || value === "") throw new UsageError(`${what} is required`);
+    return value;
+}
+
+function oneOf<Choice extends string>(value: string, choices: readonly Choice[]): Choice {
+    const chosen = choices.find(choice => choice === value);
+    if (chosen === undefined) throw new UsageError(`${value} is not one of: ${choices.join(", ")}`);
+    return chosen;
+}
--- a/src/membership/vmlist.ts
+++ b/src/membership/vmlist.ts
@@ -2,11 +2,17 @@
  * The platform's list of VMs, polled. The list lags, so a VM that has never been on it is not taken for gone: only one
  * that was listed and is missing from two answers in a row is.
  */
+import { get } from "node:http";
+import { z } from "zod";
 import type { Vm } from "../model/index.js";
 
 const POLL_TIMEOUT_MS = 2_000;
 const MISSING_ANSWERS_UNTIL_GONE = 2;
 
+const listSchema = z.object({
+    vms: z.array(z.object({ name: z.string(), zone: z.string(), state: z.enum(["live", "leaving"]) })),
+});
+
 /** Options of a VM list. */
 export interface VmListOptions {
     /** Address (host:port) that serves `GET /vms`. */
@@ -66,11 +72,30 @@
     }
 }
 
+/** The VMs that the platform lists; undefined when it does not answer in time or not in the expected form. */
 async function fetchVms(address: string): Promise<readonly Vm[] | undefined> {
+    const text = await new Promise<string | undefined>(resolve => {
+        const request = get(`http://${address}/vms`, { timeout: POLL_TIMEOUT_MS }, response => {
+            const chunks: Buffer[] = [];
+            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            response.on("end", () => {
+                resolve(response.statusCode === 200 ? Buffer.concat(chunks).toString() : undefined);
+            });
+        });
+        request.on("timeout", () => request.destroy());
+        request.on("error", () => {
+            resolve(undefined);
+        });
+        request.on("close", () => {
+            resolve(undefined);
+        });
+    });
+    return text === undefined ? undefined : parseVms(text);
+}
+
+function parseVms(text: string): readonly Vm[] | undefined {
     try {
-        const response = await fetch(`http://${address}/vms`, { signal: AbortSignal.timeout(POLL_TIMEOUT_MS) });
-        if (!response.ok) return undefined;
-        return ((await response.json()) as { readonly vms: readonly Vm[] }).vms;
+        return listSchema.parse(JSON.parse(text)).vms;
     } catch {
         return undefined;
     }
--- /dev/null
+++ b/src/operators/change.ts
@@ -0,0 +1,242 @@
+/** Changes that operators ask for: lists, zone states and traffic splits. Each becomes one change of the log. */
+import { z } from "zod";
+import {
+    type AcceptOutcome,
+    type ChangeSummary,
+    type Configuration,
+    type ConfigurationChange,
+    type ConfigurationDifference,
+    type ConfigurationHolder,
+    type ConfigurationLog,
+    type ConfigurationRecord,
+    parseLists,
+    summarizeChange,
+} from "../configuration/index.js";
+import type { Directory } from "../membership/index.js";
+import type { ChangeResult, DifferenceSummary, OperatorError } from "./message.js";
+import { knownZones } from "./status.js";
+
+/** What a change works on. */
+export interface ChangeContext {
+    readonly holder: ConfigurationHolder;
+    readonly log: ConfigurationLog;
+    readonly directory: Directory;
+    /** Whether the first configuration of this entry was confirmed. */
+    readonly ready: () => boolean;
+}
+
+/** What a change comes to. */
+export type ChangeOutcome =
+    | { readonly kind: "changed"; readonly result: ChangeResult }
+    | { readonly kind: "error"; readonly error: OperatorError };
+
+const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '_' or '-'");
+
+const author = z.string().max(100).default("operator");
+
+/** Body of `POST lists`. The version is the one that the operator read; one in the lists themselves counts instead. */
+export const listsRequestSchema = z.strictObject({
+    lists: z.string(),
+    version: z.int().min(0),
+    dryRun: z.boolean().default(false),
+    author,
+});
+
+/** Body of `POST zones/<name>`. */
+export const zoneRequestSchema = z.strictObject({ state: z.enum(["out", "back"]), author });
+
+/** Body of `POST services/<name>/traffic`. */
+export const trafficRequestSchema = z.strictObject({
+    stable: name,
+    candidate: z.strictObject({ version: name, fraction: z.number().min(0).max(1) }).exactOptional(),
+    author,
+});
+
+/**
+ * Tries of a change of one record, each after another change won. The record is set whole, so that it can be put on
+ * top of changes of other records.
+ */
+const MAXIMUM_TRIES = 8;
+
+/** Applies lists, or with `dryRun` only checks them. */
+export async function applyLists(
+    context: ChangeContext,
+    request: z.infer<typeof listsRequestSchema>,
+): Promise<ChangeOutcome> {
+    if (!context.ready()) return starting();
+    const base = context.holder.current;
+    const parsed = parseLists(request.lists, base);
+    if (parsed.kind === "invalid") {
+        return failed({
+            kind: "invalidLists",
+            message: `the lists have ${parsed.errors.length} fault(s); nothing was changed`,
+            next: "correct the lines that are named and apply the file again",
+            faults: parsed.errors,
+        });
+    }
+    const version = parsed.version ?? request.version;
+    if (version > base.version) return behind(version, base.version);
+    if (version < base.version) return conflict(changesSince(context.holder, version), parsed.difference);
+    if (request.dryRun) return changed("dryRun", base.version, parsed.difference);
+    const outcome = await context.log.accept({ base, author: request.author, difference: parsed.difference });
+    return toChangeOutcome(outcome, parsed.difference);
+}
+
+/** Takes a zone out of service or brings it back. */
+export async function changeZone(
+    context: ChangeContext,
+    zone: string,
+    request: z.infer<typeof zoneRequestSchema>,
+): Promise<ChangeOutcome> {
+    const known = knownZones(context.directory.current, context.holder.current);
+    if (!known.includes(zone)) {
+        return notFound(
+            `zone "${zone}" is not known`,
+            `name one of: ${known.join(", ") || "(no zones are known yet)"}`,
+        );
+    }
+    const state = request.state === "out" ? "out" : "in";
+    return setRecord(context, request.author, { kind: "zone", name: zone, value: { name: zone, state } });
+}
+
+/** Sets the traffic split of a service. */
+export async function changeTraffic(
+    context: ChangeContext,
+    service: string,
+    request: z.infer<typeof trafficRequestSchema>,
+): Promise<ChangeOutcome> {
+    const { stable, candidate } = request;
+    const current = context.holder.current;
+    if (current.find("service", service) === undefined) {
+        const names = current.all("service").map(known => known.name);
+        return notFound(`service "${service}" is not known`, `name one of: ${names.join(", ") || "(no services yet)"}`);
+    }
+    if (candidate?.version === stable) {
+        const message = `version "${stable}" is named as both stable and candidate`;
+        return failed({ kind: "badRequest", message, next: "name two versions, or leave out the candidate" });
+    }
+    const value = candidate === undefined ? { service, stable } : { service, stable, candidate };
+    const outcome = await setRecord(context, request.author, { kind: "traffic", name: service, value });
+    return outcome.kind === "error"
+        ? outcome
+        : withVersionWarnings(context, service, [stable, candidate?.version], outcome);
+}
+
+async function setRecord(context: ChangeContext, by: string, record: ConfigurationRecord): Promise<ChangeOutcome> {
+    if (!context.ready()) return starting();
+    const difference = { set: [record], removed: [] };
+    let outcome: AcceptOutcome | undefined;
+    for (let attempt = 0; attempt < MAXIMUM_TRIES; attempt += 1) {
+        const base = context.holder.current;
+        if (sameRecord(base, record)) return changed("unchanged", base.version, { set: [], removed: [] });
+        outcome = await context.log.accept({ base, author: by, difference });
+        if (outcome.kind !== "conflict" || touches(outcome.winner, record)) break;
+    }
+    return outcome === undefined ? starting() : toChangeOutcome(outcome, difference);
+}
+
+function sameRecord(base: Configuration, record: ConfigurationRecord): boolean {
+    return JSON.stringify(base.find(record.kind, record.name)) === JSON.stringify(record.value);
+}
+
+function touches(change: ConfigurationChange, { kind, name: changedName }: ConfigurationRecord): boolean {
+    return [...change.set, ...change.removed].some(other => other.kind === kind && other.name === changedName);
+}
+
+function toChangeOutcome(outcome: AcceptOutcome, difference: ConfigurationDifference): ChangeOutcome {
+    switch (outcome.kind) {
+        case "accepted":
+            return changed("accepted", outcome.change.version, difference, outcome.warning);
+        case "unchanged":
+            return changed("unchanged", outcome.version, difference);
+        case "conflict":
+            return conflict([summarizeChange(outcome.winner)], difference);
+        case "unavailable":
+            return failed({
+                kind: "storeUnavailable",
+                message: `the store did not take the change (${outcome.message}); nothing was changed`,
+                next: "serving continues as configured; try again when status shows the store as available",
+            });
+        case "tooLarge":
+            return failed({
+                kind: "tooLarge",
+                message: `the change has ${outcome.bytes} bytes, above ${outcome.maximumBytes}; nothing was changed`,
+                next: "apply the sections of the file one by one",
+            });
+        case "unknown":
+            return failed({
+                kind: "unknown",
+                message: `the store's answer was lost (${outcome.message}); change ${outcome.version} may be accepted`,
+                next: "read the configuration; if its version has not risen, apply again",
+            });
+    }
+}
+
+function withVersionWarnings(
+    context: ChangeContext,
+    service: string,
+    versions: readonly (string | undefined)[],
+    outcome: Extract<ChangeOutcome, { kind: "changed" }>,
+): ChangeOutcome {
+    const { targets } = context.directory.current;
+    const warnings = versions
+        .filter(version => version !== undefined)
+        .filter(version => !targets.some(target => target.service === service && target.version === version))
+        .map(version => `no target of service "${service}" has version "${version}" now`);
+    const { result } = outcome;
+    return { kind: "changed", result: { ...result, warnings: [...result.warnings, ...warnings] } };
+}
+
+function changesSince(holder: ConfigurationHolder, version: number): readonly ChangeSummary[] {
+    const texts = holder.transferSince(version)?.changes ?? [];
+    return texts.map(text => summarizeChange(JSON.parse(text) as ConfigurationChange));
+}
+
+function summarize(difference: ConfigurationDifference): DifferenceSummary {
+    const { set, removed } = summarizeChange({ version: 0, author: "", ...difference });
+    return { set, removed };
+}
+
+function changed(
+    kind: ChangeResult["kind"],
+    version: number,
+    difference: ConfigurationDifference,
+    warning?: string,
+): ChangeOutcome {
+    const warnings = warning === undefined ? [] : [warning];
+    return { kind: "changed", result: { kind, version, difference: summarize(difference), warnings } };
+}
+
+function failed(error: OperatorError): ChangeOutcome {
+    return { kind: "error", error };
+}
+
+function conflict(changes: readonly ChangeSummary[], difference: ConfigurationDifference): ChangeOutcome {
+    return failed({
+        kind: "conflict",
+        message: "the configuration was changed since the version that you read; nothing of yours is in force",
+        next: "read the configuration again (parsleyrun show), merge your difference into it and apply it again",
+        changes,
+        own: summarize(difference),
+    });
+}
+
+function behind(version: number, here: number): ChangeOutcome {
+    return failed({
+        kind: "behind",
+        message: `this entry has version ${here}, not yet ${version}; nothing was changed`,
+        next: "try again, or ask another entry",
+    });
+}
+
+function starting(): ChangeOutcome {
+    return failed({
+        kind: "starting",
+        message: "this entry has not confirmed its first configuration yet; nothing was changed",
+        next: "try again shortly, or ask another entry",
+    });
+}
+
+function notFound(message: string, next: string): ChangeOutcome {
+    return failed({ kind: "notFound", message, next });
+}
--- /dev/null
+++ b/src/operators/message.ts
@@ -0,0 +1,114 @@
+/** Bodies of the operators' HTTP interface, shared by the entries that serve it and the command line that reads it. */
+import type { ChangeSummary } from "../configuration/index.js";
+import type { Vm } from "../model/index.js";
+import type { DurationSummary } from "../observability/index.js";
+
+/** Paths of the interface start with this. */
+export const OPERATOR_PREFIX = "/operator/v1/";
+
+/** Kinds of errors; docs/operators.md lists them with their statuses. */
+export type OperatorErrorKind =
+    | "unauthenticated"
+    | "notFound"
+    | "methodNotAllowed"
+    | "badRequest"
+    | "tooLarge"
+    | "invalidLists"
+    | "conflict"
+    | "behind"
+    | "starting"
+    | "storeUnavailable"
+    | "unknown"
+    | "internal";
+
+/** Body of every answer that is not a success. */
+export interface OperatorError {
+    readonly kind: OperatorErrorKind;
+    readonly message: string;
+    /** What the operator can do next. */
+    readonly next: string;
+    /** Faults of lists, with the line from 1. */
+    readonly faults?: readonly { readonly line: number; readonly path: string; readonly message: string }[];
+    /** What others changed since the version that the operator read. */
+    readonly changes?: readonly ChangeSummary[];
+    /** The operator's own difference, of which nothing is in force. */
+    readonly own?: DifferenceSummary;
+}
+
+/** Names of records, each as `kind/name`. */
+export interface DifferenceSummary {
+    readonly set: readonly string[];
+    readonly removed: readonly string[];
+}
+
+/** Answer to a change. */
+export interface ChangeResult {
+    readonly kind: "accepted" | "unchanged" | "dryRun";
+    /** Version with the change; for `dryRun`, the version that the change would be made to. */
+    readonly version: number;
+    readonly difference: DifferenceSummary;
+    readonly warnings: readonly string[];
+}
+
+/** Answer to `GET configuration`. */
+export interface ConfigurationBody {
+    readonly version: number;
+    /** YAML text of the lists. */
+    readonly lists: string;
+    readonly zones: readonly { readonly name: string; readonly state: "in" | "out" }[];
+    readonly traffic: readonly {
+        readonly service: string;
+        readonly stable: string;
+        readonly candidate?: { readonly version: string; readonly fraction: number };
+    }[];
+}
+
+/** One process in a status. */
+export interface ProcessStatus {
+    readonly role: "entry" | "agent";
+    readonly name: string;
+    readonly zone: string;
+    readonly vm: string;
+    /** State of its VM; `unlisted` when the platform has never listed it. */
+    readonly vmState: Vm["state"] | "unlisted";
+    /** Configuration version that it has acknowledged; absent when none is known for this incarnation. */
+    readonly version?: number;
+    readonly reached: boolean;
+}
+
+/** Slots of one service in a status. */
+export interface SlotStatus {
+    readonly service: string;
+    readonly slots: number;
+    readonly owned: number;
+    /** Number of slots by owner. */
+    readonly owners: Readonly<Record<string, number>>;
+}
+
+/** Answer to `GET status`. */
+export interface StatusBody {
+    /** The entry that answers. */
+    readonly entry: string;
+    readonly configuration: {
+        readonly version: number;
+        /** Version that `reached` and `waitingFor` speak of. */
+        readonly asked: number;
+        /** Whether every known process whose VM is not gone has acknowledged the version. */
+        readonly inForceEverywhere: boolean;
+        /** Names of the processes that have not. */
+        readonly waitingFor: readonly string[];
+    };
+    readonly store: { readonly available: boolean };
+    readonly processes: readonly ProcessStatus[];
+    readonly slots: readonly SlotStatus[];
+    readonly zones: readonly { readonly name: string; readonly state: "in" | "out"; readonly targets: number }[];
+}
+
+/** Answer to `GET report`. */
+export interface ReportBody {
+    readonly entry: string;
+    readonly counters: Readonly<Record<string, number>>;
+    readonly durations: readonly DurationSummary[];
+    /** Encoded histograms, for merging those of several entries. */
+    readonly histograms: string;
+}
