Add routing, admission and the entry's execution

Cause: callers' requests had no owner between admission and answer.

Ruled out: a queue inside the entry for work that finds no target. Agents queue in front of their targets, and a second queue would hide their refusals from the balancer.

Change: routing (balancer, health, retry budgets, version shares), admission (plan shares by seat, quarantine), links to agents and entries, execution of idempotent and non-idempotent stages, settlement by withdrawal.

Before: no entry.

--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,3 @@
+export * from "./admission.js";
+export * from "./quarantine.js";
+export * from "./share.js";
--- /dev/null
+++ b/src/admission/share.ts
@@ -0,0 +1,70 @@
+/**
+ * Plan shares at one entry: a static split by seat.
+ *
+ * A plan's rate at an entry is its share of the common budget divided by the number of seats, in milliseconds of target
+ * time a second. It depends on no other process, so the sum over the entries never exceeds the plan's share.
+ */
+
+/** Length of the burst that a full bucket allows, in seconds of the plan's rate. */
+const BURST_SECONDS = 1;
+
+/** Outcome of a draw. */
+export type DrawOutcome =
+    | { readonly kind: "granted" }
+    /** Nothing was taken; the draw can succeed after this time at the earliest. */
+    | { readonly kind: "exceeded"; readonly retryAfterMilliseconds: number };
+
+/** A token bucket in milliseconds of target time. */
+export class ShareBucket {
+    private level: number;
+    private updatedAt = performance.now();
+
+    private constructor(private rate: number) {
+        this.level = rate * BURST_SECONDS;
+    }
+
+    /** A full bucket with a rate in target milliseconds a second. */
+    static create(rate: number): ShareBucket {
+        return new ShareBucket(rate);
+    }
+
+    /** Changes the rate; what was drawn stays drawn. */
+    setRate(rate: number): void {
+        if (rate === this.rate) return;
+        this.refill();
+        this.rate = rate;
+        this.level = Math.min(this.level, rate * BURST_SECONDS);
+    }
+
+    /**
+     * Takes the cost of a request. A cost above the whole burst is granted from a full bucket and leaves a debt, since
+     * it could never be granted otherwise; the rate over time is the same.
+     */
+    draw(cost: number): DrawOutcome {
+        this.refill();
+        const needed = Math.min(cost, this.rate * BURST_SECONDS);
+        if (this.rate > 0 && this.level >= needed) {
+            this.level -= cost;
+            return { kind: "granted" };
+        }
+        const wait = this.rate > 0 ? ((needed - this.level) / this.rate) * 1_000 : Number.POSITIVE_INFINITY;
+        return { kind: "exceeded", retryAfterMilliseconds: Math.min(60_000, Math.max(1, Math.ceil(wait))) };
+    }
+
+    /** Gives back the cost of a request of which nothing was run. */
+    refund(cost: number): void {
+        this.level = Math.min(this.level + cost, this.rate * BURST_SECONDS);
+    }
+
+    private refill(): void {
+        const now = performance.now();
+        const gained = ((now - this.updatedAt) / 1_000) * this.rate;
+        this.level = Math.min(this.level + gained, this.rate * BURST_SECONDS);
+        this.updatedAt = now;
+    }
+}
+
+/** The rate of a plan at one of `seats` entries. */
+export function seatRate(share: number, budgetPerSecond: number, seats: number): number {
+    return (share * budgetPerSecond) / seats;
+}
--- /dev/null
+++ b/src/entry/attempt.ts
@@ -0,0 +1,117 @@
+/**
+ * One attempt at one stage, from the entry's side.
+ *
+ * An attempt belongs to one link. It ends once: by its result, by the loss of the link, by silence, or because the entry
+ * gives it up. Answers after that find no open attempt and are dropped by the link's owner.
+ */
+import type { Deadline, StageOutcome } from "../model/index.js";
+
+/** How an attempt ended. */
+export type AttemptOutcome =
+    | StageOutcome
+    /** The link closed; the attempt may have been run. */
+    | { readonly kind: "lost"; readonly message: string }
+    /** No answer at all for the silence limit; the attempt may have been run. */
+    | { readonly kind: "silent"; readonly message: string }
+    /** The entry gave the attempt up; it may have been run. */
+    | { readonly kind: "abandoned"; readonly cause: "deadline" | "cancelled" };
+
+/** What limits an attempt. */
+export interface AttemptLimits {
+    readonly deadline: Deadline;
+    /** Longest time without any answer, in milliseconds. */
+    readonly silenceMilliseconds: number;
+    /** Gives the attempt up; absent for work that has to go on. */
+    readonly signal?: AbortSignal | undefined;
+    /** Called for tokens in the order of their arrival. */
+    readonly onTokens?: ((firstIndex: number, tokens: readonly string[]) => void) | undefined;
+    /** Called with each time between two signs of life, in milliseconds. */
+    readonly onAnswer?: ((gapMilliseconds: number) => void) | undefined;
+}
+
+/** An open attempt. */
+export class Attempt {
+    /** Resolves when the attempt has ended. */
+    readonly outcome: Promise<AttemptOutcome>;
+    private resolve: (outcome: AttemptOutcome) => void = () => undefined;
+    private ended = false;
+    private gaveUp = false;
+    private lastAnswerAt = performance.now();
+    private silenceTimer: NodeJS.Timeout | undefined;
+    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly onAbort = (): void => this.giveUp({ kind: "abandoned", cause: "cancelled" });
+
+    private constructor(
+        readonly number: number,
+        /** Hash of the request's content. */
+        readonly fingerprint: string,
+        readonly stage: string,
+        private readonly limits: AttemptLimits,
+    ) {
+        this.outcome = new Promise(resolve => {
+            this.resolve = resolve;
+        });
+        this.deadlineTimer = setTimeout(
+            () => this.giveUp({ kind: "abandoned", cause: "deadline" }),
+            limits.deadline.remaining(),
+        );
+        this.watchSilence(limits.silenceMilliseconds);
+        limits.signal?.addEventListener("abort", this.onAbort, { once: true });
+        if (limits.signal?.aborted === true) this.onAbort();
+    }
+
+    /** An attempt whose time runs from now. */
+    static start(number: number, fingerprint: string, stage: string, limits: AttemptLimits): Attempt {
+        return new Attempt(number, fingerprint, stage, limits);
+    }
+
+    /** The target has begun. */
+    accepted(): void {
+        this.answered();
+    }
+
+    /** Tokens arrived. */
+    tokens(firstIndex: number, tokens: readonly string[]): void {
+        if (this.ended) return;
+        this.answered();
+        this.limits.onTokens?.(firstIndex, tokens);
+    }
+
+    /** Ends the attempt. Only the first end counts. */
+    end(outcome: AttemptOutcome): void {
+        if (this.ended) return;
+        if (outcome.kind === "completed") this.answered();
+        this.ended = true;
+        clearTimeout(this.deadlineTimer);
+        clearTimeout(this.silenceTimer);
+        this.limits.signal?.removeEventListener("abort", this.onAbort);
+        this.resolve(outcome);
+    }
+
+    /** Ends the attempt although its target may still work on it. */
+    giveUp(outcome: AttemptOutcome): void {
+        if (this.ended) return;
+        this.gaveUp = true;
+        this.end(outcome);
+    }
+
+    /** Whether the target may still work on an attempt that ended here. */
+    get stillRunning(): boolean {
+        return this.gaveUp;
+    }
+
+    private answered(): void {
+        const now = performance.now();
+        this.limits.onAnswer?.(now - this.lastAnswerAt);
+        this.lastAnswerAt = now;
+    }
+
+    /** One timer for all answers: it is set again for the time that is left, instead of at each answer. */
+    private watchSilence(milliseconds: number): void {
+        this.silenceTimer = setTimeout(() => {
+            const left = this.lastAnswerAt + this.limits.silenceMilliseconds - performance.now();
+            if (left > 0) this.watchSilence(left);
+            else this.giveUp({ kind: "silent", message: `no answer for ${this.limits.silenceMilliseconds} ms` });
+        }, milliseconds);
+    }
+}
--- /dev/null
+++ b/src/entry/backoff.ts
@@ -0,0 +1,52 @@
+/** Jittered exponential backoff between attempts to open a link. */
+
+const FIRST_MS = 50;
+const LONGEST_MS = 2_000;
+
+/** A link that was open for this long starts the backoff over. */
+const STABLE_MS = 1_000;
+
+/** Waiting times of one connecting task. */
+export class Backoff {
+    private next = FIRST_MS;
+    private stopped = false;
+    private wake: () => void = () => undefined;
+
+    private constructor() {}
+
+    static create(): Backoff {
+        return new Backoff();
+    }
+
+    /** A link was open for a time. */
+    used(openMilliseconds: number): void {
+        if (openMilliseconds >= STABLE_MS) this.next = FIRST_MS;
+    }
+
+    /** Ends a wait, and starts over: there is news that makes success likely. */
+    reset(): void {
+        this.next = FIRST_MS;
+        this.wake();
+    }
+
+    /** Ends a wait, for good. */
+    stop(): void {
+        this.stopped = true;
+        this.wake();
+    }
+
+    /** Waits half to all of the present backoff, which then doubles. */
+    async wait(): Promise<void> {
+        if (this.stopped) return;
+        const milliseconds = this.next * (0.5 + Math.random() / 2);
+        this.next = Math.min(LONGEST_MS, this.next * 2);
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(resolve, milliseconds);
+            this.wake = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+        this.wake = () => undefined;
+    }
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,287 @@
+/**
+ * An entry: the process that owns callers' requests. This module puts its parts together and starts and stops them.
+ */
+import { Admission, checkAccess, Quarantine, QUARANTINE_MS } from "../admission/index.js";
+import type { SlotDirectory } from "../claims/index.js";
+import type { ConfigurationHolder } from "../configuration/index.js";
+import { type HelloInit, type Link, type Listener, type Network, Role } from "../link/index.js";
+import type { Directory } from "../membership/index.js";
+import { createIncarnation, refusedStage, type RequestOutcome } from "../model/index.js";
+import type { DurationRecorder, Metrics, StateLogger } from "../observability/index.js";
+import { type ChooseTarget, chooseByLoad, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
+import type { EntrySettings } from "../settings/schema.js";
+import { execute } from "./execution.js";
+import { type PeerNoticeBody, Peers } from "./peers.js";
+import { type CallerRequest, type ExecutionParts, RequestRun, type TokenListener } from "./run.js";
+import { SilenceLimits } from "./silence.js";
+import { Suspects } from "./suspects.js";
+import type { TargetLinkContext } from "./targetlink.js";
+import { TargetLinks } from "./targets.js";
+
+/** Interval of the links' regular work. */
+const TICK_MS = 1_000;
+
+/** Retry time while the entry has no configuration or stops; another entry can take the request at once. */
+const ELSEWHERE_RETRY_MS = 100;
+
+/** What an entry is started with. */
+export interface EntryOptions {
+    readonly settings: EntrySettings;
+    readonly network: Network;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: Directory;
+    readonly slots: SlotDirectory;
+    readonly logger: StateLogger;
+    readonly metrics: Metrics;
+    readonly recorder: DurationRecorder;
+    /** Routing policy; by load unless another one is compared. */
+    readonly chooseTarget?: ChooseTarget;
+    /** Drawn at random when absent; given when the process already announced one. */
+    readonly incarnation?: string;
+}
+
+/** Configuration version of a known process. */
+export interface ProcessVersion {
+    readonly name: string;
+    readonly incarnation: string;
+    /** 0 when the process has told none. */
+    readonly configurationVersion: number;
+}
+
+/** A running entry. */
+export class Entry {
+    readonly incarnation: string;
+    private readonly parts: ExecutionParts;
+    private readonly targets: TargetLinks;
+    private readonly peers: Peers;
+    private readonly suspects: Suspects;
+    private listener: Listener | undefined;
+    private readonly ticker: NodeJS.Timeout;
+    private readonly unsubscribe: () => void;
+    private readonly open = new Map<Promise<RequestOutcome>, AbortController>();
+    private lastNumber = 0;
+    private leaving = false;
+
+    private constructor(private readonly options: EntryOptions) {
+        const { settings, configuration, directory, logger, metrics } = options;
+        this.incarnation = options.incarnation ?? createIncarnation();
+        const quarantine = Quarantine.create((fingerprint, losses) => this.reportLosses(fingerprint, losses));
+        this.suspects = Suspects.create(quarantine);
+        const health = Health.create((target, ejected, reason) => {
+            metrics.increment(ejected ? "target.ejected" : "target.readmitted", 1, { target, reason });
+            logger.info(`target ${target} is ${ejected ? "ejected" : "readmitted"}: ${reason}`);
+        });
+        this.targets = TargetLinks.start(directory, this.targetContext(), name => health.forget(name));
+        this.parts = {
+            zone: settings.zone,
+            holder: configuration,
+            targets: this.targets,
+            slots: options.slots,
+            admission: Admission.create(settings.seat.count, settings.maximumRequests),
+            quarantine,
+            health,
+            retries: RetryBudgets.create(),
+            versions: VersionChooser.create(),
+            silence: SilenceLimits.create(),
+            chooseTarget: options.chooseTarget ?? chooseByLoad,
+            metrics,
+            recorder: options.recorder,
+        };
+        this.peers = this.startPeers(quarantine);
+        this.unsubscribe = configuration.subscribe(() => this.configurationChanged());
+        this.ticker = setInterval(() => this.tick(), TICK_MS);
+    }
+
+    /** Starts an entry. Rejects when its link address cannot be used. */
+    static async start(options: EntryOptions): Promise<Entry> {
+        const entry = new Entry(options);
+        try {
+            entry.listener = await options.network.listen(
+                options.settings.linkAddress,
+                () => entry.hello(),
+                link => entry.accept(link),
+            );
+        } catch (error) {
+            entry.kill();
+            throw error;
+        }
+        return entry;
+    }
+
+    /** Requests in progress. */
+    get openRequests(): number {
+        return this.open.size;
+    }
+
+    /** Whether callers are served: there is a configuration, and the entry does not stop. */
+    get ready(): boolean {
+        return this.options.configuration.current.version > 0 && !this.leaving;
+    }
+
+    /**
+     * Owns a request from admission to its outcome. Aborting the signal says that the caller has gone: idempotent work
+     * is cancelled. Tokens of the pipeline's last streaming stage go to `onToken`, in order and each once.
+     */
+    async handle(request: CallerRequest, signal: AbortSignal, onToken?: TokenListener): Promise<RequestOutcome> {
+        const { configuration, settings } = this.options;
+        if (configuration.current.version === 0) return this.refuseStarting(request);
+        const access = checkAccess(configuration.current, request.account, request.pipeline);
+        if (access.kind !== "allowed") return refusedStage("unsupported", access.kind, ELSEWHERE_RETRY_MS);
+        const deadlineMilliseconds = Math.min(request.deadlineMilliseconds, settings.maximumDeadlineMilliseconds);
+        const controller = new AbortController();
+        const onAbort = (): void => controller.abort();
+        signal.addEventListener("abort", onAbort, { once: true });
+        if (signal.aborted) onAbort();
+        const limited = { ...request, deadlineMilliseconds };
+        const run = RequestRun.start(this.parts, limited, access, controller.signal, onToken);
+        const outcome = execute(run, this.leaving);
+        this.open.set(outcome, controller);
+        try {
+            return await outcome;
+        } finally {
+            this.open.delete(outcome);
+            signal.removeEventListener("abort", onAbort);
+        }
+    }
+
+    /** Each known process with the configuration version that it has told; this entry first. */
+    processVersions(): readonly ProcessVersion[] {
+        const { configuration, settings } = this.options;
+        const others = [...this.peers.processes(), ...this.targets.all().map(link => link.process)];
+        return [
+            { name: settings.name, incarnation: this.incarnation, version: configuration.current.version },
+            ...others,
+        ].map(({ name, incarnation, version }) => ({ name, incarnation, configurationVersion: version }));
+    }
+
+    /** Gives a version under trial no further traffic, here and at the other entries. */
+    stopVersion(service: string, version: string, reason: string): void {
+        this.parts.versions.stop(service, version);
+        this.peers.notify({ case: "versionStopped", value: { service, version, reason } });
+    }
+
+    /** Planned stop: refuses new requests, finishes open ones, then closes. */
+    async stop(): Promise<void> {
+        this.leaving = true;
+        this.peers.announceLeaving("planned stop");
+        this.targets.announceLeaving("planned stop");
+        const longest = this.options.settings.maximumDeadlineMilliseconds;
+        let timer: NodeJS.Timeout | undefined;
+        const limit = new Promise<void>(resolve => {
+            timer = setTimeout(resolve, longest);
+        });
+        await Promise.race([Promise.allSettled(this.open.keys()), limit]);
+        clearTimeout(timer);
+        this.close("planned stop");
+        await this.listener?.close();
+    }
+
+    /** Ends the entry at once; open requests are given up. */
+    kill(): void {
+        this.leaving = true;
+        for (const controller of this.open.values()) controller.abort();
+        this.close("entry ended");
+        void this.listener?.close();
+    }
+
+    private close(reason: string): void {
+        clearInterval(this.ticker);
+        this.unsubscribe();
+        this.peers.stop(reason);
+        this.targets.stop(reason);
+    }
+
+    private hello(): HelloInit {
+        const { settings, configuration } = this.options;
+        return {
+            role: Role.ENTRY,
+            name: settings.name,
+            incarnation: this.incarnation,
+            zone: settings.zone,
+            vm: settings.vm,
+            key: settings.systemKey,
+            address: settings.linkAddress,
+            configurationVersion: configuration.current.version,
+        };
+    }
+
+    private targetContext(): TargetLinkContext {
+        const { network, configuration, logger, metrics } = this.options;
+        return {
+            network,
+            holder: configuration,
+            logger,
+            metrics,
+            hello: () => this.hello(),
+            coldLimit: service => configuration.current.find("service", service)?.coldConcurrency ?? 1,
+            nextNumber: () => {
+                this.lastNumber += 1;
+                return this.lastNumber;
+            },
+            onLost: (target, incarnation, open) => this.suspects.lost(target.name, incarnation, open),
+            onConnected: (target, incarnation) => this.suspects.returned(target.name, incarnation),
+        };
+    }
+
+    private startPeers(quarantine: Quarantine): Peers {
+        const { network, configuration, directory, logger, metrics, settings } = this.options;
+        return Peers.start({
+            network,
+            holder: configuration,
+            directory,
+            logger,
+            metrics,
+            hello: () => this.hello(),
+            name: settings.name,
+            address: settings.linkAddress,
+            seeds: settings.peers,
+            onNotice: (peer, notice) => this.takeNotice(peer, notice),
+            greeting: function* () {
+                for (const { fingerprint, losses, remainingMilliseconds } of quarantine.ownLosses()) {
+                    yield { case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } };
+                }
+            },
+        });
+    }
+
+    private accept(link: Link): void {
+        if (link.peer.role === Role.ENTRY) this.peers.accept(link);
+        else link.close("entries accept links of entries only");
+    }
+
+    private takeNotice(peer: string, notice: PeerNoticeBody): void {
+        if (notice.case === "quarantined") {
+            const { fingerprint, deaths, remainingMilliseconds } = notice.value;
+            this.parts.quarantine.reported(peer, fingerprint, deaths, remainingMilliseconds);
+        } else if (notice.case === "versionStopped") {
+            this.parts.versions.stop(notice.value.service, notice.value.version);
+        }
+    }
+
+    private reportLosses(fingerprint: string, losses: number): void {
+        const remainingMilliseconds = QUARANTINE_MS;
+        this.options.metrics.increment("quarantine.losses");
+        this.peers.notify({ case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } });
+    }
+
+    private configurationChanged(): void {
+        this.peers.configurationChanged();
+        for (const link of this.targets.all()) link.configurationChanged();
+    }
+
+    private tick(): void {
+        this.peers.tick();
+        this.targets.tick();
+    }
+
+    /**
+     * Without a configuration it is not known whether the pipeline has non-idempotent stages. A request with a key may
+     * have been run by an earlier submission, so nothing can be promised about it.
+     */
+    private refuseStarting(request: CallerRequest): RequestOutcome {
+        if (request.idempotencyKey !== undefined) {
+            return { kind: "unknown", reason: "ownerUnreachable", message: "the entry is starting" };
+        }
+        return refusedStage("starting", "the entry has no configuration yet", ELSEWHERE_RETRY_MS);
+    }
+}
--- /dev/null
+++ b/src/entry/exchange.ts
@@ -0,0 +1,77 @@
+/**
+ * Configuration over one link: what the other end has, and what is sent to it.
+ *
+ * Each end sends what the other lacks as soon as it knows, and repeats it while no acknowledgement comes, since a
+ * message can be lost on a link that stays open.
+ */
+import type { ConfigurationHolder } from "../configuration/index.js";
+import type { ConfigurationUpdate, Link } from "../link/index.js";
+
+/** Time after which an update that was not acknowledged is sent again. */
+const REPEAT_AFTER_MS = 1_000;
+
+/** The configuration exchange of one link. */
+export class ConfigurationExchange {
+    private acknowledged: number;
+    private sent: number;
+    private sentAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(
+        private readonly holder: ConfigurationHolder,
+        private readonly link: Link,
+    ) {
+        this.acknowledged = link.peer.configurationVersion;
+        this.sent = this.acknowledged;
+    }
+
+    /** Starts the exchange by sending what the peer lacked at its hello. */
+    static start(holder: ConfigurationHolder, link: Link): ConfigurationExchange {
+        const exchange = new ConfigurationExchange(holder, link);
+        exchange.sendNewer();
+        return exchange;
+    }
+
+    /** Version that the peer has acknowledged. */
+    get peerVersion(): number {
+        return this.acknowledged;
+    }
+
+    /** Sends what was not sent yet. Called after each change of the holder. */
+    sendNewer(): void {
+        const transfer = this.holder.transferSince(this.sent);
+        if (transfer === undefined) return;
+        this.sent = transfer.version;
+        this.sentAt = performance.now();
+        this.link.send({ case: "configurationUpdate", value: { ...transfer, changes: [...transfer.changes] } });
+    }
+
+    /** Sends again what was not acknowledged in time. Called about once a second. */
+    repeat(): void {
+        if (this.acknowledged >= this.sent || performance.now() - this.sentAt < REPEAT_AFTER_MS) return;
+        this.sent = this.acknowledged;
+        this.sendNewer();
+    }
+
+    /** The peer told which version it has in force. */
+    received(version: number): void {
+        this.acknowledged = Math.max(this.acknowledged, version);
+        this.sent = Math.max(this.sent, version);
+    }
+
+    /** The peer sent configuration. Closes the link when it cannot be read. */
+    update(update: ConfigurationUpdate): void {
+        this.received(update.version);
+        try {
+            this.holder.receive(update);
+        } catch {
+            this.link.close("configuration update cannot be read");
+            return;
+        }
+        this.acknowledge();
+    }
+
+    /** Tells the peer which version is in force here. */
+    acknowledge(): void {
+        this.link.send({ case: "acknowledge", value: { configurationVersion: this.holder.current.version } });
+    }
+}
--- /dev/null
+++ b/src/entry/peers.ts
@@ -0,0 +1,246 @@
+/**
+ * Links to the other entries: exactly one for each pair.
+ *
+ * Of two entries, the one whose name sorts first opens the link. An entry also dials the addresses in its settings,
+ * whose names it does not know, so that entries find each other while the store is down. A link that was opened from
+ * the wrong side is kept until one from the right side exists.
+ */
+import type { ConfigurationHolder } from "../configuration/index.js";
+import { type HelloInit, type Link, type LinkBody, type LinkBodyInit, type Network, Role } from "../link/index.js";
+import type { Directory } from "../membership/index.js";
+import type { Metrics, StateLogger } from "../observability/index.js";
+import { Backoff } from "./backoff.js";
+import { ConfigurationExchange } from "./exchange.js";
+
+/** A notice from another entry. */
+export type PeerNoticeBody = Extract<LinkBody, { case: "peerNotice" }>["value"]["notice"];
+
+type PeerNoticeInit = NonNullable<Extract<LinkBodyInit, { case: "peerNotice" }>["value"]["notice"]>;
+
+/** Entries tell each other their version at this interval, which also shows that the link works. */
+const HEARTBEAT_MS = 2_000;
+
+/** Without any message for this time, a link to an entry is dead. */
+const LINK_SILENCE_MS = 10_000;
+
+/** Time between looks at whether an entry that is linked has to be dialled again. */
+const RECHECK_MS = 500;
+
+/** What links to other entries need of their entry. */
+export interface PeersContext {
+    readonly network: Network;
+    readonly holder: ConfigurationHolder;
+    readonly directory: Directory;
+    readonly logger: StateLogger;
+    readonly metrics: Metrics;
+    readonly hello: () => HelloInit;
+    /** This entry's name and link address. */
+    readonly name: string;
+    readonly address: string;
+    /** Addresses of entries from the settings. */
+    readonly seeds: readonly string[];
+    readonly onNotice: (peer: string, notice: PeerNoticeBody) => void;
+    /** Notices that an entry gets when it connects. */
+    readonly greeting: () => Iterable<PeerNoticeInit>;
+}
+
+interface Peer {
+    readonly link: Link;
+    readonly exchange: ConfigurationExchange;
+    /** Whether the side whose name sorts first opened it. */
+    readonly preferred: boolean;
+    heardAt: number;
+    toldAt: number;
+}
+
+interface Dialer {
+    readonly backoff: Backoff;
+    stopped: boolean;
+}
+
+/** Version and incarnation that another entry last told. */
+interface ToldVersion {
+    readonly incarnation: string;
+    readonly version: number;
+}
+
+/** The links to the other entries. */
+export class Peers {
+    private readonly links = new Map<string, Peer>();
+    private readonly dialers = new Map<string, Dialer>();
+    private readonly told = new Map<string, ToldVersion>();
+    private readonly seeds: ReadonlySet<string>;
+    private unsubscribe: () => void = () => undefined;
+    private stopped = false;
+
+    private constructor(private readonly context: PeersContext) {
+        this.seeds = new Set(context.seeds.filter(address => address !== context.address));
+    }
+
+    /** Starts to dial the entries of the directory and of the settings. */
+    static start(context: PeersContext): Peers {
+        const created = new Peers(context);
+        created.updateDialers();
+        created.unsubscribe = context.directory.subscribe(() => created.updateDialers());
+        return created;
+    }
+
+    /** Names of the linked entries. */
+    get names(): readonly string[] {
+        return [...this.links.keys()];
+    }
+
+    /** Takes a link that another entry opened. */
+    accept(link: Link): void {
+        void this.serve(link, false);
+    }
+
+    /** Incarnation and configuration version of each entry that is present. */
+    processes(): readonly { readonly name: string; readonly incarnation: string; readonly version: number }[] {
+        const known = new Map<string, ToldVersion>();
+        for (const entry of this.context.directory.current.entries) {
+            if (entry.name === this.context.name) continue;
+            const told = this.told.get(entry.name);
+            const current = told?.incarnation === entry.incarnation ? told.version : 0;
+            known.set(entry.name, { incarnation: entry.incarnation, version: current });
+        }
+        for (const [name, { link, exchange }] of this.links) {
+            known.set(name, { incarnation: link.peer.incarnation, version: exchange.peerVersion });
+        }
+        return [...known].map(([name, told]) => ({ name, ...told }));
+    }
+
+    /** Sends a notice to every linked entry. */
+    notify(notice: PeerNoticeInit): void {
+        for (const { link } of this.links.values()) link.send({ case: "peerNotice", value: { notice } });
+    }
+
+    /** Sends the newest configuration. */
+    configurationChanged(): void {
+        for (const { exchange } of this.links.values()) exchange.sendNewer();
+    }
+
+    /** Regular work, about once a second. */
+    tick(): void {
+        const now = performance.now();
+        for (const peer of this.links.values()) {
+            peer.exchange.repeat();
+            if (now - peer.heardAt > LINK_SILENCE_MS) peer.link.close("no message for too long");
+            if (now - peer.toldAt < HEARTBEAT_MS) continue;
+            peer.toldAt = now;
+            peer.exchange.acknowledge();
+        }
+    }
+
+    /** Tells every linked entry that this one stops. */
+    announceLeaving(reason: string): void {
+        for (const { link } of this.links.values()) link.send({ case: "leaving", value: { reason } });
+    }
+
+    /** Closes all links and dials no more. */
+    stop(reason: string): void {
+        this.stopped = true;
+        this.unsubscribe();
+        for (const address of this.dialers.keys()) this.stopDialer(address);
+        for (const { link } of this.links.values()) link.close(reason);
+    }
+
+    private updateDialers(): void {
+        const wanted = new Set(this.seeds);
+        for (const entry of this.context.directory.current.entries) {
+            if (this.context.name < entry.name) wanted.add(entry.address);
+        }
+        for (const address of this.dialers.keys()) {
+            if (!wanted.has(address)) this.stopDialer(address);
+        }
+        for (const address of wanted) {
+            if (!this.dialers.has(address)) void this.keepDialing(address);
+        }
+    }
+
+    private stopDialer(address: string): void {
+        const dialer = this.dialers.get(address);
+        this.dialers.delete(address);
+        if (dialer === undefined) return;
+        dialer.stopped = true;
+        dialer.backoff.stop();
+    }
+
+    private async keepDialing(address: string): Promise<void> {
+        const dialer: Dialer = { backoff: Backoff.create(), stopped: false };
+        this.dialers.set(address, dialer);
+        while (!dialer.stopped) {
+            if (this.isLinked(address)) {
+                await new Promise(resolve => setTimeout(resolve, RECHECK_MS).unref());
+                continue;
+            }
+            const outcome = await this.context.network.connect(address, this.context.hello());
+            const openedAt = performance.now();
+            if (outcome.kind === "connected") await this.serve(outcome.link, true);
+            dialer.backoff.used(performance.now() - openedAt);
+            await dialer.backoff.wait();
+        }
+    }
+
+    private isLinked(address: string): boolean {
+        return [...this.links.values()].some(peer => peer.link.peer.address === address);
+    }
+
+    /** Reads one link until it closes. */
+    private async serve(link: Link, openedHere: boolean): Promise<void> {
+        const peer = this.adopt(link, openedHere);
+        if (peer === undefined) return;
+        for await (const body of link.messages) this.receive(peer, body);
+        const reason = await link.closed;
+        this.tell(peer);
+        if (this.links.get(link.peer.name) !== peer) return;
+        this.links.delete(link.peer.name);
+        if (!this.stopped) this.context.logger.info(`link to entry ${link.peer.name} closed: ${reason}`);
+    }
+
+    /** Makes a new link the one to its entry, or closes it when a better one exists. Both ends decide alike. */
+    private adopt(link: Link, openedHere: boolean): Peer | undefined {
+        const { name, incarnation, role } = link.peer;
+        if (this.stopped || role !== Role.ENTRY || name === this.context.name) {
+            link.close("not another entry");
+            return undefined;
+        }
+        const preferred = openedHere === this.context.name < name;
+        const existing = this.links.get(name);
+        if (existing?.preferred === true && !preferred && existing.link.peer.incarnation === incarnation) {
+            link.close("duplicate link");
+            return undefined;
+        }
+        const now = performance.now();
+        const exchange = ConfigurationExchange.start(this.context.holder, link);
+        const peer: Peer = { link, exchange, preferred, heardAt: now, toldAt: now };
+        this.links.set(name, peer);
+        existing?.link.close("replaced by another link");
+        for (const notice of this.context.greeting()) link.send({ case: "peerNotice", value: { notice } });
+        return peer;
+    }
+
+    private receive(peer: Peer, body: LinkBody): void {
+        peer.heardAt = performance.now();
+        switch (body.case) {
+            case "configurationUpdate":
+                peer.exchange.update(body.value);
+                break;
+            case "acknowledge":
+                peer.exchange.received(body.value.configurationVersion);
+                break;
+            case "peerNotice":
+                this.context.onNotice(peer.link.peer.name, body.value.notice);
+                break;
+            case "leaving":
+                this.context.logger.info(`entry ${peer.link.peer.name} is leaving: ${body.value.reason}`);
+                break;
+            default:
+                this.context.metrics.increment("link.unexpectedMessages", 1, { message: String(body.case) });
+        }
+    }
+
+    private tell({ link, exchange }: Peer): void {
+        this.told.set(link.peer.name, { incarnation: link.peer.incarnation, version: exchange.peerVersion });
+    }
+}
--- /dev/null
+++ b/src/entry/run.ts
@@ -0,0 +1,177 @@
+/** One caller's request while an entry works on it, and what the parts of its execution share. */
+import type { Admission, Quarantine } from "../admission/index.js";
+import type { SlotDirectory } from "../claims/index.js";
+import type { ConfigurationHolder } from "../configuration/index.js";
+import {
+    type ClientAccount,
+    createRequestId,
+    Deadline,
+    hashText,
+    type Pipeline,
+    type Plan,
+    type Stage,
+    type StageOutcome,
+} from "../model/index.js";
+import type { DurationRecorder, Metrics } from "../observability/index.js";
+import type { ChooseTarget, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
+import type { SilenceLimits } from "./silence.js";
+import type { TargetLinks } from "./targets.js";
+
+/** A caller's request. */
+export interface CallerRequest {
+    /** Name of the account. */
+    readonly account: string;
+    readonly pipeline: string;
+    /** The caller's kind of request, for histograms and weights. */
+    readonly kind: string;
+    /** Needed when the pipeline has a non-idempotent stage. */
+    readonly idempotencyKey?: string | undefined;
+    readonly deadlineMilliseconds: number;
+    /** Higher runs first. */
+    readonly priority: number;
+    /** JSON value. */
+    readonly input: unknown;
+}
+
+/** Receives tokens in order, each once. */
+export type TokenListener = (index: number, token: string) => void;
+
+/** What executions of one entry share. */
+export interface ExecutionParts {
+    /** The entry's zone. */
+    readonly zone: string;
+    readonly holder: ConfigurationHolder;
+    readonly targets: TargetLinks;
+    readonly slots: SlotDirectory;
+    readonly admission: Admission;
+    readonly quarantine: Quarantine;
+    readonly health: Health;
+    readonly retries: RetryBudgets;
+    readonly versions: VersionChooser;
+    readonly silence: SilenceLimits;
+    readonly chooseTarget: ChooseTarget;
+    readonly metrics: Metrics;
+    readonly recorder: DurationRecorder;
+}
+
+/** How a stage ended, after all of its attempts. */
+export type StageEnd = Exclude<StageOutcome, { kind: "completed" }> | { readonly kind: "completed"; output: unknown };
+
+/** Characters of a prompt that count as its prefix when the caller names none. */
+const PREFIX_CHARACTERS = 256;
+
+/** A request in progress. */
+export class RequestRun {
+    readonly id = createRequestId();
+    readonly startedAt = performance.now();
+    readonly deadline: Deadline;
+    /** JSON text of the input. */
+    readonly inputText: string;
+    /** Hash of the content, the same for every account. */
+    readonly fingerprint: string;
+    /** Hash of the prompt's prefix; empty when the input has no prompt. */
+    readonly prefixHash: string;
+    /** Whether an attempt of this submission was, or may have been, run. */
+    ran = false;
+    /** Names of non-idempotent stages that completed in this submission. */
+    readonly applied = new Set<string>();
+    /** Names of non-idempotent stages that their owner reported as failed without effect. */
+    readonly withoutEffect = new Set<string>();
+    /** Parsed output of each completed stage. */
+    readonly outputs: Record<string, unknown> = {};
+    /** Target time that was reported, in milliseconds. */
+    costMilliseconds = 0;
+
+    private constructor(
+        readonly parts: ExecutionParts,
+        readonly request: CallerRequest,
+        readonly account: ClientAccount,
+        readonly plan: Plan,
+        readonly pipeline: Pipeline,
+        readonly signal: AbortSignal,
+        readonly onToken: TokenListener | undefined,
+    ) {
+        this.deadline = Deadline.after(request.deadlineMilliseconds);
+        this.inputText = JSON.stringify(request.input ?? null);
+        this.fingerprint = hashText(`${pipeline.name}\n${this.inputText}`);
+        this.prefixHash = hashPrefix(request.input);
+    }
+
+    /** A request whose deadline runs from now. */
+    static start(
+        parts: ExecutionParts,
+        request: CallerRequest,
+        access: { readonly account: ClientAccount; readonly plan: Plan; readonly pipeline: Pipeline },
+        signal: AbortSignal,
+        onToken?: TokenListener,
+    ): RequestRun {
+        return new RequestRun(parts, request, access.account, access.plan, access.pipeline, signal, onToken);
+    }
+
+    /** Fields of a RunStage message that do not depend on the attempt. */
+    message(stage: Stage, payload: string) {
+        return {
+            requestId: this.id,
+            account: this.account.name,
+            kind: this.request.kind,
+            pipeline: this.pipeline.name,
+            stage: stage.name,
+            service: stage.service,
+            operation: stage.operation,
+            remainingMilliseconds: Math.floor(this.deadline.remaining()),
+            priority: this.request.priority,
+            payload,
+            maximumTokens: stage.maximumTokens,
+            prefixHash: this.prefixHash,
+            streaming: stage.streaming,
+            idempotent: stage.idempotent,
+            fingerprint: this.fingerprint,
+            configurationVersion: this.parts.holder.current.version,
+        };
+    }
+
+    /** Records a duration of this request. */
+    record(measure: string, milliseconds: number, stage?: string): void {
+        const { account, plan, pipeline, request } = this;
+        const labels = {
+            account: account.name,
+            plan: plan.name,
+            kind: request.kind,
+            pipeline: pipeline.name,
+            measure,
+            ...(stage === undefined ? {} : { stage }),
+        };
+        this.parts.recorder.record(labels, milliseconds);
+    }
+
+    /** Counts the outcome of one attempt at a version of a service. */
+    countAttempt(stage: Stage, version: string, outcome: string, reason: string): void {
+        this.parts.metrics.increment("attempt.outcomes", 1, { service: stage.service, version, outcome, reason });
+    }
+}
+
+/** Payload of a stage. */
+export function stagePayload(inputText: string, previousText: string): string {
+    return `{"input":${inputText},"previous":${previousText}}`;
+}
+
+/** The value of a JSON text; undefined when it is not JSON. */
+export function parseOutput(text: string): { readonly value: unknown } | undefined {
+    try {
+        return { value: JSON.parse(text) as unknown };
+    } catch {
+        return undefined;
+    }
+}
+
+/** Resolves after a time. */
+export function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+function hashPrefix(input: unknown): string {
+    if (typeof input !== "object" || input === null) return "";
+    const { prefix, prompt } = input as { readonly prefix?: unknown; readonly prompt?: unknown };
+    if (typeof prefix === "string") return hashText(prefix).slice(0, 16);
+    return typeof prompt === "string" ? hashText(prompt.slice(0, PREFIX_CHARACTERS)).slice(0, 16) : "";
+}
--- /dev/null
+++ b/src/entry/settlement.ts
@@ -0,0 +1,129 @@
+/**
+ * What a caller reads when its request did not complete.
+ *
+ * `refused` promises that nothing was run. For a pipeline with non-idempotent stages the promise, and that of `failed`
+ * about effects, covers earlier submissions of the same key as well, so the owner of each key has to withdraw it first.
+ */
+import { Withdrawn_State } from "../link/index.js";
+import type { FailureReason, RequestOutcome, Stage } from "../model/index.js";
+import { findOwner } from "./ownedstage.js";
+import { parseOutput, pause, type RequestRun, type StageEnd } from "./run.js";
+
+type Incomplete = Exclude<StageEnd, { kind: "completed" }>;
+
+/** What is known about a key after it was asked to be withdrawn. */
+type KeyState =
+    | { readonly kind: "withdrawn" }
+    | { readonly kind: "completed"; readonly stage: Stage; readonly output: string }
+    | { readonly kind: "running" }
+    | { readonly kind: "unknown" }
+    | { readonly kind: "unreachable" };
+
+/** Time for withdrawals: the rest of the deadline, within these bounds. */
+const SHORTEST_WITHDRAWAL_MS = 100;
+const LONGEST_WITHDRAWAL_MS = 1_000;
+
+/** Pause before an owner is looked up again. */
+const LOOKUP_PAUSE_MS = 20;
+
+/** Time for which an owner refuses a withdrawn key: the longest deadline of any request. */
+const WITHDRAWN_FOR_MS = 10_000;
+
+/** The outcome of a request that ended without completing its last stage. */
+export async function settle(run: RequestRun, end: Incomplete): Promise<RequestOutcome> {
+    if (end.kind === "unknown") return end;
+    const open = run.pipeline.stages.filter(
+        stage => !stage.idempotent && !run.applied.has(stage.name) && !run.withoutEffect.has(stage.name),
+    );
+    const key = run.request.idempotencyKey;
+    if (open.length === 0 || key === undefined) return conclude(run, end);
+    if (run.signal.aborted) {
+        // The caller may send the key again elsewhere; a withdrawal would have it refused there.
+        return {
+            kind: "unknown",
+            reason: "ownerUnreachable",
+            message: "the caller has gone; the key was not withdrawn",
+        };
+    }
+    const states = await Promise.all(open.map(stage => withdraw(run, stage, key)));
+    return combine(run, end, states);
+}
+
+function conclude(run: RequestRun, end: Exclude<Incomplete, { kind: "unknown" }>): RequestOutcome {
+    const effects = run.applied.size > 0 ? "applied" : "none";
+    if (end.kind === "failed") return { kind: "failed", reason: end.reason, message: end.message, effects };
+    if (!run.ran) return end;
+    return { kind: "failed", reason: failureReason(end.reason), message: `${end.reason}: ${end.message}`, effects };
+}
+
+function combine(
+    run: RequestRun,
+    end: Exclude<Incomplete, { kind: "unknown" }>,
+    states: readonly KeyState[],
+): RequestOutcome {
+    if (states.some(state => state.kind === "unreachable")) {
+        return { kind: "unknown", reason: "ownerUnreachable", message: `${end.reason}: ${end.message}` };
+    }
+    if (states.some(state => state.kind === "running" || state.kind === "unknown")) {
+        return { kind: "unknown", reason: "claimWithoutResult", message: "another submission of the key was run" };
+    }
+    for (const state of states) {
+        if (state.kind === "completed") run.applied.add(state.stage.name);
+    }
+    const stored = states.find(state => state.kind === "completed" && state.stage === run.pipeline.stages.at(-1));
+    if (stored?.kind === "completed") return replay(run, stored.stage, stored.output);
+    if (run.applied.size > 0) run.ran = true;
+    const outcome = conclude(run, end);
+    if (outcome.kind !== "refused") return outcome;
+    const retryAfterMilliseconds = Math.max(outcome.retryAfterMilliseconds, WITHDRAWN_FOR_MS);
+    return { ...outcome, retryAfterMilliseconds };
+}
+
+/** The stored result of an earlier submission, when it is the result of the whole pipeline. */
+function replay(run: RequestRun, stage: Stage, text: string): RequestOutcome {
+    const output = parseOutput(text);
+    if (output === undefined) {
+        return { kind: "failed", reason: "malformedAnswer", message: "stored result is not JSON", effects: "applied" };
+    }
+    const stages = { ...run.outputs, [stage.name]: output.value };
+    return { kind: "done", output: output.value, stages, costMilliseconds: run.costMilliseconds };
+}
+
+/** Asks the owner of the key's slot, and the next owner when it has changed, until the time is up. */
+async function withdraw(run: RequestRun, stage: Stage, idempotencyKey: string): Promise<KeyState> {
+    const time = Math.max(SHORTEST_WITHDRAWAL_MS, Math.min(LONGEST_WITHDRAWAL_MS, run.deadline.remaining()));
+    const until = performance.now() + time;
+    while (performance.now() < until) {
+        const owner = findOwner(run, stage, idempotencyKey);
+        const answer = await owner?.target.withdraw(
+            {
+                account: run.account.name,
+                idempotencyKey,
+                stage: stage.name,
+                service: stage.service,
+                slot: owner.slot,
+                slotEpoch: owner.epoch,
+            },
+            until - performance.now(),
+        );
+        switch (answer?.state) {
+            case Withdrawn_State.WITHDRAWN:
+                return { kind: "withdrawn" };
+            case Withdrawn_State.COMPLETED:
+                return { kind: "completed", stage, output: answer.output };
+            case Withdrawn_State.RUNNING:
+                return { kind: "running" };
+            case Withdrawn_State.UNKNOWN:
+                return { kind: "unknown" };
+            default:
+                await pause(LOOKUP_PAUSE_MS);
+        }
+    }
+    return { kind: "unreachable" };
+}
+
+/** Why a request failed whose later stage was refused. */
+function failureReason(reason: string): FailureReason {
+    if (reason === "deadline" || reason === "quarantined") return reason;
+    return reason === "withdrawn" ? "cancelled" : "retriesExhausted";
+}
--- /dev/null
+++ b/src/entry/targetlink.ts
@@ -0,0 +1,323 @@
+/**
+ * The link to one target's agent: kept open by one task, with the attempts and questions that are open on it.
+ *
+ * Answers are matched by attempt number and link. When the link closes, every attempt that is open on it is lost, and
+ * the next link to the agent starts with none.
+ */
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { ConfigurationHolder } from "../configuration/index.js";
+import {
+    type HelloInit,
+    type Link,
+    type LinkBody,
+    type Load,
+    type Network,
+    type RunStageSchema,
+    Withdrawn_State,
+    type Withdrawn,
+    type WithdrawSchema,
+} from "../link/index.js";
+import type { Target } from "../model/index.js";
+import type { Metrics, StateLogger } from "../observability/index.js";
+import type { Candidate } from "../routing/index.js";
+import { decodeOutcome } from "./answer.js";
+import { Attempt, type AttemptLimits } from "./attempt.js";
+import { Backoff } from "./backoff.js";
+import { ConfigurationExchange } from "./exchange.js";
+
+/** An attempt's message without its number. */
+export type StageMessage = Omit<MessageInitShape<typeof RunStageSchema>, "attempt" | "$typeName">;
+
+/** A question's message without its number. */
+export type WithdrawMessage = Omit<MessageInitShape<typeof WithdrawSchema>, "query" | "$typeName">;
+
+/** Agents report load at least every 4.4 s on an idle link; without any message for this time the link is dead. */
+const LINK_SILENCE_MS = 10_000;
+
+/** What links to targets need of their entry. */
+export interface TargetLinkContext {
+    readonly network: Network;
+    readonly holder: ConfigurationHolder;
+    readonly logger: StateLogger;
+    readonly metrics: Metrics;
+    readonly hello: () => HelloInit;
+    /** Concurrency that a cold target of a service bears. */
+    readonly coldLimit: (service: string) => number;
+    /** Next attempt number; unique in this entry incarnation. */
+    readonly nextNumber: () => number;
+    /** A link closed with these attempts open; called before they are lost. */
+    readonly onLost: (target: TargetLink, incarnation: string, open: readonly Attempt[]) => void;
+    /** A link opened. */
+    readonly onConnected: (target: TargetLink, incarnation: string) => void;
+}
+
+interface Connection {
+    readonly link: Link;
+    readonly exchange: ConfigurationExchange;
+    readonly attempts: Map<number, Attempt>;
+    readonly questions: Map<number, (answer: Withdrawn | undefined) => void>;
+    leaving: boolean;
+    load: Load | undefined;
+    loadAt: number;
+    outstandingAtReport: number;
+    heardAt: number;
+    reports: boolean;
+}
+
+/** A target as this entry reaches it. */
+export class TargetLink implements Candidate {
+    private connection: Connection | undefined;
+    private readonly backoff = Backoff.create();
+    private stopped = false;
+    private lastVersion = 0;
+    private lastIncarnation = "";
+
+    private constructor(
+        private target: Target,
+        private readonly context: TargetLinkContext,
+    ) {}
+
+    /** Starts the task that keeps the link open. */
+    static start(target: Target, context: TargetLinkContext): TargetLink {
+        const created = new TargetLink(target, context);
+        void created.keepOpen();
+        return created;
+    }
+
+    get name(): string {
+        return this.target.name;
+    }
+
+    get service(): string {
+        return this.target.service;
+    }
+
+    /** First-hand from the agent's hello when linked, otherwise as the directory has it. */
+    get zone(): string {
+        return this.connection?.link.peer.zone || this.target.zone;
+    }
+
+    get version(): string {
+        return this.connection?.link.peer.version || this.target.version;
+    }
+
+    /** Incarnation of the agent at the other end of the open link; undefined without one. */
+    get incarnation(): string | undefined {
+        return this.connection?.link.peer.incarnation;
+    }
+
+    get connected(): boolean {
+        return this.connection !== undefined;
+    }
+
+    /** Whether the agent has announced that it stops. */
+    get leaving(): boolean {
+        return this.connection?.leaving === true;
+    }
+
+    get outstanding(): number {
+        return this.connection?.attempts.size ?? 0;
+    }
+
+    get reported(): number {
+        const load = this.connection?.load;
+        return load === undefined ? 0 : load.running + load.queued;
+    }
+
+    get outstandingAtReport(): number {
+        return this.connection?.outstandingAtReport ?? 0;
+    }
+
+    get reportAge(): number {
+        return this.connection === undefined ? 0 : performance.now() - this.connection.loadAt;
+    }
+
+    get limit(): number {
+        return this.connection?.load?.limit ?? this.context.coldLimit(this.target.service);
+    }
+
+    get cold(): boolean {
+        return this.connection?.load?.cold ?? true;
+    }
+
+    /** Incarnation and configuration version that the agent last told. */
+    get process(): { readonly name: string; readonly incarnation: string; readonly version: number } {
+        const version = this.connection?.exchange.peerVersion ?? this.lastVersion;
+        return { name: this.name, incarnation: this.incarnation ?? this.lastIncarnation, version };
+    }
+
+    /** Takes what the directory now says of the target. A new address counts from the next connect. */
+    describe(target: Target): void {
+        if (target.incarnation !== this.target.incarnation) this.backoff.reset();
+        this.target = target;
+    }
+
+    /** Sends an attempt. Undefined when there is no open link; then nothing was sent. */
+    run(stage: StageMessage, limits: AttemptLimits): Attempt | undefined {
+        const connection = this.connection;
+        if (connection === undefined) return undefined;
+        const number = this.context.nextNumber();
+        const sent = connection.link.send({ case: "runStage", value: { ...stage, attempt: number } });
+        if (!sent) return undefined;
+        const attempt = Attempt.start(number, stage.fingerprint ?? "", stage.stage ?? "", limits);
+        connection.attempts.set(number, attempt);
+        void attempt.outcome.then(() => {
+            connection.attempts.delete(number);
+            if (attempt.stillRunning && stage.idempotent === true) {
+                connection.link.send({ case: "cancelStage", value: { attempt: number } });
+            }
+        });
+        return attempt;
+    }
+
+    /** Asks the agent to withdraw a key. Undefined when no answer came in time. */
+    async withdraw(question: WithdrawMessage, milliseconds: number): Promise<Withdrawn | undefined> {
+        const connection = this.connection;
+        if (connection === undefined) return undefined;
+        const query = this.context.nextNumber();
+        const answer = new Promise<Withdrawn | undefined>(resolve => {
+            connection.questions.set(query, resolve);
+        });
+        const timer = setTimeout(() => connection.questions.get(query)?.(undefined), milliseconds);
+        if (!connection.link.send({ case: "withdraw", value: { ...question, query } })) {
+            connection.questions.get(query)?.(undefined);
+        }
+        const state = await answer;
+        clearTimeout(timer);
+        connection.questions.delete(query);
+        return state?.state === Withdrawn_State.UNSPECIFIED ? undefined : state;
+    }
+
+    /** Sends the newest configuration. */
+    configurationChanged(): void {
+        this.connection?.exchange.sendNewer();
+    }
+
+    /** Regular work, about once a second. */
+    tick(): void {
+        const connection = this.connection;
+        if (connection === undefined) return;
+        connection.exchange.repeat();
+        const silent = performance.now() - connection.heardAt;
+        if (connection.reports && silent > LINK_SILENCE_MS) connection.link.close("no message for too long");
+    }
+
+    /** Tells the agent that this entry stops. */
+    announceLeaving(reason: string): void {
+        this.connection?.link.send({ case: "leaving", value: { reason } });
+    }
+
+    /** Ends the task and closes the link. */
+    stop(reason: string): void {
+        this.stopped = true;
+        this.backoff.stop();
+        this.connection?.link.close(reason);
+    }
+
+    private async keepOpen(): Promise<void> {
+        while (!this.isStopped()) {
+            const outcome = await this.context.network.connect(this.target.address, this.context.hello());
+            if (outcome.kind === "connected") await this.serve(outcome.link);
+            if (this.isStopped()) return;
+            await this.backoff.wait();
+        }
+    }
+
+    /** Reads one link until it closes. */
+    private async serve(link: Link): Promise<void> {
+        if (this.isStopped() || link.peer.name !== this.name || link.peer.service !== this.service) {
+            link.close("not the expected agent");
+            return;
+        }
+        const connection = this.open(link);
+        const openedAt = performance.now();
+        for await (const body of link.messages) this.receive(connection, body);
+        this.close(connection, await link.closed);
+        this.backoff.used(performance.now() - openedAt);
+    }
+
+    private open(link: Link): Connection {
+        const connection: Connection = {
+            link,
+            exchange: ConfigurationExchange.start(this.context.holder, link),
+            attempts: new Map(),
+            questions: new Map(),
+            leaving: false,
+            load: undefined,
+            loadAt: performance.now(),
+            outstandingAtReport: 0,
+            heardAt: performance.now(),
+            reports: false,
+        };
+        this.connection = connection;
+        this.lastIncarnation = link.peer.incarnation;
+        this.context.onConnected(this, link.peer.incarnation);
+        return connection;
+    }
+
+    private close(connection: Connection, reason: string): void {
+        this.connection = undefined;
+        this.lastVersion = connection.exchange.peerVersion;
+        const open = [...connection.attempts.values()];
+        if (!this.isStopped()) this.context.logger.info(`link to ${this.name} closed: ${reason}`);
+        this.context.onLost(this, connection.link.peer.incarnation, open);
+        for (const attempt of open) attempt.end({ kind: "lost", message: `link to ${this.name} closed: ${reason}` });
+        for (const resolve of connection.questions.values()) resolve(undefined);
+    }
+
+    private receive(connection: Connection, body: LinkBody): void {
+        connection.heardAt = performance.now();
+        switch (body.case) {
+            case "stageAccepted":
+                this.openAttempt(connection, body.value.attempt)?.accepted();
+                break;
+            case "stageTokens":
+                this.openAttempt(connection, body.value.attempt)?.tokens(body.value.firstIndex, body.value.tokens);
+                break;
+            case "stageResult":
+                this.openAttempt(connection, body.value.attempt)?.end(decodeOutcome(body.value));
+                connection.attempts.delete(body.value.attempt);
+                this.takeLoad(connection, body.value.load, connection.attempts.size);
+                break;
+            case "withdrawn":
+                connection.questions.get(body.value.query)?.(body.value);
+                break;
+            case "loadReport":
+                connection.reports = true;
+                connection.exchange.received(body.value.configurationVersion);
+                this.takeLoad(connection, body.value.load, connection.attempts.size);
+                break;
+            case "configurationUpdate":
+                connection.exchange.update(body.value);
+                break;
+            case "acknowledge":
+                connection.exchange.received(body.value.configurationVersion);
+                break;
+            case "leaving":
+                connection.leaving = true;
+                this.context.logger.info(`target ${this.name} is leaving: ${body.value.reason}`);
+                break;
+            default:
+                this.context.metrics.increment("link.unexpectedMessages", 1, { message: String(body.case) });
+        }
+    }
+
+    /** The attempt that an answer belongs to, if it is still open on this link. */
+    private openAttempt(connection: Connection, number: number): Attempt | undefined {
+        const attempt = connection.attempts.get(number);
+        if (attempt === undefined) this.context.metrics.increment("attempt.lateAnswers", 1, { service: this.service });
+        return attempt;
+    }
+
+    private takeLoad(connection: Connection, load: Load | undefined, outstanding: number): void {
+        if (load === undefined) return;
+        connection.load = load;
+        connection.loadAt = performance.now();
+        connection.outstandingAtReport = outstanding;
+    }
+
+    /** Read through a method, since the value changes during awaits. */
+    private isStopped(): boolean {
+        return this.stopped;
+    }
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,4 @@
+export * from "./balancer.js";
+export * from "./health.js";
+export * from "./retry.js";
+export * from "./version.js";
