--- a/src/admission/quarantine.ts
+++ b/src/admission/quarantine.ts
@@ -51,6 +51,11 @@
         return suspect.losses.length + reported >= LOSSES_TO_QUARANTINE;
     }
 
+    /** Whether content was in flight on a lost target and has not been cleared since. */
+    suspected(fingerprint: string): boolean {
+        return (this.live(fingerprint)?.losses.length ?? 0) > 0;
+    }
+
     /** A target was lost while a stage with the content was in flight on it. */
     targetLost(fingerprint: string, target: string, stage: string): void {
         const now = performance.now();
--- a/src/entry/stage.ts
+++ b/src/entry/stage.ts
@@ -86,7 +86,7 @@
     private chooseTarget(): TargetLink | undefined {
         const { parts, prefixHash } = this.request;
         const usable = parts.targets.usable(this.stage.service, parts.holder);
-        const fresh = parts.health.admitted(usable).filter(target => !this.tried.has(target.name));
+        const fresh = this.apartFromSuspects(parts.health.admitted(usable).filter(each => !this.tried.has(each.name)));
         const context = { zone: parts.zone, prefixHash, random: Math.random };
         const split = parts.holder.current.find("traffic", this.stage.service);
         const versions = parts.versions.allowed(this.stage.service, split);
@@ -99,6 +99,17 @@
         return undefined;
     }
 
+    /**
+     * Content that was in flight on a lost target goes, if possible, where no other such content is in flight.
+     * Otherwise content that only shared a target with the cause of a crash could share the next one with it too.
+     */
+    private apartFromSuspects(targets: readonly TargetLink[]): readonly TargetLink[] {
+        const { parts, fingerprint } = this.request;
+        if (!parts.quarantine.suspected(fingerprint)) return targets;
+        const apart = targets.filter(target => !target.hasContent(other => parts.quarantine.suspected(other)));
+        return apart.length > 0 ? apart : targets;
+    }
+
     private async waitForTarget(): Promise<void> {
         await pause(Math.min(this.nextWait, Math.max(1, this.request.deadline.remaining())));
         this.nextWait = Math.min(LONGEST_WAIT_MS, this.nextWait * 2);
--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -146,6 +146,11 @@
         return { name: this.name, incarnation: this.incarnation ?? this.lastIncarnation, version };
     }
 
+    /** Whether an open attempt has content that matches. */
+    hasContent(matches: (fingerprint: string) => boolean): boolean {
+        return [...(this.connection?.attempts.values() ?? [])].some(attempt => matches(attempt.fingerprint));
+    }
+
     /** Takes what the directory now says of the target. A new address counts from the next connect. */
     describe(target: Target): void {
         if (target.incarnation !== this.target.incarnation) this.backoff.reset();
