--- a/src/commandline/daemons.ts
+++ b/src/commandline/daemons.ts
@@ -13,10 +13,15 @@
 export type Role = "entry" | "agent";
 
 /** Runs a process until it is told to stop by SIGTERM or SIGINT, which stop it as planned. */
-export async function daemonCommand(console: Console, role: Role, file: string): Promise<ExitCode> {
+export async function daemonCommand(
+    console: Console,
+    role: Role,
+    file: string,
+    stopRequested: () => Promise<void> = stopSignal,
+): Promise<ExitCode> {
     const started = role === "entry" ? await runEntry(console, file) : await runAgent(console, file);
     if (typeof started === "number") return started;
-    await stopSignal();
+    await stopRequested();
     await started.stop();
     return ExitCode.done;
 }
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -120,12 +120,14 @@
         }
         case "zone": {
             const [zone, state] = takeOperands(command, operands, ["NAME", "out|back"]);
-            return zoneCommand(contextOf(flags, console), zone, oneOf(state, ["out", "back"]));
+            const wanted = oneOf(state, ["out", "back"]);
+            return zoneCommand(contextOf(flags, console), zone, wanted);
         }
         case "traffic": {
             const [service] = takeOperands(command, operands, ["SERVICE"]);
             const stable = required(flags.stable, "--stable VERSION");
-            return trafficCommand(contextOf(flags, console), { service, stable, candidate: candidateOf(flags) });
+            const options = { service, stable, candidate: candidateOf(flags) };
+            return trafficCommand(contextOf(flags, console), options);
         }
         case "show":
         case "status":
--- /dev/null
+++ b/src/daemon/agent.ts
@@ -0,0 +1,55 @@
+/** An agent process: the agent beside one target. */
+import { HttpEngine } from "../agent/engineclient.js";
+import { Agent, type Engine } from "../agent/index.js";
+import { ConnectNetwork, type Network } from "../link/index.js";
+import { createLogger, createMetrics, type ProcessMetrics, type StateLogger } from "../observability/index.js";
+import type { AgentSettings } from "../settings/index.js";
+import { CallLedger, HttpStore, type Store } from "../store/index.js";
+import type { RunningProcess } from "./process.js";
+
+/** What an agent process reaches the outside through. */
+export interface AgentEnvironment {
+    readonly network: Network;
+    readonly store: Store;
+    readonly engine: Engine;
+    readonly logger?: StateLogger;
+}
+
+/** A running agent process. */
+export interface AgentProcess extends RunningProcess {
+    readonly agent: Agent;
+    readonly metrics: ProcessMetrics;
+    /** Ends the process abruptly, as its death would: nothing is finished or released. */
+    kill(): void;
+}
+
+/** Starts an agent process on its own clients. Throws when an address or a file cannot be used. */
+export function startAgent(settings: AgentSettings): Promise<AgentProcess> {
+    return composeAgent(settings, {
+        network: ConnectNetwork.create(settings.systemKey, settings.tls),
+        store: HttpStore.create({ ...settings.store, ledger: CallLedger.create() }),
+        engine: HttpEngine.create(settings.targetAddress),
+    });
+}
+
+/** Starts an agent process in a given environment, such as one within a single process. */
+export async function composeAgent(settings: AgentSettings, environment: AgentEnvironment): Promise<AgentProcess> {
+    const { network, store, engine } = environment;
+    const logger = environment.logger ?? createLogger(settings.logging, settings.name);
+    const metrics = createMetrics(settings.metrics);
+    const agent = await Agent.start({ settings, network, store, engine, logger, metrics });
+    logger.info("agent started", { links: agent.address, incarnation: agent.incarnation });
+    return {
+        name: settings.name,
+        agent,
+        metrics,
+        stop: async () => {
+            logger.info("agent stops");
+            await agent.stop();
+            await metrics.close();
+        },
+        kill: () => {
+            agent.kill();
+        },
+    };
+}
--- /dev/null
+++ b/src/daemon/entry.ts
@@ -0,0 +1,203 @@
+/** An entry process: the entry itself with its store views, configuration, callers' and operators' HTTP. */
+import { ConfigurationFeed, ConfigurationHolder, ConfigurationLog } from "../configuration/index.js";
+import { CallerServer, Entry } from "../entry/index.js";
+import { ConnectNetwork, type Network } from "../link/index.js";
+import { Member, MEMBERS_PREFIX, MembershipView, SLOTS_PREFIX, SlotView, VmList } from "../membership/index.js";
+import { createIncarnation } from "../model/index.js";
+import {
+    createLogger,
+    createMetrics,
+    HistogramSet,
+    type ProcessMetrics,
+    type StateLogger,
+} from "../observability/index.js";
+import { createOperatorHandler, type OperatorHandler, type ReportBody } from "../operators/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { CallLedger, HttpStore, type Store, StoreView } from "../store/index.js";
+import { reportStoreCalls, type RunningProcess } from "./process.js";
+
+const VM_LIST_INTERVAL_MS = 5_000;
+
+/** What an entry process reaches the outside through. */
+export interface EntryEnvironment {
+    readonly network: Network;
+    readonly store: Store;
+    /** Absent where there is no VM list. */
+    readonly vms?: Pick<VmList, "state">;
+    readonly logger?: StateLogger;
+    /** Counts that belong to the report besides the counters. */
+    readonly counts?: () => Readonly<Record<string, number>>;
+}
+
+/** A running entry process. */
+export interface EntryProcess extends RunningProcess {
+    readonly entry: Entry;
+    readonly holder: ConfigurationHolder;
+    /** Address (host:port) that serves callers and operators. */
+    readonly callerAddress: string;
+    /** Durations of the requests that it served. */
+    readonly histograms: HistogramSet;
+    readonly metrics: ProcessMetrics;
+    /** Ends the process abruptly, as its death would: nothing is finished or withdrawn. */
+    kill(): void;
+}
+
+/** Starts an entry process on its own network and store clients. Throws when an address or a file cannot be used. */
+export async function startEntry(settings: EntrySettings): Promise<EntryProcess> {
+    const ledger = CallLedger.create();
+    const vms = VmList.start({ address: settings.store.address, intervalMilliseconds: VM_LIST_INTERVAL_MS });
+    const environment = {
+        network: ConnectNetwork.create(settings.systemKey, settings.tls),
+        store: HttpStore.create({ ...settings.store, ledger }),
+        counts: () => reportStoreCalls(ledger),
+        vms,
+    };
+    try {
+        return withEnd(await composeEntry(settings, environment), () => vms.stop());
+    } catch (error) {
+        vms.stop();
+        throw error;
+    }
+}
+
+function withEnd(started: EntryProcess, end: () => void): EntryProcess {
+    return {
+        ...started,
+        stop: async () => {
+            await started.stop();
+            end();
+        },
+        kill: () => {
+            started.kill();
+            end();
+        },
+    };
+}
+
+/** Starts an entry process in a given environment, such as one within a single process. */
+export async function composeEntry(settings: EntrySettings, environment: EntryEnvironment): Promise<EntryProcess> {
+    const parts = createParts(settings, environment);
+    let entry: Entry | undefined;
+    try {
+        entry = await Entry.start({ ...parts, settings, network: environment.network, configuration: parts.holder });
+        const callers = await startCallers(settings, environment, parts, entry);
+        return publish(settings, environment, parts, entry, callers);
+    } catch (error) {
+        entry?.kill();
+        parts.stop();
+        throw error;
+    }
+}
+
+interface EntryParts {
+    readonly incarnation: string;
+    readonly holder: ConfigurationHolder;
+    readonly feed: ConfigurationFeed;
+    readonly directory: MembershipView;
+    readonly slots: SlotView;
+    readonly logger: StateLogger;
+    readonly metrics: ProcessMetrics;
+    readonly recorder: HistogramSet;
+    /** Ends the views and the feed. */
+    readonly stop: () => void;
+}
+
+function createParts(settings: EntrySettings, { store, logger }: EntryEnvironment): EntryParts {
+    const holder = ConfigurationHolder.create();
+    const members = StoreView.start({ store, prefix: MEMBERS_PREFIX });
+    const slots = StoreView.start({ store, prefix: SLOTS_PREFIX });
+    const feed = ConfigurationFeed.start({ store, holder });
+    return {
+        incarnation: createIncarnation(),
+        holder,
+        feed,
+        directory: MembershipView.of(members),
+        slots: SlotView.of(slots),
+        logger: logger ?? createLogger(settings.logging, settings.name),
+        metrics: createMetrics(settings.metrics),
+        recorder: HistogramSet.create(),
+        stop: () => {
+            members.stop();
+            slots.stop();
+            feed.stop();
+        },
+    };
+}
+
+function startCallers(
+    settings: EntrySettings,
+    environment: EntryEnvironment,
+    parts: EntryParts,
+    entry: Entry,
+): Promise<CallerServer> {
+    const { holder: configuration, logger, metrics } = parts;
+    const operators = createOperators(settings, environment, parts, entry);
+    return CallerServer.start({ settings, entry, configuration, logger, metrics, operators });
+}
+
+function createOperators(
+    settings: EntrySettings,
+    { store, vms, counts }: EntryEnvironment,
+    parts: EntryParts,
+    entry: Entry,
+): OperatorHandler {
+    const { holder, feed, directory, slots, logger, metrics, recorder, incarnation } = parts;
+    let confirmed = false;
+    void feed.ready.then(() => {
+        confirmed = true;
+    });
+    return createOperatorHandler({
+        key: settings.operatorKey,
+        entry: { name: settings.name, incarnation },
+        holder,
+        log: ConfigurationLog.create({ store, holder }),
+        directory,
+        slots,
+        logger,
+        ready: () => confirmed,
+        acknowledged: () => entry.processVersions(),
+        storeAvailable: () => feed.available,
+        vmState: vm => vms?.state(vm),
+        report: (): ReportBody => ({
+            entry: settings.name,
+            counters: { ...Object.fromEntries(metrics.totals()), ...counts?.() },
+            durations: recorder.summary(),
+            histograms: recorder.encode(),
+        }),
+    });
+}
+
+/** Announces the entry in the store, after it accepts links and callers. */
+function publish(
+    settings: EntrySettings,
+    { store }: EntryEnvironment,
+    parts: EntryParts,
+    entry: Entry,
+    callers: CallerServer,
+): EntryProcess {
+    const { name, zone, vm, linkAddress: address } = settings;
+    const { incarnation, logger, metrics } = parts;
+    const member = Member.startEntry(store, { name, zone, vm, address, incarnation });
+    logger.info("entry started", { callers: callers.address, links: address, incarnation });
+    return {
+        name,
+        entry,
+        holder: parts.holder,
+        callerAddress: callers.address,
+        histograms: parts.recorder,
+        metrics,
+        stop: async () => {
+            logger.info("entry stops");
+            await Promise.all([entry.stop(), member.withdraw()]);
+            await callers.stop();
+            parts.stop();
+            await metrics.close();
+        },
+        kill: () => {
+            member.abandon();
+            entry.kill();
+            callers.kill();
+            parts.stop();
+        },
+    };
+}
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,3 @@
+export * from "./agent.js";
+export * from "./entry.js";
+export { type RunningProcess } from "./process.js";
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -43,6 +43,11 @@
         return Member.start({ store, key: entryMemberKey(name), value: JSON.stringify(entry), incarnation });
     }
 
+    /** Stops writing and leaves the object as it is, as the death of the process would. */
+    abandon(): void {
+        this.withdrawn = true;
+    }
+
     /** Removes the object if it is this incarnation's. Gives up after a few tries while the store is unavailable. */
     async withdraw(): Promise<void> {
         this.withdrawn = true;
--- a/src/operators/status.ts
+++ b/src/operators/status.ts
@@ -5,11 +5,11 @@
 import type { Vm } from "../model/index.js";
 import type { ProcessStatus, SlotStatus, StatusBody } from "./message.js";
 
-/** The configuration version that a process has acknowledged. */
+/** The configuration version that a process has acknowledged; 0 when it has told none. */
 export interface AcknowledgedVersion {
     readonly name: string;
     readonly incarnation: string;
-    readonly version: number;
+    readonly configurationVersion: number;
 }
 
 /** Where a status comes from. */
@@ -59,7 +59,10 @@
 function listProcesses(sources: StatusSources, configuration: Configuration, asked: number): readonly ProcessStatus[] {
     const { entry, directory, vmState } = sources;
     const versions = new Map(
-        sources.acknowledged().map(({ name, incarnation, version }) => [`${name}/${incarnation}`, version]),
+        sources
+            .acknowledged()
+            .filter(({ configurationVersion }) => configurationVersion > 0)
+            .map(({ name, incarnation, configurationVersion }) => [`${name}/${incarnation}`, configurationVersion]),
     );
     versions.set(`${entry.name}/${entry.incarnation}`, configuration.version);
     const { entries, targets } = directory.current;
--- /dev/null
+++ b/test/operators/operators.test.ts
@@ -0,0 +1,217 @@
+/** The operators' interface: errors say what to do next, racing operators read what won, the status names who waits. */
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { StandInStore } from "../../src/standins/index.js";
+import { KEY, LISTS, OperatorHarness } from "./harness.js";
+
+let harness: OperatorHarness;
+const open: OperatorHarness[] = [];
+
+beforeEach(async () => {
+    harness = await OperatorHarness.start();
+    open.push(harness);
+});
+
+afterEach(() => {
+    for (const started of open.splice(0)) started.close();
+});
+
+const apply = (lists: string, version: number, more: object = {}) =>
+    harness.call("POST", "lists", { lists, version, ...more });
+
+describe("refused calls", () => {
+    const cases = [
+        { fault: "no key", method: "GET", path: "status", headers: { authorization: "" }, status: 401 },
+        {
+            fault: "wrong key",
+            method: "GET",
+            path: "status",
+            headers: { authorization: `Bearer ${KEY}x` },
+            status: 401,
+        },
+        { fault: "wrong key on a change", method: "POST", path: "lists", headers: { authorization: "x" }, status: 401 },
+        { fault: "unknown path", method: "GET", path: "nothing", status: 404 },
+        { fault: "path that cannot be decoded", method: "POST", path: "zones/%ff", status: 404 },
+        { fault: "wrong method", method: "DELETE", path: "lists", status: 405 },
+        { fault: "no JSON", method: "POST", path: "lists", body: "{", status: 400 },
+        { fault: "unknown key", method: "POST", path: "zones/east", body: { state: "out", at: 1 }, status: 400 },
+        { fault: "wrong state", method: "POST", path: "zones/east", body: { state: "in" }, status: 400 },
+        { fault: "body too large", method: "POST", path: "lists", body: "x".repeat(1_100_000), status: 413 },
+        { fault: "unknown zone", method: "POST", path: "zones/north", body: { state: "out" }, status: 404 },
+        { fault: "unknown service", method: "POST", path: "services/x/traffic", body: { stable: "v1" }, status: 404 },
+        { fault: "wrong version", method: "GET", path: "status?version=x", status: 400 },
+    ];
+
+    it.each(cases)(
+        "answers $status with what to do next for $fault",
+        async ({ method, path, body, headers, status }) => {
+            const answer = await harness.call(method, path, body, headers);
+            expect(answer.status).toBe(status);
+            expect(answer.body).toMatchObject({
+                error: { kind: expect.any(String), message: expect.any(String), next: expect.stringMatching(/./) },
+            });
+            expect(harness.store.keys()).toEqual([]);
+        },
+    );
+
+    it("changes nothing before the entry has confirmed its first configuration, which may be an old one", async () => {
+        harness.confirmed = false;
+        expect(await apply(LISTS, 0)).toMatchObject({ status: 503, body: { error: { kind: "starting" } } });
+        expect(await harness.call("POST", "zones/east", { state: "out" })).toMatchObject({ status: 503 });
+        expect(await harness.call("GET", "configuration")).toMatchObject({ status: 503 });
+    });
+});
+
+describe("lists", () => {
+    it("are accepted as one version and read back without a difference", async () => {
+        expect(await apply(LISTS, 0)).toMatchObject({ status: 200, body: { kind: "accepted", version: 1 } });
+        const { body } = await harness.call("GET", "configuration");
+        const { lists } = body as { lists: string };
+        expect(lists).not.toContain("kettleby-key");
+        expect(await apply(lists, 1)).toMatchObject({ status: 200, body: { kind: "unchanged", version: 1 } });
+    });
+
+    it("change nothing on a dry run and show what would change", async () => {
+        const answer = await apply(LISTS, 0, { dryRun: true });
+        expect(answer).toMatchObject({ status: 200, body: { kind: "dryRun", version: 0 } });
+        expect(answer).toMatchObject({ body: { difference: { set: expect.arrayContaining(["plan/large"]) } } });
+        expect(harness.store.keys()).toEqual([]);
+    });
+
+    it("are refused with every fault and its line", async () => {
+        const answer = await apply(LISTS.replace("plan: large", "plan: huge"), 0);
+        expect(answer).toMatchObject({
+            status: 422,
+            body: { error: { faults: [{ line: 13, path: "accounts[0].plan" }] } },
+        });
+    });
+
+    it("edited from an older version conflict with what changed since, which they would revert", async () => {
+        await apply(LISTS, 0);
+        await harness.call("POST", "zones/east", { state: "out", author: "first" });
+        const stale = LISTS.replace("kettleby-key", "other-key-1");
+        for (const answer of [await apply(stale, 1), await apply(`version: 1\n${stale}`, 2)]) {
+            expect(answer).toMatchObject({
+                status: 409,
+                body: {
+                    error: {
+                        changes: [{ version: 2, author: "first", set: ["zone/east"] }],
+                        own: { set: ["account/kettleby"] },
+                    },
+                },
+            });
+        }
+        expect(harness.holder.current.version).toBe(2);
+    });
+
+    it("of two racing operators at two entries: one wins, the other reads the winner", async () => {
+        const second = await OperatorHarness.start(harness.store);
+        open.push(second);
+        const answers = await Promise.all([
+            apply(LISTS, 0, { author: "first" }),
+            second.call("POST", "lists", { lists: LISTS, version: 0, author: "second" }),
+        ]);
+        expect(answers.map(({ status }) => status).sort()).toEqual([200, 409]);
+        const lost = answers.find(({ status }) => status === 409);
+        expect(lost).toMatchObject({ body: { error: { changes: [{ version: 1 }], own: { removed: [] } } } });
+    });
+
+    it("are refused by an entry that is behind the version that the operator read", async () => {
+        expect(await apply(LISTS, 5)).toMatchObject({ status: 503, body: { error: { kind: "behind" } } });
+    });
+
+    it("change nothing while the store is out, and are accepted once when its answer is lost", async () => {
+        harness.store.setOutage(true);
+        expect(await apply(LISTS, 0)).toMatchObject({ status: 503, body: { error: { kind: "storeUnavailable" } } });
+        harness.store.setOutage(false);
+        harness.store.loseWriteAnswers(1);
+        expect(await apply(LISTS, 0)).toMatchObject({ status: 200, body: { version: 1 } });
+        expect(harness.store.keys("configuration/changes/")).toHaveLength(1);
+    });
+});
+
+describe("zones and traffic", () => {
+    it("take effect on top of other operators' changes, so that a zone move is not held up by an edit", async () => {
+        const second = await OperatorHarness.start(harness.store);
+        open.push(second);
+        await second.call("POST", "lists", { lists: LISTS, version: 0 });
+        await second.call("POST", "zones/west", { state: "out" });
+        const answer = await harness.call("POST", "zones/east", { state: "out" });
+        expect(answer).toMatchObject({ status: 200, body: { kind: "accepted", version: 3 } });
+        expect(harness.holder.current.zoneInService("east")).toBe(false);
+        expect(await harness.call("POST", "zones/east", { state: "out" })).toMatchObject({
+            body: { kind: "unchanged" },
+        });
+        await harness.call("POST", "zones/east", { state: "back" });
+        expect(harness.holder.current.zoneInService("east")).toBe(true);
+    });
+
+    it("split the traffic of a service and warn of versions without targets", async () => {
+        await apply(LISTS, 0);
+        const candidate = { version: "v2", fraction: 0.05 };
+        const answer = await harness.call("POST", "services/encode/traffic", { stable: "v1", candidate });
+        expect(answer).toMatchObject({ body: { version: 2, warnings: [expect.stringContaining('"v2"')] } });
+        expect(harness.holder.current.find("traffic", "encode")).toEqual({
+            service: "encode",
+            stable: "v1",
+            candidate,
+        });
+        const same = await harness.call("POST", "services/encode/traffic", {
+            stable: "v1",
+            candidate: { version: "v1", fraction: 0.1 },
+        });
+        expect(same.status).toBe(400);
+    });
+});
+
+describe("status", () => {
+    const waitingFor = async (query = ""): Promise<unknown> => {
+        const { body } = await harness.call("GET", `status${query}`);
+        return (body as { configuration: { waitingFor: unknown } }).configuration.waitingFor;
+    };
+
+    it("names the processes that have not acknowledged the version in this incarnation", async () => {
+        await apply(LISTS, 0);
+        expect(await waitingFor()).toEqual(["encode1", "entry2"]);
+        harness.acknowledgeAll(1);
+        expect(await waitingFor()).toEqual([]);
+        harness.acknowledged = [
+            { name: "entry2", incarnation: "earlier", configurationVersion: 1 },
+            { name: "encode1", incarnation: "i3", configurationVersion: 1 },
+        ];
+        expect(await waitingFor()).toEqual(["entry2"]);
+        expect(await waitingFor("?version=2")).toEqual(["encode1", "entry1", "entry2"]);
+    });
+
+    it("does not wait for processes whose VM is gone, which would never acknowledge", async () => {
+        await apply(LISTS, 0);
+        harness.gone.add("vm2").add("vm3");
+        expect(await harness.call("GET", "status")).toMatchObject({
+            body: { configuration: { inForceEverywhere: true } },
+        });
+    });
+
+    it("shows zones, slots, the store and members", async () => {
+        await apply(LISTS, 0);
+        await harness.call("POST", "zones/east", { state: "out" });
+        expect((await harness.call("GET", "status")).body).toMatchObject({
+            store: { available: true },
+            slots: [{ service: "book", slots: 4, owned: 1, owners: { a: 1 } }],
+            zones: [
+                { name: "east", state: "out", targets: 1 },
+                { name: "west", state: "in", targets: 0 },
+            ],
+            processes: [{ name: "encode1", role: "agent" }, { name: "entry1", version: 2 }, { name: "entry2" }],
+        });
+    });
+});
+
+describe("unclear outcome", () => {
+    it("is called unknown and not refused, since the change may be in force", async () => {
+        const store = StandInStore.create();
+        const other = await OperatorHarness.start(store);
+        open.push(other);
+        store.loseWriteAnswers(100, false);
+        const answer = await other.call("POST", "lists", { lists: LISTS, version: 0 });
+        expect(answer).toMatchObject({ status: 500, body: { error: { kind: "unknown" } } });
+    });
+});
