Run non-idempotent stages at most once by claims that agents own

Cause: a booking must run at most once although links, owners, the store and its answers can fail at any time.

A clean release seals a segment instead and names the number of final segments in the slot table. Deleting the lease of a dead owner before taking its slots: the successor overwrites it on condition of its version, so that its holder can never renew it.

Before: non-idempotent stages were refused. One test found that candidates kept counting the age of a lease through an outage and took slots of a live owner after it.

Confirmation that a VM is gone is a function that nobody passes yet, and journals are not trimmed.

--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -43,7 +43,7 @@
     readonly deadline: Deadline;
     /** Whether the run may be cancelled when the target turns cold; never for non-idempotent stages. */
     readonly cancellable: boolean;
-    /** Ends the wait, and the run if it is cancellable. */
+    /** Ends the wait or the run; never aborted for non-idempotent stages. */
     readonly signal: AbortSignal;
 }
 
@@ -80,7 +80,7 @@
         readonly request: GateRequest,
         private readonly gate: Gate,
     ) {
-        if (request.cancellable) request.signal.addEventListener("abort", this.cancel, { once: true });
+        request.signal.addEventListener("abort", this.cancel, { once: true });
     }
 
     get signal(): AbortSignal {
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -1,55 +1,90 @@
-/** Claims of one agent: its slots, its journal and the runs that they admit. */
+/** Claims of one agent: checks that a key belongs to a slot that the agent owns, and hands it to the registry. */
 import { type RunStage, type Withdraw, Withdrawn_State } from "../link/index.js";
-import { type Deadline, refusedStage, type Service, type StageOutcome } from "../model/index.js";
-import type { Metrics, StateLogger } from "../observability/index.js";
-import type { Store } from "../store/index.js";
-
-/** What the claims of an agent are made of. */
-export interface ClaimsOptions {
-    readonly store: Store;
-    readonly service: string;
-    readonly target: string;
-    readonly incarnation: string;
-    readonly logger: StateLogger;
-    readonly metrics: Metrics;
-}
+import { type Deadline, refusedStage, type Service, slotOf, type StageOutcome } from "../model/index.js";
+import { Ownership, type OwnershipOptions } from "./ownership.js";
+import { claimKey, type ClaimedRun, type WithdrawalOutcome } from "./registry.js";
 
-/** How a claimed key is run. */
-export interface ClaimedRun {
-    /** Why new work is refused now, if it is. */
-    refusal(): Extract<StageOutcome, { kind: "refused" }> | undefined;
-    run(): Promise<StageOutcome>;
+/** What a message says about its key. */
+interface KeyFields {
+    readonly account: string;
+    readonly idempotencyKey: string;
+    readonly stage: string;
+    readonly slot: number;
 }
 
+/** Retry time of `notOwner` refusals, in milliseconds. */
+const OWNER_RETRY_MS = 50;
+
 /** Claims of one agent. */
 export class Claims {
-    readonly ownedSlots: readonly number[] = [];
+    private readonly ownership: Ownership;
 
-    private constructor(private readonly options: ClaimsOptions) {}
+    private constructor(options: OwnershipOptions) {
+        this.ownership = Ownership.create(options);
+    }
 
-    static create(options: ClaimsOptions): Claims {
+    /** Claims without slots; slots are taken once the configuration defines some for the service. */
+    static create(options: OwnershipOptions): Claims {
         return new Claims(options);
     }
 
+    /** Numbers of the slots whose keys are admitted now. */
+    get ownedSlots(): readonly number[] {
+        return this.ownership.current?.registry.slotNumbers ?? [];
+    }
+
+    /** Takes the service's definition and whether this agent's zone takes work. */
     configure(service: Service | undefined, inService: boolean): void {
-        this.options.logger.debug("configured", { service, inService });
+        this.ownership.configure(service, inService);
     }
 
-    run(message: RunStage, deadline: Deadline, run: ClaimedRun): Promise<StageOutcome> {
-        this.options.logger.debug("refused", { message, deadline, run });
-        return Promise.resolve(refusedStage("notOwner", "this agent owns no slots"));
+    /** Runs a non-idempotent stage at most once for its key. */
+    async run(message: RunStage, deadline: Deadline, claimed: ClaimedRun): Promise<StageOutcome> {
+        const tenure = this.ownership.current;
+        if (tenure === undefined || !this.slotMatches(message)) {
+            return refusedStage("notOwner", "this agent does not own the slot", OWNER_RETRY_MS);
+        }
+        const key = claimKey(message.account, message.idempotencyKey, message.stage);
+        return await tenure.registry.run({ slot: message.slot, epoch: message.slotEpoch, key }, deadline, claimed);
     }
 
-    withdraw(query: Withdraw): { state: Withdrawn_State; output: string } {
-        this.options.logger.debug("not owner", query);
-        return { state: Withdrawn_State.NOT_OWNER, output: "" };
+    /** Answers whether a key was run, and promises that it will not be if it was not. */
+    withdraw(query: Withdraw): { readonly state: Withdrawn_State; readonly output: string } {
+        const tenure = this.ownership.current;
+        if (tenure === undefined || !this.slotMatches(query)) return { state: Withdrawn_State.NOT_OWNER, output: "" };
+        const key = claimKey(query.account, query.idempotencyKey, query.stage);
+        const outcome = tenure.registry.withdraw({ slot: query.slot, epoch: query.slotEpoch, key });
+        return { state: withdrawnState(outcome), output: outcome.kind === "completed" ? outcome.output : "" };
     }
 
-    stop(): Promise<void> {
-        return Promise.resolve();
+    /** Flushes the journal and releases all slots. */
+    async stop(): Promise<void> {
+        await this.ownership.stop();
     }
 
+    /** Ends without flushing or releasing anything. */
     kill(): void {
-        return;
+        this.ownership.kill();
+    }
+
+    /** Whether the slot in a message is the one of its key; with another slot the key could run at two owners. */
+    private slotMatches({ account, idempotencyKey, stage, slot }: KeyFields): boolean {
+        const slots = this.ownership.table?.slots.length;
+        return slots !== undefined && slotOf(account, idempotencyKey, stage, slots) === slot;
+    }
+}
+
+function withdrawnState(outcome: WithdrawalOutcome): Withdrawn_State {
+    switch (outcome.kind) {
+        case "withdrawn":
+            return Withdrawn_State.WITHDRAWN;
+        case "running":
+            return Withdrawn_State.RUNNING;
+        case "completed":
+            return Withdrawn_State.COMPLETED;
+        case "unknown":
+            return Withdrawn_State.UNKNOWN;
+        case "notOwner":
+            return Withdrawn_State.NOT_OWNER;
     }
 }
--- a/src/claims/index.ts
+++ b/src/claims/index.ts
@@ -1,2 +1,8 @@
-export { type ClaimedRun, Claims, type ClaimsOptions } from "./claims.js";
+export { Claims } from "./claims.js";
+export { type AppendOutcome, Journal, type PendingRecord } from "./journal.js";
+export { LEASE_DURATION_MS, leasePrefix } from "./ownerlease.js";
+export { Ownership, type OwnershipOptions } from "./ownership.js";
+export { claimKey, type ClaimedRun, Registry, type RegistryOptions, type WithdrawalOutcome } from "./registry.js";
+export { type JournalRecord, type JournalReference } from "./segment.js";
 export * from "./slot.js";
+export { Succession } from "./succession.js";
--- /dev/null
+++ b/src/claims/tenure.ts
@@ -0,0 +1,124 @@
+/**
+ * The time from the first renewal of an owner's lease to its end, with everything that belongs to it: the lease, the
+ * journal and the registry. A process whose lease was taken begins a new tenure under a new id.
+ */
+import type { Metrics } from "../observability/index.js";
+import type { Store } from "../store/index.js";
+import { Journal } from "./journal.js";
+import { leasePrefix, OwnerLease } from "./ownerlease.js";
+import { Registry } from "./registry.js";
+import { decodeReference, type JournalRecord, type JournalReference } from "./segment.js";
+import type { SlotOwner } from "./slot.js";
+import { Succession } from "./succession.js";
+
+/** Parts and settings of a tenure. */
+export interface TenureOptions {
+    readonly store: Store;
+    readonly service: string;
+    readonly target: string;
+    readonly incarnation: string;
+    readonly metrics: Metrics;
+    readonly retentionMilliseconds: number;
+    readonly continueWithoutStore: () => boolean;
+}
+
+/** A slot that a tenure takes over. */
+export interface TakenSlot {
+    readonly slot: number;
+    readonly owner: SlotOwner;
+    /** Time for which keys without a claim may have been run by an earlier owner, in milliseconds. */
+    readonly uncertainMilliseconds: number;
+}
+
+/** One tenure of one owner. */
+export class Tenure {
+    readonly lease: OwnerLease;
+    readonly journal: Journal;
+    readonly registry: Registry;
+    private readonly controller = new AbortController();
+    private readonly recovering = new Map<number, number>();
+
+    private constructor(
+        readonly id: string,
+        private readonly options: TenureOptions,
+    ) {
+        const { store, service, target, incarnation, metrics } = options;
+        this.lease = OwnerLease.create(store, leasePrefix(service) + id, target, incarnation);
+        this.journal = Journal.create(store, service, id, metrics);
+        this.registry = Registry.create({
+            journal: this.journal,
+            metrics,
+            retentionMilliseconds: options.retentionMilliseconds,
+            continueWithoutStore: options.continueWithoutStore,
+            leaseValid: () => this.lease.valid,
+        });
+    }
+
+    /** Begins a tenure; `generation` counts the tenures of this process. */
+    static begin(options: TenureOptions, generation: number): Tenure {
+        const suffix = generation === 0 ? "" : `.${generation}`;
+        return new Tenure(`${options.target}-${options.incarnation}${suffix}`, options);
+    }
+
+    /** Whether another agent has taken this tenure's lease or journal. */
+    get lost(): boolean {
+        return this.lease.lost || this.journal.fenced;
+    }
+
+    /** Whether a slot is owned, or is being recovered, at an epoch. */
+    holds(slot: number, epoch: number): boolean {
+        return this.recovering.get(slot) === epoch || this.registry.epochOf(slot) === epoch;
+    }
+
+    /** Reads what earlier owners recorded, closing their journals first, and then admits the slots' keys. */
+    async recover(slots: readonly TakenSlot[]): Promise<void> {
+        for (const { slot, owner } of slots) this.recovering.set(slot, owner.epoch);
+        const { store, service } = this.options;
+        const succession = Succession.create(store, service, this.id, this.controller.signal);
+        const histories = new Map<string, readonly JournalRecord[]>();
+        for (const reference of this.earlierJournals(slots)) {
+            const records = await succession.read(reference);
+            if (records === undefined) return;
+            histories.set(reference.journal, records);
+        }
+        for (const { slot, owner, uncertainMilliseconds } of slots) {
+            if (this.recovering.get(slot) !== owner.epoch) continue;
+            this.recovering.delete(slot);
+            const journals = new Set(owner.journals.map(text => decodeReference(text).journal));
+            const records = [...journals].flatMap(journal => histories.get(journal) ?? []);
+            this.registry.own(slot, owner.epoch, records, uncertainMilliseconds);
+        }
+    }
+
+    /** Gives slots up that the table no longer assigns to this tenure. */
+    disown(slot: number): void {
+        this.recovering.delete(slot);
+        this.registry.disown(slot);
+    }
+
+    /** Ends the tenure abruptly. */
+    end(): void {
+        this.controller.abort();
+        this.recovering.clear();
+        this.journal.kill();
+        for (const slot of this.registry.slotNumbers) this.registry.disown(slot);
+    }
+
+    /** Journals to read: each once, whole if any slot needs the whole. */
+    private earlierJournals(slots: readonly TakenSlot[]): readonly JournalReference[] {
+        const references = new Map<string, JournalReference>();
+        for (const text of slots.flatMap(({ owner }) => owner.journals)) {
+            const reference = decodeReference(text);
+            // Closing the own journal would end this tenure; a slot that returns to it needs only the sealed part.
+            if (reference.journal === this.id && reference.segments === undefined) continue;
+            const before = references.get(reference.journal);
+            references.set(reference.journal, before === undefined ? reference : longer(before, reference));
+        }
+        return [...references.values()];
+    }
+}
+
+function longer(left: JournalReference, right: JournalReference): JournalReference {
+    if (left.segments === undefined || right.segments === undefined) return { journal: left.journal };
+    return left.segments >= right.segments ? left : right;
+}
--- a/test/agent/harness.ts
+++ b/test/agent/harness.ts
@@ -9,7 +9,9 @@
     Role,
     type StageResult,
 } from "../../src/link/index.js";
-import type { Service } from "../../src/model/index.js";
+import { claimKey, decodeSlotTable, type SlotOwner, slotTableKey } from "../../src/claims/index.js";
+import { decodeSegment } from "../../src/claims/segment.js";
+import { type Service, slotOf } from "../../src/model/index.js";
 import { agentSettingsSchema } from "../../src/settings/schema.js";
 import { StandInEngine, type StandInEngineOptions, StandInStore } from "../../src/standins/index.js";
 
@@ -28,6 +30,7 @@
     coldConcurrency: 2,
 };
 
+type RunFields = Extract<LinkBodyInit, { case: "runStage" }>["value"];
 type BodyCase = NonNullable<LinkBody["case"]>;
 type BodyValue<Case extends BodyCase> = Extract<LinkBody, { case: Case }>["value"];
 
@@ -49,7 +52,7 @@
     }
 
     /** Sends an attempt and returns its number. */
-    run(fields: Extract<LinkBodyInit, { case: "runStage" }>["value"]): number {
+    run(fields: RunFields): number {
         const attempt = this.nextAttempt++;
         this.link.send({
             case: "runStage",
@@ -141,6 +144,53 @@
         agent.holder.replace(Configuration.of(this.version, [service, ...records]));
     }
 
+    /** Sends a booking to an agent as an entry that reads the slot table now would. */
+    book(entry: TestEntry, key: string, fields: RunFields = {}): number {
+        const { slot, owner } = this.slotOf(key);
+        return entry.run({
+            account: "hire",
+            stage: "stage",
+            operation: "book",
+            idempotent: false,
+            idempotencyKey: key,
+            slot,
+            slotEpoch: owner?.epoch ?? 0,
+            ...fields,
+        });
+    }
+
+    /** Sends a withdrawal and returns its query number. */
+    withdraw(entry: TestEntry, key: string, epoch?: number): number {
+        const { slot, owner } = this.slotOf(key);
+        const query = Math.floor(Math.random() * 1_000_000) + 1;
+        const slotEpoch = epoch ?? owner?.epoch ?? 0;
+        const service = this.service.name;
+        const value = { query, account: "hire", idempotencyKey: key, stage: "stage", service, slot, slotEpoch };
+        entry.link.send({ case: "withdraw", value });
+        return query;
+    }
+
+    slotOf(key: string): { slot: number; owner: SlotOwner | undefined } {
+        const slot = slotOf("hire", key, "stage", this.service.slots);
+        const object = this.store.peek(slotTableKey(this.service.name));
+        const table = object === undefined ? undefined : decodeSlotTable(object.value);
+        return { slot, owner: table?.slots[slot] };
+    }
+
+    /** Claims of a key in all journals. */
+    claims(key: string): number {
+        const records = this.store.keys("claims/").flatMap(object => {
+            return decodeSegment(this.store.peek(object)?.value ?? "").records;
+        });
+        const hash = claimKey("hire", key, "stage");
+        return records.filter(record => record.kind === "claim" && record.key === hash).length;
+    }
+
+    /** Runs of a key at all targets. */
+    runs(key: string): number {
+        return this.engines.reduce((sum, engine) => sum + (engine.counters().runsByKey[key] ?? 0), 0);
+    }
+
     async connect(name: string, agent: Agent): Promise<TestEntry> {
         return await TestEntry.connect(this.network, name, agent.address);
     }
