--- a/src/agent/engineclient.ts
+++ b/src/agent/engineclient.ts
@@ -40,7 +40,7 @@
     for await (const chunk of response.iterator({ destroyOnReturn: false })) {
         const lines = (rest + (chunk as string)).split("\n");
         rest = lines.pop() ?? "";
-        if (rest.length > MAXIMUM_LINE_LENGTH) throw new Error("line is too long");
+        if ([rest, ...lines].some(line => line.length > MAXIMUM_LINE_LENGTH)) throw new Error("line is too long");
         yield* lines;
     }
     if (rest !== "") yield rest;
@@ -145,12 +145,26 @@
     }
 
     private call(call: Call): Promise<IncomingMessage> {
+        const { method, signal } = call;
         const headers = { "content-type": "application/json", "content-length": Buffer.byteLength(call.body ?? "") };
-        const options = { method: call.method, agent: this.agent, signal: call.signal, headers };
+        const options = { method, agent: this.agent, headers };
         return new Promise((resolve, reject) => {
-            const outgoing = httpRequest(`http://${this.address}${call.path}`, options, resolve);
+            let incoming: IncomingMessage | undefined;
+            const outgoing = httpRequest(`http://${this.address}${call.path}`, options, response => {
+                incoming = response;
+                // A response that is cancelled may have no reader any more.
+                response.on("error", () => undefined);
+                resolve(response);
+            });
+            // After a complete response the connection belongs to the agent again, or to another call.
+            const cancel = (): void => {
+                if (!incoming?.complete) outgoing.destroy(new Error("cancelled or no answer in time"));
+            };
+            signal.addEventListener("abort", cancel);
+            outgoing.on("close", () => signal.removeEventListener("abort", cancel));
             outgoing.on("error", reject);
-            outgoing.end(call.body);
+            if (signal.aborted) cancel();
+            else outgoing.end(call.body);
         });
     }
 }
