--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -83,6 +83,8 @@
      */
     succeeded(target: string, slowness: number, service: readonly string[]): void {
         const health = this.healthOf(target);
+        // Only a probe readmits: answers to attempts from before the ejection say nothing new.
+        if (health.ejection.state === "out" && !health.probing) return;
         health.failuresInRow = 0;
         health.probing = false;
         if (health.ejection.state === "out") this.readmit(target, health);
