Keep serving when an object of the change log is malformed; close what a failed start opened

Cause: a malformed change or slot table in the store would have ended every entry that reads it. A failed start left the counters' socket open.

Ruled out: skipping a malformed change, which would put later changes on top of another configuration.

Change: a malformed change counts as an unavailable store; the process keeps what it has. The head is described with the decision on the change log.

Conclusion: a damaged object stops changes, not serving.

--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -8,8 +8,8 @@
  */
 import { pause } from "../model/pause.js";
 import type { Store, StoredObject } from "../store/index.js";
-import { Configuration, type ConfigurationChange, type ConfigurationRecord } from "./configuration.js";
-import { changeKey, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
+import { Configuration, type ConfigurationRecord } from "./configuration.js";
+import { changeKey, decodeChange, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
 import type { ConfigurationHolder } from "./holder.js";
 
 /**
@@ -104,8 +104,9 @@
             const read = await this.store.read(changeKey(configuration.version + 1));
             if (read.kind === "unavailable") return read;
             if (read.kind === "missing") return { kind: "loaded", configuration };
-            const next = configuration.apply(JSON.parse(read.object.value) as ConfigurationChange);
-            if (next === undefined) return { kind: "unavailable", message: "a change has the wrong version" };
+            const change = decodeChange(read.object.value, configuration.version + 1);
+            const next = change && configuration.apply(change);
+            if (next === undefined) return { kind: "unavailable", message: "a change is malformed" };
             configuration = next;
         }
     }
@@ -172,13 +173,18 @@
         while (!this.stopped) {
             const version = this.holder.current.version + 1;
             const read = await this.store.read(changeKey(version));
-            this.reachable = read.kind !== "unavailable";
-            if (read.kind === "unavailable") return false;
+            if (read.kind === "unavailable") return this.fail();
+            this.reachable = true;
             if (read.kind === "missing") return this.holder.current.version >= this.headVersion;
-            const change = JSON.parse(read.object.value) as ConfigurationChange;
-            if (change.version !== version) throw new Error(`change ${version} in the store says ${change.version}`);
+            const change = decodeChange(read.object.value, version);
+            if (change === undefined) return this.fail();
             this.holder.advance(change);
         }
         return false;
     }
+
+    private fail(): false {
+        this.reachable = false;
+        return false;
+    }
 }
--- a/src/configuration/head.ts
+++ b/src/configuration/head.ts
@@ -5,6 +5,7 @@
  * process that writes the head has proof that it read the newest one.
  */
 import type { Store } from "../store/index.js";
+import type { ConfigurationChange } from "./configuration.js";
 
 /** Store key of the head. */
 export const HEAD_KEY = "configuration/head";
@@ -51,9 +52,28 @@
     }
 }
 
-/** The version in a head object. */
+/** The version in a head object; 0, which asks for nothing, when it is malformed. */
 export function decodeHead(value: string): number {
-    return (JSON.parse(value) as { readonly version: number }).version;
+    const version = (parseObject(value) as { readonly version?: unknown } | undefined)?.version;
+    return typeof version === "number" ? version : 0;
+}
+
+/**
+ * The change in an object of the log. Undefined when it is malformed or has another version: a process then keeps what
+ * it has, as it does while the store is unavailable.
+ */
+export function decodeChange(value: string, version: number): ConfigurationChange | undefined {
+    const change = parseObject(value) as ConfigurationChange | undefined;
+    const complete = change?.version === version && Array.isArray(change.set) && Array.isArray(change.removed);
+    return complete ? change : undefined;
+}
+
+function parseObject(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    } catch {
+        return undefined;
+    }
 }
 
 function encodeHead(version: number): string {
--- a/src/configuration/log.ts
+++ b/src/configuration/log.ts
@@ -9,7 +9,7 @@
 import { pause } from "../model/pause.js";
 import type { Store } from "../store/index.js";
 import type { Configuration, ConfigurationChange } from "./configuration.js";
-import { changeKey, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
+import { changeKey, decodeChange, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
 import type { ConfigurationHolder } from "./holder.js";
 import { type ConfigurationDifference, isEmptyDifference } from "./lists.js";
 
@@ -118,7 +118,7 @@
 
     private async readChange(version: number): Promise<ConfigurationChange | undefined> {
         const read = await this.store.read(changeKey(version));
-        return read.kind === "found" ? (JSON.parse(read.object.value) as ConfigurationChange) : undefined;
+        return read.kind === "found" ? decodeChange(read.object.value, version) : undefined;
     }
 
     /** Puts the change in force here, then writes the head and, when one is due, a snapshot. */
--- a/src/daemon/agent.ts
+++ b/src/daemon/agent.ts
@@ -37,7 +37,7 @@
     const { network, store, engine } = environment;
     const logger = environment.logger ?? createLogger(settings.logging, settings.name);
     const metrics = createMetrics(settings.metrics);
-    const agent = await Agent.start({ settings, network, store, engine, logger, metrics });
+    const agent = await startOrClose(metrics, () => Agent.start({ settings, network, store, engine, logger, metrics }));
     logger.info("agent started", { links: agent.address, incarnation: agent.incarnation });
     return {
         name: settings.name,
@@ -53,3 +53,13 @@
         },
     };
 }
+
+/** Closes the counters' socket when the start fails, so that nothing is left open. */
+async function startOrClose(metrics: ProcessMetrics, start: () => Promise<Agent>): Promise<Agent> {
+    try {
+        return await start();
+    } catch (error) {
+        await metrics.close();
+        throw error;
+    }
+}
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -85,6 +85,7 @@
     } catch (error) {
         entry?.kill();
         parts.stop();
+        await parts.metrics.close();
         throw error;
     }
 }
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -108,7 +108,7 @@
     private apply({ key, object }: StoreEvent): void {
         const service = key.slice(SLOTS_PREFIX.length);
         if (object === undefined) this.tables.delete(service);
-        else this.tables.set(service, decodeSlotTable(object.value));
+        else if (parseJson(object.value) !== undefined) this.tables.set(service, decodeSlotTable(object.value));
     }
 }
 
--- a/test/configuration/log.test.ts
+++ b/test/configuration/log.test.ts
@@ -204,6 +204,21 @@
         expect(holder.current.version).toBe(1);
     });
 
+    it.each(["{", "1", '{"version":9,"set":[],"removed":[]}', '{"version":1}'])(
+        "keeps what it has, and does not end, when a change in the store is %s",
+        async text => {
+            const store = StandInStore.create();
+            const running = feedOf(store, "b");
+            await finish(running.feed.ready);
+            await store.client("a").write(changeKey(1), text, 0);
+            const starting = feedOf(store, "c");
+            await vi.advanceTimersByTimeAsync(3_000);
+            for (const { feed, holder } of [running, starting]) {
+                expect([holder.current.version, feed.available]).toEqual([0, false]);
+            }
+        },
+    );
+
     it("never goes back when the store answers with older states, and goes on after an outage", async () => {
         const store = StandInStore.create();
         const operator = new Operator(store, "a");
