--- a/src/agent/gate.ts
+++ b/src/agent/gate.ts
@@ -135,8 +135,8 @@
 
     /** Takes the limits that the configuration defines. */
     setLimits(limits: GateLimits): void {
-        const warm = Math.max(1, limits.warm);
-        this.limits = { warm, cold: Math.min(warm, Math.max(1, limits.cold)) };
+        const warm = atLeastOne(limits.warm);
+        this.limits = { warm, cold: Math.min(warm, atLeastOne(limits.cold)) };
         const next = this.cold ? this.limits.cold : Math.min(Math.max(this.limit, this.limits.cold), warm);
         this.changeLimit(next);
         if (this.cold) this.cancelExcess();
@@ -315,6 +315,11 @@
     }
 }
 
+/** A usable limit, also from a configuration record that lacks the number. */
+function atLeastOne(limit: number): number {
+    return Number.isFinite(limit) ? Math.max(1, Math.floor(limit)) : 1;
+}
+
 function cancelledWhileWaiting(): Refusal {
     return refusedStage("withdrawn", "cancelled before it was given to the target");
 }
