Answer attempts whose execution throws instead of ending the agent

Cause: an engine client that throws before its first event rejected the attempt's promise, which nobody handled.

Ruled out: letting it end the process. The key's claim would stay without a result and all other work would be lost.

Change: such an execution counts as lost; a session answers any other exception of an attempt as lost or unknown.

Before: the new case fails.

Conclusion: an exception in one attempt stays with this attempt.

--- a/src/agent/execution.ts
+++ b/src/agent/execution.ts
@@ -57,8 +57,8 @@
 
 async function readEvents(execution: Execution, run: GateRun, signal: AbortSignal): Promise<TerminalEvent> {
     const { engine, request, listener } = execution;
-    const events = engine.execute(request, signal)[Symbol.asyncIterator]();
     try {
+        const events = engine.execute(request, signal)[Symbol.asyncIterator]();
         for (;;) {
             const next = await nextEvent(events, signal);
             if (next === undefined) return { kind: "lost", message: "the execution ended without a result" };
--- a/src/agent/session.ts
+++ b/src/agent/session.ts
@@ -5,7 +5,7 @@
  * nobody can receive their result; non-idempotent runs continue and their result stays known to the registry.
  */
 import { type Link, type LinkBody, type RunStage, type Withdraw, Withdrawn_State } from "../link/index.js";
-import { Deadline, refusedStage, type StageOutcome } from "../model/index.js";
+import { Deadline, failedStage, refusedStage, type StageOutcome } from "../model/index.js";
 import type { ConfigurationHolder } from "../configuration/index.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
 import type { ExecutionListener } from "./execution.js";
@@ -140,6 +140,17 @@
     private async outcome(message: RunStage, signal: AbortSignal, tokens: TokenBatch): Promise<StageOutcome> {
         const refusal = checkFields(message, this.host.service);
         if (refusal !== undefined) return refusal;
+        try {
+            return await this.runAtAgent(message, signal, tokens);
+        } catch (error) {
+            this.host.logger.error("attempt failed inside the agent", error);
+            // A broken invariant leaves open how far the run came.
+            if (message.idempotent) return failedStage("targetLost", "the agent failed");
+            return { kind: "unknown", reason: "targetLost", message: "the agent failed" };
+        }
+    }
+
+    private async runAtAgent(message: RunStage, signal: AbortSignal, tokens: TokenBatch): Promise<StageOutcome> {
         const { attempt } = message;
         return await this.host.runStage({
             id: `${this.link.peer.incarnation}.${attempt}`,
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { Agent } from "../../src/agent/index.js";
 import { Withdrawn_State } from "../../src/link/index.js";
+import type { StandInEngine } from "../../src/standins/index.js";
 import { bookingService, Deployment, type TestEntry } from "../agent/harness.js";
 
 /** Time in which agents take and spread their slots. */
@@ -122,6 +123,15 @@
     it.each([
         { name: "failed", fault: () => deployment.engines[0]?.failNext(1), outcome: "unknown targetLost", runs: 1 },
         { name: "lost", fault: () => deployment.engines[0]?.truncateNext(1), outcome: "unknown targetLost", runs: 1 },
+        {
+            name: "ended by an error of the engine client",
+            fault: () =>
+                vi.spyOn(deployment.engines[0] as StandInEngine, "execute").mockImplementation(() => {
+                    throw new Error("client fault");
+                }),
+            outcome: "unknown targetLost",
+            runs: 0,
+        },
         {
             name: "rejected",
             fault: () => deployment.engines[0]?.rejectNext(1),
