--- /dev/null
+++ b/src/bench/peer.ts
@@ -0,0 +1,61 @@
+/** Processes that the bench tool starts: short ones that print a number, and ends that take commands. */
+import { type ChildProcess, execFile, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
+
+/** A command to an end process, with its arguments. */
+export interface Command {
+    readonly name: string;
+    readonly address?: string;
+    readonly count?: number;
+    readonly tokens?: number;
+    readonly seed?: number;
+}
+
+/** What an end process answers. */
+export type Reply = { readonly value: unknown } | { readonly error: string };
+
+/** Time that one command or one short process may take, in milliseconds. */
+const COMMAND_TIMEOUT_MS = 20_000;
+
+const runFile = promisify(execFile);
+
+/** Runs a module of this folder to its end and returns the number that it prints. */
+export async function runForNumber(module: string, args: readonly string[]): Promise<number> {
+    const file = fileURLToPath(new URL(`./${module}.js`, import.meta.url));
+    const { stdout } = await runFile(process.execPath, ["--expose-gc", file, ...args], { timeout: COMMAND_TIMEOUT_MS });
+    return Number(stdout);
+}
+
+/** A process at one end of a connection; it runs one command at a time. */
+export class EndProcess {
+    private constructor(private readonly child: ChildProcess) {}
+
+    /** Starts an end. */
+    static start(): EndProcess {
+        const file = fileURLToPath(new URL("./end.js", import.meta.url));
+        return new EndProcess(fork(file, [], { execArgv: ["--expose-gc"] }));
+    }
+
+    /** Runs a command. Throws when the end reports an error, exits, or does not answer in time. */
+    async run<Value>(command: Command): Promise<Value> {
+        const reply = await new Promise<Reply>((resolve, reject) => {
+            const timer = setTimeout(() => {
+                reject(new Error(`${command.name} did not finish in time`));
+            }, COMMAND_TIMEOUT_MS);
+            this.child.removeAllListeners("message");
+            this.child.once("message", message => {
+                clearTimeout(timer);
+                resolve(message as Reply);
+            });
+            this.child.send(command);
+        });
+        if ("error" in reply) throw new Error(`${command.name}: ${reply.error}`);
+        return reply.value as Value;
+    }
+
+    /** Ends the process. */
+    stop(): void {
+        this.child.kill();
+    }
+}
