--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -16,6 +16,12 @@
     /** The entry gave the attempt up; it may have been run. */
     | { readonly kind: "abandoned"; readonly cause: "deadline" | "cancelled" };
 
+/**
+ * Silence of one attempt at a target that answers others, as a multiple of the limit. Such an attempt may wait behind
+ * them, or may have been lost on the way.
+ */
+const LONGER_SILENCE = 4;
+
 /** What limits an attempt. */
 export interface AttemptLimits {
     readonly deadline: Deadline;
@@ -47,6 +53,7 @@
         readonly fingerprint: string,
         readonly stage: string,
         private readonly limits: AttemptLimits,
+        private readonly targetAnsweredAt: () => number,
     ) {
         this.outcome = new Promise(resolve => {
             this.resolve = resolve;
@@ -60,9 +67,15 @@
         if (limits.signal?.aborted === true) this.onAbort();
     }
 
-    /** An attempt whose time runs from now. */
-    static start(number: number, fingerprint: string, stage: string, limits: AttemptLimits): Attempt {
-        return new Attempt(number, fingerprint, stage, limits);
+    /** An attempt whose time runs from now. `targetAnsweredAt` tells when the target last answered any attempt. */
+    static start(
+        number: number,
+        fingerprint: string,
+        stage: string,
+        limits: AttemptLimits,
+        targetAnsweredAt: () => number,
+    ): Attempt {
+        return new Attempt(number, fingerprint, stage, limits, targetAnsweredAt);
     }
 
     /** The target has begun. */
@@ -109,9 +122,15 @@
     /** One timer for all answers: it is set again for the time that is left, instead of at each answer. */
     private watchSilence(milliseconds: number): void {
         this.silenceTimer = setTimeout(() => {
-            const left = this.lastAnswerAt + this.limits.silenceMilliseconds - performance.now();
+            const left = this.silenceEndsAt() - performance.now();
             if (left > 0) this.watchSilence(left);
             else this.giveUp({ kind: "silent", message: `no answer for ${this.limits.silenceMilliseconds} ms` });
         }, milliseconds);
     }
+
+    private silenceEndsAt(): number {
+        const limit = this.limits.silenceMilliseconds;
+        const ofTarget = Math.max(this.lastAnswerAt, this.targetAnsweredAt()) + limit;
+        return Math.min(ofTarget, this.lastAnswerAt + LONGER_SILENCE * limit);
+    }
 }
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -141,6 +141,7 @@
         response.once("close", () => {
             if (!response.writableFinished) controller.abort();
         });
+        if (response.closed) controller.abort();
         if (request.headers.accept?.includes("text/event-stream") === true) {
             const stream = EventStream.create(response, () => controller.abort());
             stream.end(await this.handle(checked.value, controller.signal, stream));
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -133,7 +133,7 @@
         signal.addEventListener("abort", onAbort, { once: true });
         if (signal.aborted) onAbort();
         const limited = { ...request, deadlineMilliseconds };
-        const run = RequestRun.start(this.parts, limited, access, controller.signal, onToken);
+        const run = RequestRun.start(this.parts, limited, access, controller.signal, guard(onToken, onAbort));
         const outcome = execute(run, this.leaving);
         this.open.set(outcome, controller);
         try {
@@ -200,7 +200,7 @@
             zone: settings.zone,
             vm: settings.vm,
             key: settings.systemKey,
-            address: settings.linkAddress,
+            address: this.listener?.address ?? settings.linkAddress,
             configurationVersion: configuration.current.version,
         };
     }
@@ -285,3 +285,15 @@
         return refusedStage("starting", "the entry has no configuration yet", ELSEWHERE_RETRY_MS);
     }
 }
+
+/** A listener that counts as gone when it throws, so that its error cannot end the link that carries the tokens. */
+function guard(onToken: TokenListener | undefined, onFailure: () => void): TokenListener | undefined {
+    if (onToken === undefined) return undefined;
+    return (index, token) => {
+        try {
+            onToken(index, token);
+        } catch {
+            onFailure();
+        }
+    };
+}
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -190,7 +190,12 @@
     private async serve(link: Link, openedHere: boolean): Promise<void> {
         const peer = this.adopt(link, openedHere);
         if (peer === undefined) return;
-        for await (const body of link.messages) this.receive(peer, body);
+        try {
+            for await (const body of link.messages) this.receive(peer, body);
+        } catch (error) {
+            this.context.logger.error(`link to entry ${link.peer.name} failed`, error);
+            link.close("message could not be handled");
+        }
         const reason = await link.closed;
         this.tell(peer);
         if (this.links.get(link.peer.name) !== peer) return;
--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -61,6 +61,8 @@
     loadAt: number;
     outstandingAtReport: number;
     heardAt: number;
+    /** When the target last answered an attempt other than by a refusal. */
+    answeredAt: number;
     reports: boolean;
 }
 
@@ -164,7 +166,8 @@
         const number = this.context.nextNumber();
         const sent = connection.link.send({ case: "runStage", value: { ...stage, attempt: number } });
         if (!sent) return undefined;
-        const attempt = Attempt.start(number, stage.fingerprint ?? "", stage.stage ?? "", limits);
+        const { fingerprint = "", stage: stageName = "" } = stage;
+        const attempt = Attempt.start(number, fingerprint, stageName, limits, () => connection.answeredAt);
         connection.attempts.set(number, attempt);
         void attempt.outcome.then(() => {
             connection.attempts.delete(number);
@@ -236,7 +239,12 @@
         }
         const connection = this.open(link);
         const openedAt = performance.now();
-        for await (const body of link.messages) this.receive(connection, body);
+        try {
+            for await (const body of link.messages) this.receive(connection, body);
+        } catch (error) {
+            this.context.logger.error(`link to ${this.name} failed`, error);
+            link.close("message could not be handled");
+        }
         this.close(connection, await link.closed);
         this.backoff.used(performance.now() - openedAt);
     }
@@ -252,6 +260,7 @@
             loadAt: performance.now(),
             outstandingAtReport: 0,
             heardAt: performance.now(),
+            answeredAt: Number.NEGATIVE_INFINITY,
             reports: false,
         };
         this.connection = connection;
@@ -274,12 +283,15 @@
         connection.heardAt = performance.now();
         switch (body.case) {
             case "stageAccepted":
+                connection.answeredAt = connection.heardAt;
                 this.openAttempt(connection, body.value.attempt)?.accepted();
                 break;
             case "stageTokens":
+                connection.answeredAt = connection.heardAt;
                 this.openAttempt(connection, body.value.attempt)?.tokens(body.value.firstIndex, body.value.tokens);
                 break;
             case "stageResult":
+                if (body.value.outcome.case === "completed") connection.answeredAt = connection.heardAt;
                 this.openAttempt(connection, body.value.attempt)?.end(decodeOutcome(body.value));
                 connection.attempts.delete(body.value.attempt);
                 this.takeLoad(connection, body.value.load, connection.attempts.size);
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -9,8 +9,8 @@
 /** Retries that a budget gains each second without any request, so that rare requests can be retried at all. */
 const FLOOR_PER_SECOND = 1;
 
-/** Retries that a budget holds at most, and at first. */
-const MAXIMUM_RETRIES = 10;
+/** Retries that a budget holds at most, and at first: about what one target has in flight when it dies. */
+const MAXIMUM_RETRIES = 20;
 
 /** One bucket of retries. */
 export class RetryBudget {
