Hold up and repeat undelivered messages on memory links

Cause: memory links lost a message for good while its path was cut; test/entry/booking.test.ts (network cut for 1.5 s in the middle of a run) read no outcome, since TCP would have repeated it. Ruled out: a fault of the entry; the attempt was waiting for an answer that TCP would have delivered. Change: an undelivered message is repeated every 50 ms, holds up those after it, and closes the link after 3 s. Conclusion: cuts in tests now behave as a cut TCP connection does.

--- a/src/link/memory.ts
+++ b/src/link/memory.ts
@@ -22,14 +22,20 @@
     /** One-way delay in milliseconds. */
     readonly delay?: (from: string, to: string) => number;
     /**
-     * Whether messages pass. After a message that does not pass, nothing more is delivered in its direction, as on a
-     * TCP connection, and both ends close after the retransmission timeout.
+     * Whether messages pass. One that does not pass is repeated, as on a TCP connection, and holds up those after it;
+     * both ends close when it was not delivered within the retransmission timeout.
      */
     readonly reachable?: (from: string, to: string) => boolean;
 }
 
 /** Time after which a connection that delivers nothing is given up, in milliseconds. */
 const RETRANSMISSION_TIMEOUT_MS = 3_000;
+const RETRANSMISSION_INTERVAL_MS = 50;
+
+interface Delivery {
+    readonly due: number;
+    readonly action: (other: MemoryLink) => void;
+}
 
 interface Registration {
     readonly hello: () => HelloInit;
@@ -42,10 +48,8 @@
     private other: MemoryLink | undefined;
     private reason: string | undefined;
     private resolveClosed: (reason: string) => void = () => undefined;
-    /** Delivery time of the last message sent, so that a shorter delay does not reorder messages. */
-    private lastDelivery = 0;
-    /** Whether a message from this end was lost. */
-    private broken = false;
+    private readonly undelivered: Delivery[] = [];
+    private abandoned = false;
 
     constructor(
         readonly peer: Hello,
@@ -89,24 +93,32 @@
     }
 
     private deliver(action: (other: MemoryLink) => void): void {
+        const delay = this.network.delay(this.localAddress, this.remoteAddress);
+        this.undelivered.push({ due: performance.now() + delay, action });
+        if (this.undelivered.length === 1) this.awaitDelivery();
+    }
+
+    /** Delivers the oldest message when it is due; the ones after it wait, so that a shorter delay reorders nothing. */
+    private awaitDelivery(): void {
+        const oldest = this.undelivered[0];
+        if (oldest === undefined) return;
+        setTimeout(() => this.tryDelivery(oldest), Math.max(0, oldest.due - performance.now()));
+    }
+
+    private tryDelivery(oldest: Delivery): void {
         const other = this.other;
-        if (other === undefined || this.broken) return;
-        const now = performance.now();
-        const due = Math.max(this.lastDelivery, now + this.network.delay(this.localAddress, this.remoteAddress));
-        this.lastDelivery = due;
-        setTimeout(() => {
-            if (this.broken) return;
-            if (this.network.reachable(this.localAddress, this.remoteAddress)) action(other);
-            else this.lose(other);
-        }, due - now);
-    }
-
-    private lose(other: MemoryLink): void {
-        this.broken = true;
-        setTimeout(() => {
+        if (other === undefined || this.abandoned) return;
+        if (this.network.reachable(this.localAddress, this.remoteAddress)) {
+            this.undelivered.shift();
+            oldest.action(other);
+            this.awaitDelivery();
+        } else if (performance.now() - oldest.due < RETRANSMISSION_TIMEOUT_MS) {
+            setTimeout(() => this.tryDelivery(oldest), RETRANSMISSION_INTERVAL_MS);
+        } else {
+            this.abandoned = true;
             this.end("connection timed out");
             other.end("connection timed out");
-        }, RETRANSMISSION_TIMEOUT_MS);
+        }
     }
 }
 
