--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -63,6 +63,7 @@
 /** Places and plan shares of one entry. */
 export class Admission {
     private readonly buckets = new Map<string, ShareBucket>();
+    private readonly startedAt = performance.now();
     private open = 0;
 
     private constructor(
@@ -118,7 +119,7 @@
         const rate = seatRate(plan.share, budget.millisecondsPerSecond, this.seats);
         const existing = this.buckets.get(plan.name);
         existing?.setRate(rate);
-        const bucket = existing ?? ShareBucket.create(rate);
+        const bucket = existing ?? ShareBucket.create(rate, (performance.now() - this.startedAt) / 1_000);
         this.buckets.set(plan.name, bucket);
         return bucket;
     }
--- a/src/admission/share.ts
+++ b/src/admission/share.ts
@@ -19,13 +19,19 @@
     private level: number;
     private updatedAt = performance.now();
 
-    private constructor(private rate: number) {
-        this.level = rate * BURST_SECONDS;
+    private constructor(
+        private rate: number,
+        idleSeconds: number,
+    ) {
+        this.level = rate * Math.min(idleSeconds, BURST_SECONDS);
     }
 
-    /** A full bucket with a rate in target milliseconds a second. */
-    static create(rate: number): ShareBucket {
-        return new ShareBucket(rate);
+    /**
+     * A bucket with a rate in target milliseconds a second, filled for the time that the entry has run. An entry that
+     * has just started has no burst: its earlier incarnation may have spent it a moment ago.
+     */
+    static create(rate: number, idleSeconds: number): ShareBucket {
+        return new ShareBucket(rate, idleSeconds);
     }
 
     /** Changes the rate; what was drawn stays drawn. */
--- a/test/admission/admission.test.ts
+++ b/test/admission/admission.test.ts
@@ -37,7 +37,7 @@
         fc.assert(
             fc.property(draws, sequence => {
                 const rate = seatRate(0.3, 1_000, 3);
-                const buckets = [0, 1, 2].map(() => ShareBucket.create(rate));
+                const buckets = [0, 1, 2].map(() => ShareBucket.create(rate, 1));
                 let granted = 0;
                 let elapsed = 0;
                 for (const { seat, cost, wait } of sequence) {
@@ -53,7 +53,7 @@
 
     it("names the time after which a draw succeeds, also for a cost above the whole burst", () => {
         for (const cost of [40, 250]) {
-            const bucket = ShareBucket.create(100);
+            const bucket = ShareBucket.create(100, 1);
             for (let count = 0; count < 10; count += 1) bucket.draw(cost);
             const refused = bucket.draw(cost);
             const wait = refused.kind === "exceeded" ? refused.retryAfterMilliseconds : 0;
@@ -82,11 +82,20 @@
         expect(admission.openRequests).toBe(0);
     });
 
+    it("gives an entry that has just started no burst, which its earlier incarnation may have spent", () => {
+        const admission = Admission.create(1, 100);
+        const admit = () => admission.admit(configure([plan]), plan, pipeline, 4_000).kind;
+        expect(admit()).toBe("refused");
+        vi.advanceTimersByTime(500);
+        expect(Array.from({ length: 20 }, admit).filter(kind => kind === "admitted")).toHaveLength(5);
+    });
+
     it("lets no plan take another's share, and gives back what was not run", () => {
         const other: Plan = { ...plan, name: "q" };
         const configuration = configure([plan, other]);
         const admission = Admission.create(1, 100);
         const admit = (of: Plan) => admission.admit(configuration, of, pipeline, 4_000);
+        vi.advanceTimersByTime(1_000);
         const granted = Array.from({ length: 20 }, () => admit(plan)).filter(({ kind }) => kind === "admitted");
         expect(granted).toHaveLength(10);
         expect(admit(other).kind).toBe("admitted");
--- a/test/fuzz/fuzz.test.ts
+++ b/test/fuzz/fuzz.test.ts
@@ -8,7 +8,7 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { afterEach, beforeEach, describe, it, vi } from "vitest";
 import { commandSequences, type Model } from "./commands.js";
-import { ENTRIES, PIPELINES, World } from "./world.js";
+import { ENTITLEMENTS, ENTRIES, PIPELINES, World } from "./world.js";
 
 const SEED = Number(process.env.FUZZ_SEED ?? 1);
 const RUNS = Number(process.env.FUZZ_RUNS ?? 10);
@@ -96,6 +96,7 @@
                 await advance(5_000);
                 await recover(world);
                 world.checkAnswered();
+                world.oracle.checkShares(ENTITLEMENTS);
                 if (world.oracle.violations.length > 0) throw new Error(world.oracle.violations.join("\n"));
             } finally {
                 world.end();
@@ -108,7 +109,9 @@
             endOnFailure: !SHRINK,
             ...(PATH === undefined ? {} : { path: PATH }),
         });
-        const summary = { seed: SEED, runs: details.numRuns, failed: details.failed, executions: runs };
+        const violation =
+            details.errorInstance instanceof Error ? details.errorInstance.message.split("\n")[0] : undefined;
+        const summary = { seed: SEED, runs: details.numRuns, failed: details.failed, executions: runs, violation };
         if (process.env.FUZZ_RESULT !== undefined) writeFileSync(process.env.FUZZ_RESULT, JSON.stringify(summary));
         console.log(`fuzz: ${JSON.stringify(summary)}`);
         if (details.failed) {
--- a/test/fuzz/oracle.ts
+++ b/test/fuzz/oracle.ts
@@ -18,6 +18,8 @@
     /** How long the target has been cold, or undefined when it is warm. */
     readonly coldFor: number | undefined;
     readonly coldConcurrency: number;
+    /** How long the agent has known that its zone is out, or undefined when it does not. */
+    readonly zoneOutKnownFor: number | undefined;
 }
 
 /** One request as its caller sees it. */
@@ -44,6 +46,13 @@
 /** Slack for an answer after its deadline: one hop each way and the turn of a timer. */
 const ANSWER_SLACK_MS = 100;
 
+/** A plan's entitlement over all entries, in milliseconds of target time a second, with the burst of one second. */
+export interface Entitlement {
+    readonly account: string;
+    readonly ratePerSecond: number;
+    readonly costOfRequest: number;
+}
+
 /** Collects observations and the violations found in them. */
 export class Oracle {
     readonly violations: string[] = [];
@@ -73,6 +82,9 @@
         this.starts.push(start);
         if (start.idempotencyKey !== "") this.checkAtMostOnce(start);
         this.checkCold(start);
+        if (start.zoneOutKnownFor !== undefined && start.zoneOutKnownFor > ZONE_OUT_MS) {
+            this.violations.push(`zone: ${start.target} took new work although its agent knew that its zone is out`);
+        }
         const out = this.zoneOutSince.get(start.zone);
         if (out !== undefined && start.at - out > ZONE_OUT_MS) {
             this.violations.push(`zone: ${start.target} got new work ${Math.round(start.at - out)} ms after out`);
@@ -98,6 +110,25 @@
         this.versions.set(process, Math.max(before, version));
     }
 
+    /** Checks that over no window an account's requests that ran cost more than its entitlement allows. */
+    checkShares(entitlements: readonly Entitlement[]): void {
+        const markers = new Set(this.starts.map(start => start.marker));
+        for (const { account, ratePerSecond, costOfRequest } of entitlements) {
+            const times = this.submissions
+                .filter(submission => submission.account === account && markers.has(submission.marker))
+                .map(submission => submission.sentAt);
+            times.forEach((first, index) => {
+                times.slice(index).forEach((last, count) => {
+                    const allowed = ratePerSecond * ((last - first) / 1_000 + 1);
+                    const used = (count + 1) * costOfRequest;
+                    if (used > allowed + 1e-6) {
+                        this.violations.push(`share: ${account} used ${used} of ${Math.round(allowed)} ms`);
+                    }
+                });
+            });
+        }
+    }
+
     /** Reports a request that was never answered. */
     unanswered(submission: Submission): void {
         this.report(submission, "was never answered");
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -17,7 +17,7 @@
 import { agentSettingsSchema, entrySettingsSchema } from "../../src/settings/schema.js";
 import { expectedOutput, StandInEngine, StandInStore } from "../../src/standins/index.js";
 import { type Store, StoreView } from "../../src/store/index.js";
-import { Oracle, type Submission } from "./oracle.js";
+import { type Entitlement, Oracle, type Submission } from "./oracle.js";
 
 const ignore = (): undefined => undefined;
 const logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
@@ -29,6 +29,16 @@
 export const PIPELINES = ["ask", "reserve"] as const;
 export const ACCOUNTS = ["large", "small"] as const;
 
+/** Common budget in milliseconds of target time a second, and each account's share of it. */
+const BUDGET = 4_000;
+const SHARES = { large: 0.8, small: 0.15 } as const;
+const STAGE_COST = 20;
+
+/** What each account may use. Both pipelines have two stages. */
+export const ENTITLEMENTS: readonly Entitlement[] = ACCOUNTS.map(account => {
+    return { account, ratePerSecond: BUDGET * SHARES[account], costOfRequest: 2 * STAGE_COST };
+});
+
 const CONCURRENCY = 4;
 const COLD_CONCURRENCY = 1;
 const SLOTS = 6;
@@ -46,11 +56,11 @@
 
 function stage(name: string, options: Partial<Stage>): Stage {
     const base = { name, service: name, operation: name, idempotent: true, streaming: false };
-    return { ...base, maximumTokens: 0, costMilliseconds: 20, ...options };
+    return { ...base, maximumTokens: 0, costMilliseconds: STAGE_COST, ...options };
 }
 
 const baseRecords: readonly ConfigurationRecord[] = [
-    { kind: "budget", name: "common", value: { millisecondsPerSecond: 100_000 } },
+    { kind: "budget", name: "common", value: { millisecondsPerSecond: BUDGET } },
     ...SERVICES.map(name => {
         const limits = { concurrency: CONCURRENCY, coldConcurrency: COLD_CONCURRENCY };
         const modes = {
@@ -64,8 +74,13 @@
         const listed = (pipelines[name] ?? []).map(each => stages[each] as Stage);
         return { kind: "pipeline", name, value: { name, stages: listed } } as const;
     }),
-    { kind: "plan", name: "p", value: { name: "p", pipelines: [...PIPELINES], stages: [], share: 0.9 } },
-    ...ACCOUNTS.map(name => ({ kind: "account", name, value: { name, plan: "p", keyHash: "" } }) as const),
+    ...ACCOUNTS.flatMap(name => {
+        const plan = { name: `plan-${name}`, pipelines: [...PIPELINES], stages: [], share: SHARES[name] };
+        return [
+            { kind: "plan", name: plan.name, value: plan },
+            { kind: "account", name, value: { name, plan: plan.name, keyHash: "" } },
+        ] as const;
+    }),
 ];
 
 interface RunningEntry {
@@ -116,6 +131,10 @@
     private readonly cuts = new Set<string>();
     private readonly pausedUntil = new Map<string, number>();
     private readonly coldSince = new Map<string, number>();
+    /** When each agent learnt that its zone is out. */
+    private readonly knownOutSince = new Map<string, number>();
+    /** Entries that were killed; nobody reads their answers. */
+    private readonly killed = new Set<Entry>();
     private readonly open = new Map<Submission, Promise<void>>();
     private readonly network = MemoryNetwork.create({
         delay: (from, to) => Math.max(1, this.pauseLeft(processAt(from)), this.pauseLeft(processAt(to))),
@@ -168,6 +187,7 @@
             metrics: { increment: ignore },
         });
         this.agents.set(target, agent);
+        this.followZone(target, agent);
     }
 
     /** Starts an entry unless it runs. */
@@ -217,6 +237,7 @@
         this.agents.delete(name);
         const running = this.entries.get(name);
         if (running !== undefined) {
+            this.killed.add(running.entry);
             running.entry.kill();
             running.member.abandon();
             running.end();
@@ -376,8 +397,7 @@
             tokens.push(token);
         };
         const outcome = await entry.handle(request, new AbortController().signal, onToken);
-        const alive = this.entries.get(submission.entry)?.entry === entry;
-        if (!alive) return undefined;
+        if (this.killed.has(entry)) return undefined;
         this.oracle.answered(submission, outcome, performance.now() - this.pauseAllowance(submission.entry));
         if (outcome.kind === "done" && submission.pipeline === "ask") this.checkTokens(submission, tokens);
         return outcome;
@@ -391,10 +411,10 @@
         }
     }
 
-    /** Reports requests of live entries that have no outcome. */
+    /** Reports requests that have no outcome; those of killed entries end, too. */
     checkAnswered(): void {
         for (const submission of this.open.keys()) {
-            if (this.entries.has(submission.entry)) this.oracle.unanswered(submission);
+            this.oracle.unanswered(submission);
         }
     }
 
@@ -413,6 +433,21 @@
             running: engine.runningCount,
             coldFor: engine.cold ? at - (this.coldSince.get(target) ?? at) : undefined,
             coldConcurrency: COLD_CONCURRENCY,
+            zoneOutKnownFor: this.zoneOutKnownFor(target, at),
+        });
+    }
+
+    private zoneOutKnownFor(target: string, now: number): number | undefined {
+        const since = this.knownOutSince.get(target);
+        if (since === undefined) return undefined;
+        return now - Math.max(since, Math.min(this.pausedUntil.get(target) ?? 0, now));
+    }
+
+    private followZone(target: string, agent: Agent): void {
+        this.knownOutSince.delete(target);
+        agent.holder.subscribe(configuration => {
+            if (configuration.zoneInService(zoneOf(target))) this.knownOutSince.delete(target);
+            else if (!this.knownOutSince.has(target)) this.knownOutSince.set(target, performance.now());
         });
     }
 
