--- /dev/null
+++ b/test/processes/daemons.ts
@@ -0,0 +1,146 @@
+/** Separate processes on loopback: each runs a built main module with a settings file, and is ended by its own id. */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+import { stringify } from "yaml";
+
+/** How a process ended. */
+export interface ProcessEnd {
+    readonly code: number | null;
+    readonly signal: NodeJS.Signals | null;
+}
+
+/** Longest wait for a condition. It bounds a failing run and is no claim about speed. */
+const WAIT_MS = 30_000;
+
+/** Longest standard error that is kept, in characters. */
+const MAXIMUM_OUTPUT = 200_000;
+
+const MAINS = { entry: "commandline", agent: "commandline", standins: "standins" } as const;
+
+/** Kinds of processes that the tests start. */
+export type ProcessKind = keyof typeof MAINS;
+
+export function pause(milliseconds: number): Promise<void> {
+    return new Promise(done => setTimeout(done, milliseconds));
+}
+
+/** Waits until a condition holds. */
+export async function until(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
+    const endsAt = performance.now() + WAIT_MS;
+    while (!(await condition())) {
+        if (performance.now() > endsAt) throw new Error(`not reached in ${WAIT_MS} ms: ${what}`);
+        await pause(25);
+    }
+}
+
+/** Ports are below 32768, where the system takes the ports of outgoing connections from. */
+let nextPort = 15_000 + (process.pid % 170) * 100;
+
+/** A loopback address whose port nobody listens on. */
+export async function freeAddress(): Promise<string> {
+    for (;;) {
+        nextPort += 1;
+        const port = nextPort;
+        const free = await new Promise<boolean>(done => {
+            const server = createServer();
+            server.once("error", () => done(false));
+            server.listen(port, "127.0.0.1", () => server.close(() => done(true)));
+        });
+        if (free) return `127.0.0.1:${port}`;
+    }
+}
+
+/** A started process. */
+export class Daemon {
+    readonly ended: Promise<ProcessEnd>;
+    private end: ProcessEnd | undefined;
+    private output = "";
+
+    private constructor(
+        readonly name: string,
+        private readonly child: ChildProcess,
+    ) {
+        child.stderr?.setEncoding("utf8").on("data", (text: string) => {
+            this.output = (this.output + text).slice(-MAXIMUM_OUTPUT);
+        });
+        this.ended = new Promise(done => {
+            child.once("close", (code, signal) => {
+                this.end = { code, signal };
+                done(this.end);
+            });
+        });
+    }
+
+    static spawn(kind: ProcessKind, name: string, file: string): Daemon {
+        const main = resolve("dist", MAINS[kind], "main.js");
+        const command = kind === "standins" ? [] : [kind];
+        const child = spawn(process.execPath, [main, ...command, "--settings", file], {
+            stdio: ["ignore", "ignore", "pipe"],
+        });
+        return new Daemon(name, child);
+    }
+
+    /** What the process wrote to standard error, without the oldest part when it is long. */
+    get errors(): string {
+        return this.output;
+    }
+
+    /** Waits until the process has logged a text. */
+    async logged(text: string): Promise<void> {
+        await until(`${this.name} logs "${text}"; it wrote: ${this.output}`, () => {
+            if (this.end !== undefined && !this.output.includes(text)) {
+                throw new Error(`${this.name} ended early: ${this.output}`);
+            }
+            return this.output.includes(text);
+        });
+    }
+
+    /** Sends a signal to this process. */
+    signal(name: NodeJS.Signals): void {
+        if (this.end === undefined) this.child.kill(name);
+    }
+
+    /** Ends the process without notice and waits for its end. SIGKILL also ends a stopped process. */
+    async kill(): Promise<void> {
+        this.signal("SIGKILL");
+        await this.ended;
+    }
+}
+
+/** The processes and files of one test. */
+export class ProcessGroup {
+    private readonly directory = mkdtempSync(join(tmpdir(), "parsleyrun-processes-"));
+    private readonly started: Daemon[] = [];
+    private files = 0;
+    private readonly onExit = (): void => {
+        for (const daemon of this.started) daemon.signal("SIGKILL");
+    };
+
+    private constructor() {
+        process.once("exit", this.onExit);
+    }
+
+    static create(): ProcessGroup {
+        return new ProcessGroup();
+    }
+
+    /** Writes settings to a file of their own and starts a process on them. */
+    spawn(kind: ProcessKind, name: string, settings: object | string): Daemon {
+        this.files += 1;
+        const file = join(this.directory, `${name}-${this.files}.yaml`);
+        writeFileSync(file, typeof settings === "string" ? settings : stringify(settings));
+        const daemon = Daemon.spawn(kind, name, file);
+        this.started.push(daemon);
+        return daemon;
+    }
+
+    /** Ends all processes that were started and removes the files. */
+    async close(): Promise<void> {
+        await Promise.all(this.started.map(daemon => daemon.kill()));
+        process.removeListener("exit", this.onExit);
+        rmSync(this.directory, { recursive: true, force: true });
+    }
+}
