Treat results of targets that a link cannot carry as lost

Cause: a target's answer with a token count or index above 32 bits, a cost above the range of a float, or an output that grows above 4 MiB when its numbers are written again became a link message that cannot be encoded or is refused by its receiver. That closes the link with all attempts that are open on it. Ruled out: checks where messages are sent, since the attempt would still end without a result and the link's queue has already accepted the message. Change: lines of targets are checked against the ranges of the link's messages, and an output is limited to 1 MiB. Such a line is a lost result, as any other malformed line. Seen: in test/input/backends.test.ts, "answers of a target" failed before in the property over random lines and in the four cases with values out of range, and passes now. Conclusion: one target's malformed answer costs its own attempt only.

--- a/src/agent/engineprotocol.ts
+++ b/src/agent/engineprotocol.ts
@@ -2,14 +2,21 @@
 import { z } from "zod";
 import type { EngineEvent } from "./engine.js";
 
+/**
+ * Longest output, in bytes of its JSON text. Numbers can take more room when they are written again than in the line,
+ * and a result above the size of a message would close the link.
+ */
+const MAXIMUM_OUTPUT_BYTES = 1_048_576;
+
+/** Counts and costs are limited to what a link's message holds; one that it cannot hold would close the link. */
 const lineSchema = z.union([
     z.object({ started: z.literal(true), bootId: z.string(), cold: z.boolean() }),
-    z.object({ index: z.int().min(0), token: z.string() }),
+    z.object({ index: z.uint32(), token: z.string() }),
     z.object({
         done: z.literal(true),
         output: z.unknown().refine(output => output !== undefined),
-        tokens: z.int().min(0),
-        costMilliseconds: z.number().min(0),
+        tokens: z.uint32(),
+        costMilliseconds: z.float32().min(0),
     }),
     z.object({ failed: z.string() }),
 ]);
@@ -52,6 +59,8 @@
     if ("started" in fields) return { kind: "started", bootId: fields.bootId, cold: fields.cold };
     if ("index" in fields) return { kind: "token", index: fields.index, token: fields.token };
     if ("failed" in fields) return { kind: "failed", message: fields.failed };
-    const { output, tokens, costMilliseconds } = fields;
-    return { kind: "completed", output: JSON.stringify(output), tokens, costMilliseconds };
+    const { tokens, costMilliseconds } = fields;
+    const output = JSON.stringify(fields.output);
+    if (Buffer.byteLength(output) > MAXIMUM_OUTPUT_BYTES) return undefined;
+    return { kind: "completed", output, tokens, costMilliseconds };
 }
