Give up answers of the store above 64 MiB

Cause: the store's client kept whatever arrived until the answer ended, and an answer above 512 MiB raised an exception outside any promise, which ends the process. Ruled out: the call's time limit, which bounds time and not size: a watch waits for 30 s. Change: the client keeps at most 64 MiB; a longer answer counts as no answer. Conclusion: memory for answers is bounded for each call.

--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -38,6 +38,12 @@
     revision: z.int().min(0),
 });
 
+/**
+ * Longest answer that is kept, in bytes. The members and slot tables of 5,900 replicas are a few megabytes; more means
+ * that the other end is not the store.
+ */
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
 /** Errors that occur before a connection is made. */
 const UNSENT_CODES = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL", "EMFILE"];
 
@@ -170,7 +176,12 @@
         return new Promise(resolve => {
             const outgoing = httpRequest(`http://${this.options.address}${call.path}`, options, response => {
                 const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                let bytes = 0;
+                response.on("data", (chunk: Buffer) => {
+                    bytes += chunk.length;
+                    if (bytes <= MAXIMUM_ANSWER_BYTES) chunks.push(chunk);
+                    else response.destroy(new Error("answer is too long"));
+                });
                 response.on("error", fail);
                 response.on("end", () => {
                     clearTimeout(timer);
