Keep malformed records out of the configuration

Ruled out: a handler around the feed, since it would stop following the store; checks in each reader of a record, since the configuration cannot go back once a malformed record is in force. Kinds that are not known are accepted, so that a newer process may add some. A head that is no positive integer counts as 0. Seen: "that are malformed do not end the configuration feed" in test/input/backends.test.ts failed before with unhandled TypeErrors and passes now; the tests of configuration, operators and agent pass unchanged. Conclusion: only usable records come into force.

--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -8,9 +8,10 @@
  */
 import { pause } from "../model/pause.js";
 import type { Store, StoredObject } from "../store/index.js";
-import { Configuration, type ConfigurationRecord } from "./configuration.js";
+import { Configuration } from "./configuration.js";
 import { changeKey, decodeChange, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
 import type { ConfigurationHolder } from "./holder.js";
+import { decodeRecords } from "./records.js";
 
 /**
  * Longest wait on the head. A change whose author died before it wrote the head is found after at most this time,
@@ -111,13 +112,13 @@
         }
     }
 
-    /** The newest snapshot at or below a version. One that was not written is replaced by the one before it. */
+    /** The newest snapshot at or below a version. One that is missing or malformed is replaced by the one before it. */
     private async loadSnapshot(version: number): Promise<Configuration> {
         const newest = version - (version % SNAPSHOT_INTERVAL);
         for (let candidate = newest; candidate > 0; candidate -= SNAPSHOT_INTERVAL) {
             const read = await this.store.read(snapshotKey(candidate));
-            if (read.kind !== "found") continue;
-            return Configuration.of(candidate, JSON.parse(read.object.value) as readonly ConfigurationRecord[]);
+            const records = read.kind === "found" ? decodeRecords(read.object.value) : undefined;
+            if (records !== undefined) return Configuration.of(candidate, records);
         }
         return Configuration.empty;
     }
--- a/src/configuration/head.ts
+++ b/src/configuration/head.ts
@@ -6,6 +6,7 @@
  */
 import type { Store } from "../store/index.js";
 import type { ConfigurationChange } from "./configuration.js";
+import { parseChange } from "./records.js";
 
 /** Store key of the head. */
 export const HEAD_KEY = "configuration/head";
@@ -55,7 +56,7 @@
 /** The version in a head object; 0, which asks for nothing, when it is malformed. */
 export function decodeHead(value: string): number {
     const version = (parseObject(value) as { readonly version?: unknown } | undefined)?.version;
-    return typeof version === "number" ? version : 0;
+    return typeof version === "number" && Number.isSafeInteger(version) && version > 0 ? version : 0;
 }
 
 /**
@@ -63,9 +64,8 @@
  * it has, as it does while the store is unavailable.
  */
 export function decodeChange(value: string, version: number): ConfigurationChange | undefined {
-    const change = parseObject(value) as ConfigurationChange | undefined;
-    const complete = change?.version === version && Array.isArray(change.set) && Array.isArray(change.removed);
-    return complete ? change : undefined;
+    const change = parseChange(value);
+    return change?.version === version ? change : undefined;
 }
 
 function parseObject(text: string): unknown {
--- a/src/configuration/holder.ts
+++ b/src/configuration/holder.ts
@@ -2,7 +2,8 @@
  * The configuration that a process has in force. It only moves forward: an older version, from the store or from a
  * peer, is ignored, so that nothing that was accepted can revert.
  */
-import { Configuration, type ConfigurationChange, type ConfigurationRecord } from "./configuration.js";
+import { Configuration, type ConfigurationChange } from "./configuration.js";
+import { decodeRecords, parseChange } from "./records.js";
 
 /** Changes that are kept to bring peers forward without a whole snapshot. */
 const RETAINED_CHANGES = 256;
@@ -72,15 +73,17 @@
 
     /**
      * Takes what a peer sent. Returns false when it does not bring this process to the transfer's version, in which
-     * case the peer has to be told the version in force here.
+     * case the peer has to be told the version in force here. Throws when the transfer is malformed.
      */
     receive(transfer: ConfigurationTransfer): boolean {
         if (transfer.snapshot !== "") {
-            const records = JSON.parse(transfer.snapshot) as readonly ConfigurationRecord[];
+            const records = decodeRecords(transfer.snapshot);
+            if (records === undefined) throw new Error("a snapshot is malformed");
             this.replace(Configuration.of(transfer.version, records));
         }
         for (const text of transfer.changes) {
-            const change = JSON.parse(text) as ConfigurationChange;
+            const change = parseChange(text);
+            if (change === undefined) throw new Error("a change is malformed");
             if (change.version > this.configuration.version) this.advance(change);
         }
         return this.configuration.version >= transfer.version;
