Survive malformed slot tables, leases, segments and members

Cause: slot tables, owners' leases, claim segments and member objects were read without a check. One malformed object below slots/ ended the view of every entry with an unhandled rejection, which ends the process; a malformed table, lease or segment did the same to the agents of the service, and a replaced member object failed the planned stop of an entry. Ruled out: dropping malformed tables or segments as if they were missing. Keys whose claims cannot be read could then run a second time. Change: each is checked when it is read. A malformed table leaves the last one in use, a malformed lease is one without a holder that takes slots, a malformed segment keeps its slots from being served until it can be read, and a member object that cannot be read belongs to another process. Conclusion: a malformed object affects its own service's slots at most.

--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -7,14 +7,7 @@
 import { randomBytes } from "node:crypto";
 import type { Metrics } from "../observability/index.js";
 import type { Store } from "../store/index.js";
-import {
-    decodeSegment,
-    EMPTY_SEGMENT,
-    encodeSegment,
-    type JournalRecord,
-    type Segment,
-    segmentKey,
-} from "./segment.js";
+import { EMPTY_SEGMENT, encodeSegment, type JournalRecord, readSegment, type Segment, segmentKey } from "./segment.js";
 
 /** Time in which records are collected for one commit, in milliseconds. */
 const GROUP_DELAY_MS = 3;
@@ -228,8 +221,8 @@
     private async resolve(key: string, commit: string): Promise<"written" | "fenced" | undefined> {
         const read = await this.store.read(key);
         if (read.kind !== "found" || read.object.version <= this.version) return undefined;
-        const stored = decodeSegment(read.object.value);
-        if (stored.commit !== commit || stored.closedBy !== "") return "fenced";
+        const stored = readSegment(read.object.value);
+        if (stored?.commit !== commit || stored.closedBy !== "") return "fenced";
         this.version = read.object.version;
         return "written";
     }
--- a/src/claims/ownerlease.ts
+++ b/src/claims/ownerlease.ts
@@ -6,6 +6,7 @@
  * saw it, even when the store serves reads from an older state.
  */
 import { randomBytes } from "node:crypto";
+import { z } from "zod";
 import type { Store, StoredObject } from "../store/index.js";
 
 /** Time for which a renewal holds, in milliseconds. */
@@ -31,9 +32,23 @@
     return `leases/owners/${service}/`;
 }
 
-/** The record in a lease object. */
-export function decodeLease(object: StoredObject): OwnerLeaseRecord {
-    return JSON.parse(object.value) as OwnerLeaseRecord;
+const recordSchema: z.ZodType<OwnerLeaseRecord> = z.object({
+    holder: z.string(),
+    incarnation: z.string(),
+    fencing: z.int().min(0),
+    durationMs: z.number(),
+    renewal: z.string(),
+    accepting: z.boolean(),
+    takenBy: z.string(),
+});
+
+/** The record in a lease object; undefined when it is malformed, which no agent writes. */
+export function decodeLease(object: StoredObject): OwnerLeaseRecord | undefined {
+    try {
+        return recordSchema.safeParse(JSON.parse(object.value)).data;
+    } catch {
+        return undefined;
+    }
 }
 
 /** The lease that this process holds. */
@@ -101,7 +116,8 @@
             return;
         }
         const { value, version } = read.object;
-        if (decodeLease(read.object).takenBy !== "") {
+        // A malformed lease cannot be renewed either: its holder gives up and begins a new one.
+        if (decodeLease(read.object)?.takenBy !== "") {
             this.ended = true;
         } else if (value === doubt.value) {
             this.renewed(version, doubt.sentAt);
@@ -197,7 +213,7 @@
     /** Whether somebody has taken the owner's lease. */
     taken(owner: string): boolean {
         const object = this.observations.get(owner)?.object;
-        return object !== undefined && decodeLease(object).takenBy !== "";
+        return object !== undefined && (decodeLease(object)?.takenBy ?? "") !== "";
     }
 
     /** Takes an expired lease. Returns whether its holder can never renew it again. */
--- a/src/claims/segment.ts
+++ b/src/claims/segment.ts
@@ -4,6 +4,7 @@
  * A journal is a chain of segments. A sealed segment is never written again by its owner; a closed one ends the chain,
  * so that its owner cannot commit anything after it.
  */
+import { z } from "zod";
 import type { StageOutcome } from "../model/index.js";
 
 /** One record of a journal. */
@@ -49,6 +50,31 @@
     return JSON.parse(text) as Segment;
 }
 
+const recordSchema = z.object({
+    claim: z.string(),
+    kind: z.enum(["claim", "result", "released"]),
+    slot: z.int().min(0),
+    key: z.string(),
+    at: z.number(),
+    outcome: z.object({ kind: z.enum(["completed", "refused", "failed", "unknown"]) }).optional(),
+});
+
+const segmentSchema = z.object({
+    commit: z.string(),
+    sealed: z.boolean(),
+    closedBy: z.string(),
+    records: z.array(recordSchema),
+});
+
+/** The segment in a text of the store; undefined when it is malformed, which no agent writes. */
+export function readSegment(text: string): Segment | undefined {
+    try {
+        return segmentSchema.safeParse(JSON.parse(text)).success ? decodeSegment(text) : undefined;
+    } catch {
+        return undefined;
+    }
+}
+
 /** A journal as a slot table names it: all of its segments, or its first `segments` after a clean release. */
 export interface JournalReference {
     readonly journal: string;
--- a/src/claims/slot.ts
+++ b/src/claims/slot.ts
@@ -3,6 +3,7 @@
  * that admits, runs and remembers the keys of the slot. The table is one object in the store, changed by conditional
  * updates only.
  */
+import { z } from "zod";
 
 /** The owner of one slot. */
 export interface SlotOwner {
@@ -42,3 +43,22 @@
     const parsed = JSON.parse(text) as { service: string; slots: (SlotOwner | null)[] };
     return { service: parsed.service, slots: parsed.slots.map(owner => owner ?? undefined) };
 }
+
+const ownerSchema = z.object({
+    target: z.string(),
+    incarnation: z.string(),
+    epoch: z.int().min(0),
+    // A reference with a count that is not a number would be read as a journal without segments.
+    journals: z.array(z.string().regex(/^[^:]+(:\d+)?$/)),
+});
+
+const tableSchema = z.object({ service: z.string(), slots: z.array(ownerSchema.nullable()) });
+
+/** The table in a text of the store; undefined when it is malformed, which no agent writes. */
+export function readSlotTable(text: string): SlotTable | undefined {
+    try {
+        return tableSchema.safeParse(JSON.parse(text)).success ? decodeSlotTable(text) : undefined;
+    } catch {
+        return undefined;
+    }
+}
--- a/src/claims/slottablestore.ts
+++ b/src/claims/slottablestore.ts
@@ -6,7 +6,7 @@
  */
 import type { Store } from "../store/index.js";
 import { decodeReference } from "./segment.js";
-import { decodeSlotTable, encodeSlotTable, type SlotOwner, type SlotTable, slotTableKey } from "./slot.js";
+import { encodeSlotTable, readSlotTable, type SlotOwner, type SlotTable, slotTableKey } from "./slot.js";
 
 /** Tries of one change while other agents change the table as well. */
 const MAXIMUM_TRIES = 20;
@@ -45,7 +45,10 @@
         return slots.filter(([, owner]) => owner !== undefined && ownerId(owner) === id).map(([slot]) => slot);
     }
 
-    /** The table; one with `slots` free slots when there is none. Undefined without an answer or with an old one. */
+    /**
+     * The table; one with `slots` free slots when there is none. Undefined without an answer, or with one that is old
+     * or malformed.
+     */
     async read(slots: number): Promise<SlotTable | undefined> {
         const read = await this.store.read(slotTableKey(this.service));
         if (read.kind === "unavailable") return undefined;
@@ -53,9 +56,9 @@
         if (version < (this.newest?.version ?? 0)) return undefined;
         const table =
             read.kind === "found"
-                ? decodeSlotTable(read.object.value)
+                ? readSlotTable(read.object.value)
                 : { service: this.service, slots: Array.from({ length: slots }, () => undefined) };
-        this.newest = { table, version };
+        if (table !== undefined) this.newest = { table, version };
         return table;
     }
 
--- a/src/claims/succession.ts
+++ b/src/claims/succession.ts
@@ -4,11 +4,11 @@
  */
 import type { Store, StoredObject } from "../store/index.js";
 import {
-    decodeSegment,
     EMPTY_SEGMENT,
     encodeSegment,
     type JournalReference,
     type JournalRecord,
+    readSegment,
     type Segment,
     segmentKey,
 } from "./segment.js";
@@ -42,18 +42,23 @@
         return records;
     }
 
-    /** A segment that nobody will write again. Waits as long as the store is down or serves an older state. */
+    /**
+     * A segment that nobody will write again. Waits as long as the store is down or serves an older state, and while
+     * the segment is malformed, since keys whose claims it held must not run.
+     */
     private async finalSegment(reference: JournalReference, index: number): Promise<Segment | undefined> {
         const key = segmentKey(this.service, reference.journal, index);
         while (!this.signal.aborted) {
             const read = await this.store.read(key);
             if (read.kind !== "unavailable") {
                 const object = read.kind === "found" ? read.object : undefined;
-                const segment = object === undefined ? EMPTY_SEGMENT : decodeSegment(object.value);
-                if (segment.sealed || segment.closedBy !== "") return segment;
+                const segment = object === undefined ? EMPTY_SEGMENT : readSegment(object.value);
+                if (segment?.sealed === true || (segment?.closedBy ?? "") !== "") return segment;
                 // Segments of a clean release are sealed; one that does not look so was served from an older state.
-                const closed = reference.segments === undefined && (await this.close(key, object, segment));
-                if (closed) return { ...segment, closedBy: this.successor };
+                const open = reference.segments === undefined ? segment : undefined;
+                if (open !== undefined && (await this.close(key, object, open))) {
+                    return { ...open, closedBy: this.successor };
+                }
             }
             await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
         }
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -80,6 +80,11 @@
     }
 
     private owns(value: string): boolean {
-        return (JSON.parse(value) as { readonly incarnation: string }).incarnation === this.options.incarnation;
+        try {
+            const member = JSON.parse(value) as { readonly incarnation?: unknown } | null;
+            return member?.incarnation === this.options.incarnation;
+        } catch {
+            return false;
+        }
     }
 }
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -1,6 +1,6 @@
 /** Members and slot tables as a process knows them: watched copies of the store's `members/` and `slots/` objects. */
 import { z } from "zod";
-import { decodeSlotTable, type SlotDirectory, type SlotTable } from "../claims/index.js";
+import { readSlotTable, type SlotDirectory, type SlotTable } from "../claims/index.js";
 import type { Target } from "../model/index.js";
 import type { StoredObject, StoreEvent } from "../store/index.js";
 import type { Directory, EntryMember, Membership } from "./directory.js";
@@ -107,8 +107,9 @@
 
     private apply({ key, object }: StoreEvent): void {
         const service = key.slice(SLOTS_PREFIX.length);
-        if (object === undefined) this.tables.delete(service);
-        else if (parseJson(object.value) !== undefined) this.tables.set(service, decodeSlotTable(object.value));
+        const table = object === undefined ? undefined : readSlotTable(object.value);
+        if (table !== undefined) this.tables.set(service, table);
+        else if (object === undefined) this.tables.delete(service);
     }
 }
 
--- a/test/processes/pause.test.ts
+++ b/test/processes/pause.test.ts
@@ -27,7 +27,7 @@
     return objects
         .filter(({ key, value }) => {
             const lease = decodeLease({ key, value, version: 1 });
-            return lease.holder === agent && lease.takenBy === "";
+            return lease?.holder === agent && lease.takenBy === "";
         })
         .map(({ key }) => key);
 }
