--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -12,6 +12,7 @@
     type LinkBody,
     type Load,
     type Network,
+    Role,
     type RunStageSchema,
     Withdrawn_State,
     type Withdrawn,
@@ -230,7 +231,8 @@
 
     /** Reads one link until it closes. */
     private async serve(link: Link): Promise<void> {
-        if (this.isStopped() || link.peer.name !== this.name || link.peer.service !== this.service) {
+        const { role, name, service } = link.peer;
+        if (this.isStopped() || role !== Role.AGENT || name !== this.name || service !== this.service) {
             link.close("not the expected agent");
             return;
         }
