Refuse settings whose aliases expand without bound

Cause: the settings reader did not handle the exception that the YAML library throws when the aliases of a file expand to too many values, so that the daemon ended with a stack trace in place of a message and exit code 2. The operators' lists handle it already. Ruled out: a limit of our own on aliases; the library's limit is enough. Conclusion: any settings file is loaded or refused with an error.

--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -1,6 +1,6 @@
 /** Reads a settings file. Every fault names the path of the key that it concerns. */
 import { readFile } from "node:fs/promises";
-import { isNode, LineCounter, parseDocument } from "yaml";
+import { type Document, isNode, LineCounter, parseDocument } from "yaml";
 import { z } from "zod";
 
 /** One fault in a settings file. */
@@ -44,7 +44,9 @@
         }));
         return { kind: "invalid", errors };
     }
-    const parsed = schema.safeParse(document.toJS() ?? {});
+    const content = readContent(document);
+    if (content.kind === "invalid") return content;
+    const parsed = schema.safeParse(content.value);
     if (parsed.success) return { kind: "loaded", settings: parsed.data };
     const lineOf = (path: readonly PropertyKey[]): number | undefined => {
         const node = path.length === 0 ? undefined : document.getIn(path, true);
@@ -62,6 +64,18 @@
     });
 }
 
+/** An empty file is read as one without keys. Expanding too many aliases makes a file unreadable. */
+function readContent(
+    document: Document,
+): { readonly kind: "read"; readonly value: unknown } | Extract<SettingsOutcome<never>, { kind: "invalid" }> {
+    try {
+        return { kind: "read", value: document.toJS() ?? {} };
+    } catch (error) {
+        const message = error instanceof Error ? error.message : "the file cannot be read";
+        return { kind: "invalid", errors: [{ line: undefined, path: "", message }] };
+    }
+}
+
 interface Fault {
     readonly path: readonly PropertyKey[];
     readonly message: string;
