Answer callers' errors as documented, and refuse inputs that outgrow a link

Cause: an input of 1 MB such as a list of 1E20 takes four times as much room when its numbers are written again, which is above the size of a link's message: the link on which it was sent closed, and the request was tried again on the next one. In addition the callers' interface differed from docs/callers.md: errors had no `outcome`, a body that is too large was answered with 400, idempotency keys could have 200 characters, and parsleyrun-priority was ignored. Ruled out: a larger limit on messages, which only moves the size of the input. Change: an input is limited to 1 MiB as it is written again, and answered with 413 above that, as a larger body is. Conclusion: one caller's input cannot close a link that others use.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -34,8 +34,9 @@
 
 /** Kinds name histograms, so they are short and plain. */
 const KIND_PATTERN = /^[A-Za-z0-9._-]{1,32}$/;
-const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
+const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const DEADLINE_PATTERN = /^[1-9]\d{0,5}$/;
+const PRIORITY_PATTERN = /^(-?[1-9]|-?10|0)$/;
 
 /** Serves the operators' paths. */
 export type OperatorHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -55,7 +56,7 @@
 
 /** An error of the caller. */
 interface CallerError {
-    readonly status: 400 | 401 | 403 | 404 | 405;
+    readonly status: 400 | 401 | 403 | 404 | 405 | 413;
     readonly message: string;
 }
 
@@ -170,7 +171,7 @@
         if ("error" in body) return body;
         const input = parseInput(body.value);
         if ("error" in input) return input;
-        return { value: { account, pipeline, priority: 0, ...headers.value, input: input.value } };
+        return { value: { account, pipeline, ...headers.value, input: input.value } };
     }
 
     private readHeaders({ headers }: IncomingMessage): Checked<RequestHeaders> {
@@ -182,10 +183,13 @@
         }
         const kind = String(headers["parsleyrun-kind"] ?? "default");
         if (!KIND_PATTERN.test(kind)) return fault(400, "parsleyrun-kind is not a name of up to 32 characters");
+        const priority = String(headers["parsleyrun-priority"] ?? 0);
+        if (!PRIORITY_PATTERN.test(priority)) return fault(400, "parsleyrun-priority is not a number from -10 to 10");
+        const fields = { deadlineMilliseconds, kind, priority: Number(priority) };
         const key = headers["idempotency-key"];
-        if (key === undefined) return { value: { deadlineMilliseconds, kind } };
-        if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 200 printable characters");
-        return { value: { deadlineMilliseconds, kind, idempotencyKey: String(key) } };
+        if (key === undefined) return { value: fields };
+        if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 128 printable characters");
+        return { value: { ...fields, idempotencyKey: String(key) } };
     }
 
     private sendError(response: ServerResponse, { status, message }: CallerError): void {
@@ -193,18 +197,18 @@
         const headers: Record<string, string> = { connection: "close" };
         if (status === 401) headers["www-authenticate"] = "Bearer";
         if (status === 405) headers["allow"] = "POST";
-        sendJson(response, status, { error: message }, headers);
+        sendJson(response, status, { outcome: "error", error: message }, headers);
     }
 }
 
-type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "idempotencyKey">;
+type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "priority" | "idempotencyKey">;
 
 function fault(status: CallerError["status"], message: string): { readonly error: CallerError } {
     return { error: { status, message } };
 }
 
 function blankRequest(pipeline: string, headers: RequestHeaders): Checked<CallerRequest> {
-    return { value: { account: "", pipeline, priority: 0, ...headers, input: null } };
+    return { value: { account: "", pipeline, ...headers, input: null } };
 }
 
 function checkPipeline(
@@ -232,7 +236,7 @@
     } catch {
         return fault(400, "the body ended early");
     }
-    if (length > MAXIMUM_BODY_BYTES) return fault(400, `the body is above ${MAXIMUM_BODY_BYTES} bytes`);
+    if (length > MAXIMUM_BODY_BYTES) return fault(413, `the body is above ${MAXIMUM_BODY_BYTES} bytes`);
     return { value: Buffer.concat(chunks).toString("utf8") };
 }
 
@@ -243,8 +247,10 @@
             return fault(400, "the body is not an object with the key input");
         }
         const { input } = body as { readonly input: unknown };
-        // Values that are nested too deeply to be written again are found here rather than during execution.
-        JSON.stringify(input);
+        // Values that are nested too deeply to be written again are found here rather than during execution. Numbers such
+        // as 1E20 take more room when they are written again; a link closes when a message on it is too large.
+        const bytes = Buffer.byteLength(JSON.stringify(input));
+        if (bytes > MAXIMUM_BODY_BYTES) return fault(413, `the input is above ${MAXIMUM_BODY_BYTES} bytes`);
         return { value: input };
     } catch {
         return fault(400, "the body is not JSON");
