Give targets idempotency keys that are unique among accounts

Cause: an agent passed a caller's idempotency key to its target as it was. Keys are unique for their account only, so two accounts, or two non-idempotent stages of one pipeline, could send the same key to one target. A target that recognises keys would then answer one account with the result of another, and not run the second booking. Ruled out: the agents' own records, which are kept by account, key and stage. A test that looks a caller's key up in the stand-in's `runsByKey` has to use this form too, or it finds no runs. Conclusion: a target can tell runs of different accounts apart.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -6,7 +6,15 @@
  */
 import { type Configuration, ConfigurationHolder } from "../configuration/index.js";
 import { Claims } from "../claims/index.js";
-import { type HelloInit, type Link, type Listener, type Network, Role, type Withdraw } from "../link/index.js";
+import {
+    type HelloInit,
+    type Link,
+    type Listener,
+    type Network,
+    Role,
+    type RunStage,
+    type Withdraw,
+} from "../link/index.js";
 import { createIncarnation, refusedStage, type StageOutcome, type Target } from "../model/index.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
 import type { AgentSettings } from "../settings/schema.js";
@@ -225,7 +233,7 @@
                         prefixHash: message.prefixHash,
                         resumeAfter: message.resumeAfter,
                         streaming: message.streaming,
-                        idempotencyKey: message.idempotent ? "" : message.idempotencyKey,
+                        idempotencyKey: message.idempotent ? "" : targetKey(message),
                     },
                     idempotent: message.idempotent,
                     deadline,
@@ -266,6 +274,14 @@
     }
 }
 
+/**
+ * The key under which a target knows a run. Callers' keys are unique for their account only, so a target that
+ * recognises keys would answer one account with another's result otherwise. Names hold no slash.
+ */
+function targetKey({ account, idempotencyKey, stage }: RunStage): string {
+    return `${account}/${idempotencyKey}/${stage}`;
+}
+
 /** The admission that an attempt asks for. The run of a non-idempotent stage is not tied to its link. */
 function gateRequest(attempt: StageAttempt): GateRequest {
     const { message, deadline, signal } = attempt;
--- a/test/agent/harness.ts
+++ b/test/agent/harness.ts
@@ -186,9 +186,10 @@
         return records.filter(record => record.kind === "claim" && record.key === hash).length;
     }
 
-    /** Runs of a key at all targets. */
+    /** Runs of a key at all targets, which know it with the account and the stage that `book` sends. */
     runs(key: string): number {
-        return this.engines.reduce((sum, engine) => sum + (engine.counters().runsByKey[key] ?? 0), 0);
+        const known = `hire/${key}/stage`;
+        return this.engines.reduce((sum, engine) => sum + (engine.counters().runsByKey[known] ?? 0), 0);
     }
 
     async connect(name: string, agent: Agent): Promise<TestEntry> {
--- a/test/processes/deployment.ts
+++ b/test/processes/deployment.ts
@@ -183,10 +183,10 @@
         return (await (await fetch(`http://${this.targetOf(agent)}/counters`)).json()) as EngineCounts;
     }
 
-    /** Runs of a key at all targets of the booking service. */
+    /** Runs of a caller's key at all targets of the booking service. */
     async runsOf(key: string): Promise<number> {
         const counts = await Promise.all(this.bookAgents.map(agent => this.counts(agent)));
-        return counts.reduce((sum, { runsByKey }) => sum + (runsByKey[key] ?? 0), 0);
+        return counts.reduce((sum, { runsByKey }) => sum + (runsByKey[targetKey(key)] ?? 0), 0);
     }
 
     get bookAgents(): readonly string[] {
@@ -294,6 +294,11 @@
     }
 }
 
+/** A caller's key as targets know it. */
+export function targetKey(key: string): string {
+    return `kettleby/${key}/book`;
+}
+
 function post(url: string, headers: Readonly<Record<string, string>>, body: string): Promise<CallerAnswer> {
     return new Promise(resolve => {
         let connected = false;
--- a/test/processes/pause.test.ts
+++ b/test/processes/pause.test.ts
@@ -2,7 +2,7 @@
 import { afterAll, beforeAll, describe, expect, it } from "vitest";
 import { decodeLease } from "../../src/claims/ownerlease.js";
 import { slotOf } from "../../src/model/index.js";
-import { Deployment, isTrueOutcome, until } from "./deployment.js";
+import { Deployment, isTrueOutcome, targetKey, until } from "./deployment.js";
 
 let deployment: Deployment;
 
@@ -61,6 +61,7 @@
         expect(await deployment.runsOf(running)).toBe(1);
         for (const key of waiting) expect(await deployment.runsOf(key)).toBe(1);
         const { runsByKey } = await deployment.counts("book-1");
-        for (const key of [running, ...waiting]) expect(runsByKey[key]).toBe(runsBefore[key]);
+        for (const key of [running, ...waiting].map(targetKey)) expect(runsByKey[key]).toBe(runsBefore[key]);
+        expect(runsByKey[targetKey(running)]).toBe(1);
     }, 60_000);
 });
