--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -274,6 +274,14 @@
     }
 }
 
+/**
+ * The key under which a target knows a run. Callers' keys are unique for their account only, so a target that
+ * recognises keys would answer one account with another's result otherwise. Names hold no slash.
+ */
+function targetKey({ account, idempotencyKey, stage }: RunStage): string {
+    return `${account}/${idempotencyKey}/${stage}`;
+}
+
 /** The admission that an attempt asks for. The run of a non-idempotent stage is not tied to its link. */
 function gateRequest(attempt: StageAttempt): GateRequest {
     const { message, deadline, signal } = attempt;
@@ -285,8 +293,3 @@
         signal: message.idempotent ? signal : new AbortController().signal,
     };
 }
-
-/** A key is unique for its account and stage only; a target that deduplicates by key must not mix accounts up. */
-function targetKey({ account, idempotencyKey, stage }: RunStage): string {
-    return `${account}/${idempotencyKey}/${stage}`;
-}
--- a/src/configuration/holder.ts
+++ b/src/configuration/holder.ts
@@ -2,7 +2,8 @@
  * The configuration that a process has in force. It only moves forward: an older version, from the store or from a
  * peer, is ignored, so that nothing that was accepted can revert.
  */
-import { Configuration, type ConfigurationChange, type ConfigurationRecord } from "./configuration.js";
+import { Configuration, type ConfigurationChange } from "./configuration.js";
+import { decodeRecords, parseChange } from "./records.js";
 
 /** Changes that are kept to bring peers forward without a whole snapshot. */
 const RETAINED_CHANGES = 256;
@@ -72,16 +73,19 @@
     /**
      * Takes what a peer sent, as one step: a restarted process must not have the versions between in force, which it had
      * left behind before. Returns false when the transfer does not bring this process to its version, in which case the
-     * peer has to be told the version in force here.
+     * peer has to be told the version in force here. Throws when the transfer is malformed.
      */
     receive(transfer: ConfigurationTransfer): boolean {
         let next = this.configuration;
         if (transfer.snapshot !== "" && transfer.version > next.version) {
-            next = Configuration.of(transfer.version, JSON.parse(transfer.snapshot) as readonly ConfigurationRecord[]);
+            const records = decodeRecords(transfer.snapshot);
+            if (records === undefined) throw new Error("a snapshot is malformed");
+            next = Configuration.of(transfer.version, records);
             this.retained = [];
         }
         for (const text of transfer.changes) {
-            const change = JSON.parse(text) as ConfigurationChange;
+            const change = parseChange(text);
+            if (change === undefined) throw new Error("a change is malformed");
             const applied = next.apply(change);
             if (applied === undefined) continue;
             next = applied;
