Add the demo deployment

The README names `npm run demo`, and nothing stood behind it.

Each booking goes through two entries at once and through a third afterwards.

A list of its own was ruled out, since the examples' lists are then tried by each run.

--- /dev/null
+++ b/src/demo/traffic.ts
@@ -0,0 +1,79 @@
+/** The requests of the demo: every pipeline through every entry, whole and streamed, and bookings that are repeated. */
+import { randomUUID } from "node:crypto";
+import PQueue from "p-queue";
+import { type DemoRequest, send, type Verdict } from "./caller.js";
+import type { Deployment } from "./deployment.js";
+
+/** Pipelines without a non-idempotent stage, each with an account whose plan has it. */
+const QUESTIONS: readonly (readonly [pipeline: string, account: string])[] = [
+    ["dispatch-plan", "kettleby"],
+    ["dispatch-plan", "ashwell"],
+    ["quick-question", "brindle"],
+    ["stock-check", "corrie"],
+    ["quick-question", "dunmore"],
+];
+/** Each account sends this many requests through each entry, alternately whole and streamed. */
+const ROUNDS = 6;
+const BOOKING_ACCOUNTS = ["kettleby", "ashwell", "brindle", "corrie"];
+const BOOKINGS = 8;
+/** Requests in progress at once. */
+const CONCURRENCY = 12;
+
+/** A request that was sent, with its verdict. */
+export interface SentRequest {
+    readonly request: DemoRequest;
+    readonly verdict: Verdict;
+}
+
+/** Sends all requests of the demo and returns them with their verdicts. */
+export async function sendTraffic(deployment: Deployment): Promise<readonly SentRequest[]> {
+    const queue = new PQueue({ concurrency: CONCURRENCY });
+    const requests = questions(deployment);
+    const answered = requests.map(request => queue.add(() => sendOne(request)));
+    const booked = Array.from({ length: BOOKINGS }, (_, index) => queue.add(() => book(deployment, index)));
+    return [...(await Promise.all(answered)), ...(await Promise.all(booked)).flat()];
+}
+
+async function sendOne(request: DemoRequest): Promise<SentRequest> {
+    return { request, verdict: await send(request) };
+}
+
+function questions(deployment: Deployment): readonly DemoRequest[] {
+    const requests: DemoRequest[] = [];
+    for (let round = 0; round < ROUNDS; round += 1) {
+        for (const entry of deployment.entries) {
+            for (const [pipeline, account] of QUESTIONS) {
+                requests.push({
+                    entry,
+                    accountKey: keyOf(deployment, account),
+                    pipeline: deployment.pipeline(pipeline),
+                    input: { prefix: "site notes", text: `Is heater ${requests.length} free on Friday?` },
+                    streamed: round % 2 === 1,
+                });
+            }
+        }
+    }
+    return requests;
+}
+
+/** Sends a booking through two entries at once, and once more through a third when both are answered. */
+async function book(deployment: Deployment, index: number): Promise<readonly SentRequest[]> {
+    const request = {
+        accountKey: keyOf(deployment, BOOKING_ACCOUNTS[index % BOOKING_ACCOUNTS.length] ?? ""),
+        pipeline: deployment.pipeline("book-heater"),
+        input: { heater: index, day: "Friday" },
+        idempotencyKey: `booking-${randomUUID()}`,
+    };
+    const through = (offset: number): Promise<SentRequest> => {
+        const entry = deployment.entries[(index + offset) % deployment.entries.length] ?? "";
+        return sendOne({ ...request, entry, streamed: offset === 1 });
+    };
+    const first = await Promise.all([through(0), through(1)]);
+    return [...first, await through(2)];
+}
+
+function keyOf({ accounts }: Deployment, name: string): string {
+    const account = accounts.find(each => each.name === name);
+    if (account === undefined) throw new Error(`the lists have no account ${name}`);
+    return account.key;
+}
