End the timers of a planned stop when its work is done

After a planned stop of an agent that owns slots, the timers that bound the stop (5 s) and the drain (2 s) ran on. A process that ends by itself stayed alive for the longer of them; the daemons did not show it, as they exit explicitly.

Open connections were ruled out by listing the resources that were active after the stop: timers only, created in ownership.

What remains is one pause between two renewals, at most 1.5 s.

Conclusion: a stopped agent holds up the end of its process for at most 1.5 s.

--- a/src/claims/ownership.ts
+++ b/src/claims/ownership.ts
@@ -6,6 +6,7 @@
  * conditional updates only.
  */
 import type { Service } from "../model/index.js";
+import { pause, withinTime } from "../model/pause.js";
 import type { StateLogger } from "../observability/index.js";
 import { LEASE_DURATION_MS, LeaseObserver } from "./ownerlease.js";
 import { DEFAULT_RETENTION_MS } from "./registry.js";
@@ -98,7 +99,7 @@
         }
         this.state = "stopping";
         this.wake();
-        await Promise.race([this.releaseAll(), pause(STOP_MS)]);
+        await withinTime(this.releaseAll(), STOP_MS, undefined);
         this.kill();
     }
 
@@ -262,7 +263,7 @@
     /** Releases slots after their runs have ended and their records are final in the journal. */
     private async release(tenure: Tenure, slots: readonly number[], when: "drained" | "always"): Promise<void> {
         const drained = Promise.all(slots.map(slot => tenure.registry.drain(slot))).then(() => true);
-        const complete = await Promise.race([drained, pause(DRAIN_MS).then(() => false)]);
+        const complete = await withinTime(drained, DRAIN_MS, false);
         if (!complete && when === "drained") {
             for (const slot of slots) tenure.registry.resume(slot);
             return;
@@ -302,7 +303,3 @@
     const owned = table.slots.filter((owner): owner is SlotOwner => owner !== undefined && owner.target !== "");
     return new Set(owned.map(ownerId));
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/model/pause.ts
+++ b/src/model/pause.ts
@@ -4,3 +4,20 @@
         setTimeout(resolve, milliseconds);
     });
 }
+
+/** The value of a promise, or `late` when it takes longer. The timer ends with the promise. */
+export async function withinTime<Value, Late>(
+    promise: Promise<Value>,
+    milliseconds: number,
+    late: Late,
+): Promise<Value | Late> {
+    let timer: NodeJS.Timeout | undefined;
+    const timeout = new Promise<Late>(resolve => {
+        timer = setTimeout(resolve, milliseconds, late);
+    });
+    try {
+        return await Promise.race([promise, timeout]);
+    } finally {
+        clearTimeout(timer);
+    }
+}
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -1,6 +1,7 @@
 /** Non-idempotent stages run at most once, whatever happens to links, store and owners. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { Agent } from "../../src/agent/index.js";
+import { LEASE_DURATION_MS } from "../../src/claims/ownerlease.js";
 import { Withdrawn_State } from "../../src/link/index.js";
 import type { StandInEngine } from "../../src/standins/index.js";
 import { bookingService, Deployment, type TestEntry } from "../agent/harness.js";
@@ -265,6 +266,16 @@
         expect(deployment.runs(key)).toBe(1);
     });
 
+    // Guards against timers that keep a process alive for seconds after everything was released.
+    it("leaves no timer of a planned stop behind", async () => {
+        const { agent } = await single();
+        const stopped = agent.stop();
+        await advance(100);
+        await stopped;
+        await advance(LEASE_DURATION_MS / 4);
+        expect(vi.getTimerCount()).toBe(0);
+    });
+
     it("moves slots under load without running a key twice or losing a result", async () => {
         const agent = await deployment.startAgent("t1", { timePerCall: 300, concurrency: 100, batchLimit: 100 });
         await advance(SETTLE_MS);
