Write reports as a self-contained page

`report` merged counters and histograms of all entries named and printed them; operators had no view by account and kind, by stage or of outcomes by reason, and an entry recorded the target time of a stage but not its latency.

A chart library and averages of the entries' percentiles were ruled out. Entries record `stage`, the time from a stage's first attempt to its result.

Conclusion: one file shows an operator what the named entries measured, without a network.

--- /dev/null
+++ b/src/commandline/report.ts
@@ -0,0 +1,79 @@
+/** The command `report`: counters and durations of several entries, merged, as text, JSON or a page. */
+import { writeFile } from "node:fs/promises";
+import { type DurationSummary, HistogramSet } from "../observability/index.js";
+import type { ReportBody } from "../operators/index.js";
+import { type CommandContext, reportFailure } from "./command.js";
+import { ExitCode, formatTable } from "./console.js";
+import { renderPage } from "./reportpage.js";
+
+/** What several entries counted and measured. */
+export interface MergedReport {
+    readonly entries: readonly string[];
+    readonly counters: Readonly<Record<string, number>>;
+    readonly histograms: HistogramSet;
+}
+
+/** Prints counters and histograms, merged over the entries that were named, or writes them to a file as a page. */
+export async function reportCommand(context: CommandContext, htmlFile?: string): Promise<ExitCode> {
+    const bodies: ReportBody[] = [];
+    let exitCode: ExitCode = ExitCode.done;
+    for (const outcome of await context.client.reports()) {
+        if (outcome.kind === "answered") bodies.push(outcome.body);
+        else exitCode = reportFailure(context, outcome);
+    }
+    if (bodies.length === 0) return exitCode;
+    const report = mergeReports(bodies);
+    const written = htmlFile === undefined ? ExitCode.done : await writePage(context, htmlFile, report);
+    if (context.json || htmlFile === undefined) print(context, report);
+    return written === ExitCode.done ? exitCode : written;
+}
+
+/** Merges reports: counters are added up, histograms are merged by their labels. */
+export function mergeReports(bodies: readonly ReportBody[]): MergedReport {
+    const counters: Record<string, number> = {};
+    const histograms = HistogramSet.create();
+    for (const body of bodies) {
+        histograms.merge(body.histograms);
+        for (const [name, value] of Object.entries(body.counters)) counters[name] = (counters[name] ?? 0) + value;
+    }
+    return { entries: bodies.map(({ entry }) => entry), counters, histograms };
+}
+
+async function writePage({ console, json }: CommandContext, file: string, report: MergedReport): Promise<ExitCode> {
+    try {
+        await writeFile(file, renderPage(report, new Date()));
+    } catch (error) {
+        console.error(`error: ${error instanceof Error ? error.message : String(error)}`);
+        console.error("next: name a file that can be written");
+        return ExitCode.failed;
+    }
+    if (!json) console.out(`${file}: report of ${report.entries.join(", ")}`);
+    return ExitCode.done;
+}
+
+function print({ console, json }: CommandContext, { entries, counters, histograms }: MergedReport): void {
+    const durations = histograms.summary();
+    if (json) console.out(JSON.stringify({ entries, counters, durations }));
+    else for (const line of describeReport(entries, counters, durations)) console.out(line);
+}
+
+function describeReport(
+    entries: readonly string[],
+    counters: Readonly<Record<string, number>>,
+    durations: readonly DurationSummary[],
+): readonly string[] {
+    const rows = durations.map(({ labels, count, p50, p95, p99, max }) => {
+        const { account, plan, kind, pipeline, stage, measure } = labels;
+        const figures = [p50, p95, p99, max].map(value => value.toFixed(1));
+        return [account, plan, kind, pipeline, stage ?? "-", measure, String(count), ...figures];
+    });
+    const head = ["account", "plan", "kind", "pipeline", "stage", "measure", "count", "p50", "p95", "p99", "max (ms)"];
+    const counts = Object.entries(counters).sort(([left], [right]) => (left < right ? -1 : 1));
+    return [
+        `entries: ${entries.join(", ")}`,
+        "",
+        ...formatTable([head, ...rows]),
+        "",
+        ...formatTable(counts.map(([name, value]) => [name, String(value)])),
+    ];
+}
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -5,7 +5,8 @@
 import type { CommandContext } from "./command.js";
 import { type Console, ExitCode } from "./console.js";
 import { checkSettingsCommand, daemonCommand } from "./daemons.js";
-import { reportCommand, showCommand, statusCommand } from "./views.js";
+import { reportCommand } from "./report.js";
+import { showCommand, statusCommand } from "./views.js";
 
 const HELP = `Usage
   parsleyrun entry --settings FILE              run an entry
@@ -19,7 +20,7 @@
   parsleyrun zone NAME out|back [--wait]        take a zone out of service or bring it back
   parsleyrun traffic SERVICE --stable VERSION [--candidate VERSION --fraction F] [--wait]
                                                 split a service's traffic between versions
-  parsleyrun report                             counters and durations, merged over the entries named
+  parsleyrun report [--html FILE]               counters and durations, merged over the entries named
 
 Options of the operators' commands
   --entry ADDRESS    address (host:port) of an entry; may be repeated
@@ -48,6 +49,7 @@
     stable: { type: "string" },
     candidate: { type: "string" },
     fraction: { type: "number" },
+    html: { type: "string" },
 } as const;
 
 /** Thrown by the reading of arguments only; its message says what is wrong with them. */
@@ -133,8 +135,10 @@
         case "status":
         case "report": {
             takeOperands(command, operands, []);
-            const views = { show: showCommand, status: statusCommand, report: reportCommand };
-            return views[command](contextOf(flags, console));
+            const html = flags.html === undefined ? undefined : required(flags.html, "--html FILE");
+            const context = contextOf(flags, console);
+            if (command === "report") return reportCommand(context, html);
+            return command === "show" ? showCommand(context) : statusCommand(context);
         }
         default:
             throw new UsageError(`unknown command: ${command}`);
--- a/src/entry/execution.ts
+++ b/src/entry/execution.ts
@@ -52,8 +52,10 @@
     let last: StageEnd = { kind: "completed", output: null };
     for (const stage of stages) {
         const payload = stagePayload(run.inputText, JSON.stringify(last.output ?? null));
+        const startedAt = performance.now();
         const end = await runStage(run, stage, payload, stage === visible);
         if (end.kind !== "completed") return end;
+        run.record("stage", performance.now() - startedAt, stage.name);
         run.outputs[stage.name] = end.output;
         last = end;
     }
--- a/src/observability/histogram.ts
+++ b/src/observability/histogram.ts
@@ -13,6 +13,7 @@
 export interface DurationSummary {
     readonly labels: DurationLabels;
     readonly count: number;
+    readonly mean: number;
     readonly p50: number;
     readonly p95: number;
     readonly p99: number;
@@ -28,7 +29,7 @@
 /** Ten minutes. Longer durations count as this long. */
 const HIGHEST_UNITS = 600_000 * UNITS_PER_MILLISECOND;
 /** Measures that keep their name without room for the other labels; all others share one histogram. */
-const KNOWN_MEASURES = ["total", "firstToken", "tokenGap", "cost"];
+const KNOWN_MEASURES = ["total", "firstToken", "tokenGap", "stage", "cost"];
 
 const labelsSchema = z.strictObject({
     account: z.string(),
@@ -107,13 +108,24 @@
         }
     }
 
-    /** Count, percentiles and maximum of each label set. */
+    /** A set with other labels, in which durations with the same labels are together; undefined leaves them out. */
+    regroup(relabel: (labels: DurationLabels) => DurationLabels | undefined): HistogramSet {
+        const regrouped = new HistogramSet(this.maximumLabelSets);
+        for (const { labels, histogram } of this.entries.values()) {
+            const next = relabel(labels);
+            if (next !== undefined) regrouped.histogramOf(next).add(histogram);
+        }
+        return regrouped;
+    }
+
+    /** Count, mean, percentiles and maximum of each label set. */
     summary(): readonly DurationSummary[] {
         return [...this.entries.values()].map(({ labels, histogram }) => {
             const at = (percentile: number): number =>
                 histogram.getValueAtPercentile(percentile) / UNITS_PER_MILLISECOND;
             const max = histogram.maxValue / UNITS_PER_MILLISECOND;
-            return { labels, count: histogram.totalCount, p50: at(50), p95: at(95), p99: at(99), max };
+            const mean = histogram.mean / UNITS_PER_MILLISECOND;
+            return { labels, count: histogram.totalCount, mean, p50: at(50), p95: at(95), p99: at(99), max };
         });
     }
 
--- a/src/observability/recorder.ts
+++ b/src/observability/recorder.ts
@@ -17,7 +17,7 @@
     readonly kind: string;
     readonly pipeline: string;
     readonly stage?: string;
-    /** `total`, `firstToken`, `tokenGap` or `cost`. */
+    /** `total`, `firstToken`, `tokenGap`, `stage` (from a stage's first attempt to its result) or `cost`. */
     readonly measure: string;
 }
 
