Report malformed histograms, and keep all label sets of a merged report apart

A merged report left out an entry's histograms without a word when they could not be read, and ended with 0. With more than 1,000 label sets over all entries it put accounts together that each entry still told apart.

A higher bound at the entries was ruled out: it limits their memory, and the fault lies in the merge. The command now names such an entry and ends with 1, and merges up to 20,000 label sets.

Conclusion: a report that ends with 0 has the durations of all entries named.

--- a/src/commandline/report.ts
+++ b/src/commandline/report.ts
@@ -6,11 +6,16 @@
 import { ExitCode, formatTable } from "./console.js";
 import { renderPage } from "./reportpage.js";
 
+/** Label sets of all entries together; above it they share a histogram, as at one entry. */
+const MAXIMUM_LABEL_SETS = 20_000;
+
 /** What several entries counted and measured. */
 export interface MergedReport {
     readonly entries: readonly string[];
     readonly counters: Readonly<Record<string, number>>;
     readonly histograms: HistogramSet;
+    /** Names of entries whose histograms are malformed; nothing of them is in `histograms`. */
+    readonly malformed: readonly string[];
 }
 
 /** Prints counters and histograms, merged over the entries that were named, or writes them to a file as a page. */
@@ -23,6 +28,11 @@
     }
     if (bodies.length === 0) return exitCode;
     const report = mergeReports(bodies);
+    for (const entry of report.malformed) {
+        context.console.error(`error: the histograms of entry ${entry} are malformed and are left out`);
+        context.console.error("next: check that the entry and this command are of the same version");
+        exitCode = ExitCode.failed;
+    }
     const written = htmlFile === undefined ? ExitCode.done : await writePage(context, htmlFile, report);
     if (context.json || htmlFile === undefined) print(context, report);
     return written === ExitCode.done ? exitCode : written;
@@ -31,12 +41,13 @@
 /** Merges reports: counters are added up, histograms are merged by their labels. */
 export function mergeReports(bodies: readonly ReportBody[]): MergedReport {
     const counters: Record<string, number> = {};
-    const histograms = HistogramSet.create();
+    const histograms = HistogramSet.create({ maximumLabelSets: MAXIMUM_LABEL_SETS });
+    const malformed: string[] = [];
     for (const body of bodies) {
-        histograms.merge(body.histograms);
+        if (!histograms.merge(body.histograms)) malformed.push(body.entry);
         for (const [name, value] of Object.entries(body.counters)) counters[name] = (counters[name] ?? 0) + value;
     }
-    return { entries: bodies.map(({ entry }) => entry), counters, histograms };
+    return { entries: bodies.map(({ entry }) => entry), counters, histograms, malformed };
 }
 
 async function writePage({ console, json }: CommandContext, file: string, report: MergedReport): Promise<ExitCode> {
--- a/test/commandline/report.test.ts
+++ b/test/commandline/report.test.ts
@@ -213,4 +213,21 @@
         expect(unwritable).toMatchObject({ code: 1, error: expect.stringContaining("next: ") });
         expect(await execute("report", "--html", "", "--key", "key", ...entries)).toMatchObject({ code: 2 });
     });
+
+    // Guards against a report that looks complete while the durations of an entry are missing.
+    it("ends with 1 and names the entry when its histograms are malformed", async () => {
+        const address = await serveReport({ entry: "e1", counters: { calls: 1 }, durations: [], histograms: "{" });
+        const { code, out, error } = await execute("report", "--key", "key", "--entry", address);
+        expect(code).toBe(1);
+        expect(error).toMatch(/histograms of entry e1 are malformed[^]*next: /);
+        expect(out).toContain("calls  1");
+    });
+
+    // Guards against a merged report that puts accounts together which each entry still tells apart.
+    it("tells more label sets apart than one entry has", () => {
+        const accounts = (entry: string): Durations =>
+            Array.from({ length: 600 }, (_, index) => [{ account: `${entry}-${index}` }, [1]]);
+        const merged = mergeReports([reportOf("e1", accounts("e1")), reportOf("e2", accounts("e2"))]);
+        expect(merged.histograms.summary()).toHaveLength(1_200);
+    });
 });
