Share pauses, bounded waits and lenient JSON reading

Pairs that only look alike (imports, constructors, interfaces, the switch over link messages of entries and targets) were left: joining them would tie modules together that change for different reasons.

model/pause has `pause`, `InterruptiblePause` and `withinTime`; model/json has `parseJson`.

--- a/src/agent/agent.ts
+++ b/src/agent/agent.ts
@@ -8,6 +8,7 @@
 import { Claims } from "../claims/index.js";
 import { type HelloInit, type Link, type Listener, type Network, Role, type Withdraw } from "../link/index.js";
 import { createIncarnation, refusedStage, type StageOutcome, type Target } from "../model/index.js";
+import { pause } from "../model/pause.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
 import type { AgentSettings } from "../settings/schema.js";
 import type { Store } from "../store/index.js";
@@ -253,7 +254,7 @@
     private async drain(): Promise<void> {
         const end = performance.now() + LONGEST_DEADLINE_MS;
         while (this.attempts > 0 && performance.now() < end) {
-            await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MS));
+            await pause(DRAIN_CHECK_MS);
         }
         if (this.attempts > 0) this.logger.warn("work is cut off by the end of the stop", { attempts: this.attempts });
     }
--- a/src/agent/presence.ts
+++ b/src/agent/presence.ts
@@ -4,6 +4,7 @@
  */
 import { targetMemberKey } from "../membership/index.js";
 import type { Target } from "../model/index.js";
+import { InterruptiblePause } from "../model/pause.js";
 import type { StateLogger } from "../observability/index.js";
 import type { Store } from "../store/index.js";
 
@@ -14,7 +15,7 @@
 /** The member object of one incarnation. */
 export class Presence {
     private ended = false;
-    private wake: (() => void) | undefined;
+    private readonly pause = InterruptiblePause.create();
     private readonly written: Promise<void>;
 
     private constructor(
@@ -33,7 +34,7 @@
     /** Stops writing, without removing anything. */
     end(): void {
         this.ended = true;
-        this.wake?.();
+        this.pause.end();
     }
 
     /** Removes the member object if it is this incarnation's. One attempt: a stop must not wait for the store. */
@@ -48,9 +49,13 @@
     }
 
     private async announce(): Promise<void> {
-        for (let pause = FIRST_PAUSE_MS; !this.ended; pause = Math.min(pause * 2, LONGEST_PAUSE_MS)) {
+        for (
+            let milliseconds = FIRST_PAUSE_MS;
+            !this.ended;
+            milliseconds = Math.min(milliseconds * 2, LONGEST_PAUSE_MS)
+        ) {
             if (await this.write()) return;
-            await this.sleep(pause);
+            await this.pause.wait(milliseconds);
         }
     }
 
@@ -68,14 +73,4 @@
     private isOwn(value: string): boolean {
         return value === JSON.stringify(this.target);
     }
-
-    private async sleep(milliseconds: number): Promise<void> {
-        await new Promise<void>(resolve => {
-            const timer = setTimeout(resolve, milliseconds);
-            this.wake = (): void => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
-    }
 }
--- a/src/bench/wire.ts
+++ b/src/bench/wire.ts
@@ -4,6 +4,7 @@
  */
 import * as net from "node:net";
 import { ConnectNetwork, type Link, type LinkBodyInit, splitAddress } from "../link/index.js";
+import { pause } from "../model/pause.js";
 import { wireSamples } from "./samples.js";
 import type { FigureCollector } from "./statistics.js";
 
@@ -51,10 +52,6 @@
     return { address: `127.0.0.1:${bound.port}`, opener, acceptor, close: () => server.close() };
 }
 
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 async function sendSingly(link: Link, body: LinkBodyInit): Promise<void> {
     for (let index = 0; index < MESSAGES_PER_REPETITION; index += 1) {
         link.send(body);
--- a/src/claims/journal.ts
+++ b/src/claims/journal.ts
@@ -5,6 +5,7 @@
  * is conditional on the version that the owner knows, so an owner whose journal was closed by a successor cannot commit.
  */
 import { randomBytes } from "node:crypto";
+import { pause } from "../model/pause.js";
 import type { Metrics } from "../observability/index.js";
 import type { Store } from "../store/index.js";
 import {
@@ -248,7 +249,3 @@
         for (const resolve of this.sealers.splice(0)) resolve(undefined);
     }
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/claims/ownership.ts
+++ b/src/claims/ownership.ts
@@ -6,7 +6,7 @@
  * conditional updates only.
  */
 import type { Service } from "../model/index.js";
-import { pause, withinTime } from "../model/pause.js";
+import { InterruptiblePause, pause, withinTime } from "../model/pause.js";
 import type { StateLogger } from "../observability/index.js";
 import { LEASE_DURATION_MS, LeaseObserver } from "./ownerlease.js";
 import { DEFAULT_RETENTION_MS } from "./registry.js";
@@ -55,7 +55,7 @@
     private generation = 0;
     private state: "idle" | "running" | "stopping" | "ended" = "idle";
     private releasing: Promise<void> | undefined;
-    private wake: () => void = () => undefined;
+    private readonly lookPause = InterruptiblePause.create();
 
     private constructor(private readonly options: OwnershipOptions) {
         this.observer = LeaseObserver.create(options.store, options.service);
@@ -87,7 +87,7 @@
             void this.renewLeases();
             void this.lookAtSlots();
         } else if (changed) {
-            this.wake();
+            this.lookPause.end();
         }
     }
 
@@ -98,7 +98,7 @@
             return;
         }
         this.state = "stopping";
-        this.wake();
+        this.lookPause.end();
         await withinTime(this.releaseAll(), STOP_MS, undefined);
         this.kill();
     }
@@ -107,7 +107,7 @@
     kill(): void {
         this.state = "ended";
         this.tenure?.end();
-        this.wake();
+        this.lookPause.end();
     }
 
     private async releaseAll(): Promise<void> {
@@ -152,10 +152,10 @@
     }
 
     private async lookAtSlots(): Promise<void> {
-        await this.sleep(START_DELAY_MS);
+        await this.lookPause.wait(START_DELAY_MS);
         while (this.state === "running") {
             const complete = await this.look();
-            await this.sleep(complete ? LOOK_INTERVAL_MS : SHORT_LOOK_INTERVAL_MS);
+            await this.lookPause.wait(complete ? LOOK_INTERVAL_MS : SHORT_LOOK_INTERVAL_MS);
         }
     }
 
@@ -286,16 +286,6 @@
         this.adopt(tenure, changed);
         this.options.logger.info("slots released", { owner: tenure.id, slots });
     }
-
-    private async sleep(milliseconds: number): Promise<void> {
-        await new Promise<void>(resolve => {
-            const timer = setTimeout(resolve, milliseconds);
-            this.wake = (): void => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
-    }
 }
 
 /** Owners that a table names, without released slots. */
--- a/src/claims/slottablestore.ts
+++ b/src/claims/slottablestore.ts
@@ -4,6 +4,7 @@
  * A released slot keeps its epoch and its journals, and names no target. The last journal of an owned slot is its
  * owner's, whose name is also the owner's id.
  */
+import { pause } from "../model/pause.js";
 import type { Store } from "../store/index.js";
 import { decodeReference } from "./segment.js";
 import { decodeSlotTable, encodeSlotTable, type SlotOwner, type SlotTable, slotTableKey } from "./slot.js";
@@ -81,7 +82,3 @@
         return undefined;
     }
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/claims/succession.ts
+++ b/src/claims/succession.ts
@@ -2,6 +2,7 @@
  * What a new owner does with the journals of earlier owners: it closes those that were not released cleanly, then reads
  * them. Closing comes first, since a record that is committed after the read would be missed.
  */
+import { pause } from "../model/pause.js";
 import type { Store, StoredObject } from "../store/index.js";
 import {
     decodeSegment,
@@ -55,7 +56,7 @@
                 const closed = reference.segments === undefined && (await this.close(key, object, segment));
                 if (closed) return { ...segment, closedBy: this.successor };
             }
-            await new Promise(resolve => setTimeout(resolve, RETRY_PAUSE_MS));
+            await pause(RETRY_PAUSE_MS);
         }
         return undefined;
     }
--- a/src/commandline/client.ts
+++ b/src/commandline/client.ts
@@ -1,5 +1,6 @@
 /** Calls of the operators' HTTP interface. */
 import { request as httpRequest } from "node:http";
+import { parseJson } from "../model/json.js";
 import {
     type ChangeResult,
     type ConfigurationBody,
@@ -109,11 +110,3 @@
     if (error?.kind !== undefined) return { kind: "refused", error };
     return { kind: "noAnswer", message: `${entry}: status ${status} without an answer of the operators' interface` };
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    } catch {
-        return undefined;
-    }
-}
--- a/src/entry/backoff.ts
+++ b/src/entry/backoff.ts
@@ -1,4 +1,5 @@
 /** Jittered exponential backoff between attempts to open a link. */
+import { InterruptiblePause } from "../model/pause.js";
 
 const FIRST_MS = 50;
 const LONGEST_MS = 2_000;
@@ -10,7 +11,7 @@
 export class Backoff {
     private next = FIRST_MS;
     private stopped = false;
-    private wake: () => void = () => undefined;
+    private readonly pause = InterruptiblePause.create();
 
     private constructor() {}
 
@@ -26,13 +27,13 @@
     /** Ends a wait, and starts over: there is news that makes success likely. */
     reset(): void {
         this.next = FIRST_MS;
-        this.wake();
+        this.pause.end();
     }
 
     /** Ends a wait, for good. */
     stop(): void {
         this.stopped = true;
-        this.wake();
+        this.pause.end();
     }
 
     /** Waits half to all of the present backoff, which then doubles. */
@@ -40,13 +41,6 @@
         if (this.stopped) return;
         const milliseconds = this.next * (0.5 + Math.random() / 2);
         this.next = Math.min(LONGEST_MS, this.next * 2);
-        await new Promise<void>(resolve => {
-            const timer = setTimeout(resolve, milliseconds);
-            this.wake = () => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
-        this.wake = () => undefined;
+        await this.pause.wait(milliseconds);
     }
 }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -7,6 +7,7 @@
 import { type HelloInit, type Link, type Listener, type Network, Role } from "../link/index.js";
 import type { Directory } from "../membership/index.js";
 import { createIncarnation, refusedStage, type RequestOutcome } from "../model/index.js";
+import { withinTime } from "../model/pause.js";
 import type { DurationRecorder, Metrics, StateLogger } from "../observability/index.js";
 import { type ChooseTarget, chooseByLoad, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
 import type { EntrySettings } from "../settings/schema.js";
@@ -166,12 +167,7 @@
         this.peers.announceLeaving("planned stop");
         this.targets.announceLeaving("planned stop");
         const longest = this.options.settings.maximumDeadlineMilliseconds;
-        let timer: NodeJS.Timeout | undefined;
-        const limit = new Promise<void>(resolve => {
-            timer = setTimeout(resolve, longest);
-        });
-        await Promise.race([Promise.allSettled(this.open.keys()), limit]);
-        clearTimeout(timer);
+        await withinTime(Promise.allSettled(this.open.keys()), longest, undefined);
         this.close("planned stop");
         await this.listener?.close();
     }
--- a/src/entry/ownedstage.ts
+++ b/src/entry/ownedstage.ts
@@ -12,8 +12,9 @@
     type Stage,
     type StageOutcome,
 } from "../model/index.js";
+import { pause } from "../model/pause.js";
 import type { AttemptOutcome } from "./attempt.js";
-import { parseOutput, pause, type RequestRun, type StageEnd } from "./run.js";
+import { parseOutput, type RequestRun, type StageEnd } from "./run.js";
 import type { TargetLink } from "./targetlink.js";
 
 /** Waits for a new slot table or a new link grow from the first to the longest. */
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -164,11 +164,6 @@
     }
 }
 
-/** Resolves after a time. */
-export function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 function hashPrefix(input: unknown): string {
     if (typeof input !== "object" || input === null) return "";
     const { prefix, prompt } = input as { readonly prefix?: unknown; readonly prompt?: unknown };
--- a/src/entry/settlement.ts
+++ b/src/entry/settlement.ts
@@ -6,8 +6,9 @@
  */
 import { Withdrawn_State } from "../link/index.js";
 import type { FailureReason, RequestOutcome, Stage } from "../model/index.js";
+import { pause } from "../model/pause.js";
 import { findOwner } from "./ownedstage.js";
-import { parseOutput, pause, type RequestRun, type StageEnd } from "./run.js";
+import { parseOutput, type RequestRun, type StageEnd } from "./run.js";
 
 type Incomplete = Exclude<StageEnd, { kind: "completed" }>;
 
--- a/src/entry/stage.ts
+++ b/src/entry/stage.ts
@@ -5,8 +5,9 @@
  * lost or stayed silent is repeated elsewhere within the retry budget and the deadline.
  */
 import { failedStage, refusedStage, type FailureReason, type Stage, type StageOutcome } from "../model/index.js";
+import { pause } from "../model/pause.js";
 import type { Attempt, AttemptOutcome } from "./attempt.js";
-import { parseOutput, pause, type RequestRun, type StageEnd } from "./run.js";
+import { parseOutput, type RequestRun, type StageEnd } from "./run.js";
 import type { TargetLink } from "./targetlink.js";
 import { TokenStream } from "./tokenstream.js";
 
--- a/src/link/connection.ts
+++ b/src/link/connection.ts
@@ -10,6 +10,7 @@
 import { create } from "@bufbuild/protobuf";
 import { type ConnectRouter, Code, ConnectError, createClient } from "@connectrpc/connect";
 import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { withinTime } from "../model/pause.js";
 import { equalKeys } from "./authentication.js";
 import { Channel } from "./channel.js";
 import { type Hello, type LinkMessage, LinkMessageSchema, LinkService } from "./generated/parsleyrun/link_pb.js";
@@ -184,7 +185,8 @@
 
 /** Reads the first message, which has to be a hello with the right key. */
 async function readHello(incoming: AsyncIterator<LinkMessage>, key: string): Promise<Hello> {
-    const first = await withTimeout(incoming.next(), HELLO_TIMEOUT_MS);
+    const first = await withinTime(incoming.next(), HELLO_TIMEOUT_MS, undefined);
+    if (first === undefined) throw new ConnectError("no hello in time", Code.DeadlineExceeded);
     if (first.done === true) throw new ConnectError("closed before the hello", Code.Aborted);
     const body = first.value.body;
     if (body.case !== "hello") throw new ConnectError("first message is not a hello", Code.InvalidArgument);
@@ -192,20 +194,6 @@
     return body.value;
 }
 
-async function withTimeout<Value>(promise: Promise<Value>, milliseconds: number): Promise<Value> {
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<never>((_, reject) => {
-        timer = setTimeout(() => {
-            reject(new ConnectError("no hello in time", Code.DeadlineExceeded));
-        }, milliseconds);
-    });
-    try {
-        return await Promise.race([promise, timeout]);
-    } finally {
-        clearTimeout(timer);
-    }
-}
-
 function readTlsFiles(files: TlsFiles): { cert: Buffer; key: Buffer; ca: Buffer } {
     return {
         cert: readFileSync(files.certificate),
--- a/src/link/memory.ts
+++ b/src/link/memory.ts
@@ -3,6 +3,7 @@
  * ends share no object. Delay and reachability are functions of the two addresses, which tests vary.
  */
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { pause } from "../model/pause.js";
 import { Channel } from "./channel.js";
 import { type Hello, HelloSchema, LinkMessageSchema } from "./generated/parsleyrun/link_pb.js";
 import {
@@ -162,7 +163,3 @@
         return Promise.resolve({ address, close });
     }
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -2,6 +2,7 @@
 import { z } from "zod";
 import { decodeSlotTable, type SlotDirectory, type SlotTable } from "../claims/index.js";
 import type { Target } from "../model/index.js";
+import { parseJson } from "../model/json.js";
 import type { StoredObject, StoreEvent } from "../store/index.js";
 import type { Directory, EntryMember, Membership } from "./directory.js";
 
@@ -117,11 +118,3 @@
     if (parsed.success) members.set(key, parsed.data);
     else members.delete(key);
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    } catch {
-        return undefined;
-    }
-}
--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -6,6 +6,7 @@
  */
 import { randomBytes } from "node:crypto";
 import { z } from "zod";
+import { pause } from "../model/pause.js";
 import type { Store, WriteOutcome } from "./store.js";
 
 const recordSchema = z.object({
@@ -57,10 +58,6 @@
     readonly since: number;
 }
 
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
-
 function parseRecord(value: string): LeaseRecord | undefined {
     try {
         return recordSchema.safeParse(JSON.parse(value)).data;
@@ -92,7 +89,7 @@
         }
         if (read.kind !== "unavailable") outcome = await store.write(key, value, expectedVersion);
         inDoubt = outcome.kind !== "written";
-        if (inDoubt) await sleep(record.durationMs / ATTEMPTS_PER_DURATION);
+        if (inDoubt) await pause(record.durationMs / ATTEMPTS_PER_DURATION);
     }
     return inDoubt ? { kind: "unknown", message: "no answer to the write" } : outcome;
 }
@@ -146,8 +143,8 @@
                 if (failure !== undefined) return { kind: "unavailable", message: failure };
                 return { kind: "held", holder: seen?.record?.holder ?? "" };
             }
-            const pause = duration / ATTEMPTS_PER_DURATION;
-            await sleep(Math.min(pause, Math.max(1, until - performance.now())));
+            const interval = duration / ATTEMPTS_PER_DURATION;
+            await pause(Math.min(interval, Math.max(1, until - performance.now())));
         }
     }
 
--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -4,6 +4,7 @@
  * While the store cannot be reached, the copy keeps what it has. A list that is older than the copy is ignored, and no
  * object is ever replaced by an older version of itself.
  */
+import { InterruptiblePause } from "../model/pause.js";
 import type { Store, StoredObject, StoreEvent } from "./store.js";
 
 /** What a view follows. */
@@ -33,7 +34,7 @@
     private readonly removed = new Map<string, number>();
     private readonly listeners = new Set<ViewListener>();
     private stopped = false;
-    private wake: () => void = () => undefined;
+    private readonly pause = InterruptiblePause.create();
     private resolveReady: () => void = () => undefined;
     /** Revision of the copy; undefined before the first list. */
     private revision: number | undefined;
@@ -71,7 +72,7 @@
     /** Stops following. A watch that is waiting at the store ends by its own time-out. */
     stop(): void {
         this.stopped = true;
-        this.wake();
+        this.pause.end();
         this.listeners.clear();
     }
 
@@ -130,12 +131,6 @@
 
     private backOff(failures: number): Promise<void> {
         const longest = Math.min(MAXIMUM_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1));
-        return new Promise(resolve => {
-            const timer = setTimeout(resolve, longest * (0.5 + Math.random() / 2));
-            this.wake = () => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
+        return this.pause.wait(longest * (0.5 + Math.random() / 2));
     }
 }
