Shorten the stand-ins

Leaving out a switch was ruled out. Shared now are the delays (a lag, a pause), the handling of faults and counters over HTTP and the countdown of pending faults; the counters' type and its first value are one class. A VM list or cache event without a lag is visible at once instead of after a timer of 0 ms.

--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -10,6 +10,7 @@
 import { Channel } from "../link/channel.js";
 import { hashText } from "../model/index.js";
 import { expectedOutput, expectedTokens } from "./output.js";
+import { afterLag } from "./timing.js";
 
 /** Behaviour of a stand-in target. Times are in milliseconds. */
 export interface StandInEngineOptions {
@@ -40,20 +41,20 @@
 }
 
 /** What a stand-in target has done since it was created, across restarts. */
-export interface EngineCounters {
+export class EngineCounters {
     /** Runs that started. */
-    runs: number;
-    completed: number;
-    cancelled: number;
-    highestConcurrency: number;
+    runs = 0;
+    completed = 0;
+    cancelled = 0;
+    highestConcurrency = 0;
     /** Highest concurrency that a start reached while the target was cold. */
-    highestColdConcurrency: number;
-    prefixHits: number;
+    highestColdConcurrency = 0;
+    prefixHits = 0;
     /** Target time of all runs, including those that gave no result. */
-    costMilliseconds: number;
+    costMilliseconds = 0;
     /** Runs by idempotency key. */
-    runsByKey: Record<string, number>;
-    orders: EngineOrder[];
+    readonly runsByKey: Record<string, number> = {};
+    readonly orders: EngineOrder[] = [];
 }
 
 /** One change of the prefix cache. */
@@ -111,17 +112,7 @@
     private readonly published: CacheEvent[] = [];
     private cacheSequence = 0;
     private reportedLoad: EngineLoad | undefined;
-    private readonly totals: EngineCounters = {
-        runs: 0,
-        completed: 0,
-        cancelled: 0,
-        highestConcurrency: 0,
-        highestColdConcurrency: 0,
-        prefixHits: 0,
-        costMilliseconds: 0,
-        runsByKey: {},
-        orders: [],
-    };
+    private readonly totals = new EngineCounters();
     private bootId = randomBytes(6).toString("hex");
     private coldState = false;
     private coldCallsLeft = Infinity;
@@ -131,9 +122,8 @@
     private answering = true;
     private readonly resumed = new EventTarget();
     private slowFactor = 1;
-    private failures = 0;
-    private rejections = 0;
-    private truncations = 0;
+    /** Runs and requests that are still to get a fault. */
+    private readonly pending = { fail: 0, reject: 0, truncate: 0 };
     private failFraction = 0;
     private failOperation: string | undefined;
     private crashMarker: string | undefined;
@@ -237,12 +227,12 @@
 
     /** The next `count` runs fail after they started. */
     failNext(count: number): void {
-        this.failures = count;
+        this.pending.fail = count;
     }
 
     /** The next `count` requests are declined for good, without effect. */
     rejectNext(count: number): void {
-        this.rejections = count;
+        this.pending.reject = count;
     }
 
     /** A fraction of the runs, of one operation or of all, fails after the start. */
@@ -258,7 +248,7 @@
 
     /** The next `count` answers end half way, without their last line. */
     truncateNext(count: number): void {
-        this.truncations = count;
+        this.pending.truncate = count;
     }
 
     private accept(run: Run): void {
@@ -271,10 +261,7 @@
         if (needsKey && idempotencyKey === "") {
             return run.end({ kind: "rejected", message: "idempotency key missing" });
         }
-        if (this.rejections > 0) {
-            this.rejections -= 1;
-            return run.end({ kind: "rejected", message: "declined" });
-        }
+        if (this.takePending("reject")) return run.end({ kind: "rejected", message: "declined" });
         if (this.running.size < this.batchLimit()) return this.start(run);
         if (this.queue.length >= (this.options.maximumQueued ?? 1_000)) {
             return run.end({ kind: "notStarted", message: "queue is full" });
@@ -329,15 +316,15 @@
         this.end(run, { kind: "completed", output, tokens: tokens.length, costMilliseconds: run.cost });
     }
 
+    private takePending(fault: keyof typeof this.pending): boolean {
+        if (this.pending[fault] <= 0) return false;
+        this.pending[fault] -= 1;
+        return true;
+    }
+
     private decideFate(operation: string): Fate {
-        if (this.failures > 0) {
-            this.failures -= 1;
-            return "fail";
-        }
-        if (this.truncations > 0) {
-            this.truncations -= 1;
-            return "truncate";
-        }
+        if (this.takePending("fail")) return "fail";
+        if (this.takePending("truncate")) return "truncate";
         if (this.failOperation !== undefined && this.failOperation !== operation) return "complete";
         const draw = Number.parseInt(hashText(`fail ${this.totals.runs}`).slice(0, 8), 16) / 2 ** 32;
         return draw < this.failFraction ? "fail" : "complete";
@@ -375,17 +362,14 @@
         this.cacheSequence += 1;
         const event = { sequence: this.cacheSequence, kind, prefixHash };
         if (event.sequence % CACHE_EVENT_GAP === 0) return;
-        setTimeout(() => this.published.push(event), this.options.cacheEventLagMilliseconds ?? 0).unref();
+        afterLag(this.options.cacheEventLagMilliseconds, () => this.published.push(event));
         if (this.published.length > 1_000) this.published.shift();
     }
 
     private cancel(run: Run): void {
         if (run.ended) return;
         if (run.started) this.totals.cancelled += 1;
-        this.end(
-            run,
-            run.started ? { kind: "lost", message: "cancelled" } : { kind: "notStarted", message: "cancelled" },
-        );
+        this.end(run, { kind: run.started ? "lost" : "notStarted", message: "cancelled" });
     }
 
     private end(run: Run, event: EngineEvent): void {
@@ -410,12 +394,7 @@
 
     private recordLoad(): void {
         const load = this.currentLoad();
-        const report = (): void => {
-            this.reportedLoad = load;
-        };
-        const lag = this.options.loadLagMilliseconds ?? 0;
-        if (lag === 0) report();
-        else setTimeout(report, lag).unref();
+        afterLag(this.options.loadLagMilliseconds, () => (this.reportedLoad = load));
     }
 
     private silent(): boolean {
@@ -424,8 +403,7 @@
 
     private async untilAnswering(signal: AbortSignal): Promise<void> {
         if (this.answering || signal.aborted) return;
-        const waits = [once(this.resumed, "resumed"), once(signal, "abort")];
-        await Promise.race(waits);
+        await Promise.race([once(this.resumed, "resumed"), once(signal, "abort")]);
         return this.untilAnswering(signal);
     }
 }
--- a/src/standins/server.ts
+++ b/src/standins/server.ts
@@ -2,6 +2,7 @@
  * Serves the stand-ins over HTTP/1.1 as docs/interfaces.md describes. In addition, `POST /faults` takes
  * `{"<fault switch>": [arguments]}`, such as `{"setOutage": [true]}`, and `GET /counters` answers what was counted.
  */
+import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { EngineOrder, EngineRequest } from "../agent/engine.js";
@@ -21,6 +22,13 @@
 
 type Handler = (request: IncomingMessage, url: URL, response: ServerResponse) => Promise<void>;
 
+/** What is the same at stores and targets: faults that callers may switch, and counters. */
+interface Controls {
+    readonly target: object;
+    readonly faults: readonly string[];
+    readonly counters: () => unknown;
+}
+
 const STORE_FAULTS = ["setOutage", "setSlow", "loseWriteAnswers", "setStaleReads", "setVms"] as const;
 const ENGINE_FAULTS = [
     ...(["turnCold", "turnWarm", "crash", "setAnswering", "setSlowFactor", "failNext"] as const),
@@ -38,26 +46,31 @@
     response.end(body === undefined ? undefined : JSON.stringify(body));
 }
 
-async function applyFaults(target: object, names: readonly string[], request: IncomingMessage): Promise<void> {
+async function applyFaults({ target, faults }: Controls, request: IncomingMessage): Promise<void> {
     for (const [name, values] of Object.entries((await readJson(request)) as Record<string, unknown[]>)) {
-        if (!names.includes(name)) throw new Error(`unknown fault ${name}`);
+        if (!faults.includes(name)) throw new Error(`unknown fault ${name}`);
         (target as Record<string, (...values: unknown[]) => void>)[name]?.(...values);
     }
 }
 
-async function serve(address: string, handler: Handler): Promise<StandInServer> {
+async function serve(address: string, controls: Controls, handler: Handler): Promise<StandInServer> {
+    const route: Handler = async (request, url, response) => {
+        const called = `${request.method} ${url.pathname}`;
+        if (called === "GET /counters") return answer(response, 200, controls.counters());
+        if (called !== "POST /faults") return handler(request, url, response);
+        await applyFaults(controls, request);
+        answer(response, 204);
+    };
     const server: Server = createServer((request, response) => {
         const url = new URL(request.url ?? "/", "http://stand-in");
-        handler(request, url, response).catch((error: unknown) => {
+        route(request, url, response).catch((error: unknown) => {
             if (response.headersSent) response.destroy();
             else answer(response, 400, { error: String(error) });
         });
     });
     const [host, port] = address.split(":");
-    await new Promise<void>((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(port), host, resolve);
-    });
+    server.listen(Number(port), host);
+    await once(server, "listening");
     const close = (): Promise<void> =>
         new Promise(resolve => {
             server.close(() => resolve());
@@ -85,16 +98,12 @@
 /** Serves a store, and its VM list, at an address (host:port). Calls are counted for the client `http`. */
 export function serveStore(store: StandInStore, address: string): Promise<StandInServer> {
     const client = store.client("http", Infinity);
-    return serve(address, async (request, url, response) => {
+    const controls = { target: store, faults: STORE_FAULTS, counters: () => store.allCounts() };
+    return serve(address, controls, async (request, url, response) => {
         const key = decodeURIComponent(url.pathname.replace(/^\/objects\//, ""));
         const expected = request.headers["if-none-match"] === "*" ? 0 : Number(request.headers["if-match"]);
         const prefix = url.searchParams.get("prefix") ?? "";
         const route = `${request.method} ${url.pathname.replace(/^\/objects\/.*/, "/objects/")}`;
-        if (route === "POST /faults") {
-            await applyFaults(store, STORE_FAULTS, request);
-            return answer(response, 204);
-        }
-        if (route === "GET /counters") return answer(response, 200, store.allCounts());
         if (route === "GET /vms") return answer(response, 200, { vms: store.listVms() satisfies readonly Vm[] });
         if (route === "GET /objects/") {
             const outcome = await client.read(key);
@@ -137,7 +146,8 @@
 /** Serves a target at an address (host:port). A target that does not answer leaves calls open. */
 export function serveEngine(engine: StandInEngine, address: string): Promise<StandInServer> {
     const running = new Map<string, AbortController>();
-    return serve(address, async (request, url, response) => {
+    const controls = { target: engine, faults: ENGINE_FAULTS, counters: () => engine.counters() };
+    return serve(address, controls, async (request, url, response) => {
         const route = `${request.method} ${url.pathname.replace(/^\/v1\/execute\/.*/, "/v1/execute/")}`;
         if (route === "POST /v1/execute") {
             const body = (await readJson(request)) as EngineRequest;
@@ -149,11 +159,6 @@
             });
             return execute(engine, body, abort, response);
         }
-        if (route === "POST /faults") {
-            await applyFaults(engine, ENGINE_FAULTS, request);
-            return answer(response, 204);
-        }
-        if (route === "GET /counters") return answer(response, 200, engine.counters());
         if (route === "GET /v1/cache-events") {
             return answer(response, 200, { events: engine.cacheEvents(Number(url.searchParams.get("after"))) });
         }
--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -5,6 +5,7 @@
  * state of some time ago; lists are stale as a whole, with the revision that belongs to their objects.
  */
 import type { Vm } from "../model/index.js";
+import { InterruptiblePause } from "../model/pause.js";
 import type {
     ListOutcome,
     ReadOutcome,
@@ -14,6 +15,7 @@
     WatchOutcome,
     WriteOutcome,
 } from "../store/index.js";
+import { afterLag, sleep } from "./timing.js";
 
 /** Limits of the stand-in store. */
 export interface StandInStoreOptions {
@@ -75,17 +77,13 @@
     return { kind: "unavailable", message };
 }
 
-function sleep(milliseconds: number): Promise<void> {
-    return milliseconds > 0 ? new Promise(resolve => setTimeout(resolve, milliseconds)) : Promise.resolve();
-}
-
 /** The stand-in store. */
 export class StandInStore {
     private readonly objects = new Map<string, StoredObject>();
     /** Last version of each key, kept after a removal so that no version is reused. */
     private readonly versions = new Map<string, number>();
     private readonly counters = new Map<string, StoreCallCounts>();
-    private readonly waiting = new Set<() => void>();
+    private readonly waiting = new Set<InterruptiblePause>();
     private readonly clientsOut = new Set<string>();
     private vms: readonly Vm[] | undefined;
     private readonly writes: RateLimit;
@@ -170,11 +168,8 @@
 
     /** Replaces the VM list; readers see it after the lag. The first list is visible at once. */
     setVms(vms: readonly Vm[]): void {
-        const show = (): void => {
-            this.vms = vms.filter(vm => vm.state !== "gone");
-        };
-        if (this.vms === undefined) show();
-        else setTimeout(show, this.options.vmListLagMilliseconds ?? 0).unref();
+        const lag = this.vms === undefined ? 0 : this.options.vmListLagMilliseconds;
+        afterLag(lag, () => (this.vms = vms.filter(vm => vm.state !== "gone")));
     }
 
     /** The VM list as readers see it. VMs that are gone are not in it. */
@@ -282,16 +277,15 @@
     }
 
     private wakeWatches(): void {
-        for (const wake of [...this.waiting]) wake();
+        for (const waiter of this.waiting) waiter.end();
     }
 
     /** The newest change of each key below the prefix after the revision. */
     private eventsAfter(prefix: string, revision: number): readonly StoreEvent[] {
         const events = new Map<string, StoreEvent>();
         const first = revision - (this.history[0]?.revision ?? 1) + 1;
-        for (const change of this.history.slice(Math.max(0, first))) {
-            if (!change.key.startsWith(prefix)) continue;
-            const { key, after } = change;
+        for (const { key, after } of this.history.slice(Math.max(0, first))) {
+            if (!key.startsWith(prefix)) continue;
             events.delete(key);
             events.set(key, after === undefined ? { key } : { key, object: after });
         }
@@ -317,15 +311,10 @@
     }
 
     /** Waits for the next change of the store or of its outage. */
-    private nextChange(milliseconds: number): Promise<void> {
-        return new Promise(resolve => {
-            const wake = (): void => {
-                clearTimeout(timer);
-                this.waiting.delete(wake);
-                resolve();
-            };
-            const timer = setTimeout(wake, milliseconds);
-            this.waiting.add(wake);
-        });
+    private async nextChange(milliseconds: number): Promise<void> {
+        const waiter = InterruptiblePause.create();
+        this.waiting.add(waiter);
+        await waiter.wait(milliseconds);
+        this.waiting.delete(waiter);
     }
 }
