Answer callers as docs/callers.md says

The HTTP side for callers had no test and differed from its page: parsleyrun-priority was not read, so that every request ran with priority 0; idempotency keys of up to 200 characters were taken instead of 128; a body above 1 MiB got 400 instead of 413; answers to wrong requests had no `outcome`.

Changing the page was ruled out: it is what callers were promised, and agents already order waiting work by priority. The code now follows it. The page names 405 as well, which was answered before.

Conclusion: callers can set priorities, and tell a wrong request from a broken answer.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -34,7 +34,8 @@
 
 /** Kinds name histograms, so they are short and plain. */
 const KIND_PATTERN = /^[A-Za-z0-9._-]{1,32}$/;
-const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
+const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
+const PRIORITY_PATTERN = /^(-?\d|-?10)$/;
 const DEADLINE_PATTERN = /^[1-9]\d{0,5}$/;
 
 /** Serves the operators' paths. */
@@ -55,7 +56,7 @@
 
 /** An error of the caller. */
 interface CallerError {
-    readonly status: 400 | 401 | 403 | 404 | 405;
+    readonly status: 400 | 401 | 403 | 404 | 405 | 413;
     readonly message: string;
 }
 
@@ -170,7 +171,7 @@
         if ("error" in body) return body;
         const input = parseInput(body.value);
         if ("error" in input) return input;
-        return { value: { account, pipeline, priority: 0, ...headers.value, input: input.value } };
+        return { value: { account, pipeline, ...headers.value, input: input.value } };
     }
 
     private readHeaders({ headers }: IncomingMessage): Checked<RequestHeaders> {
@@ -182,10 +183,13 @@
         }
         const kind = String(headers["parsleyrun-kind"] ?? "default");
         if (!KIND_PATTERN.test(kind)) return fault(400, "parsleyrun-kind is not a name of up to 32 characters");
+        const priority = String(headers["parsleyrun-priority"] ?? 0);
+        if (!PRIORITY_PATTERN.test(priority)) return fault(400, "parsleyrun-priority is not a number from -10 to 10");
+        const value = { deadlineMilliseconds, kind, priority: Number(priority) };
         const key = headers["idempotency-key"];
-        if (key === undefined) return { value: { deadlineMilliseconds, kind } };
-        if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 200 printable characters");
-        return { value: { deadlineMilliseconds, kind, idempotencyKey: String(key) } };
+        if (key === undefined) return { value };
+        if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 128 printable characters");
+        return { value: { ...value, idempotencyKey: String(key) } };
     }
 
     private sendError(response: ServerResponse, { status, message }: CallerError): void {
@@ -193,18 +197,18 @@
         const headers: Record<string, string> = { connection: "close" };
         if (status === 401) headers["www-authenticate"] = "Bearer";
         if (status === 405) headers["allow"] = "POST";
-        sendJson(response, status, { error: message }, headers);
+        sendJson(response, status, { outcome: "error", message }, headers);
     }
 }
 
-type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "idempotencyKey">;
+type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "priority" | "idempotencyKey">;
 
 function fault(status: CallerError["status"], message: string): { readonly error: CallerError } {
     return { error: { status, message } };
 }
 
 function blankRequest(pipeline: string, headers: RequestHeaders): Checked<CallerRequest> {
-    return { value: { account: "", pipeline, priority: 0, ...headers, input: null } };
+    return { value: { account: "", pipeline, ...headers, input: null } };
 }
 
 function checkPipeline(
@@ -232,7 +236,7 @@
     } catch {
         return fault(400, "the body ended early");
     }
-    if (length > MAXIMUM_BODY_BYTES) return fault(400, `the body is above ${MAXIMUM_BODY_BYTES} bytes`);
+    if (length > MAXIMUM_BODY_BYTES) return fault(413, `the body is above ${MAXIMUM_BODY_BYTES} bytes`);
     return { value: Buffer.concat(chunks).toString("utf8") };
 }
 
