--- a/src/claims/ownership.ts
+++ b/src/claims/ownership.ts
@@ -6,6 +6,7 @@
  * conditional updates only.
  */
 import type { Service } from "../model/index.js";
+import { InterruptiblePause, pause, withinTime } from "../model/pause.js";
 import type { StateLogger } from "../observability/index.js";
 import { LEASE_DURATION_MS, LeaseObserver } from "./ownerlease.js";
 import { DEFAULT_RETENTION_MS } from "./registry.js";
@@ -54,7 +55,7 @@
     private generation = 0;
     private state: "idle" | "running" | "stopping" | "ended" = "idle";
     private releasing: Promise<void> | undefined;
-    private wake: () => void = () => undefined;
+    private readonly lookPause = InterruptiblePause.create();
 
     private constructor(private readonly options: OwnershipOptions) {
         this.observer = LeaseObserver.create(options.store, options.service);
@@ -86,7 +87,7 @@
             void this.renewLeases();
             void this.lookAtSlots();
         } else if (changed) {
-            this.wake();
+            this.lookPause.end();
         }
     }
 
@@ -97,8 +98,8 @@
             return;
         }
         this.state = "stopping";
-        this.wake();
-        await Promise.race([this.releaseAll(), pause(STOP_MS)]);
+        this.lookPause.end();
+        await withinTime(this.releaseAll(), STOP_MS, undefined);
         this.kill();
     }
 
@@ -106,7 +107,7 @@
     kill(): void {
         this.state = "ended";
         this.tenure?.end();
-        this.wake();
+        this.lookPause.end();
     }
 
     private async releaseAll(): Promise<void> {
@@ -151,10 +152,10 @@
     }
 
     private async lookAtSlots(): Promise<void> {
-        await this.sleep(START_DELAY_MS);
+        await this.lookPause.wait(START_DELAY_MS);
         while (this.state === "running") {
             const complete = await this.look();
-            await this.sleep(complete ? LOOK_INTERVAL_MS : SHORT_LOOK_INTERVAL_MS);
+            await this.lookPause.wait(complete ? LOOK_INTERVAL_MS : SHORT_LOOK_INTERVAL_MS);
         }
     }
 
@@ -262,7 +263,7 @@
     /** Releases slots after their runs have ended and their records are final in the journal. */
     private async release(tenure: Tenure, slots: readonly number[], when: "drained" | "always"): Promise<void> {
         const drained = Promise.all(slots.map(slot => tenure.registry.drain(slot))).then(() => true);
-        const complete = await Promise.race([drained, pause(DRAIN_MS).then(() => false)]);
+        const complete = await withinTime(drained, DRAIN_MS, false);
         if (!complete && when === "drained") {
             for (const slot of slots) tenure.registry.resume(slot);
             return;
@@ -285,16 +286,6 @@
         this.adopt(tenure, changed);
         this.options.logger.info("slots released", { owner: tenure.id, slots });
     }
-
-    private async sleep(milliseconds: number): Promise<void> {
-        await new Promise<void>(resolve => {
-            const timer = setTimeout(resolve, milliseconds);
-            this.wake = (): void => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
-    }
 }
 
 /** Owners that a table names, without released slots. */
@@ -302,7 +293,3 @@
     const owned = table.slots.filter((owner): owner is SlotOwner => owner !== undefined && owner.target !== "");
     return new Set(owned.map(ownerId));
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
