--- a/src/configuration/holder.ts
+++ b/src/configuration/holder.ts
@@ -46,8 +46,7 @@
     advance(change: ConfigurationChange): boolean {
         const next = this.configuration.apply(change);
         if (next === undefined) return false;
-        this.retained.push(change);
-        if (this.retained.length > RETAINED_CHANGES) this.retained = this.retained.slice(-RETAINED_CHANGES);
+        this.retain(change);
         this.enforce(next);
         return true;
     }
@@ -72,25 +71,40 @@
     }
 
     /**
-     * Takes what a peer sent. Returns false when it does not bring this process to the transfer's version, in which
-     * case the peer has to be told the version in force here. Throws when the transfer is malformed.
+     * Takes what a peer sent, as one step: a restarted process must not have the versions between in force, which it had
+     * left behind before. Returns false when the transfer does not bring this process to its version, in which case the
+     * peer has to be told the version in force here. Throws, and takes nothing, when the transfer is malformed.
      */
     receive(transfer: ConfigurationTransfer): boolean {
-        if (transfer.snapshot !== "") {
-            const records = decodeRecords(transfer.snapshot);
-            if (records === undefined) throw new Error("a snapshot is malformed");
-            this.replace(Configuration.of(transfer.version, records));
+        const records = transfer.snapshot === "" ? undefined : wellFormed(decodeRecords(transfer.snapshot));
+        const changes = transfer.changes.map(text => wellFormed(parseChange(text)));
+        let next = this.configuration;
+        if (records !== undefined && transfer.version > next.version) {
+            next = Configuration.of(transfer.version, records);
+            this.retained = [];
         }
-        for (const text of transfer.changes) {
-            const change = parseChange(text);
-            if (change === undefined) throw new Error("a change is malformed");
-            if (change.version > this.configuration.version) this.advance(change);
+        for (const change of changes) {
+            const applied = next.apply(change);
+            if (applied === undefined) continue;
+            next = applied;
+            this.retain(change);
         }
+        if (next !== this.configuration) this.enforce(next);
         return this.configuration.version >= transfer.version;
     }
 
+    private retain(change: ConfigurationChange): void {
+        this.retained.push(change);
+        if (this.retained.length > RETAINED_CHANGES) this.retained = this.retained.slice(-RETAINED_CHANGES);
+    }
+
     private enforce(configuration: Configuration): void {
         this.configuration = configuration;
         for (const listener of this.listeners) listener(configuration);
     }
 }
+
+function wellFormed<Value>(value: Value | undefined): Value {
+    if (value === undefined) throw new Error("a snapshot or change is malformed");
+    return value;
+}
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -36,7 +36,6 @@
 const KIND_PATTERN = /^[A-Za-z0-9._-]{1,32}$/;
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const DEADLINE_PATTERN = /^[1-9]\d{0,5}$/;
-const PRIORITY_PATTERN = /^(-?[1-9]|-?10|0)$/;
 
 /** Serves the operators' paths. */
 export type OperatorHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -142,6 +141,7 @@
         response.once("close", () => {
             if (!response.writableFinished) controller.abort();
         });
+        if (response.closed) controller.abort();
         if (request.headers.accept?.includes("text/event-stream") === true) {
             const stream = EventStream.create(response, () => controller.abort());
             stream.end(await this.handle(checked.value, controller.signal, stream));
@@ -171,7 +171,7 @@
         if ("error" in body) return body;
         const input = parseInput(body.value);
         if ("error" in input) return input;
-        return { value: { account, pipeline, ...headers.value, input: input.value } };
+        return { value: { account, pipeline, priority: 0, ...headers.value, input: input.value } };
     }
 
     private readHeaders({ headers }: IncomingMessage): Checked<RequestHeaders> {
@@ -183,9 +183,7 @@
         }
         const kind = String(headers["parsleyrun-kind"] ?? "default");
         if (!KIND_PATTERN.test(kind)) return fault(400, "parsleyrun-kind is not a name of up to 32 characters");
-        const priority = String(headers["parsleyrun-priority"] ?? 0);
-        if (!PRIORITY_PATTERN.test(priority)) return fault(400, "parsleyrun-priority is not a number from -10 to 10");
-        const fields = { deadlineMilliseconds, kind, priority: Number(priority) };
+        const fields = { deadlineMilliseconds, kind };
         const key = headers["idempotency-key"];
         if (key === undefined) return { value: fields };
         if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 128 printable characters");
@@ -201,14 +199,14 @@
     }
 }
 
-type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "priority" | "idempotencyKey">;
+type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "idempotencyKey">;
 
 function fault(status: CallerError["status"], message: string): { readonly error: CallerError } {
     return { error: { status, message } };
 }
 
 function blankRequest(pipeline: string, headers: RequestHeaders): Checked<CallerRequest> {
-    return { value: { account: "", pipeline, ...headers, input: null } };
+    return { value: { account: "", pipeline, priority: 0, ...headers, input: null } };
 }
 
 function checkPipeline(
