Give up answers of the VM list above 16 MiB

Cause: the poll of the VM list kept whatever arrived until the answer ended; its time limit is one of silence, so an answer that goes on is never given up. Ruled out: a limit on the whole time alone, which bounds no size. Change: at most 16 MiB are kept; a longer answer counts as none. Seen: "that never end are given up at a bounded size" for the VM list in test/input/backends.test.ts failed before (all 256 MiB were read) and passes now. Random answers passed before and after.

--- a/src/membership/vmlist.ts
+++ b/src/membership/vmlist.ts
@@ -9,6 +9,9 @@
 const POLL_TIMEOUT_MS = 2_000;
 const MISSING_ANSWERS_UNTIL_GONE = 2;
 
+/** Longest answer that is kept, in bytes. A list of 6,000 VMs takes about 400 KB. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
 const listSchema = z.object({
     vms: z.array(z.object({ name: z.string(), zone: z.string(), state: z.enum(["live", "leaving"]) })),
 });
@@ -77,7 +80,12 @@
     const text = await new Promise<string | undefined>(resolve => {
         const request = get(`http://${address}/vms`, { timeout: POLL_TIMEOUT_MS }, response => {
             const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
+            let bytes = 0;
+            response.on("data", (chunk: Buffer) => {
+                bytes += chunk.length;
+                if (bytes <= MAXIMUM_ANSWER_BYTES) chunks.push(chunk);
+                else request.destroy();
+            });
             response.on("end", () => {
                 resolve(response.statusCode === 200 ? Buffer.concat(chunks).toString() : undefined);
             });
--- a/test/input/backends.test.ts
+++ b/test/input/backends.test.ts
@@ -10,10 +10,10 @@
 import { Ownership } from "../../src/claims/index.js";
 import type { Service } from "../../src/model/index.js";
 import { StageResultSchema, StageTokensSchema } from "../../src/link/index.js";
-import { Member, MEMBERS_PREFIX, MembershipView, SLOTS_PREFIX, SlotView } from "../../src/membership/index.js";
+import { Member, MEMBERS_PREFIX, MembershipView, SLOTS_PREFIX, SlotView, VmList } from "../../src/membership/index.js";
 import { StandInStore } from "../../src/standins/index.js";
 import { CallLedger, HttpStore, StoreView } from "../../src/store/index.js";
-import { collectUnhandled, SEED } from "./system.js";
+import { collectUnhandled, SEED, until } from "./system.js";
 
 const silent = (): undefined => undefined;
 const logger = { debug: silent, info: silent, warn: silent, error: silent };
@@ -210,6 +210,52 @@
     });
 });
 
+describe("answers of the VM list", () => {
+    // Guards against memory that grows with an answer that never ends.
+    it("that never end are given up at a bounded size", async () => {
+        let written = 0;
+        const limit = 256 * 1024 * 1024;
+        const closed = new Promise(resolve => {
+            respond = response => {
+                response.once("close", resolve);
+                const write = (): void => {
+                    while (!response.destroyed && written < limit) {
+                        written += 1_048_576;
+                        if (!response.write(Buffer.alloc(1_048_576, "a"))) return void response.once("drain", write);
+                    }
+                    response.end();
+                };
+                write();
+            };
+        });
+        const list = VmList.start({ address, intervalMilliseconds: 60_000 });
+        await closed;
+        list.stop();
+        expect(list.available).toBe(false);
+        expect(written).toBeLessThan(limit / 2);
+    });
+
+    // Guards against a poll that ends the process or forgets VMs because of a malformed answer.
+    it(`are a list or nothing, whatever the body (seed ${SEED})`, async () => {
+        let body = '{"vms":[{"name":"a","zone":"east","state":"live"}]}';
+        let polls = 0;
+        respond = response => {
+            polls += 1;
+            response.end(body);
+        };
+        const list = VmList.start({ address, intervalMilliseconds: 1 });
+        await until("the list was read", () => list.available);
+        const samples = fc.sample(fc.oneof(fc.json(), fc.string()), { seed: SEED, numRuns: 50 });
+        for (const sample of samples.filter(text => !text.includes('"vms"'))) {
+            body = sample;
+            const before = polls;
+            await until("the list was polled twice", () => polls >= before + 2);
+            expect(list.state("a")).toBe("live");
+        }
+        list.stop();
+    });
+});
+
 /** Texts that an object of the store may hold although nobody should have written them. */
 const anyObject = fc.oneof(
     fc.json(),
