--- a/src/configuration/holder.ts
+++ b/src/configuration/holder.ts
@@ -73,19 +73,17 @@
     /**
      * Takes what a peer sent, as one step: a restarted process must not have the versions between in force, which it had
      * left behind before. Returns false when the transfer does not bring this process to its version, in which case the
-     * peer has to be told the version in force here. Throws when the transfer is malformed.
+     * peer has to be told the version in force here. Throws, and takes nothing, when the transfer is malformed.
      */
     receive(transfer: ConfigurationTransfer): boolean {
+        const records = transfer.snapshot === "" ? undefined : wellFormed(decodeRecords(transfer.snapshot));
+        const changes = transfer.changes.map(text => wellFormed(parseChange(text)));
         let next = this.configuration;
-        if (transfer.snapshot !== "" && transfer.version > next.version) {
-            const records = decodeRecords(transfer.snapshot);
-            if (records === undefined) throw new Error("a snapshot is malformed");
+        if (records !== undefined && transfer.version > next.version) {
             next = Configuration.of(transfer.version, records);
             this.retained = [];
         }
-        for (const text of transfer.changes) {
-            const change = parseChange(text);
-            if (change === undefined) throw new Error("a change is malformed");
+        for (const change of changes) {
             const applied = next.apply(change);
             if (applied === undefined) continue;
             next = applied;
@@ -105,3 +103,8 @@
         for (const listener of this.listeners) listener(configuration);
     }
 }
+
+function wellFormed<Value>(value: Value | undefined): Value {
+    if (value === undefined) throw new Error("a snapshot or change is malformed");
+    return value;
+}
