Add zone moves with one recorded result each

An operator who took a zone out only knew that the state was accepted, not whether the zone was empty, and a half-done change stayed.

Ruled out: a sequence of moves without numbers (two operators could each create one), taking the zone's value as proof that a move's change was made (it undoes a later change by others), and counting drain at agents only (an entry can have an attempt open that no agent has reported).

A move is a store object with a lease, a fencing number in each write, its elapsed time and one result. Its configuration changes carry the move as author, so that a takeover finds them in the log. Entries tell each other their open work in the zones of open moves. Commands: move zone, moves. Agents already released their slots when their zone goes out; a test now holds that.

Version moves are not part of this change and no command names them.

--- a/src/commandline/client.ts
+++ b/src/commandline/client.ts
@@ -3,6 +3,8 @@
 import {
     type ChangeResult,
     type ConfigurationBody,
+    type DeclaredBody,
+    type MovesBody,
     OPERATOR_PREFIX,
     type OperatorError,
     type ReportBody,
@@ -57,6 +59,18 @@
         return this.call("POST", `services/${encodeURIComponent(service)}/traffic`, body);
     }
 
+    declareMove(body: object): Promise<CallOutcome<DeclaredBody>> {
+        return this.call("POST", "moves", body);
+    }
+
+    move(id: string): Promise<CallOutcome<DeclaredBody>> {
+        return this.call("GET", `moves/${encodeURIComponent(id)}`);
+    }
+
+    moves(): Promise<CallOutcome<MovesBody>> {
+        return this.call("GET", "moves");
+    }
+
     /** The report of each entry. */
     reports(): Promise<readonly CallOutcome<ReportBody>[]> {
         return Promise.all(this.entries.map(entry => send<ReportBody>(entry, this.key, "GET", "report")));
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -5,6 +5,7 @@
 import type { CommandContext } from "./command.js";
 import { type Console, ExitCode } from "./console.js";
 import { checkSettingsCommand, daemonCommand } from "./daemons.js";
+import { moveCommand, movesCommand, parseSeconds } from "./moves.js";
 import { reportCommand, showCommand, statusCommand } from "./views.js";
 
 const HELP = `Usage
@@ -19,6 +20,9 @@
   parsleyrun zone NAME out|back [--wait]        take a zone out of service or bring it back
   parsleyrun traffic SERVICE --stable VERSION [--candidate VERSION --fraction F] [--wait]
                                                 split a service's traffic between versions
+  parsleyrun move zone NAME out|back --within TIME [--wait]
+                                                take a zone out or bring it back by a time, or undo it
+  parsleyrun moves                              open moves and results
   parsleyrun report                             counters and durations, merged over the entries named
 
 Options of the operators' commands
@@ -26,6 +30,7 @@
   --key KEY          operators' key; by default PARSLEYRUN_OPERATOR_KEY
   --author NAME      who makes a change, for other operators to read
   --wait             wait until a change is in force everywhere
+  --within TIME      time by which a move has to end, such as 60s or 10m
   --timeout SECONDS  longest wait, by default 10
   --json             output as JSON
 
@@ -48,6 +53,7 @@
     stable: { type: "string" },
     candidate: { type: "string" },
     fraction: { type: "number" },
+    within: { type: "string" },
 } as const;
 
 /** Thrown by the reading of arguments only; its message says what is wrong with them. */
@@ -129,11 +135,17 @@
             const options = { service, stable, candidate: candidateOf(flags) };
             return trafficCommand(contextOf(flags, console), options);
         }
+        case "move": {
+            const [kind, name, direction] = takeOperands(command, operands, ["zone", "NAME", "out|back"]);
+            const wanted = { kind: oneOf(kind, ["zone"]), direction: oneOf(direction, ["out", "back"]) };
+            return moveCommand(contextOf(flags, console), { ...wanted, name, withinSeconds: withinOf(flags) });
+        }
         case "show":
         case "status":
+        case "moves":
         case "report": {
             takeOperands(command, operands, []);
-            const views = { show: showCommand, status: statusCommand, report: reportCommand };
+            const views = { show: showCommand, status: statusCommand, report: reportCommand, moves: movesCommand };
             return views[command](contextOf(flags, console));
         }
         default:
@@ -167,6 +179,12 @@
     return { version: candidate, fraction };
 }
 
+function withinOf(flags: Arguments["flags"]): number {
+    const seconds = parseSeconds(required(flags.within, "--within TIME"));
+    if (seconds === undefined) throw new UsageError("--within takes a time such as 60s or 10m");
+    return seconds;
+}
+
 /** The operands of a command, which have to be as many as its usage names. */
 function takeOperands<Names extends readonly string[]>(
     command: string,
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -11,7 +11,23 @@
     type ProcessMetrics,
     type StateLogger,
 } from "../observability/index.js";
-import { createOperatorHandler, type OperatorHandler, type ReportBody } from "../operators/index.js";
+import {
+    declareMove,
+    listMoves,
+    listOpenWork,
+    MoveController,
+    MOVES_PREFIX,
+    reportOpenWork,
+    runZoneMove,
+    type ZoneMoveParts,
+} from "../moves/index.js";
+import {
+    buildStatus,
+    createOperatorHandler,
+    type OperatorHandler,
+    type ReportBody,
+    type StatusSources,
+} from "../operators/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { CallLedger, HttpStore, type Store, StoreView } from "../store/index.js";
 import { reportStoreCalls, type RunningProcess } from "./process.js";
@@ -96,6 +112,7 @@
     readonly feed: ConfigurationFeed;
     readonly directory: MembershipView;
     readonly slots: SlotView;
+    readonly moves: StoreView;
     readonly logger: StateLogger;
     readonly metrics: ProcessMetrics;
     readonly recorder: HistogramSet;
@@ -107,6 +124,7 @@
     const holder = ConfigurationHolder.create();
     const members = StoreView.start({ store, prefix: MEMBERS_PREFIX });
     const slots = StoreView.start({ store, prefix: SLOTS_PREFIX });
+    const moves = StoreView.start({ store, prefix: MOVES_PREFIX });
     const feed = ConfigurationFeed.start({ store, holder });
     return {
         incarnation: createIncarnation(),
@@ -114,12 +132,14 @@
         feed,
         directory: MembershipView.of(members),
         slots: SlotView.of(slots),
+        moves,
         logger: logger ?? createLogger(settings.logging, settings.name),
         metrics: createMetrics(settings.metrics),
         recorder: HistogramSet.create(),
         stop: () => {
             members.stop();
             slots.stop();
+            moves.stop();
             feed.stop();
         },
     };
@@ -138,27 +158,27 @@
 
 function createOperators(
     settings: EntrySettings,
-    { store, vms, counts }: EntryEnvironment,
+    environment: EntryEnvironment,
     parts: EntryParts,
     entry: Entry,
 ): OperatorHandler {
-    const { holder, feed, directory, slots, logger, metrics, recorder, incarnation } = parts;
+    const { store, counts } = environment;
+    const { holder, feed, logger, metrics, recorder, moves } = parts;
     let confirmed = false;
     void feed.ready.then(() => {
         confirmed = true;
     });
     return createOperatorHandler({
         key: settings.operatorKey,
-        entry: { name: settings.name, incarnation },
+        ...statusSources(settings, environment, parts, entry),
         holder,
         log: ConfigurationLog.create({ store, holder }),
-        directory,
-        slots,
+        moves: {
+            declare: order => declareMove(store, listMoves(moves.objects), order),
+            list: () => listMoves(moves.objects),
+        },
         logger,
         ready: () => confirmed,
-        acknowledged: () => entry.processVersions(),
-        storeAvailable: () => feed.available,
-        vmState: vm => vms?.state(vm),
         report: (): ReportBody => ({
             entry: settings.name,
             counters: { ...Object.fromEntries(metrics.totals()), ...counts?.() },
@@ -168,15 +188,66 @@
     });
 }
 
+function statusSources(
+    { name }: EntrySettings,
+    { vms }: EntryEnvironment,
+    { incarnation, directory, slots, feed }: EntryParts,
+    entry: Entry,
+): StatusSources {
+    return {
+        entry: { name, incarnation },
+        directory,
+        slots,
+        acknowledged: () => entry.processVersions(),
+        storeAvailable: () => feed.available,
+        vmState: vm => vms?.state(vm),
+    };
+}
+
+/** Starts to look after moves. */
+function startMoves(
+    settings: EntrySettings,
+    environment: EntryEnvironment,
+    parts: EntryParts,
+    entry: Entry,
+): MoveController {
+    const { store, vms } = environment;
+    const { holder, directory, slots, moves, incarnation, logger } = parts;
+    const { name } = settings;
+    const sources = statusSources(settings, environment, parts, entry);
+    const present = () => directory.current.entries.filter(({ vm }) => vms?.state(vm) !== "gone");
+    const zoneMoves: ZoneMoveParts = {
+        store,
+        holder,
+        log: ConfigurationLog.create({ store, holder }),
+        slots,
+        membership: () => directory.current,
+        waitingFor: version => buildStatus(sources, holder.current, version).configuration.waitingFor,
+        openWork: (zone, version) => listOpenWork(entry, name, present(), zone, version),
+    };
+    return MoveController.start({
+        store,
+        view: moves,
+        name,
+        incarnation,
+        membership: () => directory.current,
+        logger,
+        run: session => runZoneMove(zoneMoves, session),
+    });
+}
+
 /** Announces the entry in the store, after it accepts links and callers. */
 function publish(
     settings: EntrySettings,
-    { store }: EntryEnvironment,
+    environment: EntryEnvironment,
     parts: EntryParts,
     entry: Entry,
     callers: CallerServer,
 ): EntryProcess {
+    const { store } = environment;
     const { name, zone, vm, linkAddress: address } = settings;
+    const moves = startMoves(settings, environment, parts, entry);
+    const endReports = reportOpenWork(entry, () => moves.openMoves());
     const { incarnation, logger, metrics } = parts;
     const member = Member.startEntry(store, { name, zone, vm, address, incarnation });
     logger.info("entry started", { callers: callers.address, links: address, incarnation });
@@ -189,13 +260,16 @@
         metrics,
         stop: async () => {
             logger.info("entry stops");
-            await Promise.all([entry.stop(), member.withdraw()]);
+            await Promise.all([entry.stop(), member.withdraw(), moves.stop()]);
+            endReports();
             await callers.stop();
             parts.stop();
             await metrics.close();
         },
         kill: () => {
             member.abandon();
+            moves.kill();
+            endReports();
             entry.kill();
             callers.kill();
             parts.stop();
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import { type ChooseTarget, chooseByLoad, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
 import type { EntrySettings } from "../settings/schema.js";
 import { execute } from "./execution.js";
+import { OpenWork } from "./openwork.js";
 import { type PeerNoticeBody, Peers } from "./peers.js";
 import { type CallerRequest, type ExecutionParts, RequestRun, type TokenListener } from "./run.js";
 import { SilenceLimits } from "./silence.js";
@@ -55,6 +56,7 @@
     private readonly targets: TargetLinks;
     private readonly peers: Peers;
     private readonly suspects: Suspects;
+    private readonly openWork = OpenWork.create();
     private listener: Listener | undefined;
     private readonly ticker: NodeJS.Timeout;
     private readonly unsubscribe: () => void;
@@ -160,6 +162,30 @@
         this.peers.notify({ case: "versionStopped", value: { service, version, reason } });
     }
 
+    /**
+     * Work of this entry and work that agents report, in a zone. Agents' reports also show runs whose entry has died.
+     */
+    countOpenWork(zone: string): number {
+        return this.targets
+            .all()
+            .filter(link => link.zone === zone && link.connected)
+            .reduce((sum, link) => sum + Math.max(link.outstanding, link.reported), 0);
+    }
+
+    /** Open work of another entry in a zone, if it told it with at least this configuration version in force. */
+    openWorkOf(entry: string, incarnation: string, zone: string, version: number): number | undefined {
+        return this.openWork.find(entry, incarnation, zone, version);
+    }
+
+    /** Tells the other entries this one's open work in zones. Returns how many it was told to. */
+    announceOpenWork(zones: readonly string[]): number {
+        const counts = zones.map(zone => ({ zone, attempts: this.countOpenWork(zone) }));
+        const configurationVersion = this.options.configuration.current.version;
+        const value = { incarnation: this.incarnation, configurationVersion, zones: counts };
+        this.peers.notify({ case: "openWork", value });
+        return this.peers.names.length;
+    }
+
     /** Planned stop: refuses new requests, finishes open ones, then closes. */
     async stop(): Promise<void> {
         this.leaving = true;
@@ -255,6 +281,8 @@
             this.parts.quarantine.reported(peer, fingerprint, deaths, remainingMilliseconds);
         } else if (notice.case === "versionStopped") {
             this.parts.versions.stop(notice.value.service, notice.value.version);
+        } else if (notice.case === "openWork") {
+            this.openWork.take(peer, notice.value);
         }
     }
 
--- /dev/null
+++ b/src/entry/openwork.ts
@@ -0,0 +1,35 @@
+/**
+ * Open work by zone, as entries tell each other while a zone goes out of service. A count is for one incarnation of an
+ * entry and for the configuration that was in force there: a count of zero with the zone out stays true, since the entry
+ * sends nothing there any more.
+ */
+
+/** One entry's counts. */
+export interface WorkReport {
+    readonly incarnation: string;
+    readonly configurationVersion: number;
+    readonly zones: readonly { readonly zone: string; readonly attempts: number }[];
+}
+
+/** The newest counts of the other entries. */
+export class OpenWork {
+    private readonly reports = new Map<string, WorkReport>();
+
+    private constructor() {}
+
+    static create(): OpenWork {
+        return new OpenWork();
+    }
+
+    /** Takes the counts of an entry. */
+    take(entry: string, report: WorkReport): void {
+        this.reports.set(entry, report);
+    }
+
+    /** Open attempts of an entry in a zone, if it counted them with at least this version in force. */
+    find(entry: string, incarnation: string, zone: string, version: number): number | undefined {
+        const report = this.reports.get(entry);
+        if (report?.incarnation !== incarnation || report.configurationVersion < version) return undefined;
+        return report.zones.find(counted => counted.zone === zone)?.attempts;
+    }
+}
--- a/src/operators/change.ts
+++ b/src/operators/change.ts
@@ -13,6 +13,7 @@
     summarizeChange,
 } from "../configuration/index.js";
 import type { Directory } from "../membership/index.js";
+import { MOVE_AUTHOR_PREFIX } from "../moves/index.js";
 import type { ChangeResult, DifferenceSummary, OperatorError } from "./message.js";
 import { knownZones } from "./status.js";
 
@@ -30,26 +31,34 @@
     | { readonly kind: "changed"; readonly result: ChangeResult }
     | { readonly kind: "error"; readonly error: OperatorError };
 
-const name = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '_' or '-'");
+/** A name in a request. */
+export const nameSchema = z
+    .string()
+    .regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, "must be 1 to 63 letters, digits, '.', '_' or '-'");
 
-const author = z.string().max(100).default("operator");
+/** Who makes a change. Changes of moves are recognised by their author. */
+export const authorSchema = z
+    .string()
+    .max(100)
+    .refine(text => !text.startsWith(MOVE_AUTHOR_PREFIX), `must not begin with "${MOVE_AUTHOR_PREFIX}"`)
+    .default("operator");
 
 /** Body of `POST lists`. The version is the one that the operator read; one in the lists themselves counts instead. */
 export const listsRequestSchema = z.strictObject({
     lists: z.string(),
     version: z.int().min(0),
     dryRun: z.boolean().default(false),
-    author,
+    author: authorSchema,
 });
 
 /** Body of `POST zones/<name>`. */
-export const zoneRequestSchema = z.strictObject({ state: z.enum(["out", "back"]), author });
+export const zoneRequestSchema = z.strictObject({ state: z.enum(["out", "back"]), author: authorSchema });
 
 /** Body of `POST services/<name>/traffic`. */
 export const trafficRequestSchema = z.strictObject({
-    stable: name,
-    candidate: z.strictObject({ version: name, fraction: z.number().min(0).max(1) }).exactOptional(),
-    author,
+    stable: nameSchema,
+    candidate: z.strictObject({ version: nameSchema, fraction: z.number().min(0).max(1) }).exactOptional(),
+    author: authorSchema,
 });
 
 /**
--- a/src/operators/handler.ts
+++ b/src/operators/handler.ts
@@ -6,7 +6,6 @@
 import type { StateLogger } from "../observability/index.js";
 import {
     applyLists,
-    type ChangeContext,
     type ChangeOutcome,
     changeTraffic,
     changeZone,
@@ -21,13 +20,14 @@
     type OperatorErrorKind,
     type ReportBody,
 } from "./message.js";
+import { declareMoveRequest, findMoveBody, listMoveBodies, type MoveContext, moveRequestSchema } from "./moves.js";
 import { buildStatus, type StatusSources } from "./status.js";
 
 /** Largest body that is read, in bytes. Lists of 2,700 accounts take about 300 KB. */
 export const MAXIMUM_BODY_BYTES = 1_048_576;
 
 /** What the interface serves. */
-export interface OperatorOptions extends ChangeContext, StatusSources {
+export interface OperatorOptions extends MoveContext, StatusSources {
     /** The operators' key. */
     readonly key: string;
     readonly report: () => ReportBody;
@@ -90,6 +90,17 @@
         run: (options, request, name) =>
             change(options, request, trafficRequestSchema, body => changeTraffic(options, name, body)),
     },
+    {
+        method: "GET",
+        path: /^moves$/,
+        run: ({ moves }) => Promise.resolve({ kind: "body", body: { moves: listMoveBodies(moves) } }),
+    },
+    {
+        method: "POST",
+        path: /^moves$/,
+        run: declare,
+    },
+    { method: "GET", path: /^moves\/([^/]+)$/, run: (options, _request, id) => Promise.resolve(showMove(options, id)) },
 ];
 
 /** A handler for an entry's server. */
@@ -168,29 +179,50 @@
     return Promise.resolve({ kind: "body", body: buildStatus(options, current, asked) });
 }
 
+function showMove({ moves }: OperatorOptions, id: string): Answer {
+    const move = findMoveBody(moves, id);
+    if (move === undefined) return failed("notFound", `move "${id}" is not known here`, "look at parsleyrun moves");
+    return { kind: "body", body: { move } };
+}
+
+async function declare(options: OperatorOptions, request: IncomingMessage): Promise<Answer> {
+    const parsed = await parseBody(request, moveRequestSchema);
+    if (parsed.kind === "error") return parsed;
+    const outcome = await declareMoveRequest(options, parsed.body);
+    if (outcome.kind === "error") return outcome;
+    const { move } = outcome;
+    options.logger.info(`move ${move.id} declared`, { ...move });
+    return { kind: "body", body: { move } };
+}
+
 async function change<Request>(
     options: OperatorOptions,
     request: IncomingMessage,
     schema: z.ZodType<Request>,
     run: (body: Request) => Promise<ChangeOutcome>,
 ): Promise<Answer> {
+    const parsed = await parseBody(request, schema);
+    if (parsed.kind === "error") return parsed;
+    const outcome = await run(parsed.body);
+    if (outcome.kind === "error") return outcome;
+    const { result } = outcome;
+    if (result.kind === "accepted") options.logger.info("configuration change accepted", { ...result });
+    return { kind: "body", body: result };
+}
+
+async function parseBody<Request>(
+    request: IncomingMessage,
+    schema: z.ZodType<Request>,
+): Promise<{ readonly kind: "parsed"; readonly body: Request } | Extract<Answer, { kind: "error" }>> {
     const body = await readBody(request);
     if (body.kind !== "read") {
         const message = `the body has more than ${MAXIMUM_BODY_BYTES} bytes`;
         return failed("tooLarge", message, "apply the sections of the file one by one");
     }
     const parsed = schema.safeParse(parseJson(body.text));
-    if (!parsed.success) {
-        const message = parsed.error.issues
-            .map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`)
-            .join("; ");
-        return failed("badRequest", message, "docs/operators.md describes the body");
-    }
-    const outcome = await run(parsed.data);
-    if (outcome.kind === "error") return outcome;
-    const { result } = outcome;
-    if (result.kind === "accepted") options.logger.info("configuration change accepted", { ...result });
-    return { kind: "body", body: result };
+    if (parsed.success) return { kind: "parsed", body: parsed.data };
+    const message = parsed.error.issues.map(issue => `${issue.path.join(".") || "body"}: ${issue.message}`).join("; ");
+    return failed("badRequest", message, "docs/operators.md describes the body");
 }
 
 function readBody(request: IncomingMessage): Promise<Body> {
@@ -222,7 +254,7 @@
     }
 }
 
-function failed(kind: OperatorErrorKind, message: string, next: string): Answer {
+function failed(kind: OperatorErrorKind, message: string, next: string): Extract<Answer, { kind: "error" }> {
     return { kind: "error", error: { kind, message, next } };
 }
 
--- a/src/operators/index.ts
+++ b/src/operators/index.ts
@@ -1,4 +1,5 @@
 export { type ChangeContext } from "./change.js";
 export * from "./handler.js";
 export * from "./message.js";
-export { type AcknowledgedVersion, type StatusSources } from "./status.js";
+export { type MoveDesk } from "./moves.js";
+export { type AcknowledgedVersion, buildStatus, type StatusSources } from "./status.js";
--- a/src/operators/message.ts
+++ b/src/operators/message.ts
@@ -104,6 +104,37 @@
     readonly zones: readonly { readonly name: string; readonly state: "in" | "out"; readonly targets: number }[];
 }
 
+/** A move in an answer. */
+export interface MoveBody {
+    readonly id: string;
+    readonly kind: "zone";
+    /** The zone. */
+    readonly name: string;
+    /** What was declared, in words. */
+    readonly order: string;
+    readonly author: string;
+    readonly state: "open" | "takingBack" | "ended";
+    readonly withinSeconds: number;
+    /** Time from acceptance to the result, or to the last state that was stored. */
+    readonly elapsedSeconds: number;
+    /** Why the move ended, or is being taken back. */
+    readonly reason: string;
+    /** Absent while the move is open. */
+    readonly result?: "done" | "takenBack";
+    /** Whether the result was recorded after the set time. */
+    readonly late?: boolean;
+}
+
+/** Answer to `GET moves`. */
+export interface MovesBody {
+    readonly moves: readonly MoveBody[];
+}
+
+/** Answer to `POST moves` and `GET moves/<id>`. */
+export interface DeclaredBody {
+    readonly move: MoveBody;
+}
+
 /** Answer to `GET report`. */
 export interface ReportBody {
     readonly entry: string;
--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -190,6 +190,11 @@
         await this.options.store.write(this.options.key, this.encode(""), this.version);
     }
 
+    /** Ends the lease here and leaves its record as it is, as the death of the process would. */
+    abandon(): void {
+        this.end("released");
+    }
+
     private encode(holder: string): string {
         return JSON.stringify({ ...this.record, holder, renewal: randomBytes(8).toString("hex") });
     }
--- a/test/agent/harness.ts
+++ b/test/agent/harness.ts
@@ -101,7 +101,7 @@
 
     constructor(private readonly service: Service = bookingService) {}
 
-    async startAgent(name: string, engineOptions: Partial<StandInEngineOptions> = {}): Promise<Agent> {
+    async startAgent(name: string, engineOptions: Partial<StandInEngineOptions> = {}, zone = "z1"): Promise<Agent> {
         const engine = StandInEngine.create({
             operations: ["check", "book"],
             nonIdempotent: ["book"],
@@ -114,7 +114,7 @@
         const port = 7_000 + this.agents.length;
         const settings = agentSettingsSchema.parse({
             name,
-            zone: "z1",
+            zone,
             vm: `vm-${name}`,
             systemKey: "test-system-key",
             linkAddress: `127.0.0.1:${port}`,
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -217,6 +217,29 @@
         expect(all).toEqual([0, 1, 2, 3, 4, 5, 6, 7]);
     });
 
+    it("moves the slots of a zone that goes out to agents elsewhere, and back, without running a key again", async () => {
+        const inside = await deployment.startAgent("t1", {}, "z1");
+        const outside = await deployment.startAgent("t2", {}, "z2");
+        await advance(SETTLE_MS * 2);
+        expect([inside.ownedSlots.length, outside.ownedSlots.length]).toEqual([4, 4]);
+        const { slot } = deployment.slotOf("k1");
+        const owner = inside.ownedSlots.includes(slot) ? inside : outside;
+        const entry = await connect("e1", owner);
+        deployment.book(entry, "k1");
+        await advance(300);
+        const zone = (state: "in" | "out") => ({ kind: "zone", name: "z1", value: { name: "z1", state } }) as const;
+        for (const agent of deployment.agents) deployment.configure(agent, [zone("out")]);
+        await advance(SETTLE_MS * 2);
+        expect([inside.ownedSlots.length, outside.ownedSlots.length]).toEqual([0, 8]);
+        const other = await connect("e2", outside);
+        const again = deployment.book(other, "k1");
+        await advance(300);
+        expect([other.outcome(again), deployment.runs("k1")]).toEqual(["replayed", 1]);
+        for (const agent of deployment.agents) deployment.configure(agent, [zone("in")]);
+        await advance(SETTLE_MS * 2);
+        expect([inside.ownedSlots.length, outside.ownedSlots.length]).toEqual([4, 4]);
+    });
+
     it("answers the results and the claims of a dead owner without running anything again", async () => {
         const { agent, entry } = await single();
         deployment.engines[0]?.crash(100);
--- a/test/commandline/commandline.test.ts
+++ b/test/commandline/commandline.test.ts
@@ -58,6 +58,17 @@
             argv: ["traffic", "encode", "--stable", "v1", "--candidate", "v2", "--entry", "127.0.0.1:1", "--key", KEY],
             message: "given together",
         },
+        { fault: "unknown kind of move", argv: ["move", "rack", "r1", "out"], message: "rack is not one of: zone" },
+        {
+            fault: "move without time",
+            argv: ["move", "zone", "east", "out", "--entry", "127.0.0.1:1", "--key", KEY],
+            message: "--within TIME is required",
+        },
+        {
+            fault: "move with a wrong time",
+            argv: ["move", "zone", "east", "out", "--within", "soon", "--entry", "127.0.0.1:1", "--key", KEY],
+            message: "--within takes a time such as 60s or 10m",
+        },
         { fault: "time that is no number", argv: ["status", "--timeout", "soon"], message: "--timeout takes a number" },
         { fault: "daemon without settings", argv: ["entry"], message: "--settings FILE is required" },
         { fault: "wrong role", argv: ["check-settings", "node", "x"], message: "node is not one of: entry, agent" },
--- /dev/null
+++ b/test/moves/session.test.ts
@@ -0,0 +1,62 @@
+/** A controller writes a move only while it holds its lease, and never after its successor has begun. */
+import { beforeEach, describe, expect, it } from "vitest";
+import { MoveClock } from "../../src/moves/clock.js";
+import { declareMove, decodeMove, type Move, MoveSession } from "../../src/moves/index.js";
+import { StandInStore } from "../../src/standins/index.js";
+
+const KEY = "moves/zone-east-1";
+
+let store: StandInStore;
+
+beforeEach(async () => {
+    store = StandInStore.create();
+    const plan = { kind: "zone", direction: "out", before: "in" } as const;
+    const order = { subject: "east", plan, doneByMilliseconds: 60_000, author: "operator", baseVersion: 0 };
+    expect(await declareMove(store.client("operator"), [], order)).toMatchObject({ kind: "declared" });
+});
+
+async function begin(name: string, fencing: number, lease = { held: true }): Promise<MoveSession> {
+    const held = { fencing, held: () => lease.held };
+    const session = await MoveSession.begin(store.client(name), held, MoveClock.create(), KEY);
+    if (session === undefined) throw new Error("the session did not begin");
+    return session;
+}
+
+function stored(): Move | undefined {
+    return decodeMove(store.peek(KEY)?.value ?? "");
+}
+
+describe("a move's session", () => {
+    it("cannot write once its successor has begun, although it believes to hold the lease", async () => {
+        const paused = await begin("e1", 1);
+        await begin("e2", 2);
+        for (let attempt = 0; attempt < 3; attempt += 1) expect(await paused.end("done", "late")).toBe(false);
+        expect(paused.held()).toBe(false);
+        expect(stored()).toMatchObject({ state: "open", fencing: 2 });
+    });
+
+    it("writes nothing without its lease, even if nobody took it", async () => {
+        const lease = { held: true };
+        const session = await begin("e1", 1, lease);
+        lease.held = false;
+        expect(await session.end("done", "late")).toBe(false);
+        expect(stored()).toMatchObject({ state: "open" });
+    });
+
+    it("does not begin behind a higher fencing number", async () => {
+        await begin("e2", 2);
+        await expect(begin("e1", 1)).rejects.toThrow("did not begin");
+    });
+
+    it("goes on after a lost answer, whether the write took effect or not", async () => {
+        const session = await begin("e1", 1);
+        for (const applied of [true, false]) {
+            store.loseWriteAnswers(1, applied);
+            expect(await session.update({})).toBe(applied);
+            expect(session.held()).toBe(true);
+        }
+        expect(await session.end("done", "reached")).toBe(true);
+        expect(await session.end("takenBack", "again")).toBe(false);
+        expect(stored()?.result).toMatchObject({ kind: "done" });
+    });
+});
--- a/test/operators/harness.ts
+++ b/test/operators/harness.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from "node:net";
 import { ConfigurationHolder, ConfigurationLog } from "../../src/configuration/index.js";
 import type { Membership } from "../../src/membership/index.js";
+import { declareMove, listMoves, type Move, MOVES_PREFIX } from "../../src/moves/index.js";
 import { HistogramSet } from "../../src/observability/index.js";
 import { type AcknowledgedVersion, createOperatorHandler } from "../../src/operators/index.js";
 import { StandInStore } from "../../src/standins/index.js";
@@ -95,6 +96,11 @@
         return { status: response.status, body: await response.json() };
     }
 
+    private listMoves(): readonly Move[] {
+        const objects = this.store.keys(MOVES_PREFIX).map(key => this.store.peek(key));
+        return listMoves(new Map(objects.filter(object => object !== undefined).map(object => [object.key, object])));
+    }
+
     private createHandler() {
         const log = ConfigurationLog.create({ store: this.store.client("entry1"), holder: this.holder });
         const silent = (): undefined => undefined;
@@ -112,6 +118,10 @@
             acknowledged: () => this.acknowledged,
             storeAvailable: () => true,
             vmState: vm => (this.gone.has(vm) ? "gone" : "live"),
+            moves: {
+                declare: order => declareMove(this.store.client("entry1"), this.listMoves(), order),
+                list: () => this.listMoves(),
+            },
             report: () => ({
                 entry: "entry1",
                 counters: { "requests.done": 2 },
--- a/test/operators/operators.test.ts
+++ b/test/operators/operators.test.ts
@@ -18,6 +18,31 @@
 const apply = (lists: string, version: number, more: object = {}) =>
     harness.call("POST", "lists", { lists, version, ...more });
 
+const moveOf = (name: string, withinSeconds = 60) => ({ kind: "zone", name, direction: "out", withinSeconds });
+
+describe("moves", () => {
+    it("are declared once: the second operator reads which move is open", async () => {
+        const first = await harness.call("POST", "moves", { ...moveOf("east"), author: "anna" });
+        expect(first).toMatchObject({ status: 200, body: { move: { id: "zone-east-1", state: "open" } } });
+        const second = await harness.call("POST", "moves", { ...moveOf("east"), direction: "back", author: "ben" });
+        const message = expect.stringContaining("move zone-east-1 (zone east out, by anna) is open");
+        expect(second).toMatchObject({ status: 409, body: { error: { kind: "conflict", message } } });
+        expect(await harness.call("POST", "moves", moveOf("west"))).toMatchObject({ status: 200 });
+        const listed = (await harness.call("GET", "moves")).body as { readonly moves: readonly { id: string }[] };
+        expect(listed.moves.map(({ id }) => id)).toEqual(["zone-east-1", "zone-west-1"]);
+        expect(await harness.call("GET", "moves/zone-west-1")).toMatchObject({ body: { move: { name: "west" } } });
+    });
+
+    it("are not declared while the store is down, and may be declared when its answer is lost", async () => {
+        harness.store.setOutage(true);
+        expect(await harness.call("POST", "moves", moveOf("east"))).toMatchObject({ status: 503 });
+        harness.store.setOutage(false);
+        harness.store.loseWriteAnswers(100, false);
+        expect(await harness.call("POST", "moves", moveOf("east"))).toMatchObject({ status: 500 });
+        expect(harness.store.keys("moves/")).toEqual([]);
+    });
+});
+
 describe("refused calls", () => {
     const cases = [
         { fault: "no key", method: "GET", path: "status", headers: { authorization: "" }, status: 401 },
@@ -39,6 +64,16 @@
         { fault: "unknown zone", method: "POST", path: "zones/north", body: { state: "out" }, status: 404 },
         { fault: "unknown service", method: "POST", path: "services/x/traffic", body: { stable: "v1" }, status: 404 },
         { fault: "wrong version", method: "GET", path: "status?version=x", status: 400 },
+        { fault: "move of an unknown zone", method: "POST", path: "moves", body: moveOf("north"), status: 404 },
+        { fault: "move without time", method: "POST", path: "moves", body: moveOf("east", 0), status: 400 },
+        { fault: "unknown move", method: "GET", path: "moves/zone-east-1", status: 404 },
+        {
+            fault: "a move's name as author",
+            method: "POST",
+            path: "zones/east",
+            body: { state: "out", author: "move zone-east-1" },
+            status: 400,
+        },
     ];
 
     it.each(cases)(
