Add version moves judged by sequential tests

A traffic split only limited what a bad version could do; nobody judged it, and nothing took it back.

Ruled out: fixed-size samples (slow for very bad versions), one test over the whole history (a long good start hides a later failure), an absolute failure rate (a fault that hits both versions counts against the new one), and telling counts to every entry (20 KB/s a node at the target size).

Entries count answers by version, route and account and judge the candidate after each answer, by route and in total. An entry that sees it fail stops it and tells the others; the controller sums what the entries tell it, passes steps, and records one result. Open work of zone moves also goes to the controller only, which the stored move now names.

Before: no version moves. Equal faults of both versions were first counted against the new one in steps that leave the old one little traffic; its counts of the step before are now carried over.

Removed in a trial copy, tests failed for: the stop at the entry, slowness, the stable version's rate, its carrying over, the restart of the test, and the minimum of answers for a step.

--- a/src/commandline/moves.ts
+++ b/src/commandline/moves.ts
@@ -5,12 +5,10 @@
 import { ExitCode, formatTable } from "./console.js";
 
 /** What `move` declares. */
-export interface MoveOptions {
-    readonly kind: "zone";
-    readonly name: string;
-    readonly direction: "out" | "back";
-    readonly withinSeconds: number;
-}
+export type MoveOptions = { readonly name: string; readonly withinSeconds: number } & (
+    | { readonly kind: "zone"; readonly direction: "out" | "back" }
+    | { readonly kind: "version"; readonly version: string; readonly share?: number }
+);
 
 /** Time between two looks at a move. */
 const WAIT_INTERVAL_MS = 500;
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -22,6 +22,8 @@
                                                 split a service's traffic between versions
   parsleyrun move zone NAME out|back --within TIME [--wait]
                                                 take a zone out or bring it back by a time, or undo it
+  parsleyrun move version SERVICE VERSION --within TIME [--share F] [--wait]
+                                                bring a version into use in steps, or undo it
   parsleyrun moves                              open moves and results
   parsleyrun report                             counters and durations, merged over the entries named
 
@@ -31,6 +33,7 @@
   --author NAME      who makes a change, for other operators to read
   --wait             wait until a change is in force everywhere
   --within TIME      time by which a move has to end, such as 60s or 10m
+  --share F          share of a new version at first, by default 0.05
   --timeout SECONDS  longest wait, by default 10
   --json             output as JSON
 
@@ -54,6 +57,7 @@
     candidate: { type: "string" },
     fraction: { type: "number" },
     within: { type: "string" },
+    share: { type: "number" },
 } as const;
 
 /** Thrown by the reading of arguments only; its message says what is wrong with them. */
@@ -85,7 +89,7 @@
     });
     const unknown = Object.keys(parsed.flags).filter(flag => !(flag in FLAGS));
     if (unknown.length > 0) throw new UsageError(`unknown option: ${unknown.join(", ")}`);
-    for (const flag of ["timeout", "base", "fraction"] as const) {
+    for (const flag of ["timeout", "base", "fraction", "share"] as const) {
         if (Number.isNaN(parsed.flags[flag])) throw new UsageError(`--${flag} takes a number`);
     }
     return { input: parsed.input, flags: parsed.flags, version: parsed.pkg.version ?? "" };
@@ -136,8 +140,8 @@
             return trafficCommand(contextOf(flags, console), options);
         }
         case "move": {
-            const [kind, name, direction] = takeOperands(command, operands, ["zone", "NAME", "out|back"]);
-            const wanted = { kind: oneOf(kind, ["zone"]), direction: oneOf(direction, ["out", "back"]) };
+            const [kind, name, goal] = takeOperands(command, operands, ["zone|version", "NAME", "out|back|VERSION"]);
+            const wanted = goalOf(oneOf(kind, ["zone", "version"]), goal, flags.share);
             return moveCommand(contextOf(flags, console), { ...wanted, name, withinSeconds: withinOf(flags) });
         }
         case "show":
@@ -179,6 +183,12 @@
     return { version: candidate, fraction };
 }
 
+function goalOf(kind: "zone" | "version", goal: string, share: number | undefined) {
+    if (kind === "version") return { kind, version: goal, ...(share === undefined ? {} : { share }) };
+    if (share !== undefined) throw new UsageError("--share belongs to move version");
+    return { kind, direction: oneOf(goal, ["out", "back"]) };
+}
+
 function withinOf(flags: Arguments["flags"]): number {
     const seconds = parseSeconds(required(flags.within, "--within TIME"));
     if (seconds === undefined) throw new UsageError("--within takes a time such as 60s or 10m");
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -17,8 +17,10 @@
     listOpenWork,
     MoveController,
     MOVES_PREFIX,
-    reportOpenWork,
+    reportToControllers,
+    runVersionMove,
     runZoneMove,
+    type VersionMoveParts,
     type ZoneMoveParts,
 } from "../moves/index.js";
 import {
@@ -216,10 +218,15 @@
     const { name } = settings;
     const sources = statusSources(settings, environment, parts, entry);
     const present = () => directory.current.entries.filter(({ vm }) => vms?.state(vm) !== "gone");
+    const changes = { store, holder, log: ConfigurationLog.create({ store, holder }) };
+    const versionMoves: VersionMoveParts = {
+        ...changes,
+        evidence: service => entry.evidenceOf(service),
+        stopped: (service, version) => entry.stoppedReason(service, version),
+        stop: (service, version, reason) => entry.stopVersion(service, version, reason),
+    };
     const zoneMoves: ZoneMoveParts = {
-        store,
-        holder,
-        log: ConfigurationLog.create({ store, holder }),
+        ...changes,
         slots,
         membership: () => directory.current,
         waitingFor: version => buildStatus(sources, holder.current, version).configuration.waitingFor,
@@ -232,7 +239,10 @@
         incarnation,
         membership: () => directory.current,
         logger,
-        run: session => runZoneMove(zoneMoves, session),
+        run: session => {
+            const { plan } = session.move;
+            return plan.kind === "zone" ? runZoneMove(zoneMoves, session) : runVersionMove(versionMoves, session, plan);
+        },
     });
 }
 
@@ -247,7 +257,7 @@
     const { store } = environment;
     const { name, zone, vm, linkAddress: address } = settings;
     const moves = startMoves(settings, environment, parts, entry);
-    const endReports = reportOpenWork(entry, () => moves.openMoves());
+    const endReports = reportToControllers(entry, () => moves.openMoves());
     const { incarnation, logger, metrics } = parts;
     const member = Member.startEntry(store, { name, zone, vm, address, incarnation });
     logger.info("entry started", { callers: callers.address, links: address, incarnation });
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationHolder } from "../configuration/index.js";
 import { type HelloInit, type Link, type Listener, type Network, Role } from "../link/index.js";
 import type { Directory } from "../membership/index.js";
+import type { SplitEvidence } from "../moves/evidence.js";
 import { createIncarnation, refusedStage, type RequestOutcome } from "../model/index.js";
 import type { DurationRecorder, Metrics, StateLogger } from "../observability/index.js";
 import { type ChooseTarget, chooseByLoad, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
@@ -18,6 +19,7 @@
 import { Suspects } from "./suspects.js";
 import type { TargetLinkContext } from "./targetlink.js";
 import { TargetLinks } from "./targets.js";
+import { VersionTrials, type VersionStop } from "./trials.js";
 
 /** Interval of the links' regular work. */
 const TICK_MS = 1_000;
@@ -57,6 +59,7 @@
     private readonly peers: Peers;
     private readonly suspects: Suspects;
     private readonly openWork = OpenWork.create();
+    private readonly trials: VersionTrials;
     private listener: Listener | undefined;
     private readonly ticker: NodeJS.Timeout;
     private readonly unsubscribe: () => void;
@@ -74,6 +77,13 @@
             logger.info(`target ${target} is ${ejected ? "ejected" : "readmitted"}: ${reason}`);
         });
         this.targets = TargetLinks.start(directory, this.targetContext(), name => health.forget(name));
+        const versions = VersionChooser.create();
+        this.trials = VersionTrials.create({
+            versions,
+            holder: configuration,
+            metrics,
+            onStopped: stop => this.reportStop(stop),
+        });
         this.parts = {
             zone: settings.zone,
             holder: configuration,
@@ -83,7 +93,8 @@
             quarantine,
             health,
             retries: RetryBudgets.create(),
-            versions: VersionChooser.create(),
+            versions,
+            trials: this.trials,
             silence: SilenceLimits.create(),
             chooseTarget: options.chooseTarget ?? chooseByLoad,
             metrics,
@@ -110,6 +121,10 @@
         return entry;
     }
 
+    get name(): string {
+        return this.options.settings.name;
+    }
+
     /** Requests in progress. */
     get openRequests(): number {
         return this.open.size;
@@ -158,8 +173,7 @@
 
     /** Gives a version under trial no further traffic, here and at the other entries. */
     stopVersion(service: string, version: string, reason: string): void {
-        this.parts.versions.stop(service, version);
-        this.peers.notify({ case: "versionStopped", value: { service, version, reason } });
+        this.trials.stop(service, version, reason);
     }
 
     /**
@@ -177,13 +191,31 @@
         return this.openWork.find(entry, incarnation, zone, version);
     }
 
-    /** Tells the other entries this one's open work in zones. Returns how many it was told to. */
-    announceOpenWork(zones: readonly string[]): number {
-        const counts = zones.map(zone => ({ zone, attempts: this.countOpenWork(zone) }));
+    /** Why a version under trial is stopped; undefined when it is not, as far as this entry knows. */
+    stoppedReason(service: string, version: string): string | undefined {
+        return this.trials.stoppedReason(service, version);
+    }
+
+    /** What this entry and those that told it saw of a service's split. */
+    evidenceOf(service: string): readonly SplitEvidence[] {
+        return this.trials.all(service);
+    }
+
+    /** Tells another entry what this one saw of a service's split. */
+    announceEvidence(entry: string, service: string): void {
+        const seen = this.trials.own(service);
+        if (seen === undefined) return;
+        const { incarnation } = this;
+        const routes = seen.routes.map(({ route, candidate, stable }) => ({ route, candidate, stable }));
+        this.peers.notifyOne(entry, { case: "versionEvidence", value: { ...seen, routes, incarnation } });
+    }
+
+    /** Tells another entry this one's open work in a zone. */
+    announceOpenWork(entry: string, zone: string): void {
+        const zones = [{ zone, attempts: this.countOpenWork(zone) }];
         const configurationVersion = this.options.configuration.current.version;
-        const value = { incarnation: this.incarnation, configurationVersion, zones: counts };
-        this.peers.notify({ case: "openWork", value });
-        return this.peers.names.length;
+        const value = { incarnation: this.incarnation, configurationVersion, zones };
+        this.peers.notifyOne(entry, { case: "openWork", value });
     }
 
     /** Planned stop: refuses new requests, finishes open ones, then closes. */
@@ -251,6 +283,7 @@
 
     private startPeers(quarantine: Quarantine): Peers {
         const { network, configuration, directory, logger, metrics, settings } = this.options;
+        const { trials } = this;
         return Peers.start({
             network,
             holder: configuration,
@@ -263,6 +296,7 @@
             seeds: settings.peers,
             onNotice: (peer, notice) => this.takeNotice(peer, notice),
             greeting: function* () {
+                for (const stop of trials.currentStops()) yield { case: "versionStopped", value: stop };
                 for (const { fingerprint, losses, remainingMilliseconds } of quarantine.ownLosses()) {
                     yield { case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } };
                 }
@@ -280,7 +314,9 @@
             const { fingerprint, deaths, remainingMilliseconds } = notice.value;
             this.parts.quarantine.reported(peer, fingerprint, deaths, remainingMilliseconds);
         } else if (notice.case === "versionStopped") {
-            this.parts.versions.stop(notice.value.service, notice.value.version);
+            this.trials.takeStop(notice.value);
+        } else if (notice.case === "versionEvidence") {
+            this.trials.takeEvidence(peer, notice.value);
         } else if (notice.case === "openWork") {
             this.openWork.take(peer, notice.value);
         }
@@ -292,7 +328,15 @@
         this.peers.notify({ case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } });
     }
 
+    private reportStop(stop: VersionStop): void {
+        const { service, version, reason } = stop;
+        this.options.metrics.increment("version.stopped", 1, { service, version });
+        this.options.logger.warn(`version ${version} of ${service} is stopped: ${reason}`);
+        this.peers.notify({ case: "versionStopped", value: stop });
+    }
+
     private configurationChanged(): void {
+        this.trials.configure();
         this.peers.configurationChanged();
         for (const link of this.targets.all()) link.configurationChanged();
     }
--- a/src/entry/peers.ts
+++ b/src/entry/peers.ts
@@ -115,6 +115,11 @@
         for (const { link } of this.links.values()) link.send({ case: "peerNotice", value: { notice } });
     }
 
+    /** Sends a notice to one entry, if it is linked. */
+    notifyOne(name: string, notice: PeerNoticeInit): void {
+        this.links.get(name)?.link.send({ case: "peerNotice", value: { notice } });
+    }
+
     /** Sends the newest configuration. */
     configurationChanged(): void {
         for (const { exchange } of this.links.values()) exchange.sendNewer();
--- a/src/entry/run.ts
+++ b/src/entry/run.ts
@@ -16,6 +16,7 @@
 import type { ChooseTarget, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
 import type { SilenceLimits } from "./silence.js";
 import type { TargetLinks } from "./targets.js";
+import type { VersionTrials } from "./trials.js";
 
 /** A caller's request. */
 export interface CallerRequest {
@@ -48,6 +49,7 @@
     readonly health: Health;
     readonly retries: RetryBudgets;
     readonly versions: VersionChooser;
+    readonly trials: VersionTrials;
     readonly silence: SilenceLimits;
     readonly chooseTarget: ChooseTarget;
     readonly metrics: Metrics;
--- a/src/entry/stage.ts
+++ b/src/entry/stage.ts
@@ -131,6 +131,9 @@
         const outcome = this.check(await attempt.outcome);
         const reason = "reason" in outcome ? outcome.reason : "";
         this.request.countAttempt(this.stage, version, outcome.kind, reason);
+        // A resumed attempt does part of the work, and a cold target's time is not its version's.
+        const comparable = !resumed && !target.cold;
+        this.recordForTrial(version, outcome, comparable ? performance.now() - startedAt : undefined);
         if (outcome.kind === "completed") {
             this.countSuccess(target, resumed ? undefined : performance.now() - startedAt);
             return { kind: "completed", output: parseOutput(outcome.output)?.value };
@@ -138,6 +141,16 @@
         return this.judge(target, outcome);
     }
 
+    private recordForTrial(version: string, outcome: AttemptOutcome, milliseconds: number | undefined): void {
+        const { request, stage } = this;
+        const verdict = judgeForTrial(outcome);
+        if (verdict === undefined) return;
+        const { service, name } = stage;
+        const answer = { service, version, route: request.pipeline.name, stage: name, account: request.account.name };
+        const timed = verdict === "answered" && milliseconds !== undefined ? { milliseconds } : {};
+        request.parts.trials.record({ ...answer, failed: verdict === "failed", ...timed });
+    }
+
     private send(target: TargetLink): Attempt | undefined {
         const { request, stage, tokens } = this;
         const key = `${stage.service}/${stage.operation}`;
@@ -262,3 +275,22 @@
         return parts.targets.usable(this.stage.service, parts.holder).map(target => target.name);
     }
 }
+
+/** What an attempt says about its version; undefined when it says nothing. */
+function judgeForTrial(outcome: AttemptOutcome): "answered" | "failed" | undefined {
+    switch (outcome.kind) {
+        case "completed":
+            return "answered";
+        case "refused":
+            return undefined;
+        case "abandoned":
+            // The caller's deadline passed while the version worked: as good as no answer.
+            return outcome.cause === "deadline" ? "failed" : undefined;
+        case "failed":
+            return ["rejectedByService", "cancelled", "quarantined"].includes(outcome.reason) ? undefined : "failed";
+        case "lost":
+        case "silent":
+        case "unknown":
+            return "failed";
+    }
+}
--- a/src/moves/declaration.ts
+++ b/src/moves/declaration.ts
@@ -73,7 +73,7 @@
 }
 
 function createMove(order: MoveOrder, number: number): Move {
-    const initial = { state: "open", reason: "", fencing: 0, elapsedMilliseconds: 0 } as const;
+    const initial = { state: "open", step: 0, reason: "", fencing: 0, controller: "", elapsedMilliseconds: 0 } as const;
     return { ...order, ...initial, number, declaration: createRequestId(), writeId: createRequestId() };
 }
 
--- a/src/moves/index.ts
+++ b/src/moves/index.ts
@@ -3,4 +3,6 @@
 export * from "./move.js";
 export { MoveSession } from "./session.js";
 export { runZoneMove, type EntryWork, type ZoneMoveParts } from "./zonemove.js";
-export { listOpenWork, reportOpenWork, type WorkCounter } from "./work.js";
+export * from "./evidence.js";
+export { runVersionMove, type VersionMoveParts } from "./versionmove.js";
+export { listOpenWork, type MoveReporter, reportToControllers, type WorkCounter } from "./work.js";
--- a/src/moves/move.ts
+++ b/src/moves/move.ts
@@ -27,6 +27,14 @@
         /** State of the zone when the move was declared, which taking back restores. */
         before: z.enum(["in", "out"]),
     }),
+    z.object({
+        kind: z.literal("version"),
+        version: z.string(),
+        /** The new version's share at the first step. */
+        share: z.number().positive().max(1),
+        /** The stable version when the move was declared, which taking back restores. */
+        before: z.string(),
+    }),
 ]);
 
 const moveSchema = z.object({
@@ -43,10 +51,14 @@
     /** Version of the configuration when the move was declared; the move's own changes are later ones. */
     baseVersion: z.int().min(0),
     state: z.enum(["open", "takingBack", "ended"]),
+    /** Step of a version move, from 0. */
+    step: z.int().min(0),
     /** Why the move is being taken back. */
     reason: z.string(),
     /** Fencing number of the controller that wrote this; 0 before the first one. */
     fencing: z.int().min(0),
+    /** Entry that wrote this; empty before the first one. The others tell it what it needs. */
+    controller: z.string(),
     /** Time since acceptance when this was written, in milliseconds. */
     elapsedMilliseconds: z.number().min(0),
     /** Unique for each write, so that a write whose answer was lost can be recognised. */
--- a/src/moves/session.ts
+++ b/src/moves/session.ts
@@ -12,6 +12,8 @@
 /** The part of a lease that a session needs. */
 export interface HeldLease {
     readonly fencing: number;
+    /** Name of the entry. */
+    readonly holder: string;
     held(): boolean;
 }
 
@@ -100,11 +102,18 @@
     }
 
     /** Writes a change of the move. Returns false when it is not stored; the caller then looks whether it still holds. */
-    async update(change: Partial<Pick<Move, "state" | "reason" | "result">>): Promise<boolean> {
+    async update(change: Partial<Pick<Move, "state" | "step" | "reason" | "result">>): Promise<boolean> {
         if (!this.held() || this.current.state === "ended") return false;
         const elapsedMilliseconds = Math.round(this.elapsed);
-        const { fencing } = this.lease;
-        const next = { ...this.current, ...change, fencing, elapsedMilliseconds, writeId: createRequestId() };
+        const { fencing, holder: controller } = this.lease;
+        const next = {
+            ...this.current,
+            ...change,
+            fencing,
+            controller,
+            elapsedMilliseconds,
+            writeId: createRequestId(),
+        };
         const outcome = await this.store.write(moveKey(next), encodeMove(next), this.version);
         const version = outcome.kind === "written" ? outcome.version : await this.resolve(next, outcome.kind);
         if (version === undefined) return false;
--- a/src/moves/work.ts
+++ b/src/moves/work.ts
@@ -1,31 +1,34 @@
-/** Open work in zones that go out of service: each entry counts its own and tells the others while a move is open. */
+/**
+ * What the controller of a move needs of the other entries: open work in a zone that goes out, and what they saw of a
+ * version under trial. Each entry tells it to the controller that the stored move names, while the move is open.
+ */
 import type { EntryMember } from "../membership/index.js";
 import type { Move } from "./move.js";
 import type { EntryWork } from "./zonemove.js";
 
-/** The part of an entry that counts and tells open work. */
+/** The part of an entry that counts and tells. */
+export interface MoveReporter {
+    readonly name: string;
+    announceOpenWork(controller: string, zone: string): void;
+    announceEvidence(controller: string, service: string): void;
+}
+
+/** The part of an entry that knows open work. */
 export interface WorkCounter {
     countOpenWork(zone: string): number;
     openWorkOf(entry: string, incarnation: string, zone: string, version: number): number | undefined;
-    /** Returns the number of entries that were told. */
-    announceOpenWork(zones: readonly string[]): number;
 }
 
 const INTERVAL_MS = 1_000;
 
-/** Time for each entry that is told; keeps 350 entries at 40 messages a second each. */
-const INTERVAL_PER_PEER_MS = 25;
-
-/** Tells the other entries the open work in the zones of open moves. Returns a function that ends this. */
-export function reportOpenWork(counter: WorkCounter, openMoves: () => readonly Move[]): () => void {
-    let told = 0;
-    let toldAt = -Infinity;
+/** Tells the controllers of open moves what they need, once a second. Returns a function that ends this. */
+export function reportToControllers(reporter: MoveReporter, openMoves: () => readonly Move[]): () => void {
     const timer = setInterval(() => {
-        const leaving = openMoves().filter(({ plan }) => plan.kind === "zone" && plan.direction === "out");
-        if (leaving.length === 0) return;
-        if (performance.now() - toldAt < told * INTERVAL_PER_PEER_MS) return;
-        toldAt = performance.now();
-        told = counter.announceOpenWork(leaving.map(({ subject }) => subject));
+        for (const { plan, subject, controller } of openMoves()) {
+            if (controller === "" || controller === reporter.name) continue;
+            if (plan.kind === "version") reporter.announceEvidence(controller, subject);
+            else if (plan.direction === "out") reporter.announceOpenWork(controller, subject);
+        }
     }, INTERVAL_MS);
     return () => {
         clearInterval(timer);
--- a/src/operators/message.ts
+++ b/src/operators/message.ts
@@ -107,8 +107,8 @@
 /** A move in an answer. */
 export interface MoveBody {
     readonly id: string;
-    readonly kind: "zone";
-    /** The zone. */
+    readonly kind: "zone" | "version";
+    /** The zone or service. */
     readonly name: string;
     /** What was declared, in words. */
     readonly order: string;
--- a/src/operators/moves.ts
+++ b/src/operators/moves.ts
@@ -1,6 +1,7 @@
 /** Moves that operators declare and look at. */
 import { z } from "zod";
-import { type DeclareOutcome, type Move, moveId, type MoveOrder } from "../moves/index.js";
+import type { TrafficSplit } from "../model/index.js";
+import { type DeclareOutcome, type Move, moveId, type MoveOrder, type MovePlan } from "../moves/index.js";
 import { type ChangeContext, nameSchema, authorSchema } from "./change.js";
 import type { MoveBody, OperatorError } from "./message.js";
 import { knownZones } from "./status.js";
@@ -32,42 +33,104 @@
 /** Ended moves in a list. */
 const LISTED_ENDED = 50;
 
+/** First share of a new version; what a bad one may cost until it is seen. */
+const DEFAULT_SHARE = 0.05;
+
+/** Highest first share. */
+const HIGHEST_SHARE = 0.5;
+
+const common = { name: nameSchema, withinSeconds: z.number().min(SHORTEST_SECONDS).max(LONGEST_SECONDS) };
+
 /** Body of `POST moves`. */
-export const moveRequestSchema = z.strictObject({
-    kind: z.literal("zone"),
-    name: nameSchema,
-    direction: z.enum(["out", "back"]),
-    withinSeconds: z.number().min(SHORTEST_SECONDS).max(LONGEST_SECONDS),
-    author: authorSchema,
-});
+export const moveRequestSchema = z.discriminatedUnion("kind", [
+    z.strictObject({
+        kind: z.literal("zone"),
+        ...common,
+        direction: z.enum(["out", "back"]),
+        author: authorSchema,
+    }),
+    z.strictObject({
+        kind: z.literal("version"),
+        ...common,
+        version: nameSchema,
+        share: z.number().positive().max(HIGHEST_SHARE).default(DEFAULT_SHARE),
+        author: authorSchema,
+    }),
+]);
+
+type MoveRequest = z.infer<typeof moveRequestSchema>;
 
 /** Declares a move. */
-export async function declareMoveRequest(
-    context: MoveContext,
-    request: z.infer<typeof moveRequestSchema>,
-): Promise<MoveOutcome> {
-    const { holder, directory, ready, moves } = context;
+export async function declareMoveRequest(context: MoveContext, request: MoveRequest): Promise<MoveOutcome> {
+    const { holder, ready, moves } = context;
     if (!ready()) {
         const message = "this entry has not confirmed its first configuration yet; nothing was declared";
         return failed({ kind: "starting", message, next: "try again shortly, or ask another entry" });
     }
-    const current = holder.current;
-    const zones = knownZones(directory.current, current);
-    if (!zones.includes(request.name)) {
-        const next = `name one of: ${zones.join(", ") || "(no zones are known yet)"}`;
-        return failed({ kind: "notFound", message: `zone "${request.name}" is not known`, next });
-    }
-    const before = current.zoneInService(request.name) ? "in" : "out";
+    const { version: baseVersion } = holder.current;
+    const planned = request.kind === "zone" ? planZone(context, request) : planVersion(context, request);
+    if (planned.kind === "error") return planned;
     const outcome = await moves.declare({
         subject: request.name,
-        plan: { kind: "zone", direction: request.direction, before },
+        plan: planned.plan,
         doneByMilliseconds: request.withinSeconds * 1_000,
         author: request.author,
-        baseVersion: current.version,
+        baseVersion,
     });
     return toMoveOutcome(outcome);
 }
 
+type Planned = { readonly kind: "planned"; readonly plan: MovePlan } | Extract<MoveOutcome, { kind: "error" }>;
+
+function planZone(
+    { directory, holder }: MoveContext,
+    { name, direction }: Extract<MoveRequest, { kind: "zone" }>,
+): Planned {
+    const current = holder.current;
+    const zones = knownZones(directory.current, current);
+    if (!zones.includes(name)) {
+        const next = `name one of: ${zones.join(", ") || "(no zones are known yet)"}`;
+        return failed({ kind: "notFound", message: `zone "${name}" is not known`, next });
+    }
+    return { kind: "planned", plan: { kind: "zone", direction, before: current.zoneInService(name) ? "in" : "out" } };
+}
+
+function planVersion(
+    { holder }: MoveContext,
+    { name, version, share }: Extract<MoveRequest, { kind: "version" }>,
+): Planned {
+    const service = holder.current.find("service", name);
+    if (service === undefined) {
+        return failed({ kind: "notFound", message: `service "${name}" is not known`, next: "look at parsleyrun show" });
+    }
+    const split = holder.current.find("traffic", name);
+    const fault = findFault(service.slots, split, version);
+    if (fault !== undefined) return failed({ kind: "badRequest", ...fault });
+    return { kind: "planned", plan: { kind: "version", version, share, before: split?.stable ?? "" } };
+}
+
+/** What speaks against a move of a service to a version. */
+function findFault(
+    slots: number,
+    split: TrafficSplit | undefined,
+    version: string,
+): { readonly message: string; readonly next: string } | undefined {
+    if (slots > 0) {
+        const message = "slots of a service stay with their owners whatever their version, so no share can be kept";
+        return { message, next: "replace its targets zone by zone (parsleyrun move zone)" };
+    }
+    if (split === undefined) {
+        const message = "the service has no stable version to compare with";
+        return { message, next: "set it with parsleyrun traffic SERVICE --stable VERSION" };
+    }
+    if (split.candidate !== undefined) {
+        const message = `version "${split.candidate.version}" is already under trial`;
+        return { message, next: "end that trial with parsleyrun traffic SERVICE --stable VERSION" };
+    }
+    if (split.stable !== version) return undefined;
+    return { message: `version "${version}" is already the stable one`, next: "name another version" };
+}
+
 /** Open moves and the newest ended ones. */
 export function listMoveBodies(desk: MoveDesk): readonly MoveBody[] {
     const moves = desk.list().map(describeMove);
@@ -114,7 +177,7 @@
         id: moveId(move),
         kind: plan.kind,
         name: subject,
-        order: `zone ${subject} ${plan.direction}`,
+        order: describeOrder(move),
         author,
         state,
         withinSeconds: doneByMilliseconds / 1_000,
@@ -124,6 +187,10 @@
     };
 }
 
-function failed(error: OperatorError): MoveOutcome {
+function describeOrder({ plan, subject }: Move): string {
+    return plan.kind === "zone" ? `zone ${subject} ${plan.direction}` : `version ${subject} ${plan.version}`;
+}
+
+function failed(error: OperatorError): Extract<MoveOutcome, { kind: "error" }> {
     return { kind: "error", error };
 }
--- a/src/routing/version.ts
+++ b/src/routing/version.ts
@@ -51,6 +51,11 @@
         this.stopped.set(service, version);
     }
 
+    /** Ends a stop. */
+    release(service: string): void {
+        this.stopped.delete(service);
+    }
+
     private activeCandidate(service: string, split: TrafficSplit): TrafficSplit["candidate"] {
         const stopped = this.stopped.get(service);
         if (stopped === undefined) return split.candidate;
--- a/test/commandline/commandline.test.ts
+++ b/test/commandline/commandline.test.ts
@@ -58,12 +58,21 @@
             argv: ["traffic", "encode", "--stable", "v1", "--candidate", "v2", "--entry", "127.0.0.1:1", "--key", KEY],
             message: "given together",
         },
-        { fault: "unknown kind of move", argv: ["move", "rack", "r1", "out"], message: "rack is not one of: zone" },
+        {
+            fault: "unknown kind of move",
+            argv: ["move", "rack", "r1", "out"],
+            message: "rack is not one of: zone, version",
+        },
         {
             fault: "move without time",
             argv: ["move", "zone", "east", "out", "--entry", "127.0.0.1:1", "--key", KEY],
             message: "--within TIME is required",
         },
+        {
+            fault: "zone move with a share",
+            argv: ["move", "zone", "east", "out", "--share", "0.1", "--entry", "127.0.0.1:1", "--key", KEY],
+            message: "--share belongs to move version",
+        },
         {
             fault: "move with a wrong time",
             argv: ["move", "zone", "east", "out", "--within", "soon", "--entry", "127.0.0.1:1", "--key", KEY],
--- a/test/moves/deployment.test.ts
+++ b/test/moves/deployment.test.ts
@@ -33,9 +33,16 @@
     return entry;
 }
 
-async function startAgent(store: StandInStore, network: MemoryNetwork, service: string, zone: string) {
-    const more = { service, version: "v1", targetAddress: "127.0.0.1:1" };
-    const settings = agentSettingsSchema.parse({ ...common(`${service}-${zone}`, zone), ...more });
+async function startAgent(
+    store: StandInStore,
+    network: MemoryNetwork,
+    service: string,
+    zone: string,
+    version = "v1",
+    prepare: (engine: StandInEngine) => void = () => undefined,
+) {
+    const more = { service, version, targetAddress: "127.0.0.1:1" };
+    const settings = agentSettingsSchema.parse({ ...common(`${service}-${zone}-${version}`, zone), ...more });
     const engine = StandInEngine.create({
         operations: service === "book" ? ["stock", "book"] : [service],
         nonIdempotent: service === "book" ? ["book"] : [],
@@ -44,6 +51,7 @@
         timePerCall: service === "generate" ? 1_500 : 2,
         startsCold: false,
     });
+    prepare(engine);
     const own = network.at(settings.linkAddress);
     const agent = await composeAgent(settings, { network: own, store: store.client(settings.name), engine });
     closers.push(() => agent.stop());
@@ -87,7 +95,7 @@
         }
         await until(() => store.keys("members/").length === 12);
         await until(async () => (await operate(first, "apply", "examples/lists.yaml", "--wait")).code === 0);
-        const east = agents.filter(({ name }) => name.endsWith("-east"));
+        const east = agents.filter(({ name }) => name.endsWith("-east-v1"));
         const slots = () => east.reduce((sum, { agent }) => sum + agent.ownedSlots.length, 0);
         await until(() => slots() === 32);
         await until(async () => (await ask(first, "dispatch-plan", "warm")) === 200);
@@ -123,3 +131,39 @@
         expect(entry.holder.current.zoneInService("east")).toBe(true);
     });
 });
+
+describe("a version move in a deployment", () => {
+    it.each([
+        { fault: "errors", prepare: (engine: StandInEngine) => engine.setFailFraction(0.7) },
+        { fault: "truncated answers", prepare: (engine: StandInEngine) => engine.truncateNext(10_000) },
+    ])("is taken back because of $fault, and callers get their answers", async ({ prepare }) => {
+        const store = StandInStore.create();
+        const network = MemoryNetwork.create();
+        const first = await startEntry(store, network, "entry-1", "east");
+        const second = await startEntry(store, network, "entry-2", "west");
+        for (const service of SERVICES) await startAgent(store, network, service, "east");
+        await startAgent(store, network, "retrieve", "west");
+        await startAgent(store, network, "retrieve", "west", "v2", prepare);
+        await until(() => store.keys("members/").length === 9);
+        await until(async () => (await operate(first, "apply", "examples/lists.yaml", "--wait")).code === 0);
+        const traffic = ["traffic", "retrieve", "--stable", "v1", "--wait"];
+        expect(await operate(first, ...traffic)).toMatchObject({ code: 0 });
+        await until(async () => (await ask(first, "dispatch-plan", "warm")) === 200);
+
+        let running = true;
+        const statuses: number[] = [];
+        const load = [first, second].map(async entry => {
+            for (let number = 0; running && number < 2_000; number += 1) {
+                const asked = Array.from({ length: 4 }, (_, each) => ask(entry, "stock-check", `k${number}-${each}`));
+                statuses.push(...(await Promise.all(asked)));
+            }
+        });
+        const declared = ["move", "version", "retrieve", "v2", "--within", "40s", "--share", "0.5", "--wait"];
+        const moved = await operate(second, ...declared);
+        running = false;
+        await Promise.all(load);
+        expect(moved).toMatchObject({ code: 1, text: expect.stringMatching(/v2 fails at 50%: .* answers failed/) });
+        expect(first.holder.current.find("traffic", "retrieve")).toEqual({ service: "retrieve", stable: "v1" });
+        expect(statuses.filter(status => status !== 200).length).toBeLessThan(statuses.length / 10);
+    });
+});
--- a/test/moves/harness.ts
+++ b/test/moves/harness.ts
@@ -15,8 +15,13 @@
     moveId,
     type MovePlan,
     MOVES_PREFIX,
+    reportToControllers,
+    runVersionMove,
     runZoneMove,
 } from "../../src/moves/index.js";
+import { VersionTrials } from "../../src/entry/trials.js";
+import type { VersionEvidence, VersionStopped } from "../../src/link/index.js";
+import { VersionChooser } from "../../src/routing/index.js";
 import { StandInStore } from "../../src/standins/index.js";
 import { type Store, StoreView } from "../../src/store/index.js";
 
@@ -58,6 +63,15 @@
     }
 }
 
+/** What a request comes to. */
+export interface Answer {
+    readonly failed: boolean;
+    readonly milliseconds: number;
+}
+
+/** How versions behave. */
+export type Behaviour = (request: { version: string; route: string; share: number; second: number }) => Answer;
+
 interface FleetEntry {
     readonly name: string;
     readonly client: PausableClient;
@@ -65,6 +79,8 @@
     readonly log: ConfigurationLog;
     readonly view: StoreView;
     readonly controller: MoveController;
+    readonly versions: VersionChooser;
+    readonly trials: VersionTrials;
     readonly stop: () => void;
 }
 
@@ -77,6 +93,12 @@
     work: EntryWork[] = [];
     /** Owner of the only slot. */
     slotOwner = "book-west";
+    /** Highest excess of a candidate over its share of the requests of one entry, in requests. */
+    excess = 0;
+    /** When an entry first stopped a version, and when the last request went to a candidate. */
+    stoppedAt: number | undefined;
+    lastCandidateAt = 0;
+    private traffic: NodeJS.Timeout | undefined;
     /** Every different result that was seen in the store, by move. */
     readonly results = new Map<string, Set<string>>();
     private readonly agent = { service: "book", version: "v1", vm: "vm", address: "127.0.0.1:1", incarnation: "i" };
@@ -92,6 +114,7 @@
     }
 
     end(): void {
+        clearInterval(this.traffic);
         for (const entry of this.entries) entry.stop();
     }
 
@@ -151,6 +174,50 @@
         if ((await accepting).kind !== "accepted") throw new Error("the change was not accepted");
     }
 
+    declareVersion(version: string, doneByMilliseconds = 60_000, share = 0.05) {
+        const plan = { kind: "version", version, share, before: "v1" } as const;
+        return this.declare(plan, doneByMilliseconds, this.first, "operator", "generate");
+    }
+
+    /** Requests at every entry in turn, each 10 ms, on two routes. */
+    startTraffic(behave: Behaviour): void {
+        const start = performance.now();
+        const sent = new Map<string, { total: number; candidate: number }>();
+        let number = 0;
+        this.traffic = setInterval(() => {
+            number += 1;
+            const second = (performance.now() - start) / 1_000;
+            const route = number % 3 === 0 ? "small" : "large";
+            for (const entry of this.entries) {
+                if (!this.ended.has(entry.controller)) this.request(entry, route, second, behave, sent);
+            }
+        }, 10);
+    }
+
+    private request(
+        { name, holder, versions, trials }: FleetEntry,
+        route: string,
+        second: number,
+        behave: Behaviour,
+        sent: Map<string, { total: number; candidate: number }>,
+    ): void {
+        const split = holder.current.find("traffic", "generate");
+        const version = versions.allowed("generate", split)?.[0] ?? "v1";
+        versions.sent("generate", split, version);
+        const share = split?.candidate?.fraction ?? 0;
+        const key = `${name}/${share}`;
+        const counts = sent.get(key) ?? { total: 0, candidate: 0 };
+        sent.set(key, counts);
+        counts.total += 1;
+        if (version === split?.candidate?.version) {
+            counts.candidate += 1;
+            this.lastCandidateAt = performance.now();
+        }
+        this.excess = Math.max(this.excess, counts.candidate - share * counts.total);
+        const answer = { service: "generate", stage: "generate", account: "kettleby", version, route };
+        trials.record({ ...answer, ...behave({ version, route, share, second }) });
+    }
+
     setZone(author: string, state: "in" | "out"): Promise<void> {
         return this.change(author, { kind: "zone", name: "east", value: { name: "east", state } });
     }
@@ -176,6 +243,10 @@
 
     private readonly ended = new Set<MoveController>();
 
+    private others(name: string): readonly FleetEntry[] {
+        return this.entries.filter(entry => entry.name !== name && !this.ended.has(entry.controller));
+    }
+
     private startEntry(name: string): FleetEntry {
         const client = new PausableClient(this.store.client(name));
         const { store } = client;
@@ -183,6 +254,19 @@
         const log = ConfigurationLog.create({ store, holder });
         const feed = ConfigurationFeed.start({ store, holder });
         const view = StoreView.start({ store, prefix: MOVES_PREFIX });
+        const versions = VersionChooser.create();
+        const trials = VersionTrials.create({
+            versions,
+            holder,
+            metrics: { increment: silent },
+            onStopped: stop => {
+                this.stoppedAt ??= performance.now();
+                for (const other of this.others(name)) other.trials.takeStop(stop as VersionStopped);
+            },
+        });
+        holder.subscribe(() => {
+            trials.configure();
+        });
         const entries = ["e1", "e2", "e3"].map(each => ({ ...this.agent, name: each, zone: "west" }));
         const targets = ["east", "west"].map(zone => ({ ...this.agent, name: `book-${zone}`, zone }));
         const owner = { incarnation: "i", epoch: 1, journals: [] };
@@ -194,6 +278,11 @@
             membership: () => ({ entries, targets }),
             waitingFor: () => this.waiting,
             openWork: () => this.work,
+            evidence: (service: string) => trials.all(service),
+            stopped: (service: string, version: string) => trials.stoppedReason(service, version),
+            stop: (service: string, version: string, reason: string) => {
+                trials.stop(service, version, reason);
+            },
         };
         const controller = MoveController.start({
             store,
@@ -202,14 +291,29 @@
             incarnation: name,
             membership: parts.membership,
             logger: { debug: silent, info: silent, warn: silent, error: silent },
-            run: session => runZoneMove(parts, session),
+            run: session => {
+                const { plan } = session.move;
+                return plan.kind === "zone" ? runZoneMove(parts, session) : runVersionMove(parts, session, plan);
+            },
         });
+        const reporter = {
+            name,
+            announceOpenWork: silent,
+            announceEvidence: (to: string, service: string): void => {
+                const own = trials.own(service);
+                const told = { ...own, incarnation: name } as unknown as VersionEvidence;
+                const receiver = this.others(name).find(each => each.name === to);
+                if (own !== undefined) receiver?.trials.takeEvidence(name, told);
+            },
+        };
+        const endReports = reportToControllers(reporter, () => controller.openMoves());
         const stop = (): void => {
+            endReports();
             this.ended.add(controller);
             controller.kill();
             view.stop();
             feed.stop();
         };
-        return { name, client, holder, log, view, controller, stop };
+        return { name, client, holder, log, view, controller, versions, trials, stop };
     }
 }
--- a/test/moves/session.test.ts
+++ b/test/moves/session.test.ts
@@ -16,7 +16,7 @@
 });
 
 async function begin(name: string, fencing: number, lease = { held: true }): Promise<MoveSession> {
-    const held = { fencing, held: () => lease.held };
+    const held = { fencing, holder: name, held: () => lease.held };
     const session = await MoveSession.begin(store.client(name), held, MoveClock.create(), KEY);
     if (session === undefined) throw new Error("the session did not begin");
     return session;
--- a/test/operators/operators.test.ts
+++ b/test/operators/operators.test.ts
@@ -33,6 +33,25 @@
         expect(await harness.call("GET", "moves/zone-west-1")).toMatchObject({ body: { move: { name: "west" } } });
     });
 
+    it("to a version need a stable version to compare with, no other trial and no slots", async () => {
+        await apply(LISTS, 0);
+        const declare = (name: string, version: string) =>
+            harness.call("POST", "moves", { kind: "version", name, version, withinSeconds: 60 });
+        const split = (body: object) => harness.call("POST", "services/encode/traffic", body);
+        const refused = async (name: string, version: string, message: string): Promise<void> => {
+            const expected = { error: { kind: "badRequest", message: expect.stringContaining(message) } };
+            expect(await declare(name, version)).toMatchObject({ status: 400, body: expected });
+        };
+        await refused("book", "v2", "slots of a service stay");
+        await refused("encode", "v2", "no stable version");
+        await split({ stable: "v1", candidate: { version: "v3", fraction: 0.1 } });
+        await refused("encode", "v2", '"v3" is already under trial');
+        await split({ stable: "v1" });
+        await refused("encode", "v1", "already the stable one");
+        const move = { id: "version-encode-1", order: "version encode v2" };
+        expect(await declare("encode", "v2")).toMatchObject({ status: 200, body: { move } });
+    });
+
     it("are not declared while the store is down, and may be declared when its answer is lost", async () => {
         harness.store.setOutage(true);
         expect(await harness.call("POST", "moves", moveOf("east"))).toMatchObject({ status: 503 });
@@ -66,6 +85,20 @@
         { fault: "wrong version", method: "GET", path: "status?version=x", status: 400 },
         { fault: "move of an unknown zone", method: "POST", path: "moves", body: moveOf("north"), status: 404 },
         { fault: "move without time", method: "POST", path: "moves", body: moveOf("east", 0), status: 400 },
+        {
+            fault: "version move of an unknown service",
+            method: "POST",
+            path: "moves",
+            body: { kind: "version", name: "x", version: "v2", withinSeconds: 60 },
+            status: 404,
+        },
+        {
+            fault: "version move with too high a share",
+            method: "POST",
+            path: "moves",
+            body: { kind: "version", name: "encode", version: "v2", withinSeconds: 60, share: 0.6 },
+            status: 400,
+        },
         { fault: "unknown move", method: "GET", path: "moves/zone-east-1", status: 404 },
         {
             fault: "a move's name as author",
