Test that a stop at any entry takes a version move back

The removal of the controller's look at stops went unnoticed, because the sums over all entries showed the same failure.

Ruled out: relying on the sums alone, since an entry's own test can fail while its tests at the controller are in another run.

A test now stops the version at an entry that is not the controller.

Before: npx vitest run test/moves/versionmove.test.ts passed without the look. After: it fails without it.

--- a/test/moves/versionmove.test.ts
+++ b/test/moves/versionmove.test.ts
@@ -106,6 +106,17 @@
         expect(fleet.move().result?.reason).toMatch(/answers failed/);
     });
 
+    it("is taken back at once when any entry stops the version, whatever the sum over all entries says", async () => {
+        fleet.startTraffic(behaviour(() => answer(0)));
+        await declared();
+        await fleet.advance(2_000);
+        const holder = fleet.holderOf();
+        fleet.entries.find(entry => entry !== holder)?.trials.stop("generate", "v2", "route small: seen here");
+        await fleet.advance(1_000);
+        expectOneResult("takenBack");
+        expect(fleet.move().result?.reason).toBe("version v2 fails at 5%: route small: seen here");
+    });
+
     it("does not count a fault that hits both versions against the new one", async () => {
         let failing = false;
         fleet.startTraffic(() => answer(failing ? 0.2 : 0.003));
