--- a/src/commandline/client.ts
+++ b/src/commandline/client.ts
@@ -4,6 +4,8 @@
 import {
     type ChangeResult,
     type ConfigurationBody,
+    type DeclaredBody,
+    type MovesBody,
     OPERATOR_PREFIX,
     type OperatorError,
     type ReportBody,
@@ -58,6 +60,18 @@
         return this.call("POST", `services/${encodeURIComponent(service)}/traffic`, body);
     }
 
+    declareMove(body: object): Promise<CallOutcome<DeclaredBody>> {
+        return this.call("POST", "moves", body);
+    }
+
+    move(id: string): Promise<CallOutcome<DeclaredBody>> {
+        return this.call("GET", `moves/${encodeURIComponent(id)}`);
+    }
+
+    moves(): Promise<CallOutcome<MovesBody>> {
+        return this.call("GET", "moves");
+    }
+
     /** The report of each entry. */
     reports(): Promise<readonly CallOutcome<ReportBody>[]> {
         return Promise.all(this.entries.map(entry => send<ReportBody>(entry, this.key, "GET", "report")));
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -5,6 +5,7 @@
 import type { CommandContext } from "./command.js";
 import { type Console, ExitCode } from "./console.js";
 import { checkSettingsCommand, daemonCommand } from "./daemons.js";
+import { moveCommand, movesCommand, parseSeconds } from "./moves.js";
 import { reportCommand } from "./report.js";
 import { showCommand, statusCommand } from "./views.js";
 
@@ -20,6 +21,11 @@
   parsleyrun zone NAME out|back [--wait]        take a zone out of service or bring it back
   parsleyrun traffic SERVICE --stable VERSION [--candidate VERSION --fraction F] [--wait]
                                                 split a service's traffic between versions
+  parsleyrun move zone NAME out|back --within TIME [--wait]
+                                                take a zone out or bring it back by a time, or undo it
+  parsleyrun move version SERVICE VERSION --within TIME [--share F] [--wait]
+                                                bring a version into use in steps, or undo it
+  parsleyrun moves                              open moves and results
   parsleyrun report [--html FILE]               counters and durations, merged over the entries named
 
 Options of the operators' commands
@@ -27,6 +33,8 @@
   --key KEY          operators' key; by default PARSLEYRUN_OPERATOR_KEY
   --author NAME      who makes a change, for other operators to read
   --wait             wait until a change is in force everywhere
+  --within TIME      time by which a move has to end, such as 60s or 10m
+  --share F          share of a new version at first, by default 0.05
   --timeout SECONDS  longest wait, by default 10
   --json             output as JSON
 
@@ -50,6 +58,8 @@
     candidate: { type: "string" },
     fraction: { type: "number" },
     html: { type: "string" },
+    within: { type: "string" },
+    share: { type: "number" },
 } as const;
 
 /** Thrown by the reading of arguments only; its message says what is wrong with them. */
@@ -81,7 +91,7 @@
     });
     const unknown = Object.keys(parsed.flags).filter(flag => !(flag in FLAGS));
     if (unknown.length > 0) throw new UsageError(`unknown option: ${unknown.join(", ")}`);
-    for (const flag of ["timeout", "base", "fraction"] as const) {
+    for (const flag of ["timeout", "base", "fraction", "share"] as const) {
         if (Number.isNaN(parsed.flags[flag])) throw new UsageError(`--${flag} takes a number`);
     }
     return { input: parsed.input, flags: parsed.flags, version: parsed.pkg.version ?? "" };
@@ -131,14 +141,21 @@
             const options = { service, stable, candidate: candidateOf(flags) };
             return trafficCommand(contextOf(flags, console), options);
         }
+        case "move": {
+            const [kind, name, goal] = takeOperands(command, operands, ["zone|version", "NAME", "out|back|VERSION"]);
+            const wanted = goalOf(oneOf(kind, ["zone", "version"]), goal, flags.share);
+            return moveCommand(contextOf(flags, console), { ...wanted, name, withinSeconds: withinOf(flags) });
+        }
         case "show":
         case "status":
+        case "moves":
         case "report": {
             takeOperands(command, operands, []);
             const html = flags.html === undefined ? undefined : required(flags.html, "--html FILE");
             const context = contextOf(flags, console);
             if (command === "report") return reportCommand(context, html);
-            return command === "show" ? showCommand(context) : statusCommand(context);
+            const views = { show: showCommand, status: statusCommand, moves: movesCommand };
+            return views[command](context);
         }
         default:
             throw new UsageError(`unknown command: ${command}`);
@@ -171,6 +188,18 @@
     return { version: candidate, fraction };
 }
 
+function goalOf(kind: "zone" | "version", goal: string, share: number | undefined) {
+    if (kind === "version") return { kind, version: goal, ...(share === undefined ? {} : { share }) };
+    if (share !== undefined) throw new UsageError("--share belongs to move version");
+    return { kind, direction: oneOf(goal, ["out", "back"]) };
+}
+
+function withinOf(flags: Arguments["flags"]): number {
+    const seconds = parseSeconds(required(flags.within, "--within TIME"));
+    if (seconds === undefined) throw new UsageError("--within takes a time such as 60s or 10m");
+    return seconds;
+}
+
 /** The operands of a command, which have to be as many as its usage names. */
 function takeOperands<Names extends readonly string[]>(
     command: string,
--- a/src/demo/caller.ts
+++ b/src/demo/caller.ts
@@ -6,7 +6,8 @@
 export interface DemoRequest {
     /** Address (host:port) of the entry. */
     readonly entry: string;
-    readonly accountKey: string;
+    /** Name of the account and the key that it authenticates with. */
+    readonly account: { readonly name: string; readonly key: string };
     readonly pipeline: Pipeline;
     readonly input: object;
     /** Whether tokens are read as server-sent events. */
@@ -85,11 +86,11 @@
     }
 }
 
-async function exchange({ entry, accountKey, pipeline, input, streamed, idempotencyKey }: DemoRequest) {
+async function exchange({ entry, account, pipeline, input, streamed, idempotencyKey }: DemoRequest) {
     const response = await fetch(`http://${entry}/v1/pipelines/${pipeline.name}`, {
         method: "POST",
         headers: {
-            "authorization": `Bearer ${accountKey}`,
+            "authorization": `Bearer ${account.key}`,
             "content-type": "application/json",
             "parsleyrun-deadline-ms": String(DEADLINE_MS),
             "parsleyrun-kind": streamed ? "streamed" : "whole",
--- a/src/demo/summary.ts
+++ b/src/demo/summary.ts
@@ -53,9 +53,10 @@
 function problemsOfBookings(sent: readonly SentRequest[], runs: ReadonlyMap<string, number>): readonly string[] {
     const kinds = new Map<string, Set<Verdict["kind"]>>();
     for (const { request, verdict } of sent) {
-        const { idempotencyKey } = request;
+        const { account, idempotencyKey } = request;
         if (idempotencyKey === undefined) continue;
-        kinds.set(idempotencyKey, (kinds.get(idempotencyKey) ?? new Set()).add(verdict.kind));
+        const key = `${account.name}/${idempotencyKey}/book`;
+        kinds.set(key, (kinds.get(key) ?? new Set()).add(verdict.kind));
     }
     const problems = [...runs.keys()].filter(key => !kinds.has(key)).map(key => `${key} ran and was never sent`);
     for (const [key, seen] of kinds) {
--- a/src/demo/traffic.ts
+++ b/src/demo/traffic.ts
@@ -45,7 +45,7 @@
             for (const [pipeline, account] of QUESTIONS) {
                 requests.push({
                     entry,
-                    accountKey: keyOf(deployment, account),
+                    account: accountOf(deployment, account),
                     pipeline: deployment.pipeline(pipeline),
                     input: { prefix: "site notes", text: `Is heater ${requests.length} free on Friday?` },
                     streamed: round % 2 === 1,
@@ -59,7 +59,7 @@
 /** Sends a booking through two entries at once, and once more through a third when both are answered. */
 async function book(deployment: Deployment, index: number): Promise<readonly SentRequest[]> {
     const request = {
-        accountKey: keyOf(deployment, BOOKING_ACCOUNTS[index % BOOKING_ACCOUNTS.length] ?? ""),
+        account: accountOf(deployment, BOOKING_ACCOUNTS[index % BOOKING_ACCOUNTS.length] ?? ""),
         pipeline: deployment.pipeline("book-heater"),
         input: { heater: index, day: "Friday" },
         idempotencyKey: `booking-${randomUUID()}`,
@@ -72,8 +72,8 @@
     return [...first, await through(2)];
 }
 
-function keyOf({ accounts }: Deployment, name: string): string {
+function accountOf({ accounts }: Deployment, name: string): DemoRequest["account"] {
     const account = accounts.find(each => each.name === name);
     if (account === undefined) throw new Error(`the lists have no account ${name}`);
-    return account.key;
+    return account;
 }
--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -36,6 +36,7 @@
 const KIND_PATTERN = /^[A-Za-z0-9._-]{1,32}$/;
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/;
 const DEADLINE_PATTERN = /^[1-9]\d{0,5}$/;
+const PRIORITY_PATTERN = /^(-?[1-9]|-?10|0)$/;
 
 /** Serves the operators' paths. */
 export type OperatorHandler = (request: IncomingMessage, response: ServerResponse) => void | Promise<void>;
@@ -171,7 +172,7 @@
         if ("error" in body) return body;
         const input = parseInput(body.value);
         if ("error" in input) return input;
-        return { value: { account, pipeline, priority: 0, ...headers.value, input: input.value } };
+        return { value: { account, pipeline, ...headers.value, input: input.value } };
     }
 
     private readHeaders({ headers }: IncomingMessage): Checked<RequestHeaders> {
@@ -183,7 +184,9 @@
         }
         const kind = String(headers["parsleyrun-kind"] ?? "default");
         if (!KIND_PATTERN.test(kind)) return fault(400, "parsleyrun-kind is not a name of up to 32 characters");
-        const fields = { deadlineMilliseconds, kind };
+        const priority = String(headers["parsleyrun-priority"] ?? 0);
+        if (!PRIORITY_PATTERN.test(priority)) return fault(400, "parsleyrun-priority is not a number from -10 to 10");
+        const fields = { deadlineMilliseconds, kind, priority: Number(priority) };
         const key = headers["idempotency-key"];
         if (key === undefined) return { value: fields };
         if (!KEY_PATTERN.test(String(key))) return fault(400, "idempotency-key is not 1 to 128 printable characters");
@@ -199,14 +202,14 @@
     }
 }
 
-type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "idempotencyKey">;
+type RequestHeaders = Pick<CallerRequest, "deadlineMilliseconds" | "kind" | "priority" | "idempotencyKey">;
 
 function fault(status: CallerError["status"], message: string): { readonly error: CallerError } {
     return { error: { status, message } };
 }
 
 function blankRequest(pipeline: string, headers: RequestHeaders): Checked<CallerRequest> {
-    return { value: { account: "", pipeline, priority: 0, ...headers, input: null } };
+    return { value: { account: "", pipeline, ...headers, input: null } };
 }
 
 function checkPipeline(
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -6,18 +6,21 @@
 import type { ConfigurationHolder } from "../configuration/index.js";
 import { type HelloInit, type Link, type Listener, type Network, Role } from "../link/index.js";
 import type { Directory } from "../membership/index.js";
+import type { SplitEvidence } from "../moves/evidence.js";
 import { createIncarnation, refusedStage, type RequestOutcome } from "../model/index.js";
 import { withinTime } from "../model/pause.js";
 import type { DurationRecorder, Metrics, StateLogger } from "../observability/index.js";
 import { type ChooseTarget, chooseByLoad, Health, RetryBudgets, VersionChooser } from "../routing/index.js";
 import type { EntrySettings } from "../settings/schema.js";
 import { execute } from "./execution.js";
+import { OpenWork } from "./openwork.js";
 import { type PeerNoticeBody, Peers } from "./peers.js";
 import { type CallerRequest, type ExecutionParts, RequestRun, type TokenListener } from "./run.js";
 import { SilenceLimits } from "./silence.js";
 import { Suspects } from "./suspects.js";
 import type { TargetLinkContext } from "./targetlink.js";
 import { TargetLinks } from "./targets.js";
+import { VersionTrials, type VersionStop } from "./trials.js";
 
 /** Interval of the links' regular work. */
 const TICK_MS = 1_000;
@@ -56,6 +59,8 @@
     private readonly targets: TargetLinks;
     private readonly peers: Peers;
     private readonly suspects: Suspects;
+    private readonly openWork = OpenWork.create();
+    private readonly trials: VersionTrials;
     private listener: Listener | undefined;
     private readonly ticker: NodeJS.Timeout;
     private readonly unsubscribe: () => void;
@@ -73,6 +78,13 @@
             logger.info(`target ${target} is ${ejected ? "ejected" : "readmitted"}: ${reason}`);
         });
         this.targets = TargetLinks.start(directory, this.targetContext(), name => health.forget(name));
+        const versions = VersionChooser.create();
+        this.trials = VersionTrials.create({
+            versions,
+            holder: configuration,
+            metrics,
+            onStopped: stop => this.reportStop(stop),
+        });
         this.parts = {
             zone: settings.zone,
             holder: configuration,
@@ -82,7 +94,8 @@
             quarantine,
             health,
             retries: RetryBudgets.create(),
-            versions: VersionChooser.create(),
+            versions,
+            trials: this.trials,
             silence: SilenceLimits.create(),
             chooseTarget: options.chooseTarget ?? chooseByLoad,
             metrics,
@@ -109,6 +122,10 @@
         return entry;
     }
 
+    get name(): string {
+        return this.options.settings.name;
+    }
+
     /** Requests in progress. */
     get openRequests(): number {
         return this.open.size;
@@ -157,8 +174,49 @@
 
     /** Gives a version under trial no further traffic, here and at the other entries. */
     stopVersion(service: string, version: string, reason: string): void {
-        this.parts.versions.stop(service, version);
-        this.peers.notify({ case: "versionStopped", value: { service, version, reason } });
+        this.trials.stop(service, version, reason);
+    }
+
+    /**
+     * Work of this entry and work that agents report, in a zone. Agents' reports also show runs whose entry has died.
+     */
+    countOpenWork(zone: string): number {
+        return this.targets
+            .all()
+            .filter(link => link.zone === zone && link.connected)
+            .reduce((sum, link) => sum + Math.max(link.outstanding, link.reported), 0);
+    }
+
+    /** Open work of another entry in a zone, if it told it with at least this configuration version in force. */
+    openWorkOf(entry: string, incarnation: string, zone: string, version: number): number | undefined {
+        return this.openWork.find(entry, incarnation, zone, version);
+    }
+
+    /** Why a version under trial is stopped; undefined when it is not, as far as this entry knows. */
+    stoppedReason(service: string, version: string): string | undefined {
+        return this.trials.stoppedReason(service, version);
+    }
+
+    /** What this entry and those that told it saw of a service's split. */
+    evidenceOf(service: string): readonly SplitEvidence[] {
+        return this.trials.all(service);
+    }
+
+    /** Tells another entry what this one saw of a service's split. */
+    announceEvidence(entry: string, service: string): void {
+        const seen = this.trials.own(service);
+        if (seen === undefined) return;
+        const { incarnation } = this;
+        const routes = seen.routes.map(({ route, candidate, stable }) => ({ route, candidate, stable }));
+        this.peers.notifyOne(entry, { case: "versionEvidence", value: { ...seen, routes, incarnation } });
+    }
+
+    /** Tells another entry this one's open work in a zone. */
+    announceOpenWork(entry: string, zone: string): void {
+        const zones = [{ zone, attempts: this.countOpenWork(zone) }];
+        const configurationVersion = this.options.configuration.current.version;
+        const value = { incarnation: this.incarnation, configurationVersion, zones };
+        this.peers.notifyOne(entry, { case: "openWork", value });
     }
 
     /** Planned stop: refuses new requests, finishes open ones, then closes. */
@@ -221,6 +279,7 @@
 
     private startPeers(quarantine: Quarantine): Peers {
         const { network, configuration, directory, logger, metrics, settings } = this.options;
+        const { trials } = this;
         return Peers.start({
             network,
             holder: configuration,
@@ -233,6 +292,7 @@
             seeds: settings.peers,
             onNotice: (peer, notice) => this.takeNotice(peer, notice),
             greeting: function* () {
+                for (const stop of trials.currentStops()) yield { case: "versionStopped", value: stop };
                 for (const { fingerprint, losses, remainingMilliseconds } of quarantine.ownLosses()) {
                     yield { case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } };
                 }
@@ -250,7 +310,11 @@
             const { fingerprint, deaths, remainingMilliseconds } = notice.value;
             this.parts.quarantine.reported(peer, fingerprint, deaths, remainingMilliseconds);
         } else if (notice.case === "versionStopped") {
-            this.parts.versions.stop(notice.value.service, notice.value.version);
+            this.trials.takeStop(notice.value);
+        } else if (notice.case === "versionEvidence") {
+            this.trials.takeEvidence(peer, notice.value);
+        } else if (notice.case === "openWork") {
+            this.openWork.take(peer, notice.value);
         }
     }
 
@@ -260,7 +324,15 @@
         this.peers.notify({ case: "quarantined", value: { fingerprint, deaths: losses, remainingMilliseconds } });
     }
 
+    private reportStop(stop: VersionStop): void {
+        const { service, version, reason } = stop;
+        this.options.metrics.increment("version.stopped", 1, { service, version });
+        this.options.logger.warn(`version ${version} of ${service} is stopped: ${reason}`);
+        this.peers.notify({ case: "versionStopped", value: stop });
+    }
+
     private configurationChanged(): void {
+        this.trials.configure();
         this.peers.configurationChanged();
         for (const link of this.targets.all()) link.configurationChanged();
     }
--- a/src/standins/server.ts
+++ b/src/standins/server.ts
@@ -96,10 +96,10 @@
 }
 
 /** Serves a store, and its VM list, at an address (host:port). Calls are counted for the client `http`. */
-export function serveStore(store: StandInStore, address: string): Promise<StandInServer> {
+export async function serveStore(store: StandInStore, address: string): Promise<StandInServer> {
     const client = store.client("http", Infinity);
     const controls = { target: store, faults: STORE_FAULTS, counters: () => store.allCounts() };
-    return serve(address, controls, async (request, url, response) => {
+    const served = await serve(address, controls, async (request, url, response) => {
         const key = decodeURIComponent(url.pathname.replace(/^\/objects\//, ""));
         const expected = request.headers["if-none-match"] === "*" ? 0 : Number(request.headers["if-match"]);
         const prefix = url.searchParams.get("prefix") ?? "";
@@ -124,6 +124,13 @@
         const { value } = (await readJson(request)) as { value: string };
         answerWrite(response, await client.write(key, value, expected));
     });
+    const close = async (): Promise<void> => {
+        // Ends the waiting watches, whose timers would keep the process for up to 30 s.
+        store.setOutage(true, "http");
+        await served.close();
+        store.setOutage(false, "http");
+    };
+    return { ...served, close };
 }
 
 async function execute(
--- a/test/operators/operators.test.ts
+++ b/test/operators/operators.test.ts
@@ -18,6 +18,50 @@
 const apply = (lists: string, version: number, more: object = {}) =>
     harness.call("POST", "lists", { lists, version, ...more });
 
+const moveOf = (name: string, withinSeconds = 60) => ({ kind: "zone", name, direction: "out", withinSeconds });
+
+describe("moves", () => {
+    it("are declared once: the second operator reads which move is open", async () => {
+        const first = await harness.call("POST", "moves", { ...moveOf("east"), author: "anna" });
+        expect(first).toMatchObject({ status: 200, body: { move: { id: "zone-east-1", state: "open" } } });
+        const second = await harness.call("POST", "moves", { ...moveOf("east"), direction: "back", author: "ben" });
+        const message = expect.stringContaining("move zone-east-1 (zone east out, by anna) is open");
+        expect(second).toMatchObject({ status: 409, body: { error: { kind: "conflict", message } } });
+        expect(await harness.call("POST", "moves", moveOf("west"))).toMatchObject({ status: 200 });
+        const listed = (await harness.call("GET", "moves")).body as { readonly moves: readonly { id: string }[] };
+        expect(listed.moves.map(({ id }) => id)).toEqual(["zone-east-1", "zone-west-1"]);
+        expect(await harness.call("GET", "moves/zone-west-1")).toMatchObject({ body: { move: { name: "west" } } });
+    });
+
+    it("to a version need a stable version to compare with, no other trial and no slots", async () => {
+        await apply(LISTS, 0);
+        const declare = (name: string, version: string) =>
+            harness.call("POST", "moves", { kind: "version", name, version, withinSeconds: 60 });
+        const split = (body: object) => harness.call("POST", "services/encode/traffic", body);
+        const refused = async (name: string, version: string, message: string): Promise<void> => {
+            const expected = { error: { kind: "badRequest", message: expect.stringContaining(message) } };
+            expect(await declare(name, version)).toMatchObject({ status: 400, body: expected });
+        };
+        await refused("book", "v2", "slots of a service stay");
+        await refused("encode", "v2", "no stable version");
+        await split({ stable: "v1", candidate: { version: "v3", fraction: 0.1 } });
+        await refused("encode", "v2", '"v3" is already under trial');
+        await split({ stable: "v1" });
+        await refused("encode", "v1", "already the stable one");
+        const move = { id: "version-encode-1", order: "version encode v2" };
+        expect(await declare("encode", "v2")).toMatchObject({ status: 200, body: { move } });
+    });
+
+    it("are not declared while the store is down, and may be declared when its answer is lost", async () => {
+        harness.store.setOutage(true);
+        expect(await harness.call("POST", "moves", moveOf("east"))).toMatchObject({ status: 503 });
+        harness.store.setOutage(false);
+        harness.store.loseWriteAnswers(100, false);
+        expect(await harness.call("POST", "moves", moveOf("east"))).toMatchObject({ status: 500 });
+        expect(harness.store.keys("moves/")).toEqual([]);
+    });
+});
+
 describe("refused calls", () => {
     const cases = [
         { fault: "no key", method: "GET", path: "status", headers: { authorization: "" }, status: 401 },
@@ -39,6 +83,30 @@
         { fault: "unknown zone", method: "POST", path: "zones/north", body: { state: "out" }, status: 404 },
         { fault: "unknown service", method: "POST", path: "services/x/traffic", body: { stable: "v1" }, status: 404 },
         { fault: "wrong version", method: "GET", path: "status?version=x", status: 400 },
+        { fault: "move of an unknown zone", method: "POST", path: "moves", body: moveOf("north"), status: 404 },
+        { fault: "move without time", method: "POST", path: "moves", body: moveOf("east", 0), status: 400 },
+        {
+            fault: "version move of an unknown service",
+            method: "POST",
+            path: "moves",
+            body: { kind: "version", name: "x", version: "v2", withinSeconds: 60 },
+            status: 404,
+        },
+        {
+            fault: "version move with too high a share",
+            method: "POST",
+            path: "moves",
+            body: { kind: "version", name: "encode", version: "v2", withinSeconds: 60, share: 0.6 },
+            status: 400,
+        },
+        { fault: "unknown move", method: "GET", path: "moves/zone-east-1", status: 404 },
+        {
+            fault: "a move's name as author",
+            method: "POST",
+            path: "zones/east",
+            body: { state: "out", author: "move zone-east-1" },
+            status: 400,
+        },
     ];
 
     it.each(cases)(
