--- a/src/bench/peer.ts
+++ b/src/bench/peer.ts
@@ -22,9 +22,14 @@
 
 /** Runs a module of this folder to its end and returns the number that it prints. */
 export async function runForNumber(module: string, args: readonly string[]): Promise<number> {
+    return Number(await runModule(module, args, COMMAND_TIMEOUT_MS));
+}
+
+/** Runs a module of this folder to its end and returns what it prints. Throws when it fails or takes too long. */
+export async function runModule(module: string, args: readonly string[], timeout: number): Promise<string> {
     const file = fileURLToPath(new URL(`./${module}.js`, import.meta.url));
-    const { stdout } = await runFile(process.execPath, ["--expose-gc", file, ...args], { timeout: COMMAND_TIMEOUT_MS });
-    return Number(stdout);
+    const { stdout } = await runFile(process.execPath, ["--expose-gc", file, ...args], { timeout });
+    return stdout;
 }
 
 /** A process at one end of a connection; it runs one command at a time. */
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -12,6 +12,7 @@
     type StateLogger,
 } from "../observability/index.js";
 import { createOperatorHandler, type OperatorHandler, type ReportBody } from "../operators/index.js";
+import type { ChooseTarget } from "../routing/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { CallLedger, HttpStore, type Store, StoreView } from "../store/index.js";
 import { reportStoreCalls, type RunningProcess } from "./process.js";
@@ -27,6 +28,8 @@
     readonly logger?: StateLogger;
     /** Counts that belong to the report besides the counters. */
     readonly counts?: () => Readonly<Record<string, number>>;
+    /** Routing policy; the default one unless another is compared. */
+    readonly chooseTarget?: ChooseTarget;
 }
 
 /** A running entry process. */
@@ -79,7 +82,9 @@
     const parts = createParts(settings, environment);
     let entry: Entry | undefined;
     try {
-        entry = await Entry.start({ ...parts, settings, network: environment.network, configuration: parts.holder });
+        const { network, chooseTarget } = environment;
+        const policy = chooseTarget === undefined ? {} : { chooseTarget };
+        entry = await Entry.start({ ...parts, ...policy, settings, network, configuration: parts.holder });
         const callers = await startCallers(settings, environment, parts, entry);
         return publish(settings, environment, parts, entry, callers);
     } catch (error) {
