--- a/src/bench/end.ts
+++ b/src/bench/end.ts
@@ -4,6 +4,7 @@
  */
 import { callHttp, callUnary, listenHttp, listenUnary, listenEvents, readEvents } from "./callend.js";
 import { connectLink, connectMany, listenLink, reportEach, sendBulk, sendSingly, sendTokens } from "./linkend.js";
+import { callDirect, callSystem, listenStandIns, startSystem } from "./pathend.js";
 import type { Command, Reply } from "./peer.js";
 
 let usageAtStart = process.cpuUsage();
@@ -37,6 +38,10 @@
     listenHttp,
     callHttp: command => callHttp(command.address ?? "", command.count ?? 0, command.seed ?? 1),
     listenEvents: command => listenEvents(command.count ?? 0, command.tokens ?? 1, command.seed ?? 1),
+    listenStandIns,
+    startSystem: command => startSystem(command.addresses ?? [], command.tokens ?? 0),
+    callSystem: command => callSystem(command.address ?? "", command.count ?? 0, command.seed ?? 1),
+    callDirect: ({ addresses, count, tokens, seed }) => callDirect(addresses ?? [], count ?? 0, tokens ?? 0, seed ?? 1),
     readEvents: command => readEvents(command.address ?? "", command.count ?? 0),
 };
 
--- a/src/bench/peer.ts
+++ b/src/bench/peer.ts
@@ -7,6 +7,7 @@
 export interface Command {
     readonly name: string;
     readonly address?: string;
+    readonly addresses?: readonly string[];
     readonly count?: number;
     readonly tokens?: number;
     readonly seed?: number;
