--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -16,7 +16,7 @@
 /** Time in which a deployment has to be ready. */
 const START_TIMEOUT_MS = 20_000;
 
-/** Time after which a zone that is out may get no new work, and a margin for the change to be accepted. */
+/** Time after the accepted change from which a zone that is out may get no new work. */
 const ZONE_OUT_MS = 3_000;
 
 /** What differs between the variants of a case. */
