Count bookings by request in the bench, and add scenarios to the fuzz commands

Change: the bench counts by the request in the content; commands killOwner, pauseOwner, crashStream, burstOverRestart.

--- a/src/bench/probe.ts
+++ b/src/bench/probe.ts
@@ -107,7 +107,8 @@
     private observeStart(request: EngineRequest, cold: boolean): void {
         this.ledger.started(request);
         if (request.idempotencyKey !== "") {
-            this.keys.set(request.idempotencyKey, this.keyRuns(request.idempotencyKey) + 1);
+            const id = requestOf(request);
+            this.keys.set(id, this.keyRuns(id) + 1);
         }
         this.running.add(request);
         const now = performance.now();
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -73,6 +73,59 @@
     void world.submit({ ...values.request, pipeline: "reserve" });
     void world.submit({ ...values.request, pipeline: "reserve", entry: values.other });
 });
+/** A booking whose owner dies in the middle of it, and the same key again after the takeover. */
+const killOwner = command("killOwner", request, async (world, values) => {
+    const booking = { ...values, pipeline: "reserve", deadline: 2_500 };
+    void world.submit(booking);
+    await world.later(32);
+    for (const name of TARGETS.filter(each => world.isBusy(each) && each.startsWith("book"))) world.kill(name);
+    await world.later(9_000);
+    void world.submit(booking);
+});
+/** A booking whose owner is paused past its lease at some point of it, and the same key again after the takeover. */
+const pauseOwner = command(
+    "pauseOwner",
+    fc.record({
+        request,
+        target: fc.constantFrom("book-a", "book-b", "book-c"),
+        after: fc.integer({ min: 0, max: 30 }),
+    }),
+    async (world, values) => {
+        const booking = { ...values.request, pipeline: "reserve", deadline: 2_500 };
+        void world.submit(booking);
+        await world.later(values.after);
+        world.pause(values.target, 11_000);
+        await world.later(9_500);
+        void world.submit(booking);
+    },
+);
+/** A generating target that dies in the middle of its streams. */
+const crashStream = command("crashStream", request, async (world, values) => {
+    void world.submit({ ...values, pipeline: "ask", deadline: 2_500 });
+    await world.later(30);
+    for (const name of TARGETS.filter(each => world.isBusy(each) && each.startsWith("generate"))) {
+        world.engineOf(name).crash(100);
+    }
+});
+/** Requests that use an account's burst up, a restart of their entry, and as many again. */
+const burstOverRestart = command(
+    "burstOverRestart",
+    fc.record({ request, count: fc.integer({ min: 6, max: 12 }) }),
+    async (world, values) => {
+        const burstOf = (round: number): void => {
+            for (let index = 0; index < values.count; index += 1) {
+                const key = `${values.request.key}-${round}-${index}`;
+                void world.submit({ ...values.request, pipeline: "ask", account: "small", deadline: 1_000, key });
+            }
+        };
+        burstOf(0);
+        await world.later(20);
+        world.kill(values.request.entry);
+        await world.startEntry(values.request.entry);
+        await world.later(250);
+        burstOf(1);
+    },
+);
 const kill = command("kill", process, (world, name) => {
     world.kill(name);
 });
@@ -138,11 +191,12 @@
 /** Sequences of commands; requests are the most frequent. */
 export function commandSequences(maximum: number, replayPath?: string): fc.Arbitrary<Iterable<Step>> {
     const requests = [submit, submit, submit, submit, submitBurst, submitTwice, submitTwice];
+    const scenarios = [killOwner, pauseOwner, crashStream, burstOverRestart];
     const processes = [kill, kill, stop, restart, restart, cut, heal, pause];
     const platform = [outage, outage, storeFault];
     const targets = [turnCold, crash, slow, fail];
     const operators = [setZone, setZone, race, later];
-    return fc.commands([...requests, ...processes, ...platform, ...targets, ...operators], {
+    return fc.commands([...requests, ...scenarios, ...processes, ...platform, ...targets, ...operators], {
         maxCommands: maximum,
         size: "max",
         ...(replayPath === undefined ? {} : { replayPath }),
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -297,6 +297,16 @@
         }
     }
 
+    /** Resolves after some time. */
+    later(milliseconds: number): Promise<void> {
+        return new Promise(resolve => setTimeout(resolve, milliseconds));
+    }
+
+    /** Whether a target runs anything. */
+    isBusy(target: string): boolean {
+        return this.engineOf(target).runningCount > 0;
+    }
+
     /** Turns a target cold without telling anyone. */
     turnCold(target: string): void {
         if (!this.engineOf(target).cold) this.coldSince.set(target, performance.now());
