Put no configuration in force that the head lacks, and none from a conflict before the first is confirmed

A change that an operator made through a freshly started entry lost to change 1, and the entry put that winner in force although its own first version was not confirmed. 2. A change was in force before the head had it; all entries restarted on a store that served an older state, and the head confirmed the version before the change. Ruled out: updates from agents and peers, which were at version 3 (stack of the first listener call). Change: the log writes the head before it puts a change in force; the feed writes it for an author that died; the log makes no change before the feed has confirmed the first version.

--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -37,6 +37,7 @@
     readonly ready: Promise<void>;
     private reachable = false;
     private stopped = false;
+    private confirmedFirst = false;
     /** Highest version that the head has shown since the start. */
     private headVersion = 0;
     private resolveReady: () => void = () => undefined;
@@ -62,6 +63,11 @@
         return this.reachable;
     }
 
+    /** Whether the first version was confirmed. */
+    get confirmed(): boolean {
+        return this.confirmedFirst;
+    }
+
     /** Ends the feed; a call to the store that is under way is not waited for. */
     stop(): void {
         this.stopped = true;
@@ -70,6 +76,7 @@
     private async run(): Promise<void> {
         await this.begin();
         if (this.stopped) return;
+        this.confirmedFirst = true;
         this.resolveReady();
         await this.follow();
     }
@@ -179,11 +186,19 @@
             if (read.kind === "missing") return this.holder.current.version >= this.headVersion;
             const change = decodeChange(read.object.value, version);
             if (change === undefined) return this.fail();
+            if (version > this.headVersion && !(await this.raiseHeadTo(version))) return this.fail();
             this.holder.advance(change);
         }
         return false;
     }
 
+    /** Writes the head for an author that died before it did; nothing is in force that the head lacks. */
+    private async raiseHeadTo(version: number): Promise<boolean> {
+        const head = await raiseHead(this.store, version);
+        if (head.kind === "confirmed") this.headVersion = Math.max(this.headVersion, head.version);
+        return head.kind === "confirmed";
+    }
+
     private fail(): false {
         this.reachable = false;
         return false;
--- a/src/configuration/log.ts
+++ b/src/configuration/log.ts
@@ -21,6 +21,9 @@
 
 const RETRY_PAUSE_MS = 50;
 
+/** Tries to write the head: 3 s, within the 4 s in which an accepted change has to be in force. */
+const MAXIMUM_HEAD_TRIES = 60;
+
 /** A change to make. */
 export interface ConfigurationProposal {
     /** The configuration that the difference was made against. */
@@ -59,6 +62,8 @@
     readonly store: Store;
     /** Moved forward with each accepted change. */
     readonly holder: ConfigurationHolder;
+    /** Whether the configuration in force here is confirmed, so that changes may be made on top of it. */
+    readonly ready?: () => boolean;
 }
 
 /** Accepts changes on behalf of one process. */
@@ -66,16 +71,19 @@
     private constructor(
         private readonly store: Store,
         private readonly holder: ConfigurationHolder,
+        private readonly ready: () => boolean,
     ) {}
 
     /** A log in the store. */
     static create(options: ConfigurationLogOptions): ConfigurationLog {
-        return new ConfigurationLog(options.store, options.holder);
+        return new ConfigurationLog(options.store, options.holder, options.ready ?? (() => true));
     }
 
     /** Tries to make the proposal the version after its base. */
     async accept(proposal: ConfigurationProposal): Promise<AcceptOutcome> {
         const { base, author, difference } = proposal;
+        // A fresh process would put the winner of a conflict in force, which may be a version that was left behind.
+        if (!this.ready()) return { kind: "unavailable", message: "the configuration here is not confirmed yet" };
         if (isEmptyDifference(difference)) return { kind: "unchanged", version: base.version };
         const change = { version: base.version + 1, id: createRequestId(), author, ...difference };
         const text = JSON.stringify(change);
@@ -86,7 +94,7 @@
             case "created":
                 return { kind: "accepted", change, warning: await this.complete(base, change) };
             case "conflict":
-                this.holder.advance(created.winner);
+                await this.enforceWinner(created.winner);
                 return { ...created, difference };
             case "unavailable":
                 return created;
@@ -121,18 +129,27 @@
         return read.kind === "found" ? decodeChange(read.object.value, version) : undefined;
     }
 
-    /** Puts the change in force here, then writes the head and, when one is due, a snapshot. */
+    /**
+     * Writes the head, then puts the change in force here and, when one is due, writes a snapshot. The head comes first:
+     * a change that is in force while the head lacks it could be missed by a process that restarts on a stale read, and
+     * so revert. Without the head, the feeds put the change in force when they can write it.
+     */
     private async complete(base: Configuration, change: ConfigurationChange): Promise<string | undefined> {
-        this.holder.advance(change);
         const headWritten = await this.writeHead(change.version);
+        if (headWritten) this.holder.advance(change);
         const next = base.apply(change);
         if (next !== undefined && next.version % SNAPSHOT_INTERVAL === 0) await this.writeSnapshot(next);
         if (headWritten) return undefined;
-        return "the store did not confirm the head; the next accepted change or restarted entry writes it";
+        return "the store did not confirm the head; the next process that reads the change writes it";
+    }
+
+    /** Puts the change that won in force here, so that the next proposal is made on top of it. */
+    private async enforceWinner(winner: ConfigurationChange): Promise<void> {
+        if (await this.writeHead(winner.version)) this.holder.advance(winner);
     }
 
     private async writeHead(version: number): Promise<boolean> {
-        for (let attempt = 0; attempt < MAXIMUM_TRIES; attempt += 1) {
+        for (let attempt = 0; attempt < MAXIMUM_HEAD_TRIES; attempt += 1) {
             if (attempt > 0) await pause(RETRY_PAUSE_MS);
             const outcome = await raiseHead(this.store, version);
             if (outcome.kind === "confirmed") return true;
--- a/src/daemon/entry.ts
+++ b/src/daemon/entry.ts
@@ -171,21 +171,17 @@
 ): OperatorHandler {
     const { store, counts } = environment;
     const { holder, feed, logger, metrics, recorder, moves } = parts;
-    let confirmed = false;
-    void feed.ready.then(() => {
-        confirmed = true;
-    });
     return createOperatorHandler({
         key: settings.operatorKey,
         ...statusSources(settings, environment, parts, entry),
         holder,
-        log: ConfigurationLog.create({ store, holder }),
+        log: ConfigurationLog.create({ store, holder, ready: () => feed.confirmed }),
         moves: {
             declare: order => declareMove(store, listMoves(moves.objects), order),
             list: () => listMoves(moves.objects),
         },
         logger,
-        ready: () => confirmed,
+        ready: () => feed.confirmed,
         report: (): ReportBody => ({
             entry: settings.name,
             counters: { ...Object.fromEntries(metrics.totals()), ...counts?.() },
@@ -219,11 +215,12 @@
     entry: Entry,
 ): MoveController {
     const { store, vms } = environment;
-    const { holder, directory, slots, moves, incarnation, logger } = parts;
+    const { holder, feed, directory, slots, moves, incarnation, logger } = parts;
     const { name } = settings;
     const sources = statusSources(settings, environment, parts, entry);
     const present = () => directory.current.entries.filter(({ vm }) => vms?.state(vm) !== "gone");
-    const changes = { store, holder, log: ConfigurationLog.create({ store, holder }) };
+    const log = ConfigurationLog.create({ store, holder, ready: () => feed.confirmed });
+    const changes = { store, holder, log };
     const versionMoves: VersionMoveParts = {
         ...changes,
         evidence: service => entry.evidenceOf(service),
--- a/test/configuration/log.test.ts
+++ b/test/configuration/log.test.ts
@@ -66,6 +66,35 @@
         expect(second.holder.current.list()).toEqual(first.holder.current.list());
     });
 
+    it("puts nothing in force that the head lacks, which a restart on a stale store would take back", async () => {
+        const store = StandInStore.create();
+        const { holder } = feedOf(store, "b");
+        const behind: number[] = [];
+        const operator = new Operator(store, "a");
+        for (const each of [holder, operator.holder]) {
+            each.subscribe(({ version }) => {
+                const head = JSON.parse(store.peek(HEAD_KEY)?.value ?? '{"version":0}') as { readonly version: number };
+                if (head.version < version) behind.push(version);
+            });
+        }
+        await operator.accept(zone("east"));
+        const orphan = { version: 2, id: "x", author: "test", ...zone("west") };
+        await finish(store.client("c").write(changeKey(2), JSON.stringify(orphan), 0));
+        await vi.advanceTimersByTimeAsync(4_000);
+        expect({ version: holder.current.version, behind }).toEqual({ version: 2, behind: [] });
+    });
+
+    it("takes no version from the winner of a conflict before its own first one is confirmed", async () => {
+        const store = StandInStore.create();
+        const operator = new Operator(store, "a");
+        await operator.accept(zone("east"));
+        await operator.accept(zone("west"));
+        const holder = ConfigurationHolder.create();
+        const log = ConfigurationLog.create({ store: store.client("b"), holder, ready: () => false });
+        const outcome = await log.accept({ base: holder.current, author: "test", difference: zone("north") });
+        expect([outcome.kind, holder.current.version]).toEqual(["unavailable", 0]);
+    });
+
     it.each([
         { answer: "lost after the write took effect", applied: true, count: 1 },
         { answer: "lost before the write took effect", applied: false, count: 1 },
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -217,6 +217,7 @@
             recorder: { record: ignore },
         });
         const { incarnation } = entry;
+        const log = ConfigurationLog.create({ store, holder, ready: () => feed.confirmed });
         const member = Member.startEntry(store, {
             name,
             zone: settings.zone,
@@ -228,7 +229,7 @@
             for (const part of [members, slots, feed]) part.stop();
         };
         holder.subscribe(({ version }) => this.oracle.version(name, version, true));
-        this.entries.set(name, { entry, holder, log: ConfigurationLog.create({ store, holder }), member, end });
+        this.entries.set(name, { entry, holder, log, member, end });
     }
 
     /** Ends a process abruptly. */
