--- a/test/fuzz/mutations.ts
+++ b/test/fuzz/mutations.ts
@@ -20,10 +20,10 @@
         to: "const refusal = await Promise.resolve(undefined as StageOutcome | undefined);",
     },
     {
-        name: "a fenced owner runs",
-        file: "claims/registry.ts",
-        from: 'case "fenced":\n                return notOwner("the slot was taken over");',
-        to: 'case "fenced":\n                return undefined;',
+        name: "an owner whose journal was closed runs",
+        file: "claims/journal.ts",
+        from: "if (found !== undefined) return found;",
+        to: 'if (found !== undefined) return "written";',
     },
     {
         name: "duplicates do not join the run in progress",
