Give test files that run together different ports; time the fuzz scenarios by what targets run

Files took their ports from their process id modulo 130, 170, 200 or 400, so two files could have the same ones. Ruled out: a port kept by an earlier file, which has its own process. Change: ports come from vitest's pool id, which no two files that run together share. killOwner and crashStream wait until a target is busy, and pauses and deaths leave 13 s for a takeover: a cold target ran the booking 37 to 68 ms after it was sent, so the fixed 32 ms never met it. Conclusion: the fault was in the tests alone.

--- a/test/daemon/daemon.test.ts
+++ b/test/daemon/daemon.test.ts
@@ -10,6 +10,7 @@
 import { MemoryNetwork } from "../../src/link/index.js";
 import { agentSettingsSchema, entrySettingsSchema } from "../../src/settings/index.js";
 import { serveEngine, serveStore, StandInEngine, StandInStore } from "../../src/standins/index.js";
+import { firstPort } from "../ports.js";
 
 const KEY = "operator-key";
 const SERVICES = ["encode", "retrieve", "rerank", "generate", "book"];
@@ -23,7 +24,7 @@
  * Ports of their own for each case, so that a case does not meet the links of an earlier one. They stay below 32768,
  * where the system takes the ports of outgoing connections from.
  */
-let nextPort = 12_000 + (process.pid % 400) * 50;
+let nextPort = firstPort();
 function address(): string {
     nextPort += 1;
     return `127.0.0.1:${nextPort}`;
--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -73,13 +73,15 @@
     void world.submit({ ...values.request, pipeline: "reserve" });
     void world.submit({ ...values.request, pipeline: "reserve", entry: values.other });
 });
+/** Time in which the slots of an owner that ended have another one: its lease, and the looks at it. */
+const TAKEOVER_MS = 13_000;
+
 /** A booking whose owner dies in the middle of it, and the same key again after the takeover. */
 const killOwner = command("killOwner", request, async (world, values) => {
     const booking = { ...values, pipeline: "reserve", deadline: 2_500 };
     void world.submit(booking);
-    await world.later(32);
-    for (const name of TARGETS.filter(each => world.isBusy(each) && each.startsWith("book"))) world.kill(name);
-    await world.later(9_000);
+    for (const name of await world.whenBusy("book")) world.kill(name);
+    await world.later(TAKEOVER_MS);
     void world.submit(booking);
 });
 /** A booking whose owner is paused past its lease at some point of it, and the same key again after the takeover. */
@@ -88,24 +90,23 @@
     fc.record({
         request,
         target: fc.constantFrom("book-a", "book-b", "book-c"),
-        after: fc.integer({ min: 0, max: 30 }),
+        after: fc.integer({ min: 0, max: 60 }),
     }),
     async (world, values) => {
         const booking = { ...values.request, pipeline: "reserve", deadline: 2_500 };
         void world.submit(booking);
         await world.later(values.after);
-        world.pause(values.target, 11_000);
-        await world.later(9_500);
+        world.pause(values.target, TAKEOVER_MS + 2_000);
+        await world.later(TAKEOVER_MS);
         void world.submit(booking);
     },
 );
 /** A generating target that dies in the middle of its streams. */
 const crashStream = command("crashStream", request, async (world, values) => {
     void world.submit({ ...values, pipeline: "ask", deadline: 2_500 });
-    await world.later(30);
-    for (const name of TARGETS.filter(each => world.isBusy(each) && each.startsWith("generate"))) {
-        world.engineOf(name).crash(100);
-    }
+    const busy = await world.whenBusy("generate");
+    await world.later(20);
+    for (const name of busy) world.crash(name, 100);
 });
 /** Requests that use an account's burst up, a restart of their entry, and as many again. */
 const burstOverRestart = command(
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -303,9 +303,14 @@
         return new Promise(resolve => setTimeout(resolve, milliseconds));
     }
 
-    /** Whether a target runs anything. */
-    isBusy(target: string): boolean {
-        return this.engineOf(target).runningCount > 0;
+    /** The targets of a service that run something, as soon as one does; none after 300 ms. */
+    async whenBusy(service: string): Promise<readonly string[]> {
+        for (let waited = 0; waited < 300; waited += 1) {
+            const busy = TARGETS.filter(name => serviceOf(name) === service && this.engineOf(name).runningCount > 0);
+            if (busy.length > 0) return busy;
+            await this.later(1);
+        }
+        return [];
     }
 
     /** Turns a target cold without telling anyone. */
--- a/test/input/system.ts
+++ b/test/input/system.ts
@@ -5,6 +5,7 @@
 import { ConnectNetwork, type TlsFiles } from "../../src/link/index.js";
 import { agentSettingsSchema, entrySettingsSchema } from "../../src/settings/index.js";
 import { StandInEngine, StandInStore } from "../../src/standins/index.js";
+import { firstPort } from "../ports.js";
 
 /** Seed of all properties in this folder; part of their titles, so that it is printed. */
 export const SEED = 20_261_204;
@@ -62,7 +63,7 @@
 }
 
 /** Loopback ports below 32768, where the system takes the ports of outgoing connections from. */
-let nextPort = 2_000 + (process.pid % 130) * 100;
+let nextPort = firstPort();
 
 export function nextAddress(): string {
     nextPort += 1;
--- a/test/moves/deployment.test.ts
+++ b/test/moves/deployment.test.ts
@@ -5,11 +5,12 @@
 import { MemoryNetwork } from "../../src/link/index.js";
 import { agentSettingsSchema, entrySettingsSchema } from "../../src/settings/index.js";
 import { StandInEngine, StandInStore } from "../../src/standins/index.js";
+import { firstPort } from "../ports.js";
 
 const KEY = "operator-key";
 const SERVICES = ["encode", "retrieve", "rerank", "generate", "book"];
 const closers: (() => unknown)[] = [];
-let nextPort = 33_000 - (process.pid % 200) * 20;
+let nextPort = firstPort();
 
 afterEach(async () => {
     for (const close of closers.splice(0).reverse()) await close();
@@ -24,7 +25,7 @@
 
 async function startEntry(store: StandInStore, network: MemoryNetwork, name: string, zone: string) {
     const seat = { index: 0, count: 2 };
-    const callerAddress = `127.0.0.1:${nextPort - 10_000}`;
+    const callerAddress = `127.0.0.1:${nextPort + 2_000}`;
     const values = { ...common(name, zone), callerAddress, operatorKey: KEY, seat };
     const settings = entrySettingsSchema.parse(values);
     const environment = { network: network.at(settings.linkAddress), store: store.client(name) };
--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 import { stringify } from "yaml";
+import { firstPort } from "../ports.js";
 
 /** How a process ended. */
 export interface ProcessEnd {
@@ -37,7 +38,7 @@
 }
 
 /** Ports are below 32768, where the system takes the ports of outgoing connections from. */
-let nextPort = 15_000 + (process.pid % 170) * 100;
+let nextPort = firstPort();
 
 /** A loopback address whose port nobody listens on. */
 export async function freeAddress(): Promise<string> {
