--- a/test/fuzz/commands.ts
+++ b/test/fuzz/commands.ts
@@ -1,6 +1,7 @@
 /** What can happen to the deployment, as commands of fast-check. Each lets some time pass after it. */
 import fc from "fast-check";
-import { ACCOUNTS, ENTRIES, PIPELINES, TARGETS, type World, ZONES } from "./world.js";
+import { ACCOUNTS, ENTRIES, PIPELINES, TARGETS, ZONES } from "./deployment.js";
+import type { World } from "./world.js";
 
 /** The model: only what decides whether a command makes sense. The judgement is the oracle's. */
 export interface Model {
--- a/test/fuzz/fuzz.test.ts
+++ b/test/fuzz/fuzz.test.ts
@@ -8,7 +8,8 @@
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { afterEach, beforeEach, describe, it, vi } from "vitest";
 import { commandSequences, type Model } from "./commands.js";
-import { ENTITLEMENTS, ENTRIES, PIPELINES, World } from "./world.js";
+import { ENTITLEMENTS, ENTRIES, PIPELINES } from "./deployment.js";
+import { World } from "./world.js";
 
 const SEED = Number(process.env.FUZZ_SEED ?? 1);
 const RUNS = Number(process.env.FUZZ_RUNS ?? 10);
