--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -2,7 +2,7 @@
  * A deployment in one process for the stateful fuzz test: the real entries and agents over memory links, on stand-ins.
  * Time is vitest's fake time. Every process can be killed, stopped, restarted, cut off and paused.
  */
-import { Agent, type Engine, type EngineEvent, type EngineRequest } from "../../src/agent/index.js";
+import { Agent, type EngineRequest } from "../../src/agent/index.js";
 import {
     type ConfigurationChange,
     ConfigurationFeed,
@@ -31,6 +31,7 @@
     TARGETS,
     zoneOf,
 } from "./deployment.js";
+import { ObservedEngine } from "./engine.js";
 import { Oracle, type Submission } from "./oracle.js";
 
 const ignore = (): undefined => undefined;
@@ -44,36 +45,6 @@
     readonly end: () => void;
 }
 
-/** An engine whose starts the oracle sees, and whose calls wait while its agent is paused. */
-class ObservedEngine implements Engine {
-    constructor(
-        private readonly name: string,
-        private readonly engine: StandInEngine,
-        private readonly world: World,
-    ) {}
-
-    async *execute(request: EngineRequest, signal: AbortSignal): AsyncIterable<EngineEvent> {
-        await this.world.resumed(this.name);
-        if (signal.aborted) {
-            yield { kind: "lost", message: "cancelled" };
-            return;
-        }
-        for await (const event of this.engine.execute(request, signal)) {
-            if (event.kind === "started") this.world.noteStart(this.name, this.engine, request);
-            yield event;
-        }
-    }
-
-    async load(): ReturnType<Engine["load"]> {
-        await this.world.resumed(this.name);
-        return this.engine.load();
-    }
-
-    order(order: Parameters<Engine["order"]>[0]): ReturnType<Engine["order"]> {
-        return this.engine.order(order);
-    }
-}
-
 /** The deployment and what happens to it. */
 export class World {
     readonly oracle = new Oracle();
