--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -12,6 +12,7 @@
     waitUntil,
 } from "../gateway/index.js";
 import { DecisionLog, HistogramSet, type LineFields, ProcessMetrics, renderMetrics } from "../observability/index.js";
+import { pause } from "../model/pause.js";
 import type { GatewaySettings } from "../settings/index.js";
 import type { CallLedger, Store } from "../store/index.js";
 import { reportStoreCalls, type RunningProcess } from "./process.js";
@@ -28,6 +29,8 @@
 /** A running gateway. */
 export interface GatewayProcess extends RunningProcess {
     readonly gateway: Gateway;
+    /** Closes everything at once, without finishing what is open. */
+    kill(): Promise<void>;
     /** Takes over changed settings; those of listeners need a restart. */
     reload(settings: GatewaySettings): void;
 }
@@ -109,25 +112,29 @@
     });
     void peers.register(store, () => stopped);
 
+    const kill = async (): Promise<void> => {
+        stopped = true;
+        feed.stop();
+        log.flush();
+        await Promise.all([callers, ...others].map(listener => listener.close()));
+    };
     const stop = async (): Promise<void> => {
         const graceEnd = performance.now() + settings.stopGraceSeconds * 1_000 - STOP_MARGIN_MS;
         log.always("stopping", { openRequests: callers.openRequests });
         gateway.phase = "draining";
         stopped = true;
         const unregistered = peers.unregister(store);
-        await waitUntil(() => false, DRAIN_MS);
+        await pause(DRAIN_MS);
         gateway.phase = "stopping";
         await waitUntil(() => callers.openRequests === 0, graceEnd - performance.now());
-        await Promise.race([unregistered, waitUntil(() => false, LAST_WRITES_MS)]);
-        feed.stop();
+        await Promise.race([unregistered, pause(LAST_WRITES_MS)]);
         log.always("stopped", { openRequests: callers.openRequests });
-        log.flush();
-        for (const listener of [callers, ...others]) listener.close();
-        await waitUntil(() => false, LAST_WRITES_MS / 4);
+        await kill();
+        await pause(LAST_WRITES_MS / 4);
     };
     const reload = (changed: GatewaySettings): void => {
         settings = changed;
         log.always("settings reloaded", {});
     };
-    return { name: settings.name, gateway, stop, reload };
+    return { name: settings.name, gateway, stop, kill, reload };
 }
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -147,7 +147,7 @@
                 headers: message.headers,
                 rawHeaders: message.rawHeaders,
             };
-            finish({ kind: "answered", head, body: AnswerBody.of(message, outgoing) });
+            finish({ kind: "answered", head, body: AnswerBody.of(message, outgoing, socket) });
         });
         limits.signal.addEventListener("abort", onAbort);
         outgoing.end(order.body);
@@ -175,13 +175,16 @@
     private constructor(
         private readonly message: IncomingMessage,
         private readonly outgoing: ClientRequest,
+        socket: Socket,
     ) {
         // A break can come before anybody reads.
         message.on("error", error => (this.failure ??= error.message));
+        // A body without a length ends with its connection. The parser takes a reset for that end as well.
+        if (!isDelimited(message)) socket.on("error", error => (this.failure ??= error.message));
     }
 
-    static of(message: IncomingMessage, outgoing: ClientRequest): AnswerBody {
-        return new AnswerBody(message, outgoing);
+    static of(message: IncomingMessage, outgoing: ClientRequest, socket: Socket): AnswerBody {
+        return new AnswerBody(message, outgoing, socket);
     }
 
     /** Closes the connection without reading further. */
@@ -213,7 +216,7 @@
             };
             const ended = (): void =>
                 finish(
-                    message.complete
+                    message.complete && this.failure === undefined
                         ? { kind: "complete" }
                         : { kind: "broken", reason: this.failure ?? "answer ended early" },
                 );
@@ -235,6 +238,10 @@
     }
 }
 
+function isDelimited({ headers }: IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 /** Reads a body of limited size into memory. */
 export async function readWhole(
     body: AnswerBody,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -181,7 +181,8 @@
             priority: order.priority,
             deadline: order.deadline,
             targetOf: stage => this.context.stageTarget(route, stage, latestReady),
-            zone: this.context.zone,
+            expectedMs: stage => this.context.stageMs(route, stage),
+            zone: this.preferredZone(order),
             make: this.context.makePieces,
             release: this.context.releaseResults,
             signal: order.signal,
@@ -191,9 +192,15 @@
         return { kind: "ended", end: this.endWithoutStages(order, outcome.reason, outcome.retryAfterMs) };
     }
 
+    /** Zone of the target that the request will probably be sent to. */
+    private preferredZone(order: Order): string {
+        const usable = this.context.targets.usable(order.service);
+        const placement = this.placementOf(order, []);
+        return placeGeneration(usable, placement, this.context.prefixMemory)?.record.zone ?? this.context.zone;
+    }
+
     private endWithoutStages(order: Order, reason: PieceLossReason, retryAfterMs: number): ExchangeEnd {
         if (order.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
-        if (order.deadline.passed()) return this.answerOwn("expired", 504, "stages took too long");
         return this.refuse(`stage ${reason}`, Math.max(retryAfterMs, NO_TARGET_RETRY_MS));
     }
 
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -84,7 +84,7 @@
     }
 
     private noteAvailability(prefix: string, change: AvailabilityChange): void {
-        if (change.kind === "lost") this.options.onChange("store lost", { prefix, message: change.message });
+        if (change.kind === "lost") this.options.onChange("store lost", { prefix, reason: change.message });
         else this.options.onChange("store regained", { prefix, outageMs: Math.round(change.outageMs) });
     }
 
@@ -92,7 +92,7 @@
         if (event.object === undefined) return;
         const decoded = this.options.source.decodeConfiguration(event.object.value);
         if (decoded.kind === "decoded") this.options.gateway.putInForce(decoded.value);
-        else this.options.onChange("configuration ignored", { key: event.key, message: decoded.message });
+        else this.options.onChange("configuration ignored", { key: event.key, reason: decoded.message });
     }
 
     private applyTarget(event: StoreEvent, view: StoreView): void {
@@ -109,7 +109,7 @@
             gateway.targets.put(decoded.value);
             return;
         }
-        this.options.onChange("registration ignored", { target: id, message: decoded.message });
+        this.options.onChange("registration ignored", { target: id, reason: decoded.message });
         gateway.targets.remove(id);
     }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,7 @@
  */
 import type { LineFields } from "../observability/index.js";
 import { RetryBudget } from "../routing/index.js";
-import { Gathering, type MakePieces, StageQueue } from "../stages/index.js";
+import { fullCallMs, Gathering, type MakePieces, StageQueue } from "../stages/index.js";
 import { Deadline } from "../model/index.js";
 import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
@@ -28,6 +28,8 @@
     readonly releaseResults: (service: string, handles: readonly string[]) => void;
     /** Time by which a stage has to be ready when the request's first answer has to be there at `latest`. */
     readonly stageTarget: (route: Route, stage: number, latest: Deadline) => Deadline;
+    /** Expected time of a stage in milliseconds, without a queue. */
+    readonly stageMs: (route: Route, stage: number) => number;
     /** Whether new requests are refused because the process is about to end. */
     readonly stopping: () => boolean;
     /** Whether callers are told to close their connections. */
@@ -94,6 +96,7 @@
             makePieces: (jobs, signal) => this.gathering.make(jobs, signal),
             releaseResults: (service, handles) => this.gathering.release(service, handles),
             stageTarget: (route, stage, latest) => this.stageTarget(route, stage, latest),
+            stageMs: (route, stage) => this.stageMs(route.stages[stage]?.service ?? ""),
             stopping: () => this.phase === "stopping",
             closing: () => this.phase !== "serving",
             onDecision,
@@ -155,10 +158,13 @@
     private followingMs(route: Route, stage: number): number {
         const following = route.stages.flatMap(({ service, after }, index) => {
             if (!after.includes(stage)) return [];
-            const capacity = this.inForce?.service(service)?.stage;
-            const ownMs = capacity === undefined ? 0 : capacity.callMs + capacity.batch * capacity.pieceMs;
-            return [ownMs + this.followingMs(route, index)];
+            return [this.stageMs(service) + this.followingMs(route, index)];
         });
         return Math.max(0, ...following);
     }
+
+    private stageMs(service: string): number {
+        const capacity = this.inForce?.service(service)?.stage;
+        return capacity === undefined ? 0 : fullCallMs(capacity);
+    }
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -19,7 +19,7 @@
 const WAITING_COST_MS = 40;
 
 /** Cost of moving a megabyte of results between zones, as milliseconds. */
-const CROSSING_COST_MS_PER_MEGABYTE = 60;
+const CROSSING_COST_MS_PER_MEGABYTE = 20;
 
 /** Part of a prompt that the preferred engine is assumed to hold without this gateway having sent it there. */
 const ASSUMED_MEMORY = 0.6;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -56,9 +56,11 @@
     }
 
     /** Closes the listener and all connections. */
-    close(): void {
-        this.server.close();
-        for (const socket of this.sockets) socket.destroy();
+    close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            for (const socket of this.sockets) socket.destroy();
+        });
     }
 }
 
--- a/src/observability/decisionlog.ts
+++ b/src/observability/decisionlog.ts
@@ -31,7 +31,7 @@
         });
         this.logger.attachTransport(entry => {
             const { 0: fields, 1: message } = entry as unknown as { 0: LineFields; 1: string };
-            this.sink.write(JSON.stringify({ time: new Date().toISOString(), process, message, ...fields }));
+            this.sink.write(JSON.stringify({ ...fields, time: new Date().toISOString(), process, message }));
         });
     }
 
--- a/src/stages/batch.ts
+++ b/src/stages/batch.ts
@@ -1,41 +1,115 @@
 /**
- * Choice of the pieces for the next call to a stage target.
+ * Which pieces go into the next call to a stage target, and which requests are not taken on at all.
  *
- * A call has a fixed cost and holds a limited number of pieces, so under load a full batch decides how much a target can
+ * A call has a fixed cost and holds a limited number of pieces, so under load a full call decides how much a target can
  * do. Pieces wait only while no target is free: then a queue forms by itself and fills the next call.
+ *
+ * In an overload the most urgent piece is often one that can no longer be on time. Serving it first makes the next one
+ * late as well, until every request is late. Pieces that can still be on time therefore go first, and a request is taken
+ * on only if its pieces can be made in time behind those that go before it.
  */
 import type { PieceJob } from "./piece.js";
 
 /** What ordering and forecasting need to know of a waiting piece. */
-export type Waiting = Pick<PieceJob, "priority" | "target" | "deadline" | "requestId" | "resultBytes">;
+export type Waiting = Pick<
+    PieceJob,
+    "priority" | "target" | "deadline" | "requestId" | "resultBytes" | "inputs" | "zone"
+> & {
+    /** Time on the monotonic clock at which the piece began to wait. */
+    readonly queuedAt: number;
+};
+
+/** Time in milliseconds by which one rank of priority goes before an earlier target time. */
+const PRIORITY_STEP_MS = 500;
+
+/** Time in milliseconds by which a piece goes back in the queue of a target for each megabyte between zones. */
+const CROSSING_STEP_MS_PER_MEGABYTE = 400;
+
+/** Longest time in milliseconds for which a piece waits for a target in the zone of its data. */
+const ZONE_WAIT_MS = 220;
+
+/** Bytes between zones for which a piece does not wait. */
+const SMALL_CROSSING_BYTES = 50_000;
+
+/** Added to the position of pieces that cannot be on time; longer than any deadline. */
+const LATE_STEP_MS = 1_000_000;
+
+/** Capacity of a stage service as far as it can be used now. */
+export interface QueueCapacity {
+    /** Calls that can be in progress at once. */
+    readonly targets: number;
+    /** Pieces in one call. */
+    readonly batch: number;
+    readonly callMs: number;
+    readonly pieceMs: number;
+}
+
+/** Time in milliseconds that one full call takes. */
+export function fullCallMs(capacity: Pick<QueueCapacity, "batch" | "callMs" | "pieceMs">): number {
+    return capacity.callMs + capacity.batch * capacity.pieceMs;
+}
+
+/** The position of a piece in the queue at a time on the monotonic clock; the lowest comes first. */
+export function urgencyOf(piece: Omit<Waiting, "queuedAt">, now: number, callMs: number): number {
+    const late = piece.target.at < now + callMs;
+    return (late ? piece.deadline.at + LATE_STEP_MS : piece.target.at) + piece.priority * PRIORITY_STEP_MS;
+}
+
+/** Bytes that move between zones when a piece is made in a zone: its inputs, and its result to where it is needed. */
+export function crossingBytes(
+    piece: Omit<Waiting, "queuedAt">,
+    zone: string,
+    zoneOfInput: (handle: string) => string,
+    inputBytes: number,
+): number {
+    const inputs = piece.inputs.filter(handle => zoneOfInput(handle) !== zone).length * inputBytes;
+    return inputs + (piece.zone === zone ? 0 : piece.resultBytes);
+}
 
 /**
- * Time in milliseconds by which one rank of priority goes before an earlier target time. Strict ranks would starve the
- * lower ones in a long overload.
+ * Whether a piece is left for a target that moves fewer bytes between zones: it has waited little so far, can wait on
+ * without being late, and some target that is in use moves at most half as much.
  */
-const PRIORITY_STEP_MS = 250;
+export function waitsForZone(piece: Waiting, now: number, callMs: number, crossing: number, least: number): boolean {
+    if (crossing <= SMALL_CROSSING_BYTES || least * 2 > crossing) return false;
+    return now - piece.queuedAt < ZONE_WAIT_MS && piece.target.at - now > callMs + ZONE_WAIT_MS;
+}
+
+/** A waiting piece with its position for one target. */
+export interface Positioned<Piece> {
+    readonly piece: Piece;
+    readonly position: number;
+}
 
-/** The position of a piece in the queue; the lowest comes first. */
-export function urgencyOf(piece: Waiting): number {
-    return piece.target.at + piece.priority * PRIORITY_STEP_MS;
+/** Orders pieces for a target. Those of one request stay together, so that their results lie at one target. */
+export function orderFor<Piece extends Waiting>(
+    pieces: readonly Piece[],
+    now: number,
+    callMs: number,
+    crossing: (piece: Piece) => number,
+): readonly Positioned<Piece>[] {
+    return pieces
+        .map(piece => ({
+            piece,
+            position: urgencyOf(piece, now, callMs) + (crossing(piece) / 1_000_000) * CROSSING_STEP_MS_PER_MEGABYTE,
+        }))
+        .sort((left, right) => left.position - right.position || compareText(left.piece, right.piece));
 }
 
-/** Orders pieces by urgency and keeps those of one request together, so that their results lie at one target. */
-export function compareUrgency(left: Waiting, right: Waiting): number {
-    const difference = urgencyOf(left) - urgencyOf(right);
-    if (difference !== 0) return difference;
-    return left.requestId < right.requestId ? -1 : left.requestId > right.requestId ? 1 : 0;
+function compareText(left: Waiting, right: Waiting): number {
+    if (left.requestId === right.requestId) return 0;
+    return left.requestId < right.requestId ? -1 : 1;
 }
 
 /** Takes the first pieces of an ordered queue that fit into one call and into the target's free memory. */
 export function fillBatch<Piece extends Waiting>(
-    ordered: readonly Piece[],
+    ordered: readonly Positioned<Piece>[],
     batch: number,
     freeBytes: number,
 ): readonly Piece[] {
     const taken: Piece[] = [];
     let bytes = 0;
-    for (const piece of ordered) {
+    for (const { piece } of ordered) {
         if (taken.length >= batch) break;
         if (bytes + piece.resultBytes > freeBytes) continue;
         bytes += piece.resultBytes;
@@ -44,28 +118,60 @@
     return taken;
 }
 
-/** Capacity of a stage service as far as it can be used now. */
-export interface QueueCapacity {
-    readonly targets: number;
-    readonly batch: number;
-    readonly callMs: number;
-    readonly pieceMs: number;
+/**
+ * Time in milliseconds until the last of `own` pieces is made when `ahead` pieces go before them: the rounds of calls
+ * before their own, half a call for the ones in progress, and their own call.
+ */
+export function forecastMs(ahead: number, own: number, capacity: QueueCapacity): number {
+    if (capacity.targets === 0) return Number.POSITIVE_INFINITY;
+    const callMs = fullCallMs(capacity);
+    const callsAhead = Math.floor((ahead + Math.max(0, own - 1)) / capacity.batch);
+    const waitMs = ahead > 0 ? callMs / 2 / capacity.targets : 0;
+    return waitMs + (callsAhead * callMs) / capacity.targets + callMs;
 }
 
-/** Time in milliseconds that one full call takes. */
-export function fullCallMs(capacity: Pick<QueueCapacity, "batch" | "callMs" | "pieceMs">): number {
-    return capacity.callMs + capacity.batch * capacity.pieceMs;
+/** Whether a request's pieces are taken on. */
+export type Admission =
+    | { readonly kind: "onTime" }
+    | { readonly kind: "late" }
+    | { readonly kind: "refused"; readonly neededMs: number; readonly retryAfterMs: number };
+
+/** Part of the remaining time within which a request that will be late has to be served by the forecast. */
+const LATE_SHARE = 0.25;
+
+/**
+ * Decides on the pieces of one stage of a request. A request that cannot be on time is taken on while what waits
+ * leaves room for it, and refused at once otherwise. One whose earlier stages were made is only refused when its deadline
+ * cannot be kept.
+ */
+export function admit(
+    waiting: readonly Waiting[],
+    own: readonly Omit<Waiting, "queuedAt">[],
+    capacity: QueueCapacity,
+    now: number,
+): Admission {
+    const first = own[0];
+    if (first === undefined || capacity.targets === 0) return { kind: "onTime" };
+    const callMs = fullCallMs(capacity);
+    const position = urgencyOf(first, now, callMs);
+    const before = waiting.filter(piece => urgencyOf(piece, now, callMs) <= position).length;
+    const neededMs = forecastMs(before, own.length, capacity);
+    if (now + neededMs <= first.target.at) return { kind: "onTime" };
+    const remainingMs = first.deadline.at - now;
+    const begun = first.inputs.length > 0;
+    const behindAllMs = forecastMs(waiting.length, own.length, capacity);
+    const allowedMs = begun ? remainingMs : remainingMs * LATE_SHARE;
+    const lateMs = begun ? neededMs : behindAllMs;
+    if (lateMs <= allowedMs) return { kind: "late" };
+    return { kind: "refused", neededMs: lateMs, retryAfterMs: Math.max(callMs, lateMs - allowedMs) };
 }
 
 /**
- * Time in milliseconds until a piece is made when `ahead` pieces go before it: the rounds of calls before its own, half
- * a call for the ones in progress, and its own call.
+ * Whether a waiting piece is given up before its deadline: it cannot be on time, and what can be on time leaves no room
+ * for it. `onTime` is the number of pieces that can.
  */
-export function forecastMs(ahead: number, capacity: QueueCapacity): number {
-    if (capacity.targets === 0) return Number.POSITIVE_INFINITY;
+export function isHopeless(piece: Waiting, now: number, onTime: number, capacity: QueueCapacity): boolean {
     const callMs = fullCallMs(capacity);
-    const roundMs = callMs / capacity.targets;
-    const callsAhead = Math.floor(ahead / capacity.batch);
-    const busyMs = ahead > 0 ? callMs / 2 : 0;
-    return busyMs + callsAhead * roundMs + callMs;
+    if (piece.target.at >= now + callMs) return false;
+    return now + forecastMs(onTime, 1, capacity) > piece.deadline.at;
 }
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -41,6 +41,7 @@
             index: z.int(),
             key: z.string().optional(),
             inputs: z.array(z.string()),
+            inputBytes: z.number(),
             resultBytes: z.number(),
             priority: z.number(),
             deadlineMs: z.number(),
@@ -186,9 +187,9 @@
 }
 
 function encodeJob(job: PieceJob): object {
-    const { requestId, stage, index, key, inputs, resultBytes, priority, zone } = job;
+    const { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone } = job;
     const times = { deadlineMs: job.deadline.remaining(), targetMs: job.target.at - performance.now() };
-    return { requestId, stage, index, key, inputs, resultBytes, priority, zone, ...times };
+    return { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone, ...times };
 }
 
 function jsonHeaders(body: Buffer): readonly string[] {
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -12,6 +12,8 @@
     readonly key: string | undefined;
     /** Handles of the results that the piece needs. */
     readonly inputs: readonly string[];
+    /** Approximate size of one input in bytes. */
+    readonly inputBytes: number;
     /** Approximate size of the result in bytes. */
     readonly resultBytes: number;
     /** Rank of the request; 0 is the most urgent. */
@@ -20,7 +22,7 @@
     readonly deadline: Deadline;
     /** When the piece has to be made for the request to be on time. */
     readonly target: Deadline;
-    /** Zone of the gateway that has the request. */
+    /** Zone in which the result will probably be needed. */
     readonly zone: string;
 }
 
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -10,7 +10,16 @@
 import type { Target, TargetDirectory } from "../gateway/target.js";
 import { Deadline } from "../model/index.js";
 import type { RetryBudget } from "../routing/index.js";
-import { compareUrgency, fillBatch, forecastMs, fullCallMs, type QueueCapacity } from "./batch.js";
+import {
+    admit,
+    crossingBytes,
+    fillBatch,
+    fullCallMs,
+    isHopeless,
+    orderFor,
+    type QueueCapacity,
+    waitsForZone,
+} from "./batch.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
 
 /** What a queue works with. */
@@ -30,7 +39,7 @@
 const CALL_TIMEOUT_SLACK_MS = 400;
 
 /** Time in milliseconds between two looks for a usable target while pieces wait and none is free. */
-const RECHECK_MS = 40;
+const RECHECK_MS = 25;
 
 /** Time in milliseconds for which a target that was full or had no room gets no call. */
 const FULL_PAUSE_MS = 60;
@@ -50,8 +59,15 @@
 /** A target that is this many times slower than expected waits until the faster ones are busy. */
 const SLOW_TARGET_RATIO = 2;
 
+/** Bytes between zones that weigh as much as a target being slower by its expected time. */
+const SLOWNESS_BYTES = 100_000_000;
+
+/** Results can be larger than their service says; room is kept for that. */
+const SIZE_MARGIN = 1.15;
+
 interface Waiting extends PieceJob {
     calls: number;
+    readonly queuedAt: number;
     readonly signal: AbortSignal;
     readonly resolve: (result: PieceResult) => void;
 }
@@ -92,7 +108,7 @@
         const results = jobs.map(
             job =>
                 new Promise<PieceResult>(resolve => {
-                    this.waiting.push({ ...job, calls: 0, signal, resolve });
+                    this.waiting.push({ ...job, calls: 0, queuedAt: performance.now(), signal, resolve });
                 }),
         );
         signal.addEventListener("abort", () => this.drop(), { once: true });
@@ -122,17 +138,24 @@
         return { targets, batch: capacity.batch, callMs: capacity.callMs, pieceMs: capacity.pieceMs };
     }
 
-    /** Refuses a request whose pieces cannot be made before its deadline, so that it does not wait in vain. */
+    /** Refuses a request whose pieces cannot be made in time, so that it does not wait in vain. */
     private refusal(jobs: readonly PieceJob[]): PieceResult | undefined {
-        const first = jobs[0];
         const capacity = this.usableCapacity();
-        if (first === undefined || capacity === undefined || capacity.targets === 0) return undefined;
-        const ahead = this.waiting.filter(piece => compareUrgency(piece, first) <= 0).length + jobs.length - 1;
-        const neededMs = forecastMs(ahead, capacity);
-        const overdueMs = neededMs - first.deadline.remaining();
-        if (overdueMs <= 0) return undefined;
-        this.environment.onDecision("stage refused", { id: first.requestId, ahead, neededMs, ...capacity });
-        return { kind: "lost", reason: "overloaded", retryAfterMs: Math.max(overdueMs, fullCallMs(capacity)) };
+        if (capacity === undefined) return undefined;
+        const admission = admit(this.waiting, jobs, capacity, performance.now());
+        if (admission.kind !== "refused") return undefined;
+        const { neededMs, retryAfterMs } = admission;
+        this.environment.onDecision("stage refused", {
+            id: jobs[0]?.requestId,
+            service: this.service,
+            stage: jobs[0]?.stage,
+            waiting: this.waiting.length,
+            targets: capacity.targets,
+            neededMs: Math.round(neededMs),
+            remainingMs: Math.round(jobs[0]?.deadline.remaining() ?? 0),
+            retryAfterMs: Math.round(retryAfterMs),
+        });
+        return { kind: "lost", reason: "overloaded", retryAfterMs };
     }
 
     private drop(): void {
@@ -156,10 +179,12 @@
         this.dropLate();
         const capacity = this.environment.capacity();
         if (capacity === undefined) return;
-        this.waiting.sort(compareUrgency);
-        for (const target of this.freeTargets(capacity)) {
-            if (this.waiting.length === 0) return;
-            const pieces = fillBatch(this.waiting, capacity.batch, this.freeBytes(target, capacity));
+        let free = this.freeTargets(capacity);
+        while (free.length > 0 && this.waiting.length > 0) {
+            const target = this.bestTarget(free, capacity);
+            free = free.filter(other => other !== target);
+            const ordered = this.orderFor(target, capacity);
+            const pieces = fillBatch(ordered, capacity.batch, this.freeBytes(target, capacity));
             if (pieces.length === 0) continue;
             const taken = new Set(pieces);
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
@@ -168,28 +193,58 @@
         if (this.waiting.length > 0) this.timer ??= setTimeout(() => this.recheck(), RECHECK_MS);
     }
 
+    /** Of the free targets that are not slow, the one to which the most urgent piece moves least between zones. */
+    private bestTarget(free: readonly Target[], capacity: StageCapacity): Target {
+        const [first] = orderFor(this.waiting, performance.now(), fullCallMs(capacity), () => 0);
+        const cost = (target: Target): number =>
+            slownessRank(this.stateOf(target.name)) * SLOWNESS_BYTES +
+            (first === undefined ? 0 : this.crossingBytes(first.piece, target));
+        return free.reduce((best, target) => (cost(target) < cost(best) ? target : best));
+    }
+
+    private orderFor(target: Target, capacity: StageCapacity): ReturnType<typeof orderFor<Waiting>> {
+        const now = performance.now();
+        const callMs = fullCallMs(capacity);
+        const others = this.environment.targets.usable(this.service);
+        const candidates = this.waiting.filter(piece => {
+            const least = Math.min(...others.map(other => this.crossingBytes(piece, other)));
+            return !waitsForZone(piece, now, callMs, this.crossingBytes(piece, target), least);
+        });
+        return orderFor(candidates, now, callMs, piece => this.crossingBytes(piece, target));
+    }
+
+    private crossingBytes(piece: PieceJob, target: Target): number {
+        const { dialect, targets } = this.environment;
+        const zoneOf = (handle: string): string => targets.withAddress(dialect.holderOf(handle))?.record.zone ?? "";
+        return crossingBytes(piece, target.record.zone, zoneOf, piece.inputBytes);
+    }
+
     private recheck(): void {
         this.timer = undefined;
         this.dispatch();
     }
 
     private dropLate(): void {
+        const now = performance.now();
+        const capacity = this.usableCapacity();
+        if (capacity === undefined || this.waiting.length === 0) return;
+        const callMs = fullCallMs(capacity);
+        const onTime = this.waiting.filter(piece => piece.target.at >= now + callMs).length;
         this.waiting = this.waiting.filter(piece => {
-            if (!piece.deadline.passed()) return true;
+            const hopeless = capacity.targets > 0 && isHopeless(piece, now, onTime, capacity);
+            if (!piece.deadline.passed() && !hopeless) return true;
             this.lose(piece, "late");
             return false;
         });
     }
 
-    /** Targets that can take a call, the quickest first. */
+    /** Targets that can take a call. */
     private freeTargets(capacity: StageCapacity): readonly Target[] {
         const now = performance.now();
-        return this.environment.targets
-            .usable(this.service)
-            .map(target => ({ target, state: this.stateOf(target.name) }))
-            .filter(({ state }) => state.callsInProgress < capacity.slots && state.blockedUntil <= now)
-            .sort((left, right) => slownessRank(left.state) - slownessRank(right.state))
-            .map(({ target }) => target);
+        return this.environment.targets.usable(this.service).filter(target => {
+            const state = this.stateOf(target.name);
+            return state.callsInProgress < capacity.slots && state.blockedUntil <= now;
+        });
     }
 
     private freeBytes(target: Target, capacity: StageCapacity): number {
@@ -200,7 +255,7 @@
             if (until <= now) state.held.delete(handle);
             else used += bytes;
         }
-        return capacity.memoryBytes - used;
+        return capacity.memoryBytes / SIZE_MARGIN - used;
     }
 
     private async call(target: Target, pieces: readonly Waiting[], capacity: StageCapacity): Promise<void> {
--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -18,6 +18,9 @@
     readonly deadline: Deadline;
     /** Time by which a stage has to be ready for the request to be on time. */
     readonly targetOf: (stage: number) => Deadline;
+    /** Expected time of a stage in milliseconds. */
+    readonly expectedMs: (stage: number) => number;
+    /** Zone in which the results will probably be needed. */
     readonly zone: string;
     readonly make: MakePieces;
     readonly release: (service: string, handles: readonly string[]) => void;
@@ -59,6 +62,9 @@
     order.stages.forEach((stage, index) => {
         runs.push(
             (async (): Promise<StageOutcome> => {
+                const held = await Promise.all(holdsOf(order, index).flatMap(other => runs[other] ?? []));
+                const withheld = held.find(outcome => "lost" in outcome);
+                if (withheld !== undefined) return withheld;
                 const before = await Promise.all(stage.after.flatMap(other => runs[other] ?? []));
                 const broken = before.find(outcome => "lost" in outcome);
                 if (broken !== undefined) return broken;
@@ -87,6 +93,45 @@
     return { kind: "ready", inputs, release: releaseAll };
 }
 
+/** A chain counts as longer than a stage when it takes this many times as long. */
+const LONGER_RATIO = 1.25;
+
+/**
+ * Stages without inputs that take much less time than another chain wait until that chain is about as short. Their
+ * results would otherwise take room at their makers while the request waits for the chain, and room decides how many
+ * requests can be in progress. The result names the stages to wait for.
+ */
+function holdsOf(order: StagesOrder, index: number): readonly number[] {
+    const { stages, expectedMs, pieces } = order;
+    if ((stages[index]?.after.length ?? 0) > 0 || (pieces[index] ?? 0) === 0) return [];
+    const own = remainingMs(order, index);
+    let holds: readonly number[] = [];
+    let longest = -1;
+    stages.forEach((stage, other) => {
+        if (stage.after.length === 0 || other === index || (pieces[other] ?? 0) === 0) return;
+        if (isAfter(stages, other, index)) return;
+        const ownOther = remainingMs(order, other);
+        const before = Math.max(...stage.after.map(earlier => ownOther + expectedMs(earlier)));
+        if (ownOther > own * LONGER_RATIO || before <= own * LONGER_RATIO || ownOther <= longest) return;
+        [holds, longest] = [stage.after, ownOther];
+    });
+    return holds;
+}
+
+/** Expected time in milliseconds from the start of a stage to the end of the longest chain that begins with it. */
+function remainingMs(order: StagesOrder, index: number): number {
+    const following = order.stages.flatMap((stage, other) =>
+        stage.after.includes(index) ? [remainingMs(order, other)] : [],
+    );
+    return order.expectedMs(index) + Math.max(0, ...following);
+}
+
+/** Whether a stage needs, directly or not, the results of an earlier one. */
+function isAfter(stages: readonly RouteStage[], stage: number, earlier: number): boolean {
+    const after = stages[stage]?.after ?? [];
+    return after.includes(earlier) || after.some(other => isAfter(stages, other, earlier));
+}
+
 async function makeStage(
     order: StagesOrder,
     stage: RouteStage,
@@ -96,6 +141,7 @@
     const count = order.pieces[index] ?? 0;
     if (count === 0) return { handles: [] };
     const inputs = before.flatMap(outcome => ("handles" in outcome ? outcome.handles : []));
+    const target = order.targetOf(index);
     const jobs = Array.from({ length: count }, (_, piece): PieceJob => ({
         requestId: order.requestId,
         service: stage.service,
@@ -103,10 +149,11 @@
         index: piece,
         key: inputs.length === 0 ? order.key : undefined,
         inputs,
+        inputBytes: Math.max(0, ...stage.after.map(other => order.stages[other]?.resultBytes ?? 0)),
         resultBytes: stage.resultBytes,
         priority: order.priority,
         deadline: order.deadline,
-        target: order.targetOf(index),
+        target,
         zone: order.zone,
     }));
     const results = await order.make(jobs, order.signal);
--- /dev/null
+++ b/test/gateway/eventstream.test.ts
@@ -0,0 +1,39 @@
+/** Events come out whole and in order however the bytes of a stream are cut. */
+import fastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import { EventSplitter } from "../../src/gateway/eventstream.js";
+
+describe("EventSplitter", () => {
+    it.each<[string, string, readonly (string | undefined)[], number]>([
+        ["two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", ["1", "2"], 0],
+        ["carriage returns", "id: 1\r\ndata: a\r\n\r\n", ["1"], 0],
+        ["an event without id", "data: a\n\n", [undefined], 0],
+        ["an event that is not complete", "id: 1\ndata: a\n\nid: 2\nda", ["1"], 8],
+        ["a first line of another name", "weights: 3\nid: 4\ndata: a\n\n", ["4"], 0],
+        ["an id in the data", "id: 5\ndata: id: 9\n\n", ["5"], 0],
+    ])("reads %s", (_, text, ids, pending) => {
+        const splitter = EventSplitter.create();
+        expect(splitter.push(Buffer.from(text)).map(({ id }) => id)).toEqual(ids);
+        expect(splitter.pendingBytes).toBe(pending);
+    });
+
+    it("gives the same bytes for every way to cut them", () => {
+        const line = fastCheck.stringMatching(/^[a-z]{1,8}: [ -~é]{0,12}$/);
+        const events = fastCheck.array(fastCheck.array(line, { minLength: 1, maxLength: 4 }), { maxLength: 8 });
+        fastCheck.assert(
+            fastCheck.property(events, fastCheck.array(fastCheck.integer({ min: 1, max: 20 })), (blocks, cuts) => {
+                const bytes = Buffer.from(blocks.map(lines => `${lines.join("\n")}\n\n`).join(""));
+                const splitter = EventSplitter.create();
+                const read = [];
+                let position = 0;
+                for (const length of [...cuts, bytes.length]) {
+                    read.push(...splitter.push(bytes.subarray(position, position + length)));
+                    position = Math.min(bytes.length, position + length);
+                }
+                expect(read).toHaveLength(blocks.length);
+                expect(Buffer.concat(read.map(event => event.bytes))).toEqual(bytes);
+            }),
+            { seed: 1, numRuns: 300 },
+        );
+    });
+});
--- /dev/null
+++ b/test/platform/standin.ts
@@ -0,0 +1,352 @@
+/**
+ * A stand-in for the users' platform on the loopback address: the store of objects, and targets of each kind. It speaks
+ * the published protocol; tests switch faults with plain calls and read what reached the targets.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+
+/** A request as a target got it. */
+export interface Arrival {
+    readonly id: string;
+    readonly path: string;
+    readonly method: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+/** How a target treats the next requests. */
+export type Behaviour =
+    | { readonly kind: "answer"; readonly status?: number; readonly body?: string }
+    | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
+    | { readonly kind: "full" }
+    | { readonly kind: "reset" }
+    | { readonly kind: "silent" }
+    | { readonly kind: "truncate" }
+    | { readonly kind: "notHttp" }
+    | { readonly kind: "otherAnswer" }
+    | { readonly kind: "extraAnswer" }
+    | { readonly kind: "unframedReset" };
+
+async function listen(server: Server): Promise<string> {
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function readAll(request: IncomingMessage): Promise<string> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        request.on("data", (chunk: Buffer) => chunks.push(chunk));
+        request.on("end", () => resolve(Buffer.concat(chunks).toString()));
+    });
+}
+
+/** A replica of a service. */
+export class StandInTarget {
+    readonly arrivals: Arrival[] = [];
+    /** Bodies of calls that make pieces. */
+    readonly pieceCalls: { readonly Entries: readonly Record<string, unknown>[] }[] = [];
+    readonly released: string[] = [];
+    /** Requests whose connection was closed before their answer had ended. */
+    readonly abandoned: string[] = [];
+    address = "";
+    behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
+    /** Time of one call that makes pieces, in milliseconds. */
+    callMs = 20;
+    /** Reasons to give instead of results, by number of the call. */
+    pieceReasons: (call: number) => string | undefined = () => undefined;
+    private readonly sockets = new Set<Socket>();
+    private made = 0;
+
+    private constructor(
+        readonly id: string,
+        private readonly server: Server,
+    ) {}
+
+    static async start(id: string): Promise<StandInTarget> {
+        const server = createServer((request, response) => void target.serve(request, response));
+        const target: StandInTarget = new StandInTarget(id, server);
+        server.on("connection", socket => {
+            target.sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.once("close", () => target.sockets.delete(socket));
+        });
+        target.address = await listen(server);
+        return target;
+    }
+
+    close(): void {
+        this.server.close();
+        for (const socket of this.sockets) socket.destroy();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readAll(request);
+        const expected = request.headers["x-parsleyrun-expect-instance"];
+        if (expected !== undefined && expected !== this.id) {
+            response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
+            return;
+        }
+        if (request.url === "/stage-run") return this.makePieces(body, response);
+        if (request.url === "/stage-free") {
+            this.released.push(...(JSON.parse(body) as { Handles: string[] }).Handles);
+            response.end();
+            return;
+        }
+        const id = String(request.headers["x-parsleyrun-request-id"] ?? "");
+        const arrival = { id, path: request.url ?? "", method: request.method ?? "", headers: request.headers, body };
+        this.arrivals.push(arrival);
+        response.once("close", () => {
+            if (!response.writableFinished) this.abandoned.push(id);
+        });
+        await this.behave(this.behaviour(arrival), arrival, response);
+    }
+
+    private async behave(behaviour: Behaviour, arrival: Arrival, response: ServerResponse): Promise<void> {
+        const headers = { "x-parsleyrun-request-id": arrival.id, "x-parsleyrun-server-stamp": `stamp-${this.id}` };
+        const socket = response.socket;
+        switch (behaviour.kind) {
+            case "answer":
+                response.writeHead(behaviour.status ?? 200, headers).end(behaviour.body ?? `answer to ${arrival.id}`);
+                return;
+            case "stream":
+                return this.stream(behaviour, arrival, response);
+            case "full":
+                response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
+                return;
+            case "reset":
+                socket?.resetAndDestroy();
+                return;
+            case "silent":
+                return;
+            case "truncate":
+                response.writeHead(200, { ...headers, "content-length": 100 });
+                response.write("half");
+                setTimeout(() => socket?.destroy(), 5);
+                return;
+            case "notHttp":
+                socket?.end("no answer in the protocol\r\n\r\n");
+                return;
+            case "otherAnswer":
+                response.writeHead(200, { ...headers, "x-parsleyrun-request-id": "another" }).end("another's answer");
+                return;
+            case "unframedReset":
+                socket?.write(
+                    `HTTP/1.1 200 OK\r\nx-parsleyrun-request-id: ${arrival.id}\r\nx-parsleyrun-server-stamp: s\r\n` +
+                        `connection: close\r\n\r\nhalf of the ans`,
+                );
+                setTimeout(() => socket?.resetAndDestroy(), 20);
+                return;
+            case "extraAnswer":
+                socket?.end(
+                    `HTTP/1.1 200 OK\r\nx-parsleyrun-request-id: ${arrival.id}\r\nx-parsleyrun-server-stamp: s\r\n` +
+                        `content-length: 4\r\n\r\ngoodHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad`,
+                );
+        }
+    }
+
+    private async stream(
+        behaviour: Extract<Behaviour, { kind: "stream" }>,
+        arrival: Arrival,
+        response: ServerResponse,
+    ): Promise<void> {
+        response.writeHead(200, {
+            "content-type": "text/event-stream",
+            "x-parsleyrun-request-id": arrival.id,
+            "x-parsleyrun-server-stamp": `stamp-${this.id}`,
+        });
+        const first = Number(arrival.headers["last-event-id"] ?? 0) + 1;
+        let left = behaviour.cutAfterBytes ?? Number.POSITIVE_INFINITY;
+        for (let id = first; id <= behaviour.events; id += 1) {
+            const event = `id: ${id}\ndata: event ${id} of ${arrival.id}\n\n`;
+            if (event.length > left) {
+                response.write(event.slice(0, left));
+                await new Promise(resolve => setTimeout(resolve, 10));
+                response.socket?.resetAndDestroy();
+                return;
+            }
+            left -= event.length;
+            response.write(event);
+            await new Promise(resolve => setTimeout(resolve, behaviour.gapMs ?? 1));
+        }
+        response.end();
+    }
+
+    private async makePieces(body: string, response: ServerResponse): Promise<void> {
+        const order = JSON.parse(body) as { readonly Entries: readonly Record<string, unknown>[] };
+        this.pieceCalls.push(order);
+        const reason = this.pieceReasons(this.pieceCalls.length);
+        await new Promise(resolve => setTimeout(resolve, this.callMs));
+        const entries = order.Entries.map(() => {
+            this.made += 1;
+            return reason === undefined ? { Handle: `${this.address}/${this.made}` } : { Reason: reason };
+        });
+        response.writeHead(200, { "content-type": "application/json", "x-parsleyrun-server-load": "1,0,1" });
+        response.end(JSON.stringify({ Entries: entries }));
+    }
+}
+
+interface StoredEntry {
+    readonly Metadata: { readonly Name: string; readonly Revision: number };
+    readonly Spec: unknown;
+}
+
+interface Change {
+    readonly revision: number;
+    readonly kind: string;
+    readonly Object: StoredEntry;
+    readonly Deleted: boolean;
+}
+
+/** The store of objects. */
+export class StandInPlatform {
+    address = "";
+    /** Refuses all calls. */
+    down = false;
+    /** Takes calls and never answers. */
+    silent = false;
+    /** Takes writes and loses their answers. */
+    loseWriteAnswers = false;
+    readonly calls: string[] = [];
+    private readonly objects = new Map<string, Map<string, StoredEntry>>();
+    private history: Change[] = [];
+    private oldest = 0;
+    private revision = 1;
+    private wakeUps = new Set<() => void>();
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(private readonly server: Server) {}
+
+    static async start(): Promise<StandInPlatform> {
+        const server = createServer((request, response) => void platform.serve(request, response));
+        const platform: StandInPlatform = new StandInPlatform(server);
+        server.on("connection", socket => {
+            platform.sockets.add(socket);
+            socket.once("close", () => platform.sockets.delete(socket));
+        });
+        platform.address = await listen(server);
+        return platform;
+    }
+
+    close(): void {
+        this.server.close();
+        for (const wake of this.wakeUps) wake();
+        for (const socket of this.sockets) socket.destroy();
+    }
+
+    /** Closes all connections, as an outage does. */
+    cutConnections(): void {
+        for (const socket of this.sockets) socket.destroy();
+    }
+
+    /** Drops the history, so that watches have to list again. */
+    compact(): void {
+        this.history = [];
+        this.oldest = this.revision;
+        this.wake();
+    }
+
+    put(kind: string, name: string, spec: unknown): StoredEntry {
+        this.revision += 1;
+        const object = { Metadata: { Name: name, Revision: this.revision }, Spec: spec };
+        const objects = this.objects.get(kind) ?? new Map<string, StoredEntry>();
+        this.objects.set(kind, objects);
+        objects.set(name, object);
+        this.record(kind, object, false);
+        return object;
+    }
+
+    remove(kind: string, name: string): boolean {
+        const object = this.objects.get(kind)?.get(name);
+        if (object === undefined) return false;
+        this.revision += 1;
+        this.objects.get(kind)?.delete(name);
+        this.record(kind, object, true);
+        return true;
+    }
+
+    names(kind: string): readonly string[] {
+        return [...(this.objects.get(kind)?.keys() ?? [])];
+    }
+
+    private record(kind: string, object: StoredEntry, deleted: boolean): void {
+        this.history.push({ revision: this.revision, kind, Object: object, Deleted: deleted });
+        this.wake();
+    }
+
+    private wake(): void {
+        const wakeUps = this.wakeUps;
+        this.wakeUps = new Set();
+        for (const wake of wakeUps) wake();
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readAll(request);
+        this.calls.push(`${request.method} ${request.url}`);
+        if (this.silent) return;
+        if (this.down) {
+            response.writeHead(503).end();
+            return;
+        }
+        const url = new URL(request.url ?? "/", "http://store");
+        const [, , kind = "", name] = url.pathname.split("/");
+        const answer = (status: number, content: unknown): void => {
+            if (request.method !== "GET" && this.loseWriteAnswers) response.socket?.destroy();
+            else response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(content));
+        };
+        if (request.method === "GET" && name === undefined) return this.list(kind, url.searchParams, answer);
+        const existing = this.objects.get(kind)?.get(name ?? "");
+        const sent = body === "" ? undefined : (JSON.parse(body) as Partial<StoredEntry>);
+        const revision = sent?.Metadata?.Revision ?? Number(url.searchParams.get("Revision") ?? 0);
+        switch (request.method) {
+            case "GET":
+                return existing === undefined ? answer(404, {}) : answer(200, existing);
+            case "POST": {
+                const created = sent?.Metadata?.Name ?? "";
+                const taken = this.objects.get(kind)?.get(created);
+                return taken === undefined ? answer(201, this.put(kind, created, sent?.Spec)) : answer(409, taken);
+            }
+            case "PUT":
+                if (existing === undefined) return answer(404, {});
+                if (revision !== 0 && revision !== existing.Metadata.Revision) return answer(409, existing);
+                return answer(200, this.put(kind, name ?? "", sent?.Spec));
+            default:
+                if (existing !== undefined && revision !== 0 && revision !== existing.Metadata.Revision) {
+                    return answer(409, existing);
+                }
+                return answer(this.remove(kind, name ?? "") ? 200 : 404, {});
+        }
+    }
+
+    private async list(
+        kind: string,
+        query: URLSearchParams,
+        answer: (status: number, content: unknown) => void,
+    ): Promise<void> {
+        const from = query.get("Watch");
+        if (from === null) {
+            return answer(200, {
+                Entries: [...(this.objects.get(kind)?.values() ?? [])],
+                HasMore: false,
+                At: this.revision,
+            });
+        }
+        const end = Date.now() + Number(query.get("WaitMs") ?? 0);
+        for (;;) {
+            if (Number(from) < this.oldest) return answer(410, {});
+            const events = this.history.filter(change => change.kind === kind && change.revision > Number(from));
+            if (events.length > 0 || Date.now() >= end) {
+                return answer(200, {
+                    events: events.map(({ Object, Deleted }) => ({ Object, Deleted })),
+                    At: this.revision,
+                });
+            }
+            await new Promise<void>(resolve => {
+                const timer = setTimeout(resolve, Math.max(1, end - Date.now()));
+                this.wakeUps.add(() => {
+                    clearTimeout(timer);
+                    resolve();
+                });
+            });
+        }
+    }
+}
--- /dev/null
+++ b/test/stages/batch.test.ts
@@ -0,0 +1,211 @@
+/** Filling of calls, order and admission under the loads that they answer. */
+import fastCheck from "fast-check";
+import { describe, expect, it } from "vitest";
+import { Deadline } from "../../src/model/index.js";
+import {
+    admit,
+    fillBatch,
+    forecastMs,
+    fullCallMs,
+    isHopeless,
+    orderFor,
+    type QueueCapacity,
+    urgencyOf,
+    type Waiting,
+    waitsForZone,
+} from "../../src/stages/batch.js";
+
+const CAPACITY: QueueCapacity = { targets: 4, batch: 7, callMs: 200, pieceMs: 24 };
+const CALL_MS = fullCallMs(CAPACITY);
+
+/** A piece at time 0: `target` and `deadline` are milliseconds from then. */
+function piece(target: number, deadline: number, rest: Partial<Waiting> = {}): Waiting {
+    const now = performance.now();
+    return {
+        requestId: "r",
+        priority: 1,
+        target: Deadline.after(target),
+        deadline: Deadline.after(deadline),
+        resultBytes: 1_000,
+        inputs: [],
+        zone: "east",
+        queuedAt: now,
+        ...rest,
+    };
+}
+
+function many(count: number, target: number, deadline: number, rest: Partial<Waiting> = {}): readonly Waiting[] {
+    return Array.from({ length: count }, (_, index) => piece(target, deadline, { requestId: `w${index}`, ...rest }));
+}
+
+describe("forecasts", () => {
+    it.each<[string, number, number, QueueCapacity, number]>([
+        ["nothing waits", 0, 1, CAPACITY, CALL_MS],
+        ["what waits fits into the same call", 5, 1, CAPACITY, CALL_MS + CALL_MS / 8],
+        ["one full call waits", 7, 1, CAPACITY, CALL_MS + CALL_MS / 8 + CALL_MS / 4],
+        ["one target is left", 7, 1, { ...CAPACITY, targets: 1 }, 2.5 * CALL_MS],
+        ["a request fills two calls", 0, 8, CAPACITY, CALL_MS + CALL_MS / 4],
+        ["no target is left", 0, 1, { ...CAPACITY, targets: 0 }, Number.POSITIVE_INFINITY],
+    ])("when %s", (_, ahead, own, capacity, expected) => {
+        expect(forecastMs(ahead, own, capacity)).toBeCloseTo(expected);
+    });
+
+    it("never shrink with more work ahead or fewer targets", () => {
+        fastCheck.assert(
+            fastCheck.property(
+                fastCheck.nat(200),
+                fastCheck.nat(50),
+                fastCheck.integer({ min: 2, max: 8 }),
+                (ahead, more, targets) => {
+                    const few = forecastMs(ahead, 1, { ...CAPACITY, targets });
+                    expect(forecastMs(ahead + more, 1, { ...CAPACITY, targets })).toBeGreaterThanOrEqual(few);
+                    expect(forecastMs(ahead, 1, { ...CAPACITY, targets: targets - 1 })).toBeGreaterThanOrEqual(few);
+                },
+            ),
+            { seed: 1 },
+        );
+    });
+});
+
+describe("admission", () => {
+    const idle: readonly Waiting[] = [];
+    it.each<{ load: string; waiting: readonly Waiting[]; own: Waiting; kind: string }>([
+        { load: "no load", waiting: idle, own: piece(800, 5_000), kind: "onTime" },
+        { load: "a short queue", waiting: many(10, 700, 5_000), own: piece(1_000, 5_000), kind: "onTime" },
+        {
+            load: "a queue that leaves room for late work",
+            waiting: many(10, 700, 5_000),
+            own: piece(100, 5_000),
+            kind: "late",
+        },
+        { load: "a long queue", waiting: many(100, 700, 5_000), own: piece(900, 5_000), kind: "refused" },
+        { load: "a long queue of late work", waiting: many(100, 50, 5_000), own: piece(900, 5_000), kind: "onTime" },
+        {
+            load: "a long queue, with stages made before",
+            waiting: many(60, 700, 9_000),
+            own: piece(900, 5_000, { inputs: ["h"] }),
+            kind: "late",
+        },
+        {
+            load: "a long queue of less urgent work",
+            waiting: many(100, 700, 5_000, { priority: 3 }),
+            own: piece(900, 5_000, { priority: 0 }),
+            kind: "onTime",
+        },
+    ])("under $load: $kind", ({ waiting, own, kind }) => {
+        expect(admit(waiting, [own], CAPACITY, performance.now()).kind).toBe(kind);
+    });
+
+    it("tells refused callers to come back after the queue has drained", () => {
+        const admission = admit(many(100, 700, 5_000), [piece(900, 5_000)], CAPACITY, performance.now());
+        expect(admission).toMatchObject({ kind: "refused" });
+        if (admission.kind === "refused") expect(admission.retryAfterMs).toBeGreaterThanOrEqual(CALL_MS);
+    });
+});
+
+describe("order", () => {
+    it("puts what can be on time before what cannot, then urgent before less urgent", () => {
+        const late = piece(10, 5_000, { requestId: "late" });
+        const soon = piece(600, 5_000, { requestId: "soon" });
+        const urgent = piece(900, 5_000, { requestId: "urgent", priority: 0 });
+        const ordered = orderFor([late, soon, urgent], performance.now(), CALL_MS, () => 0);
+        expect(ordered.map(({ piece: { requestId } }) => requestId)).toEqual(["urgent", "soon", "late"]);
+    });
+
+    it("keeps the pieces of one request together", () => {
+        const deadlines = { target: Deadline.after(900), deadline: Deadline.after(5_000) };
+        const pieces = ["b", "a", "b", "a"].map(requestId => piece(0, 0, { requestId, ...deadlines }));
+        const ordered = orderFor(pieces, performance.now(), CALL_MS, () => 0);
+        expect(ordered.map(({ piece: { requestId } }) => requestId)).toEqual(["a", "a", "b", "b"]);
+    });
+
+    it("fills a call up to its size and the target's memory", () => {
+        const pieces = many(9, 900, 5_000, { resultBytes: 400 });
+        const ordered = pieces.map((waiting, position) => ({ piece: waiting, position }));
+        expect(fillBatch(ordered, 7, 10_000)).toHaveLength(7);
+        expect(fillBatch(ordered, 7, 1_000)).toHaveLength(2);
+    });
+
+    it.each<[string, Partial<Waiting>, number, number, number, boolean]>([
+        ["has slack and can move fewer bytes", {}, 2_000, 300_000, 0, true],
+        ["moves little", {}, 2_000, 10_000, 0, false],
+        ["has no better target", {}, 2_000, 300_000, 300_000, false],
+        ["would be late", {}, 400, 300_000, 0, false],
+        ["has waited long", { queuedAt: -10_000 }, 2_000, 300_000, 0, false],
+    ])("leaves a piece for the zone of its data when it %s", (_, rest, target, crossing, least, expected) => {
+        const waiting = piece(target, 5_000, rest);
+        expect(waitsForZone(waiting, performance.now(), CALL_MS, crossing, least)).toBe(expected);
+    });
+});
+
+describe("hopeless pieces", () => {
+    it.each<[string, Waiting, number, boolean]>([
+        ["can be on time", piece(900, 5_000), 500, false],
+        ["are late and have room", piece(10, 5_000), 10, false],
+        ["are late without room", piece(10, 1_500), 200, true],
+    ])("are told: those that %s", (_, waiting, onTime, expected) => {
+        expect(isHopeless(waiting, performance.now(), onTime, CAPACITY)).toBe(expected);
+    });
+});
+
+/**
+ * Replays a burst against one stage service: calls take their time, requests arrive at a steady rate with a burst in the
+ * middle, and the share that is made on time is counted. The clock is the replay's own.
+ */
+function replayBurst(policy: "feasibleFirst" | "firstCome"): { readonly onTime: number; readonly asked: number } {
+    const start = performance.now();
+    let seed = 7;
+    const random = (): number => {
+        seed = (seed * 16_807) % 2_147_483_647;
+        return seed / 2_147_483_647;
+    };
+    const freeAt = Array.from({ length: CAPACITY.targets }, () => 0);
+    let waiting: Waiting[] = [];
+    let [onTime, asked] = [0, 0];
+    for (let time = 0; time < 20_000; time += 5) {
+        const perSecond = time >= 4_000 && time < 9_000 ? 130 : 45;
+        if (random() < (perSecond * 5) / 1_000) {
+            asked += 1;
+            const at = start + time;
+            const arrived = piece(0, 0, {
+                requestId: `r${asked}`,
+                target: { at: at + 700 } as Deadline,
+                deadline: { at: at + 5_000 } as Deadline,
+                queuedAt: at,
+            });
+            if (policy === "firstCome" || admit(waiting, [arrived], CAPACITY, at).kind !== "refused") {
+                waiting.push(arrived);
+            }
+        }
+        freeAt.forEach((free, target) => {
+            if (free > time || waiting.length === 0) return;
+            const now = start + time;
+            const ordered =
+                policy === "firstCome"
+                    ? waiting.map((next, position) => ({ piece: next, position }))
+                    : orderFor(waiting, now, CALL_MS, () => 0);
+            const batch = fillBatch(ordered, CAPACITY.batch, Number.POSITIVE_INFINITY);
+            const end = time + CAPACITY.callMs + batch.length * CAPACITY.pieceMs;
+            freeAt[target] = end;
+            onTime += batch.filter(({ target: { at } }) => start + end <= at).length;
+            waiting = waiting.filter(next => !batch.includes(next));
+        });
+    }
+    return { onTime, asked };
+}
+
+describe("a burst above capacity", () => {
+    it("leaves most requests on time, which first come, first served does not", () => {
+        const ours = replayBurst("feasibleFirst");
+        const baseline = replayBurst("firstCome");
+        expect(ours.asked).toBe(baseline.asked);
+        expect(ours.onTime / ours.asked).toBeGreaterThan(0.7);
+        expect(ours.onTime).toBeGreaterThan(1.5 * baseline.onTime);
+    });
+});
+
+it("the position of a piece never depends on when it is computed while it can be on time", () => {
+    const waiting = piece(900, 5_000);
+    const now = performance.now();
+    expect(urgencyOf(waiting, now, CALL_MS)).toBe(urgencyOf(waiting, now + 100, CALL_MS));
+});
