Give up late pieces at once, count later queues in admission, and stop waiting when callers do

Ruled out: admission of too many late requests (69 refusals in all, most at the first stage); no room (none lost by it). Change: a late piece is given up when the pieces that can be on time leave no room within 0.75 of a call; gatherers tell their waiting time with each answer, and a stage's target time allows for the queues after it; stages end when a caller of a stream would leave; pieces wait for a zone only while less than a call waits.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -36,9 +36,17 @@
 const PAUSE_STALL_RATIO = 2.5;
 const DEFAULT_PAUSE_STALL_MS = 2_000;
 
+/** Callers leave a stream after the longest of these waits for an event: a time, and multiples of the route's limits. */
+const CALLER_PATIENCE_MS = 2_000;
+const CALLER_PATIENCE_LATENCIES = 4;
+const CALLER_PATIENCE_PAUSES = 8;
+
 /** Shortest remaining time in milliseconds in which an attempt can succeed. */
 const SHORTEST_ATTEMPT_MS = 10;
 
+/** Time in milliseconds that is left for the engine when the stages' results are there. */
+const FIRST_EVENT_RESERVE_MS = 150;
+
 /** Headers that concern the connection to the target. */
 const CONNECTION_HEADERS = new Set(["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade", "te"]);
 
@@ -179,7 +187,7 @@
             pieces: facts.pieces,
             key: facts.pieceKey,
             priority: order.priority,
-            deadline: order.deadline,
+            deadline: this.firstEventDeadline(order),
             targetOf: stage => this.context.stageTarget(route, stage, latestReady),
             expectedMs: stage => this.context.stageMs(route, stage),
             zone: this.preferredZone(order),
@@ -199,6 +207,17 @@
         return placeGeneration(usable, placement, this.context.prefixMemory)?.record.zone ?? this.context.zone;
     }
 
+    /** When a stream's first event has to be there, since its caller waits no longer. */
+    private firstEventDeadline({ route, deadline, receivedAt }: Order): Deadline {
+        if (!route.streaming) return deadline;
+        const patienceMs = Math.max(
+            CALLER_PATIENCE_MS,
+            route.targetLatencyMs * CALLER_PATIENCE_LATENCIES,
+            (route.pauseLimitMs ?? 0) * CALLER_PATIENCE_PAUSES,
+        );
+        return deadline.within(receivedAt + patienceMs - FIRST_EVENT_RESERVE_MS - performance.now());
+    }
+
     private endWithoutStages(order: Order, reason: PieceLossReason, retryAfterMs: number): ExchangeEnd {
         if (order.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
         return this.refuse(`stage ${reason}`, Math.max(retryAfterMs, NO_TARGET_RETRY_MS));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -154,11 +154,11 @@
         return Deadline.after(latest.at - performance.now() - FIRST_EVENT_MS - followingMs);
     }
 
-    /** Time in milliseconds of the stages that follow one, along the longest way. */
+    /** Time in milliseconds of the stages that follow one and of their queues, along the longest way. */
     private followingMs(route: Route, stage: number): number {
         const following = route.stages.flatMap(({ service, after }, index) => {
             if (!after.includes(stage)) return [];
-            return [this.stageMs(service) + this.followingMs(route, index)];
+            return [this.stageMs(service) + this.gathering.waitMs(service) + this.followingMs(route, index)];
         });
         return Math.max(0, ...following);
     }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -134,9 +134,10 @@
     // Spaces before the JSON text tell the other gateway that this one still works on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
-    const results = await gateway.queueOf(order.service).make(order.jobs, abort.signal);
+    const queue = gateway.queueOf(order.service);
+    const results = await queue.make(order.jobs, abort.signal);
     clearInterval(progress);
-    response.end(JSON.stringify({ results }));
+    response.end(JSON.stringify({ results, waitMs: queue.waitMs }));
 }
 
 function readBody(request: IncomingMessage): Promise<string | undefined> {
--- a/src/stages/batch.ts
+++ b/src/stages/batch.ts
@@ -166,12 +166,17 @@
     return { kind: "refused", neededMs: lateMs, retryAfterMs: Math.max(callMs, lateMs - allowedMs) };
 }
 
+/** Part of a full call for which a piece that cannot be on time waits behind those that can. */
+const LATE_PATIENCE = 0.75;
+
 /**
- * Whether a waiting piece is given up before its deadline: it cannot be on time, and what can be on time leaves no room
- * for it. `onTime` is the number of pieces that can.
+ * Whether a waiting piece is given up: it cannot be on time, and what can be on time leaves no room for it soon. Holding
+ * it would keep its caller from an early answer and, at the end, mostly without any. `onTime` is the number of pieces
+ * that can be on time.
  */
 export function isHopeless(piece: Waiting, now: number, onTime: number, capacity: QueueCapacity): boolean {
     const callMs = fullCallMs(capacity);
     if (piece.target.at >= now + callMs) return false;
-    return now + forecastMs(onTime, 1, capacity) > piece.deadline.at;
+    const neededMs = forecastMs(onTime, 1, capacity);
+    return neededMs > callMs * (1 + LATE_PATIENCE) || now + neededMs > piece.deadline.at;
 }
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -29,6 +29,9 @@
 /** Time in milliseconds for passing on released results. */
 const RELEASE_TIMEOUT_MS = 500;
 
+/** Time in milliseconds after which a told waiting time counts half; queues build up and drain within seconds. */
+const WAIT_HALF_LIFE_MS = 1_000;
+
 /** Largest answer of a gatherer in bytes. */
 const MAXIMUM_ANSWER_BYTES = 1_048_576;
 
@@ -52,6 +55,7 @@
 });
 
 const resultSchema = z.object({
+    waitMs: z.number(),
     results: z.array(
         z.union([
             z.object({ kind: z.literal("made"), handle: z.string() }),
@@ -78,6 +82,7 @@
 /** Sends pieces to their gatherer. */
 export class Gathering {
     private readonly passedOverUntil = new Map<string, number>();
+    private readonly waits = new Map<string, { readonly milliseconds: number; readonly at: number }>();
 
     private constructor(private readonly environment: GatheringEnvironment) {}
 
@@ -90,7 +95,7 @@
         const service = jobs[0]?.service ?? "";
         while (!signal.aborted) {
             const gatherer = this.gathererOf(service);
-            if (gatherer === undefined) return this.environment.queueOf(service).make(jobs, signal);
+            if (gatherer === undefined) return this.makeHere(service, jobs, signal);
             const results = await this.makeAt(gatherer, service, jobs, signal);
             if (results !== undefined) return results;
             if (!signal.aborted) this.passOver(gatherer, jobs);
@@ -98,6 +103,28 @@
         return jobs.map(() => ({ kind: "lost", reason: "cancelled", retryAfterMs: 0 }));
     }
 
+    /** Time in milliseconds that pieces of a service waited of late; it counts less the longer ago it was told. */
+    waitMs(service: string): number {
+        const told = this.waits.get(service);
+        if (told === undefined) return 0;
+        return told.milliseconds * 2 ** (-(performance.now() - told.at) / WAIT_HALF_LIFE_MS);
+    }
+
+    private async makeHere(
+        service: string,
+        jobs: readonly PieceJob[],
+        signal: AbortSignal,
+    ): Promise<readonly PieceResult[]> {
+        const queue = this.environment.queueOf(service);
+        const results = await queue.make(jobs, signal);
+        this.noteWait(service, queue.waitMs);
+        return results;
+    }
+
+    private noteWait(service: string, milliseconds: number): void {
+        this.waits.set(service, { milliseconds, at: performance.now() });
+    }
+
     /** Gives up results that are not needed any more. */
     release(service: string, handles: readonly string[]): void {
         const gatherer = this.gathererOf(service);
@@ -143,7 +170,9 @@
         }
         const text = await readProgress(sent.body, limits);
         const parsed = resultSchema.safeParse(parseJson(text ?? ""));
-        return parsed.success && parsed.data.results.length === jobs.length ? parsed.data.results : undefined;
+        if (!parsed.success || parsed.data.results.length !== jobs.length) return undefined;
+        this.noteWait(service, parsed.data.waitMs);
+        return parsed.data.results;
     }
 
     private async releaseAt(peer: GatewayPeer, service: string, handles: readonly string[]): Promise<void> {
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -14,6 +14,7 @@
     admit,
     crossingBytes,
     fillBatch,
+    forecastMs,
     fullCallMs,
     isHopeless,
     orderFor,
@@ -101,6 +102,13 @@
         return this.waiting.length;
     }
 
+    /** Time in milliseconds that a piece which can be on time waits for its call. */
+    get waitMs(): number {
+        const capacity = this.usableCapacity();
+        if (capacity === undefined || capacity.targets === 0) return 0;
+        return forecastMs(this.countOnTime(capacity), 1, capacity) - fullCallMs(capacity);
+    }
+
     /** Makes the pieces of one request's stage. */
     make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<readonly PieceResult[]> {
         const refusal = this.refusal(jobs);
@@ -206,7 +214,10 @@
         const now = performance.now();
         const callMs = fullCallMs(capacity);
         const others = this.environment.targets.usable(this.service);
+        // With a full call waiting, holding pieces back would leave calls half empty.
+        const held = this.waiting.length <= capacity.batch;
         const candidates = this.waiting.filter(piece => {
+            if (!held) return true;
             const least = Math.min(...others.map(other => this.crossingBytes(piece, other)));
             return !waitsForZone(piece, now, callMs, this.crossingBytes(piece, target), least);
         });
@@ -224,12 +235,16 @@
         this.dispatch();
     }
 
+    private countOnTime(capacity: QueueCapacity): number {
+        const latest = performance.now() + fullCallMs(capacity);
+        return this.waiting.filter(piece => piece.target.at >= latest).length;
+    }
+
     private dropLate(): void {
         const now = performance.now();
         const capacity = this.usableCapacity();
         if (capacity === undefined || this.waiting.length === 0) return;
-        const callMs = fullCallMs(capacity);
-        const onTime = this.waiting.filter(piece => piece.target.at >= now + callMs).length;
+        const onTime = this.countOnTime(capacity);
         this.waiting = this.waiting.filter(piece => {
             const hopeless = capacity.targets > 0 && isHopeless(piece, now, onTime, capacity);
             if (!piece.deadline.passed() && !hopeless) return true;
