--- a/src/commandline/daemons.ts
+++ b/src/commandline/daemons.ts
@@ -1,9 +1,11 @@
 /** The commands that run processes: `entry`, `agent` and `check-settings`. */
+import type { z } from "zod";
 import { type RunningProcess, startAgent, startEntry } from "../daemon/index.js";
 import {
     agentSettingsSchema,
     entrySettingsSchema,
     formatSettingsErrors,
+    gatewaySettingsSchema,
     loadSettings,
     type SettingsOutcome,
 } from "../settings/index.js";
@@ -26,14 +28,21 @@
     return ExitCode.done;
 }
 
+/** Kinds of processes whose settings can be checked. */
+export type SettingsRole = Role | "gateway";
+
+const SETTINGS_SCHEMAS = {
+    entry: entrySettingsSchema,
+    agent: agentSettingsSchema,
+    gateway: gatewaySettingsSchema,
+} as const;
+
 /** Checks a settings file without starting anything. */
-export async function checkSettingsCommand(console: Console, role: Role, file: string): Promise<ExitCode> {
-    const outcome =
-        role === "entry"
-            ? await loadSettings(entrySettingsSchema, file)
-            : await loadSettings(agentSettingsSchema, file);
+export async function checkSettingsCommand(console: Console, role: SettingsRole, file: string): Promise<ExitCode> {
+    const schema: z.ZodType = SETTINGS_SCHEMAS[role];
+    const outcome = await loadSettings(schema, file);
     if (outcome.kind === "invalid") return reportInvalid(console, file, outcome);
-    console.out(`${file}: valid settings of an ${role}`);
+    console.out(`${file}: valid settings of ${role === "gateway" ? "a" : "an"} ${role}`);
     return ExitCode.done;
 }
 
--- a/src/commandline/run.ts
+++ b/src/commandline/run.ts
@@ -12,7 +12,7 @@
 const HELP = `Usage
   parsleyrun entry --settings FILE              run an entry
   parsleyrun agent --settings FILE              run an agent
-  parsleyrun check-settings entry|agent FILE    check a settings file
+  parsleyrun check-settings ROLE FILE           check a settings file of an entry, agent or gateway
 
   parsleyrun apply FILE [--dry-run] [--base VERSION] [--wait]
                                                 apply lists
@@ -110,8 +110,8 @@
             takeOperands(command, operands, []);
             return daemonCommand(console, command, required(flags.settings, "--settings FILE"));
         case "check-settings": {
-            const [role, file] = takeOperands(command, operands, ["entry|agent", "FILE"]);
-            return checkSettingsCommand(console, oneOf(role, ["entry", "agent"]), file);
+            const [role, file] = takeOperands(command, operands, ["entry|agent|gateway", "FILE"]);
+            return checkSettingsCommand(console, oneOf(role, ["entry", "agent", "gateway"]), file);
         }
         default:
             return operate(command, operands, flags, console);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -551,12 +551,19 @@
         });
     }
 
-    /** Gives the caller a target's complete answer. */
+    /**
+     * Gives the caller a target's complete answer. A body that ended with its connection goes on in the same way: nobody
+     * can tell whether its target ended it or crashed, and a length of our own would claim that it is whole.
+     */
     private deliver(head: AnswerHead, bytes: Buffer): ExchangeEnd {
-        const headers = answerHeaders(head, this.context.closing());
-        if (head.headers["content-length"] === undefined) headers.push("content-length", String(bytes.length));
+        const framed = head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
+        const headers = answerHeaders(head, this.context.closing() || !framed);
+        if (!framed) this.response.useChunkedEncodingByDefault = false;
+        else if (head.headers["content-length"] === undefined) headers.push("content-length", String(bytes.length));
         this.response.writeHead(head.status, head.statusText, headers);
-        this.response.end(bytes);
+        // A write before the end keeps the length from being added.
+        if (!framed) this.response.write(bytes);
+        this.response.end(framed ? bytes : undefined);
         return { outcome: "answered", status: head.status, reason: "complete" };
     }
 
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -44,8 +44,8 @@
 const COLD_BURST = 2;
 
 /** Time in milliseconds for which a target that could not be reached gets nothing, growing with each failure. */
-const UNREACHABLE_PAUSE_MS = 500;
-const LONGEST_UNREACHABLE_PAUSE_MS = 4_000;
+const UNREACHABLE_PAUSE_MS = 250;
+const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
 
 /** Age in milliseconds at which a told load counts half. */
 const LOAD_HALF_LIFE_MS = 300;
--- a/src/stages/batch.ts
+++ b/src/stages/batch.ts
@@ -6,14 +6,15 @@
  *
  * In an overload the most urgent piece is often one that can no longer be on time. Serving it first makes the next one
  * late as well, until every request is late. Pieces that can still be on time therefore go first, and a request is taken
- * on only if its pieces can be made in time behind those that go before it.
+ * on only if its pieces can be made in time behind those that go before it. This holds for requests that have begun, too:
+ * finishing a late one before those that can be on time makes the next ones late.
  */
 import type { PieceJob } from "./piece.js";
 
 /** What ordering and forecasting need to know of a waiting piece. */
 export type Waiting = Pick<
     PieceJob,
-    "priority" | "target" | "deadline" | "requestId" | "resultBytes" | "inputs" | "zone"
+    "priority" | "target" | "deadline" | "requestId" | "resultBytes" | "inputs" | "zone" | "begun"
 > & {
     /** Time on the monotonic clock at which the piece began to wait. */
     readonly queuedAt: number;
@@ -158,10 +159,9 @@
     const neededMs = forecastMs(before, own.length, capacity);
     if (now + neededMs <= first.target.at) return { kind: "onTime" };
     const remainingMs = first.deadline.at - now;
-    const begun = first.inputs.length > 0;
     const behindAllMs = forecastMs(waiting.length, own.length, capacity);
-    const allowedMs = begun ? remainingMs : remainingMs * LATE_SHARE;
-    const lateMs = begun ? neededMs : behindAllMs;
+    const allowedMs = first.begun ? remainingMs : remainingMs * LATE_SHARE;
+    const lateMs = first.begun ? neededMs : behindAllMs;
     if (lateMs <= allowedMs) return { kind: "late" };
     return { kind: "refused", neededMs: lateMs, retryAfterMs: Math.max(callMs, lateMs - allowedMs) };
 }
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -50,6 +50,7 @@
             deadlineMs: z.number(),
             targetMs: z.number(),
             zone: z.string(),
+            begun: z.boolean(),
         }),
     ),
 });
@@ -216,9 +217,9 @@
 }
 
 function encodeJob(job: PieceJob): object {
-    const { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone } = job;
+    const { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone, begun } = job;
     const times = { deadlineMs: job.deadline.remaining(), targetMs: job.target.at - performance.now() };
-    return { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone, ...times };
+    return { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone, begun, ...times };
 }
 
 function jsonHeaders(body: Buffer): readonly string[] {
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -24,6 +24,8 @@
     readonly target: Deadline;
     /** Zone in which the result will probably be needed. */
     readonly zone: string;
+    /** Whether pieces of the request were made before, which would be lost with it. */
+    readonly begun: boolean;
 }
 
 /** Why a piece was not made. */
--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -68,7 +68,8 @@
                 const before = await Promise.all(stage.after.flatMap(other => runs[other] ?? []));
                 const broken = before.find(outcome => "lost" in outcome);
                 if (broken !== undefined) return broken;
-                const outcome = await makeStage(order, stage, index, before);
+                const begun = made.some(handles => handles.length > 0);
+                const outcome = await makeStage(order, stage, index, before, begun);
                 if ("handles" in outcome) made[index] = outcome.handles;
                 for (const other of stage.after) {
                     unfinishedConsumers[other] = (unfinishedConsumers[other] ?? 1) - 1;
@@ -137,6 +138,7 @@
     stage: RouteStage,
     index: number,
     before: readonly StageOutcome[],
+    begun: boolean,
 ): Promise<StageOutcome> {
     const count = order.pieces[index] ?? 0;
     if (count === 0) return { handles: [] };
@@ -155,6 +157,7 @@
         deadline: order.deadline,
         target,
         zone: order.zone,
+        begun,
     }));
     const results = await order.make(jobs, order.signal);
     const handles = results.flatMap(result => (result.kind === "made" ? [result.handle] : []));
--- a/test/commandline/commandline.test.ts
+++ b/test/commandline/commandline.test.ts
@@ -80,7 +80,11 @@
         },
         { fault: "time that is no number", argv: ["status", "--timeout", "soon"], message: "--timeout takes a number" },
         { fault: "daemon without settings", argv: ["entry"], message: "--settings FILE is required" },
-        { fault: "wrong role", argv: ["check-settings", "node", "x"], message: "node is not one of: entry, agent" },
+        {
+            fault: "wrong role",
+            argv: ["check-settings", "node", "x"],
+            message: "node is not one of: entry, agent, gateway",
+        },
     ];
 
     it.each(wrong)("ends with 2 and says what to do next for $fault", async ({ argv, message }) => {
@@ -116,6 +120,8 @@
     it("are checked without a start", async () => {
         expect(await execute("check-settings", "entry", "examples/entry-1.yaml")).toMatchObject({ code: 0 });
         expect(await execute("check-settings", "agent", "examples/entry-1.yaml")).toMatchObject({ code: 2 });
+        expect(await execute("check-settings", "gateway", "examples/gateway.yaml")).toMatchObject({ code: 0 });
+        expect(await execute("check-settings", "gateway", "examples/entry-1.yaml")).toMatchObject({ code: 2 });
     });
 });
 
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -121,6 +121,17 @@
         expect((await deployment.call({ path: "/book/1", body: "b" })).status).toBe(502);
     });
 
+    // A target that crashes can end such a body as if it were whole, so the caller must see that it has no length.
+    it("passes a body without a length on without one", async () => {
+        deployment = await Deployment.start({ bookings: 1 });
+        deployment.target("bookings-0").behaviour = () => ({ kind: "unframed" });
+        const answer = await deployment.call({ path: "/book/1", body: "b" });
+        expect(answer).toMatchObject({ status: 200, body: "whole answer" });
+        expect(answer.headers).not.toHaveProperty("content-length");
+        expect(answer.headers).not.toHaveProperty("transfer-encoding");
+        expect(answer.headers.connection).toBe("close");
+    });
+
     it("answers 504 at the route's time, not at the caller's", async () => {
         const routes = CONFIGURATION.Routes.map(route => ({ ...route, TimeoutMs: 200 }));
         deployment = await Deployment.start({ bookings: 1 }, 1, { ...CONFIGURATION, Routes: routes });
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -25,7 +25,8 @@
     | { readonly kind: "notHttp" }
     | { readonly kind: "otherAnswer" }
     | { readonly kind: "extraAnswer" }
-    | { readonly kind: "unframedReset" };
+    | { readonly kind: "unframedReset" }
+    | { readonly kind: "unframed" };
 
 async function listen(server: Server): Promise<string> {
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
@@ -136,6 +137,12 @@
                 );
                 setTimeout(() => socket?.resetAndDestroy(), 20);
                 return;
+            case "unframed":
+                socket?.end(
+                    `HTTP/1.1 200 OK\r\nx-parsleyrun-request-id: ${arrival.id}\r\nx-parsleyrun-server-stamp: s\r\n` +
+                        `connection: close\r\n\r\nwhole answer`,
+                );
+                return;
             case "extraAnswer":
                 socket?.end(
                     `HTTP/1.1 200 OK\r\nx-parsleyrun-request-id: ${arrival.id}\r\nx-parsleyrun-server-stamp: s\r\n` +
--- a/test/stages/batch.test.ts
+++ b/test/stages/batch.test.ts
@@ -29,6 +29,7 @@
         resultBytes: 1_000,
         inputs: [],
         zone: "east",
+        begun: false,
         queuedAt: now,
         ...rest,
     };
@@ -83,7 +84,7 @@
         {
             load: "a long queue, with stages made before",
             waiting: many(60, 700, 9_000),
-            own: piece(900, 5_000, { inputs: ["h"] }),
+            own: piece(900, 5_000, { begun: true }),
             kind: "late",
         },
         {
@@ -143,6 +144,8 @@
         ["can be on time", piece(900, 5_000), 500, false],
         ["are late and have room", piece(10, 5_000), 10, false],
         ["are late without room", piece(10, 1_500), 200, true],
+        ["are late behind more than a call", piece(10, 5_000), 60, true],
+        ["are late behind more than a call, although begun", piece(10, 5_000, { begun: true }), 60, true],
     ])("are told: those that %s", (_, waiting, onTime, expected) => {
         expect(isHopeless(waiting, performance.now(), onTime, CAPACITY)).toBe(expected);
     });
