--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -18,6 +18,11 @@
 const EXIT_USAGE = 2;
 
 const file = process.argv[2] ?? process.env[SETTINGS_VARIABLE] ?? "";
+
+// Until there is something to reload, the signal must not end the process, which is what it does by default.
+let reload = (): void => undefined;
+process.on("SIGHUP", () => reload());
+
 const loaded = await loadSettings(gatewaySettingsSchema, file);
 if (loaded.kind === "invalid") {
     for (const line of formatSettingsErrors(file, loaded.errors)) process.stderr.write(`error: ${line}\n`);
@@ -40,12 +45,12 @@
     ledger,
     log,
 });
-process.on("SIGHUP", () => {
+reload = (): void => {
     void loadSettings(gatewaySettingsSchema, file).then(changed => {
         if (changed.kind === "loaded") running.reload(changed.settings);
         else log.always("settings not reloaded", { errors: formatSettingsErrors(file, changed.errors) });
     });
-});
+};
 process.once("SIGTERM", () => {
     void running.stop().then(() => process.exit(0));
 });
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -16,7 +16,7 @@
 
 /** How a target treats the next requests. */
 export type Behaviour =
-    | { readonly kind: "answer"; readonly status?: number; readonly body?: string }
+    | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
     | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
     | { readonly kind: "full" }
     | { readonly kind: "reset" }
@@ -107,6 +107,7 @@
         const socket = response.socket;
         switch (behaviour.kind) {
             case "answer":
+                await behaviour.after;
                 response.writeHead(behaviour.status ?? 200, headers).end(behaviour.body ?? `answer to ${arrival.id}`);
                 return;
             case "stream":
--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -16,10 +16,10 @@
 /** Longest wait for a condition. It bounds a failing run and is no claim about speed. */
 const WAIT_MS = 30_000;
 
-/** Longest standard error that is kept, in characters. */
+/** Longest output that is kept, in characters. */
 const MAXIMUM_OUTPUT = 200_000;
 
-const MAINS = { entry: "commandline", agent: "commandline", standins: "standins" } as const;
+const MAINS = { entry: "commandline", agent: "commandline", standins: "standins", gateway: "platform" } as const;
 
 /** Kinds of processes that the tests start. */
 export type ProcessKind = keyof typeof MAINS;
@@ -64,9 +64,11 @@
         readonly name: string,
         private readonly child: ChildProcess,
     ) {
-        child.stderr?.setEncoding("utf8").on("data", (text: string) => {
-            this.output = (this.output + text).slice(-MAXIMUM_OUTPUT);
-        });
+        for (const stream of [child.stdout, child.stderr]) {
+            stream?.setEncoding("utf8").on("data", (text: string) => {
+                this.output = (this.output + text).slice(-MAXIMUM_OUTPUT);
+            });
+        }
         this.ended = new Promise(done => {
             child.once("close", (code, signal) => {
                 this.end = { code, signal };
@@ -78,13 +80,14 @@
     static spawn(kind: ProcessKind, name: string, file: string): Daemon {
         const main = resolve("dist", MAINS[kind], "main.js");
         const command = kind === "standins" ? [] : [kind];
-        const child = spawn(process.execPath, [main, ...command, "--settings", file], {
-            stdio: ["ignore", "ignore", "pipe"],
+        const operands = kind === "gateway" ? [file] : [...command, "--settings", file];
+        const child = spawn(process.execPath, [main, ...operands], {
+            stdio: ["ignore", kind === "gateway" ? "pipe" : "ignore", "pipe"],
         });
         return new Daemon(name, child);
     }
 
-    /** What the process wrote to standard error, without the oldest part when it is long. */
+    /** What the process wrote to standard error, and a gateway to standard output; without the oldest part when it is long. */
     get errors(): string {
         return this.output;
     }
