--- /dev/null
+++ b/src/gateway/delivery.ts
@@ -0,0 +1,63 @@
+/** The caller's side of an answer: the headers that go on to it, and streams of whole events. */
+import type { ServerResponse } from "node:http";
+import type { AnswerHead } from "./attempt.js";
+import type { StreamEvent } from "./eventstream.js";
+
+/** Headers that concern the connection to the target. */
+const CONNECTION_HEADERS = new Set(["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade", "te"]);
+
+/** A target's headers as they go to the caller. */
+export function answerHeaders(head: AnswerHead, closing: boolean): string[] {
+    const headers: string[] = [];
+    for (let index = 0; index + 1 < head.rawHeaders.length; index += 2) {
+        const name = head.rawHeaders[index] ?? "";
+        if (CONNECTION_HEADERS.has(name.toLowerCase())) continue;
+        headers.push(name, head.rawHeaders[index + 1] ?? "");
+    }
+    if (closing) headers.push("connection", "close");
+    return headers;
+}
+
+/** The caller's side of a stream: one head, whole events, and the id after which a broken stream is continued. */
+export class StreamDelivery {
+    started = false;
+    private lastId: string | undefined;
+
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly callersLastId: string | undefined,
+        private readonly closing: () => boolean,
+    ) {}
+
+    /** Id of the last event that was delivered in this answer. */
+    get resumeAfter(): string | undefined {
+        return this.started ? (this.lastId ?? this.callersLastId) : undefined;
+    }
+
+    /** Writes events; the promise resolves when the caller can take more. */
+    write(head: AnswerHead, events: readonly StreamEvent[]): Promise<void> | undefined {
+        this.begin(head);
+        for (const { id } of events) this.lastId = id ?? this.lastId;
+        const flowing = this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)));
+        if (flowing) return undefined;
+        return new Promise(resolve => {
+            this.response.once("drain", resolve);
+            this.response.once("close", resolve);
+        });
+    }
+
+    end(head: AnswerHead): void {
+        this.begin(head);
+        this.response.end();
+    }
+
+    private begin(head: AnswerHead): void {
+        if (this.started) return;
+        this.started = true;
+        const headers = answerHeaders(head, this.closing());
+        // A continued stream is longer or shorter than what its first target announced.
+        const length = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
+        if (length >= 0) headers.splice(length, 2);
+        this.response.writeHead(head.status, head.statusText, headers);
+    }
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,6 +13,7 @@
 import { type AnswerBody, type AnswerHead, type AttemptOutcome, readWhole, sendAttempt } from "./attempt.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestFacts } from "./dialect.js";
+import { answerHeaders, StreamDelivery } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
 import { placeCall, placeGeneration } from "./placement.js";
@@ -47,9 +48,6 @@
 /** Time in milliseconds that is left for the engine when the stages' results are there. */
 const FIRST_EVENT_RESERVE_MS = 150;
 
-/** Headers that concern the connection to the target. */
-const CONNECTION_HEADERS = new Set(["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade", "te"]);
-
 /** What a request came to, for the log and the counters. */
 export interface ExchangeEnd {
     readonly outcome: "answered" | "refused" | "rejected" | "failed" | "expired" | "cancelled" | "brokenOff";
@@ -609,62 +607,3 @@
 function inputsGone(): ExchangeEnd {
     return { outcome: "failed", status: 503, reason: "results of stages are gone" };
 }
-
-/** A target's headers as they go to the caller. */
-function answerHeaders(head: AnswerHead, closing: boolean): string[] {
-    const headers: string[] = [];
-    for (let index = 0; index + 1 < head.rawHeaders.length; index += 2) {
-        const name = head.rawHeaders[index] ?? "";
-        if (CONNECTION_HEADERS.has(name.toLowerCase())) continue;
-        headers.push(name, head.rawHeaders[index + 1] ?? "");
-    }
-    if (closing) headers.push("connection", "close");
-    return headers;
-}
-
-/** The caller's side of a stream: one head, whole events, and the id after which a broken stream is continued. */
-class StreamDelivery {
-    started = false;
-    private lastId: string | undefined;
-
-    constructor(
-        private readonly response: ServerResponse,
-        private readonly callersLastId: string | undefined,
-        private readonly closing: () => boolean,
-    ) {}
-
-    /** Id of the last event that was delivered in this answer. */
-    get resumeAfter(): string | undefined {
-        return this.started ? (this.lastId ?? this.callersLastId) : undefined;
-    }
-
-    /** Writes events; the promise resolves when the caller can take more. */
-    write(
-        head: AnswerHead,
-        events: readonly { readonly bytes: Buffer; readonly id: string | undefined }[],
-    ): Promise<void> | undefined {
-        this.begin(head);
-        for (const { id } of events) this.lastId = id ?? this.lastId;
-        const flowing = this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)));
-        if (flowing) return undefined;
-        return new Promise(resolve => {
-            this.response.once("drain", resolve);
-            this.response.once("close", resolve);
-        });
-    }
-
-    end(head: AnswerHead): void {
-        this.begin(head);
-        this.response.end();
-    }
-
-    private begin(head: AnswerHead): void {
-        if (this.started) return;
-        this.started = true;
-        const headers = answerHeaders(head, this.closing());
-        // A continued stream is longer or shorter than what its first target announced.
-        const length = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === "content-length");
-        if (length >= 0) headers.splice(length, 2);
-        this.response.writeHead(head.status, head.statusText, headers);
-    }
-}
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -10,7 +10,7 @@
 import { gatewaySettingsSchema } from "../../src/settings/index.js";
 import { CallLedger } from "../../src/store/index.js";
 import { StandInPlatform, StandInTarget } from "../platform/standin.js";
-import { firstPort } from "../ports.js";
+import { freeAddress } from "../processes/daemons.js";
 
 /** Address of a caller's request and what it carries. */
 export interface CallOptions {
@@ -71,8 +71,6 @@
     return { Slots: 1, Queue: 2, Batch: batch, CallMs: 20, ItemMs: 1, HeadroomMb: 1, HandleTtlS: 4, LinkMbps: 1_000 };
 }
 
-let nextPort = 0;
-
 /** One deployment. Each test closes its own. */
 export class Deployment {
     readonly targets = new Map<string, StandInTarget>();
@@ -138,11 +136,10 @@
     }
 
     async addGateway(name: string): Promise<GatewayProcess> {
-        const address = (): string => {
-            nextPort += 1;
-            return `127.0.0.1:${firstPort() + nextPort}`;
-        };
-        const [callers, readiness, peers, metrics] = [address(), address(), address(), address()];
+        const callers = await freeAddress();
+        const readiness = await freeAddress();
+        const peers = await freeAddress();
+        const metrics = await freeAddress();
         const settings = gatewaySettingsSchema.parse({
             name,
             zone: "east",
