Never call a stream refused whose first attempt may have run

Cause: read-through. A resumable stream that broke before its first event and whose second target answered 409 (results of stages gone), or whose deadline passed while connecting, was answered 503, which says that it has not run. Ruled out: plain calls and at-most-once streams, which are sent once; a full second target (test passed before). Change: after a break, the answer is that of the break, or 504. Found open: the results of stages are released at a stream's first event, so a stream with stages that breaks later cannot be continued.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -233,7 +233,7 @@
             if (sent.kind !== "answered") {
                 const end = this.afterUnanswered(order, target, sent);
                 if (end === "again") continue;
-                if (end.outcome === "cancelled" || end.outcome === "expired") return this.finishOwn(end);
+                if (isFinal(end)) return this.finishOwn(broken === undefined ? end : mayHaveRun(end));
                 broken = end;
                 continue;
             }
@@ -292,7 +292,7 @@
                 this.context.targets.promptRead(target, promptTokens);
                 const end = this.afterUnanswered(order, target, sent);
                 if (end === "again") continue;
-                if (end.outcome === "cancelled" || end.outcome === "expired") return this.finishStream(delivery, end);
+                if (isFinal(end)) return this.finishStream(delivery, broken === undefined ? end : mayHaveRun(end));
                 broken = end;
                 continue;
             }
@@ -303,7 +303,7 @@
                 this.context.targets.promptRead(target, promptTokens);
                 this.context.targets.ended(target);
                 if (facts.notExecuted) {
-                    if (sent.head.status === 409) return this.finishStream(delivery, inputsGone());
+                    if (sent.head.status === 409) return this.finishStream(delivery, broken ?? inputsGone());
                     this.notExecuted(order, target, facts.wrongTarget);
                     if (broken === undefined && !this.mayTryElsewhere(order)) break;
                     continue;
@@ -604,6 +604,15 @@
     }
 }
 
+function isFinal({ outcome }: ExchangeEnd): boolean {
+    return outcome === "cancelled" || outcome === "expired";
+}
+
+/** The end of a request of which an earlier attempt may have run: it is never told as not run. */
+function mayHaveRun(end: ExchangeEnd): ExchangeEnd {
+    return end.status === 503 ? { ...end, status: 504 } : end;
+}
+
 function inputsGone(): ExchangeEnd {
     return { outcome: "failed", status: 503, reason: "results of stages are gone" };
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -189,6 +189,16 @@
         expect(eventIds(answer.body)).toEqual(["1", "2"]);
     });
 
+    // The first target may have run the request, so "not run" would be untrue whatever the second one says.
+    it.each<{ second: Behaviour }>([{ second: { kind: "inputsGone" } }, { second: { kind: "full" } }])(
+        "that broke at one target are not called refused after $second.kind at another",
+        async ({ second }) => {
+            deployment = await Deployment.start(TWO_OF_EACH);
+            behaveInTurn("engines", [{ kind: "reset" }, second]);
+            expect((await deployment.call({ path: "/chat/1", body: "hello" })).status).toBe(502);
+        },
+    );
+
     it("end at the target when the caller leaves", async () => {
         deployment = await Deployment.start({ engines: 1 });
         const target = deployment.target("engines-0");
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -19,6 +19,7 @@
     | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
     | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
     | { readonly kind: "full" }
+    | { readonly kind: "inputsGone" }
     | { readonly kind: "reset" }
     | { readonly kind: "silent" }
     | { readonly kind: "truncate" }
@@ -115,6 +116,9 @@
             case "full":
                 response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
                 return;
+            case "inputsGone":
+                response.writeHead(409, { "x-parsleyrun-not-executed": "1" }).end();
+                return;
             case "reset":
                 socket?.resetAndDestroy();
                 return;
