Send the demo's first requests a few at a time, while its targets are cold

Cause: the demo sent 12 requests at once to targets that had just started. A cold generate target takes one call at a time until it has made five, so the first requests wait for each other: up to 1.4 s of their 4 s alone, over 4 s when the demo gets a part of a core only. Ruled out: a lost call or a stall later in the run: in 8 traced runs the slowest request was among the first 17 of 114 sent, and so was the one that failed. Change: 4 requests at once until 40 are answered, then 12. The test is as it was.

--- a/src/demo/traffic.ts
+++ b/src/demo/traffic.ts
@@ -16,8 +16,11 @@
 const ROUNDS = 6;
 const BOOKING_ACCOUNTS = ["kettleby", "ashwell", "brindle", "corrie"];
 const BOOKINGS = 8;
-/** Requests in progress at once. */
+/** Requests in progress at once, while the targets are cold and afterwards: a cold `generate` takes one call at a time. */
+const COLD_CONCURRENCY = 4;
 const CONCURRENCY = 12;
+/** Answers after which the targets count as warm: each of the four `generate` targets needs five calls, unevenly spread. */
+const WARM_AFTER_ANSWERS = 40;
 
 /** A request that was sent, with its verdict. */
 export interface SentRequest {
@@ -27,7 +30,12 @@
 
 /** Sends all requests of the demo and returns them with their verdicts. */
 export async function sendTraffic(deployment: Deployment): Promise<readonly SentRequest[]> {
-    const queue = new PQueue({ concurrency: CONCURRENCY });
+    const queue = new PQueue({ concurrency: COLD_CONCURRENCY });
+    let answers = 0;
+    queue.on("next", () => {
+        answers += 1;
+        if (answers === WARM_AFTER_ANSWERS) queue.concurrency = CONCURRENCY;
+    });
     const requests = questions(deployment);
     const answered = requests.map(request => queue.add(() => sendOne(request)));
     const booked = Array.from({ length: BOOKINGS }, (_, index) => queue.add(() => book(deployment, index)));
