Give repeats of pieces a budget that pieces fill

Cause: a stage service's repeats were taken from the budget of its name, to which only requests that name it as their own service add, and none do. About seven repeats lasted a gateway for its whole life. Change: the queue has its own budget, a fifth of its pieces and 60 at once; a piece for which there was no room was not made, takes nothing from the budget, and has its own reason in the log. Test: test/stages/queue.test.ts, one call in eight fails for 60 requests; fails with a budget that is not filled.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -129,7 +129,6 @@
             dialect,
             targets: this.targets,
             capacity: () => this.inForce?.service(service)?.stage,
-            budget: this.budgetOf(service),
             onDecision,
         });
         this.queues.set(service, created);
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -62,7 +62,7 @@
             z.object({ kind: z.literal("made"), handle: z.string() }),
             z.object({
                 kind: z.literal("lost"),
-                reason: z.enum(["late", "inputGone", "failed", "noTarget", "overloaded", "cancelled"]),
+                reason: z.enum(["late", "inputGone", "failed", "noRoom", "noTarget", "overloaded", "cancelled"]),
                 retryAfterMs: z.number(),
             }),
         ]),
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -29,7 +29,7 @@
 }
 
 /** Why a piece was not made. */
-export type PieceLossReason = "late" | "inputGone" | "failed" | "noTarget" | "overloaded" | "cancelled";
+export type PieceLossReason = "late" | "inputGone" | "failed" | "noRoom" | "noTarget" | "overloaded" | "cancelled";
 
 /** What became of a piece. */
 export type PieceResult =
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -9,7 +9,7 @@
 import type { Dialect, PieceAnswer } from "../gateway/dialect.js";
 import type { Target, TargetDirectory } from "../gateway/target.js";
 import { Deadline } from "../model/index.js";
-import type { RetryBudget } from "../routing/index.js";
+import { RetryBudget } from "../routing/index.js";
 import {
     admit,
     crossingBytes,
@@ -28,13 +28,18 @@
     readonly dialect: Dialect;
     readonly targets: TargetDirectory;
     readonly capacity: () => StageCapacity | undefined;
-    readonly budget: RetryBudget;
     readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
 /** Calls in which a piece may be asked for. */
 const MAXIMUM_CALLS_PER_PIECE = 3;
 
+/** Repeats that each piece allows; a service that fails more often than that gets no more work by repeats. */
+export const REPEATS_PER_PIECE = 0.2;
+
+/** Repeats that are allowed at once: those of some full calls that are lost with their targets. */
+export const REPEATS_AT_ONCE = 60;
+
 /** A call that takes this many times its expected duration, plus the slack, is given up. */
 const CALL_TIMEOUT_RATIO = 2.5;
 const CALL_TIMEOUT_SLACK_MS = 400;
@@ -88,6 +93,11 @@
     private readonly states = new Map<string, TargetState>();
     private readonly releases = new Map<string, string[]>();
     private timer: NodeJS.Timeout | undefined;
+    private readonly budget = RetryBudget.create({
+        fractionOfRequests: REPEATS_PER_PIECE,
+        perSecond: 0,
+        maximum: REPEATS_AT_ONCE,
+    });
 
     private constructor(
         private readonly service: string,
@@ -116,6 +126,7 @@
         const results = jobs.map(
             job =>
                 new Promise<PieceResult>(resolve => {
+                    this.budget.deposit();
                     this.waiting.push({ ...job, calls: 0, queuedAt: performance.now(), signal, resolve });
                 }),
         );
@@ -328,7 +339,7 @@
                 return this.lose(piece, "inputGone");
             case "noRoom":
                 state.blockedUntil = performance.now() + FULL_PAUSE_MS;
-                return this.retry(piece, "failed", false);
+                return this.retry(piece, "noRoom", true);
             default:
                 return this.retry(piece, "failed", false);
         }
@@ -340,8 +351,8 @@
         piece.calls += 1;
         if (piece.calls >= MAXIMUM_CALLS_PER_PIECE) return this.lose(piece, reason);
         if (!free) {
-            if (!this.environment.budget.available()) return this.lose(piece, reason);
-            this.environment.budget.take();
+            if (!this.budget.available()) return this.lose(piece, reason);
+            this.budget.take();
         }
         this.waiting.push(piece);
     }
--- /dev/null
+++ b/test/stages/queue.test.ts
@@ -0,0 +1,111 @@
+/** The queue of a stage service before stand-in targets that fail, are slow or have no room. */
+import { afterEach, describe, expect, it } from "vitest";
+import type { StageCapacity } from "../../src/gateway/configuration.js";
+import { TargetDirectory } from "../../src/gateway/target.js";
+import { Deadline } from "../../src/model/index.js";
+import { platformDialect } from "../../src/platform/dialect.js";
+import type { PieceJob, PieceResult } from "../../src/stages/index.js";
+import { REPEATS_AT_ONCE, REPEATS_PER_PIECE, StageQueue } from "../../src/stages/queue.js";
+import { StandInTarget } from "../platform/standin.js";
+
+const SERVICE = "encode";
+const CAPACITY: StageCapacity = {
+    slots: 1,
+    batch: 4,
+    callMs: 20,
+    pieceMs: 1,
+    memoryBytes: 1_000_000,
+    resultLifetimeMs: 4_000,
+};
+
+const started: StandInTarget[] = [];
+const directory = (): TargetDirectory =>
+    TargetDirectory.create(
+        () => undefined,
+        () => 1,
+    );
+
+afterEach(() => {
+    for (const target of started.splice(0)) target.close();
+});
+
+async function addTarget(targets: TargetDirectory, id: string): Promise<StandInTarget> {
+    const target = await StandInTarget.start(id);
+    started.push(target);
+    target.callMs = 20;
+    targets.put({
+        id,
+        incarnation: 1,
+        service: SERVICE,
+        address: target.address,
+        zone: "east",
+        version: "v1",
+        slots: 1,
+        state: "available",
+        coldRemainingMs: 0,
+    });
+    return target;
+}
+
+function queueOf(targets: TargetDirectory, decisions: string[] = []): StageQueue {
+    return StageQueue.create(SERVICE, {
+        dialect: platformDialect,
+        targets,
+        capacity: () => CAPACITY,
+        onDecision: decision => decisions.push(decision),
+    });
+}
+
+function jobs(count: number, requestId: string, targetMs = 1_000, deadlineMs = 3_000): readonly PieceJob[] {
+    return Array.from({ length: count }, (_, index) => ({
+        requestId,
+        service: SERVICE,
+        stage: 0,
+        index,
+        key: "key",
+        inputs: [],
+        inputBytes: 0,
+        resultBytes: 1_000,
+        priority: 1,
+        deadline: Deadline.after(deadlineMs),
+        target: Deadline.after(targetMs),
+        zone: "east",
+        begun: false,
+    }));
+}
+
+/** Makes one request's pieces and gives the results back at once, as a request that goes on does. */
+async function makeOne(queue: StageQueue, count: number, id: string): Promise<readonly PieceResult[]> {
+    const results = await queue.make(jobs(count, id), new AbortController().signal);
+    queue.release(results.flatMap(result => (result.kind === "made" ? [result.handle] : [])));
+    return results;
+}
+
+describe("pieces that a target does not make", () => {
+    it.each<[string, string]>([
+        ["fail now and then, the whole day long", "error"],
+        ["find no room now and then, the whole day long", "room"],
+    ])("are asked for again when they %s", async (_, reason) => {
+        const targets = directory();
+        const target = await addTarget(targets, "a");
+        target.pieceReasons = call => (call % 8 === 1 ? reason : undefined);
+        const queue = queueOf(targets);
+        const lost: PieceResult[] = [];
+        for (let request = 0; request < 60; request += 1) {
+            lost.push(...(await makeOne(queue, 4, `r${request}`)).filter(({ kind }) => kind === "lost"));
+        }
+        expect(lost).toEqual([]);
+    });
+
+    it("are given up when most calls fail", async () => {
+        const targets = directory();
+        const target = await addTarget(targets, "a");
+        target.pieceReasons = () => "error";
+        const queue = queueOf(targets);
+        const pieces = 60 * 4;
+        for (let request = 0; request < 60; request += 1) await makeOne(queue, 4, `r${request}`);
+        const asked = target.pieceCalls.flatMap(call => call.Entries as readonly unknown[]).length;
+        expect(asked).toBeGreaterThan(pieces);
+        expect(asked).toBeLessThanOrEqual(pieces + REPEATS_AT_ONCE + pieces * REPEATS_PER_PIECE);
+    });
+});
