Send a slow stage target only what is on time there, and try it again with single pieces

A stage target that is four times slower than its service says answered after the time limit of its call. It was then taken for unreachable for 0.25 s and got the next full call as if it were quick; each such call made up to 30 pieces late. Ruled out: refused connections (listed apart). Silent targets are not told apart from slow ones by these lines; the change covers both. Change: src/stages/maker.ts holds what is known of a target; a call is given up after 2.5 times its known slowness; slow targets get pieces that are on time in spite of it, then single pieces until one was quick; they count by their speed in forecasts. With only slow targets left, all serve on.

--- /dev/null
+++ b/src/stages/maker.ts
@@ -0,0 +1,112 @@
+/**
+ * What a gatherer knows of one target that makes pieces: calls in progress, room for results, and slowness.
+ *
+ * A target that takes several times as long as its service says makes whole calls late. It gets pieces that are on time
+ * in spite of that, and otherwise single ones from time to time that show whether it is quick again.
+ */
+import type { StageCapacity } from "../gateway/configuration.js";
+
+/** Results can be larger than their service says; room is kept for that. */
+const SIZE_MARGIN = 1.15;
+
+/** Weight of the newest call in the moving average of slowness. */
+const SLOWNESS_WEIGHT = 0.5;
+
+/** Time in milliseconds after which half of a slowness is forgotten; the next trial follows within two of these. */
+const SLOWNESS_HALF_LIFE_MS = 2_000;
+
+/** Largest slowness that is assumed; a silent target is tried again after about the same time as a very slow one. */
+const LARGEST_SLOWNESS = 6;
+
+/** From this slowness on a target counts as slow. */
+const SLOW_RATIO = 2;
+
+/** A call that takes this many times its expected duration, plus the slack, is given up. */
+const CALL_TIMEOUT_RATIO = 2.5;
+const CALL_TIMEOUT_SLACK_MS = 400;
+
+/** One target of a stage service. */
+export class Maker {
+    /** The target gets no call before this time on the monotonic clock. */
+    blockedUntil = 0;
+    private callsInProgress = 0;
+    private reservedBytes = 0;
+    private readonly held = new Map<string, { readonly bytes: number; readonly until: number }>();
+    private measuredSlowness = 1;
+    private measuredAt = 0;
+
+    private constructor() {}
+
+    static create(): Maker {
+        return new Maker();
+    }
+
+    /** Duration of a call relative to what the service says; what was measured longer ago counts less. */
+    get slowness(): number {
+        const weight = 2 ** (-(performance.now() - this.measuredAt) / SLOWNESS_HALF_LIFE_MS);
+        return 1 + (this.measuredSlowness - 1) * weight;
+    }
+
+    get isSlow(): boolean {
+        return this.slowness >= SLOW_RATIO;
+    }
+
+    /** Whether the target was slow when it was last used and no later call has shown that it is quick again. */
+    get isOnTrial(): boolean {
+        return this.measuredSlowness >= SLOW_RATIO && !this.isSlow;
+    }
+
+    isFree(slots: number): boolean {
+        return this.callsInProgress < slots && this.blockedUntil <= performance.now();
+    }
+
+    /** Bytes of results for which the target has room. */
+    freeBytes(capacity: StageCapacity): number {
+        const now = performance.now();
+        let used = this.reservedBytes;
+        for (const [handle, { bytes, until }] of this.held) {
+            if (until <= now) this.held.delete(handle);
+            else used += bytes;
+        }
+        return capacity.memoryBytes / SIZE_MARGIN - used;
+    }
+
+    /** Time in milliseconds after which a call is given up. */
+    callTimeoutMs(expectedMs: number): number {
+        return expectedMs * this.slowness * CALL_TIMEOUT_RATIO + CALL_TIMEOUT_SLACK_MS;
+    }
+
+    callStarted(bytes: number): void {
+        this.callsInProgress += 1;
+        this.reservedBytes += bytes;
+    }
+
+    callEnded(bytes: number): void {
+        this.callsInProgress -= 1;
+        this.reservedBytes -= bytes;
+    }
+
+    /** A call was answered. `ratio` is its duration relative to what was expected. */
+    answered(ratio: number): void {
+        this.setSlowness(this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness));
+    }
+
+    /** A call was given up. The target may still work on it for about as long again. */
+    gaveUp(tookMs: number, expectedMs: number): void {
+        this.setSlowness(Math.max(this.slowness, tookMs / expectedMs));
+        this.blockedUntil = performance.now() + expectedMs;
+    }
+
+    holds(handle: string, bytes: number, until: number): void {
+        this.held.set(handle, { bytes, until });
+    }
+
+    released(handles: readonly string[]): void {
+        for (const handle of handles) this.held.delete(handle);
+    }
+
+    private setSlowness(slowness: number): void {
+        this.measuredSlowness = Math.min(LARGEST_SLOWNESS, Math.max(1, slowness));
+        this.measuredAt = performance.now();
+    }
+}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -21,6 +21,7 @@
     type QueueCapacity,
     waitsForZone,
 } from "./batch.js";
+import { Maker } from "./maker.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
 
 /** What a queue works with. */
@@ -40,10 +41,6 @@
 /** Repeats that are allowed at once: those of some full calls that are lost with their targets. */
 export const REPEATS_AT_ONCE = 60;
 
-/** A call that takes this many times its expected duration, plus the slack, is given up. */
-const CALL_TIMEOUT_RATIO = 2.5;
-const CALL_TIMEOUT_SLACK_MS = 400;
-
 /** Time in milliseconds between two looks for a usable target while pieces wait and none is free. */
 const RECHECK_MS = 25;
 
@@ -59,18 +56,9 @@
 /** Largest answer to a call in bytes. */
 const MAXIMUM_ANSWER_BYTES = 1_048_576;
 
-/** Weight of the newest call in a target's moving average of slowness. */
-const SLOWNESS_WEIGHT = 0.3;
-
-/** A target that is this many times slower than expected waits until the faster ones are busy. */
-const SLOW_TARGET_RATIO = 2;
-
 /** Bytes between zones that weigh as much as a target being slower by its expected time. */
 const SLOWNESS_BYTES = 100_000_000;
 
-/** Results can be larger than their service says; room is kept for that. */
-const SIZE_MARGIN = 1.15;
-
 interface Waiting extends PieceJob {
     calls: number;
     readonly queuedAt: number;
@@ -78,19 +66,10 @@
     readonly resolve: (result: PieceResult) => void;
 }
 
-interface TargetState {
-    callsInProgress: number;
-    blockedUntil: number;
-    /** Bytes of results that are kept, by handle. */
-    readonly held: Map<string, { readonly bytes: number; readonly until: number }>;
-    reservedBytes: number;
-    slowness: number;
-}
-
 /** The queue of one stage service. */
 export class StageQueue {
     private waiting: Waiting[] = [];
-    private readonly states = new Map<string, TargetState>();
+    private readonly makers = new Map<string, Maker>();
     private readonly releases = new Map<string, string[]>();
     private timer: NodeJS.Timeout | undefined;
     private readonly budget = RetryBudget.create({
@@ -153,7 +132,9 @@
     private usableCapacity(): QueueCapacity | undefined {
         const capacity = this.environment.capacity();
         if (capacity === undefined) return undefined;
-        const targets = this.environment.targets.usable(this.service).length * capacity.slots;
+        const usable = this.environment.targets.usable(this.service);
+        const speeds = usable.map(target => 1 / this.slownessOf(target));
+        const targets = speeds.reduce((sum, speed) => sum + speed, 0) * capacity.slots;
         return { targets, batch: capacity.batch, callMs: capacity.callMs, pieceMs: capacity.pieceMs };
     }
 
@@ -202,8 +183,7 @@
         while (free.length > 0 && this.waiting.length > 0) {
             const target = this.bestTarget(free, capacity);
             free = free.filter(other => other !== target);
-            const ordered = this.orderFor(target, capacity);
-            const pieces = fillBatch(ordered, capacity.batch, this.freeBytes(target, capacity));
+            const pieces = this.piecesFor(target, capacity);
             if (pieces.length === 0) continue;
             const taken = new Set(pieces);
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
@@ -216,11 +196,25 @@
     private bestTarget(free: readonly Target[], capacity: StageCapacity): Target {
         const [first] = orderFor(this.waiting, performance.now(), fullCallMs(capacity), () => 0);
         const cost = (target: Target): number =>
-            slownessRank(this.stateOf(target.name)) * SLOWNESS_BYTES +
+            this.slownessOf(target) * SLOWNESS_BYTES +
             (first === undefined ? 0 : this.crossingBytes(first.piece, target));
         return free.reduce((best, target) => (cost(target) < cost(best) ? target : best));
     }
 
+    /** The pieces of the next call to a target; none when those that wait are better made elsewhere. */
+    private piecesFor(target: Target, capacity: StageCapacity): readonly Waiting[] {
+        const maker = this.makerOf(target.name);
+        const freeBytes = maker.freeBytes(capacity);
+        const ordered = this.orderFor(target, capacity);
+        const others = this.environment.targets.usable(this.service);
+        const onlySlow = others.every(other => this.makerOf(other.name).isSlow);
+        if (onlySlow || (!maker.isSlow && !maker.isOnTrial)) return fillBatch(ordered, capacity.batch, freeBytes);
+        const earliest = performance.now() + fullCallMs(capacity) * maker.slowness;
+        const patient = ordered.filter(({ piece }) => piece.target.at >= earliest);
+        if (maker.isSlow) return fillBatch(patient, capacity.batch, freeBytes);
+        return fillBatch((patient.length > 0 ? patient : ordered).slice(-1), 1, freeBytes);
+    }
+
     private orderFor(target: Target, capacity: StageCapacity): ReturnType<typeof orderFor<Waiting>> {
         const now = performance.now();
         const callMs = fullCallMs(capacity);
@@ -266,46 +260,30 @@
 
     /** Targets that can take a call. */
     private freeTargets(capacity: StageCapacity): readonly Target[] {
-        const now = performance.now();
-        return this.environment.targets.usable(this.service).filter(target => {
-            const state = this.stateOf(target.name);
-            return state.callsInProgress < capacity.slots && state.blockedUntil <= now;
-        });
-    }
-
-    private freeBytes(target: Target, capacity: StageCapacity): number {
-        const state = this.stateOf(target.name);
-        const now = performance.now();
-        let used = state.reservedBytes;
-        for (const [handle, { bytes, until }] of state.held) {
-            if (until <= now) state.held.delete(handle);
-            else used += bytes;
-        }
-        return capacity.memoryBytes / SIZE_MARGIN - used;
+        const usable = this.environment.targets.usable(this.service);
+        return usable.filter(target => this.makerOf(target.name).isFree(capacity.slots));
     }
 
     private async call(target: Target, pieces: readonly Waiting[], capacity: StageCapacity): Promise<void> {
         const { targets } = this.environment;
-        const state = this.stateOf(target.name);
+        const maker = this.makerOf(target.name);
         const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
         const expectedMs = capacity.callMs + pieces.length * capacity.pieceMs;
         const startedAt = performance.now();
-        state.callsInProgress += 1;
-        state.reservedBytes += bytes;
+        maker.callStarted(bytes);
         targets.sent(target);
         const outcome = await this.send(target, pieces, expectedMs);
         targets.ended(target);
-        state.callsInProgress -= 1;
-        state.reservedBytes -= bytes;
+        maker.callEnded(bytes);
         const tookMs = performance.now() - startedAt;
         if (outcome.kind === "answered") {
-            state.slowness += SLOWNESS_WEIGHT * (tookMs / expectedMs - state.slowness);
+            maker.answered(tookMs / expectedMs);
             targets.succeeded(target, tookMs / expectedMs);
             const until = performance.now() + capacity.resultLifetimeMs;
             pieces.forEach((piece, index) => {
                 const answer = outcome.answers[index];
-                if (answer?.kind === "made") state.held.set(answer.handle, { bytes: piece.resultBytes, until });
-                this.settle(piece, answer, state);
+                if (answer?.kind === "made") maker.holds(answer.handle, piece.resultBytes, until);
+                this.settle(piece, answer, maker);
             });
         } else {
             this.environment.onDecision("stage call failed", {
@@ -314,13 +292,20 @@
                 ids: pieces.map(piece => piece.requestId),
                 reason: outcome.reason,
                 tookMs: Math.round(tookMs),
+                expectedMs: Math.round(expectedMs),
+                slowness: Math.round(maker.slowness * 10) / 10,
             });
             if (outcome.kind === "full") {
                 targets.undecided(target);
-                state.blockedUntil = performance.now() + FULL_PAUSE_MS;
+                maker.blockedUntil = performance.now() + FULL_PAUSE_MS;
                 for (const piece of pieces) this.waiting.push(piece);
             } else {
-                targets.unreachable(target);
+                if (outcome.kind === "gaveUp") {
+                    targets.failed(target);
+                    maker.gaveUp(tookMs, expectedMs);
+                } else {
+                    targets.unreachable(target);
+                }
                 for (const piece of pieces) this.retry(piece, "failed", outcome.kind === "notSent");
             }
         }
@@ -329,7 +314,7 @@
         this.dispatch();
     }
 
-    private settle(piece: Waiting, answer: PieceAnswer | undefined, state: TargetState): void {
+    private settle(piece: Waiting, answer: PieceAnswer | undefined, maker: Maker): void {
         switch (answer?.kind) {
             case "made":
                 return piece.resolve({ kind: "made", handle: answer.handle });
@@ -338,7 +323,7 @@
             case "inputGone":
                 return this.lose(piece, "inputGone");
             case "noRoom":
-                state.blockedUntil = performance.now() + FULL_PAUSE_MS;
+                maker.blockedUntil = performance.now() + FULL_PAUSE_MS;
                 return this.retry(piece, "noRoom", true);
             default:
                 return this.retry(piece, "failed", false);
@@ -369,11 +354,12 @@
         }));
         const call = dialect.pieceCall(target.record.id, orders);
         const limits = {
-            deadline: Deadline.after(expectedMs * CALL_TIMEOUT_RATIO + CALL_TIMEOUT_SLACK_MS),
+            deadline: Deadline.after(this.makerOf(target.name).callTimeoutMs(expectedMs)),
             signal: NEVER_ABORTED,
         };
         const sent = await sendAttempt({ ...call, address: target.record.address }, limits);
         if (sent.kind === "unreachable") return { kind: "notSent", reason: sent.reason };
+        if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
         if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
         const facts = dialect.readAnswer(sent.head.status, sent.head.headers);
         targets.loadReported(target, facts.load);
@@ -393,8 +379,7 @@
         const { dialect, targets } = this.environment;
         const target = targets.withAddress(holder);
         if (target === undefined || handles.length === 0) return;
-        const state = this.states.get(target.name);
-        for (const handle of handles) state?.held.delete(handle);
+        this.makers.get(target.name)?.released(handles);
         const call = dialect.releaseCall(target.record.id, handles);
         const limits = { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED };
         const sent = await sendAttempt({ ...call, address: holder }, limits);
@@ -404,31 +389,27 @@
         this.dispatch();
     }
 
-    private stateOf(name: string): TargetState {
-        const existing = this.states.get(name);
+    /** Slowness of a target as far as it matters for the choice; small differences do not. */
+    private slownessOf(target: Target): number {
+        const maker = this.makerOf(target.name);
+        return maker.isSlow ? maker.slowness : 1;
+    }
+
+    private makerOf(name: string): Maker {
+        const existing = this.makers.get(name);
         if (existing !== undefined) return existing;
-        const created: TargetState = {
-            callsInProgress: 0,
-            blockedUntil: 0,
-            held: new Map(),
-            reservedBytes: 0,
-            slowness: 1,
-        };
-        this.states.set(name, created);
+        const created = Maker.create();
+        this.makers.set(name, created);
         return created;
     }
 }
 
 type CallOutcome =
     | { readonly kind: "answered"; readonly answers: readonly PieceAnswer[] }
-    | { readonly kind: "notSent" | "full" | "failed"; readonly reason: string };
+    | { readonly kind: "notSent" | "full" | "failed" | "gaveUp"; readonly reason: string };
 
 const NEVER_ABORTED = new AbortController().signal;
 
-function slownessRank(state: TargetState): number {
-    return state.slowness >= SLOW_TARGET_RATIO ? state.slowness : 1;
-}
-
 /** Results of pieces whose request has gone meanwhile. */
 function abandonedResults(pieces: readonly Waiting[], outcome: CallOutcome): readonly string[] {
     if (outcome.kind !== "answered") return [];
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -3,6 +3,7 @@
 import type { StageCapacity } from "../../src/gateway/configuration.js";
 import { TargetDirectory } from "../../src/gateway/target.js";
 import { Deadline } from "../../src/model/index.js";
+import { pause } from "../../src/model/pause.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import type { PieceJob, PieceResult } from "../../src/stages/index.js";
 import { REPEATS_AT_ONCE, REPEATS_PER_PIECE, StageQueue } from "../../src/stages/queue.js";
@@ -75,8 +76,13 @@
 }
 
 /** Makes one request's pieces and gives the results back at once, as a request that goes on does. */
-async function makeOne(queue: StageQueue, count: number, id: string): Promise<readonly PieceResult[]> {
-    const results = await queue.make(jobs(count, id), new AbortController().signal);
+async function makeOne(
+    queue: StageQueue,
+    count: number,
+    id: string,
+    targetMs?: number,
+): Promise<readonly PieceResult[]> {
+    const results = await queue.make(jobs(count, id, targetMs), new AbortController().signal);
     queue.release(results.flatMap(result => (result.kind === "made" ? [result.handle] : [])));
     return results;
 }
@@ -109,3 +115,59 @@
         expect(asked).toBeLessThanOrEqual(pieces + REPEATS_AT_ONCE + pieces * REPEATS_PER_PIECE);
     });
 });
+
+describe("a target that is slower than its service says", () => {
+    /** Sends requests that a quick target alone can serve, but not without one waiting now and then. */
+    async function load(queue: StageQueue, requests: number): Promise<void> {
+        const made: Promise<unknown>[] = [];
+        for (let request = 0; request < requests; request += 1) {
+            made.push(makeOne(queue, 3, `r${request}`, 120));
+            await pause(25);
+        }
+        await Promise.all(made);
+    }
+
+    it.each<[string, number, number]>([
+        ["answers late", 350, 3],
+        ["does not answer any more", 60_000, 3],
+    ])("and %s gets single pieces only, from time to time", async (_, callMs, mostPieces) => {
+        const targets = directory();
+        const slow = await addTarget(targets, "a");
+        await addTarget(targets, "b");
+        const queue = queueOf(targets);
+        slow.callMs = callMs;
+        // The first calls find out.
+        await load(queue, 20);
+        const before = piecesOf(slow);
+        await load(queue, 60);
+        expect(piecesOf(slow) - before).toBeLessThanOrEqual(mostPieces);
+    });
+
+    it("is used again when it is quick again", async () => {
+        const targets = directory();
+        const slow = await addTarget(targets, "a");
+        await addTarget(targets, "b");
+        const queue = queueOf(targets);
+        slow.callMs = 350;
+        await load(queue, 30);
+        slow.callMs = 20;
+        await load(queue, 160);
+        const before = piecesOf(slow);
+        await Promise.all(Array.from({ length: 20 }, (_unused, index) => makeOne(queue, 2, `s${index}`)));
+        expect(piecesOf(slow) - before).toBeGreaterThan(10);
+    }, 15_000);
+
+    it("serves on when there is no other", async () => {
+        const targets = directory();
+        const slow = await addTarget(targets, "a");
+        slow.callMs = 200;
+        const queue = queueOf(targets);
+        for (let request = 0; request < 6; request += 1) {
+            expect((await makeOne(queue, 2, `r${request}`)).map(({ kind }) => kind)).toEqual(["made", "made"]);
+        }
+    });
+});
+
+function piecesOf(target: StandInTarget): number {
+    return target.pieceCalls.flatMap(call => call.Entries as readonly unknown[]).length;
+}
