Give waiting pieces back when another gateway gathers

A gateway that stops removed its registration but went on gathering its own pieces, so during a rolling stop two or three gateways sent calls to the same targets, each with a forecast from its own queue alone. Ruled out: the number of targets, which did not change; the store, which was not lost in that time. Change: a gateway that stops, or sees a better gatherer, gives its waiting pieces back to those who sent them, and they go to the next gatherer. A gateway registers only when it knows the targets, since others send it pieces from then on. Test: test/gateway/gateway.test.ts, 'are all made by the next gatherer as soon as theirs stops'; fails with the old rule.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -110,7 +110,8 @@
             targets: gateway.targets.size,
         });
     });
-    void peers.register(store, () => stopped);
+    // Other gateways send pieces to a registered one, so it has to know the targets first.
+    void feed.ready.then(() => peers.register(store, () => stopped));
 
     const kill = async (): Promise<void> => {
         stopped = true;
@@ -121,11 +122,11 @@
     const stop = async (): Promise<void> => {
         const graceEnd = performance.now() + settings.stopGraceSeconds * 1_000 - STOP_MARGIN_MS;
         log.always("stopping", { openRequests: callers.openRequests });
-        gateway.phase = "draining";
+        gateway.enter("draining");
         stopped = true;
         const unregistered = peers.unregister(store);
         await pause(DRAIN_MS);
-        gateway.phase = "stopping";
+        gateway.enter("stopping");
         await waitUntil(() => callers.openRequests === 0, graceEnd - performance.now());
         await Promise.race([unregistered, pause(LAST_WRITES_MS)]);
         log.always("stopped", { openRequests: callers.openRequests });
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -68,7 +68,10 @@
         const configuration = follow(source.configurationPrefix, WATCH_MS, event => this.applyConfiguration(event));
         const targets = follow(source.targetPrefix, WATCH_MS, event => this.applyTarget(event, targets));
         const closedZones: StoreView = follow(source.closedZonePrefix, WATCH_MS, () => this.applyZones(closedZones));
-        const gateways = follow(source.gatewayPrefix, SLOW_WATCH_MS, event => options.peers.apply(event));
+        const gateways = follow(source.gatewayPrefix, SLOW_WATCH_MS, event => {
+            options.peers.apply(event);
+            options.gateway.gathering.giveBack();
+        });
         this.views = [configuration, targets, closedZones, gateways];
         this.ready = Promise.all([configuration.ready, targets.ready, closedZones.ready]).then(() => undefined);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -64,7 +64,7 @@
     readonly context: GatewayContext;
     readonly targets: TargetDirectory;
     readonly gathering: Gathering;
-    phase: GatewayPhase = "serving";
+    private currentPhase: GatewayPhase = "serving";
     private inForce: GatewayConfiguration | undefined;
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly queues = new Map<string, StageQueue>();
@@ -83,7 +83,9 @@
         this.gathering = Gathering.create({
             self: peers.self.name,
             peers: () => peers.all,
+            isGathering: () => this.phase === "serving",
             queueOf: service => this.queueOf(service),
+            queues: () => this.queues,
             onDecision,
         });
         this.context = {
@@ -112,6 +114,16 @@
         return this.inForce;
     }
 
+    get phase(): GatewayPhase {
+        return this.currentPhase;
+    }
+
+    /** Goes on to a later phase. */
+    enter(phase: GatewayPhase): void {
+        this.currentPhase = phase;
+        this.gathering.giveBack();
+    }
+
     /** Puts a configuration in force unless it is older than the present one. */
     putInForce(content: ConfigurationContent): void {
         const before = this.inForce?.version;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -135,7 +135,7 @@
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
     const queue = gateway.queueOf(order.service);
-    const results = await queue.make(order.jobs, abort.signal);
+    const results = await gateway.gathering.makeFor(order, abort.signal);
     clearInterval(progress);
     response.end(JSON.stringify({ results, waitMs: queue.waitMs }));
 }
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -4,6 +4,10 @@
  * Several gateways that each fill calls from their own requests would send many small calls. The gatherer is chosen by
  * rendezvous hashing over the registered gateways, so no agreement is needed: two gateways with different views only
  * send smaller calls. A gatherer that cannot be reached is passed over, at last by the gateway itself.
+ *
+ * A gateway that stops, or sees that another one gathers a service now, gives the waiting pieces back to those who sent
+ * them: two gatherers would each forecast from their own queue alone, take on too much for the targets that they share, and
+ * send calls that wait for each other.
  */
 import { z } from "zod";
 import { type AnswerBody, sendAttempt } from "../gateway/attempt.js";
@@ -23,7 +27,7 @@
 /** Silence in milliseconds after which a gatherer is passed over: three missed signs of progress. */
 const PROGRESS_TIMEOUT_MS = 700;
 
-/** Time in milliseconds for which a gatherer that could not be reached is passed over. */
+/** Time in milliseconds for which a gatherer that could not be reached, or gave pieces back, is passed over. */
 const PEER_PAUSE_MS = 1_500;
 
 /** Time in milliseconds for passing on released results. */
@@ -62,7 +66,16 @@
             z.object({ kind: z.literal("made"), handle: z.string() }),
             z.object({
                 kind: z.literal("lost"),
-                reason: z.enum(["late", "inputGone", "failed", "noRoom", "noTarget", "overloaded", "cancelled"]),
+                reason: z.enum([
+                    "late",
+                    "inputGone",
+                    "failed",
+                    "noRoom",
+                    "noTarget",
+                    "overloaded",
+                    "cancelled",
+                    "givenBack",
+                ]),
                 retryAfterMs: z.number(),
             }),
         ]),
@@ -71,12 +84,18 @@
 
 const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()) });
 
+const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
+
 /** What gathering works with. */
 export interface GatheringEnvironment {
     readonly self: string;
     /** All registered gateways, this one included. */
     readonly peers: () => readonly GatewayPeer[];
+    /** Whether this gateway gathers at all; one that stops does so only when there is no other. */
+    readonly isGathering: () => boolean;
     readonly queueOf: (service: string) => StageQueue;
+    /** The queues that exist, by service. */
+    readonly queues: () => ReadonlyMap<string, StageQueue>;
     readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -94,14 +113,45 @@
     /** Makes the pieces of one stage of a request. */
     async make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<readonly PieceResult[]> {
         const service = jobs[0]?.service ?? "";
-        while (!signal.aborted) {
+        const results = new Map<PieceJob, PieceResult>();
+        let open = jobs;
+        while (open.length > 0 && !signal.aborted) {
             const gatherer = this.gathererOf(service);
-            if (gatherer === undefined) return this.makeHere(service, jobs, signal);
-            const results = await this.makeAt(gatherer, service, jobs, signal);
-            if (results !== undefined) return results;
-            if (!signal.aborted) this.passOver(gatherer, jobs);
+            const answers =
+                gatherer === undefined
+                    ? await this.makeHere(service, open, signal)
+                    : await this.makeAt(gatherer, service, open, signal);
+            const unanswered = open.filter((job, position) => {
+                const answer = answers?.[position];
+                if (answer !== undefined && !isGivenBack(answer)) results.set(job, answer);
+                return !results.has(job);
+            });
+            if (unanswered.length > 0 && gatherer !== undefined && !signal.aborted) {
+                this.passOver(gatherer, answers === undefined ? undefined : service, jobs);
+            }
+            open = unanswered;
+        }
+        return jobs.map(job => results.get(job) ?? { kind: "lost", reason: "cancelled", retryAfterMs: 0 });
+    }
+
+    /** Makes the pieces of another gateway's order. */
+    async makeFor({ service, jobs }: GatheringOrder, signal: AbortSignal): Promise<readonly PieceResult[]> {
+        const refused = !this.environment.isGathering() && this.gathererOf(service) !== undefined;
+        return refused ? jobs.map(() => GIVEN_BACK) : this.environment.queueOf(service).make(jobs, signal);
+    }
+
+    /** Gives back the waiting pieces of services that another gateway gathers now. */
+    giveBack(): void {
+        for (const [service, queue] of this.environment.queues()) {
+            const gatherer = queue.length === 0 ? undefined : this.gathererOf(service);
+            if (gatherer === undefined) continue;
+            this.environment.onDecision("pieces given back", {
+                service,
+                pieces: queue.length,
+                gatherer: gatherer.name,
+            });
+            queue.giveBack();
         }
-        return jobs.map(() => ({ kind: "lost", reason: "cancelled", retryAfterMs: 0 }));
     }
 
     /** Time in milliseconds that pieces of a service waited of late; it counts less the longer ago it was told. */
@@ -137,18 +187,28 @@
     gathererOf(service: string): GatewayPeer | undefined {
         const now = performance.now();
         let best: GatewayPeer | undefined;
-        let bestWeight = rendezvousWeight(service, this.environment.self);
+        let bestWeight = this.environment.isGathering()
+            ? rendezvousWeight(service, this.environment.self)
+            : Number.NEGATIVE_INFINITY;
         for (const peer of this.environment.peers()) {
-            if (peer.name === this.environment.self || (this.passedOverUntil.get(peer.name) ?? 0) > now) continue;
+            if (peer.name === this.environment.self) continue;
+            if (this.isPassedOver(peer, service, now)) continue;
             const weight = rendezvousWeight(service, peer.name);
             if (weight > bestWeight) [best, bestWeight] = [peer, weight];
         }
         return best;
     }
 
-    private passOver(peer: GatewayPeer, jobs: readonly PieceJob[]): void {
-        this.passedOverUntil.set(peer.name, performance.now() + PEER_PAUSE_MS);
-        this.environment.onDecision("gatherer passed over", { peer: peer.name, id: jobs[0]?.requestId });
+    private isPassedOver({ name }: GatewayPeer, service: string, now: number): boolean {
+        const untils = [this.passedOverUntil.get(name), this.passedOverUntil.get(`${name} ${service}`)];
+        return untils.some(until => until !== undefined && until > now);
+    }
+
+    /** Passes a gateway over for one service, or for all when it cannot be reached. */
+    private passOver({ name }: GatewayPeer, service: string | undefined, jobs: readonly PieceJob[]): void {
+        const key = service === undefined ? name : `${name} ${service}`;
+        this.passedOverUntil.set(key, performance.now() + PEER_PAUSE_MS);
+        this.environment.onDecision("gatherer passed over", { peer: name, service, id: jobs[0]?.requestId });
     }
 
     private async makeAt(
@@ -216,6 +276,10 @@
     return releaseSchema.safeParse(parseJson(body)).data;
 }
 
+function isGivenBack(result: PieceResult): boolean {
+    return result.kind === "lost" && result.reason === "givenBack";
+}
+
 function encodeJob(job: PieceJob): object {
     const { requestId, stage, index, key, inputs, inputBytes, resultBytes, priority, zone, begun } = job;
     const times = { deadlineMs: job.deadline.remaining(), targetMs: job.target.at - performance.now() };
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -29,7 +29,16 @@
 }
 
 /** Why a piece was not made. */
-export type PieceLossReason = "late" | "inputGone" | "failed" | "noRoom" | "noTarget" | "overloaded" | "cancelled";
+export type PieceLossReason =
+    | "late"
+    | "inputGone"
+    | "failed"
+    | "noRoom"
+    | "noTarget"
+    | "overloaded"
+    | "cancelled"
+    /** Not made here, since another gateway gathers now. */
+    | "givenBack";
 
 /** What became of a piece. */
 export type PieceResult =
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -114,6 +114,11 @@
         return Promise.all(results);
     }
 
+    /** Ends the wait of all pieces that are in no call, so that another gateway can make them. */
+    giveBack(): void {
+        for (const piece of this.waiting.splice(0)) this.lose(piece, "givenBack");
+    }
+
     /** Gives up results that are not needed any more. */
     release(handles: readonly string[]): void {
         for (const handle of handles) {
@@ -168,7 +173,7 @@
 
     private lose(piece: Waiting, reason: PieceLossReason): void {
         const { requestId, stage, index, calls } = piece;
-        if (reason !== "cancelled") {
+        if (reason !== "cancelled" && reason !== "givenBack") {
             this.environment.onDecision("piece lost", { id: requestId, stage, index, calls, reason });
         }
         piece.resolve({ kind: "lost", reason, retryAfterMs: 0 });
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,7 +1,9 @@
 /** A gateway in front of stand-in targets: who may call, what is sent where, and what callers are told. */
 import { afterEach, describe, expect, it, vi } from "vitest";
+import { pause } from "../../src/model/pause.js";
 import { type Behaviour } from "../platform/standin.js";
-import { type CallOptions, CONFIGURATION, Deployment } from "./harness.js";
+import { KIND } from "../../src/platform/names.js";
+import { type CallAnswer, type CallOptions, CONFIGURATION, Deployment } from "./harness.js";
 
 let deployment: Deployment;
 
@@ -258,11 +260,42 @@
         expect(deployment.target("encode-0").pieceCalls).toHaveLength(2);
     });
 
+    it("are all made by the next gatherer as soon as theirs stops", async () => {
+        deployment = await Deployment.start({ ...TWO_OF_EACH, encode: 1, bookings: 0 }, 2);
+        behaveInTurn("engines", [{ kind: "stream", events: 1 }]);
+        const encode = deployment.target("encode-0");
+        encode.callMs = 150;
+        const gatherer = gathererOf(deployment, "encode");
+        const first = Array.from({ length: 6 }, (_, index) => callStaged(index, `r${index}`));
+        await vi.waitFor(() => expect(encode.pieceCalls).toHaveLength(1));
+        const stopped = deployment.gateways[gatherer]?.stop();
+        await vi.waitFor(() => expect(deployment?.platform.names(KIND.gateways)).toHaveLength(1));
+        // The call that was in progress at the gateway that stops ends first.
+        await pause(2 * encode.callMs);
+        encode.mostCallsAtOnce = 0;
+        const second = Array.from({ length: 6 }, (_, index) => callStaged(index, `s${index}`));
+        const answers: readonly CallAnswer[] = await Promise.all([...first, ...second]);
+        expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+        expect(encode.mostCallsAtOnce).toBe(1);
+        expect(deployment.linesOf("pieces given back").length).toBeGreaterThan(0);
+        await stopped;
+
+        function callStaged(index: number, id: string): Promise<CallAnswer> {
+            const pieces = { ...headers, "x-parsleyrun-pieces": "2,0" };
+            return (deployment as Deployment).call({ path: "/staged/1", headers: pieces, id }, index % 2);
+        }
+    });
+
     it("are made by another gateway when the gatherer is gone", async () => {
         deployment = await Deployment.start(TWO_OF_EACH, 2);
         behaveInTurn("engines", [{ kind: "stream", events: 1 }]);
-        const gatherer = deployment.gateways[0]?.gateway.gathering.gathererOf("encode") === undefined ? 0 : 1;
+        const gatherer = gathererOf(deployment, "encode");
         await deployment.gateways[gatherer]?.kill();
         expect((await deployment.call({ path: "/staged/1", headers }, 1 - gatherer)).status).toBe(200);
     });
 });
+
+/** Index of the gateway of two that gathers a service's pieces. */
+function gathererOf({ gateways }: Deployment, service: string): number {
+    return gateways[0]?.gateway.gathering.gathererOf(service) === undefined ? 0 : 1;
+}
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -57,6 +57,9 @@
     /** Reasons to give instead of results, by number of the call. */
     pieceReasons: (call: number) => string | undefined = () => undefined;
     private readonly sockets = new Set<Socket>();
+    /** Largest number of calls for pieces that were in progress at the same time. */
+    mostCallsAtOnce = 0;
+    private callsInProgress = 0;
     private made = 0;
 
     private constructor(
@@ -186,8 +189,11 @@
     private async makePieces(body: string, response: ServerResponse): Promise<void> {
         const order = JSON.parse(body) as { readonly Entries: readonly Record<string, unknown>[] };
         this.pieceCalls.push(order);
+        this.callsInProgress += 1;
+        this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
         const reason = this.pieceReasons(this.pieceCalls.length);
         await new Promise(resolve => setTimeout(resolve, this.callMs));
+        this.callsInProgress -= 1;
         const entries = order.Entries.map(() => {
             this.made += 1;
             return reason === undefined ? { Handle: `${this.address}/${this.made}` } : { Reason: reason };
