Learn from pieces without room that earlier results fill a target

Cause: results of requests that died with their gateways stay at their makers for 4 s, and a new gatherer does not know of them. Ruled out: results larger than their service says (3 pieces at second 24). Change: a piece that finds no room tells that the rest of the expected room is taken; it is taken to become free within half of the results' lifetime. One log line for each call of which pieces were not made, with reasons and the expected room. Test: test/stages/queue.test.ts, 'are made once results that nobody knows of have expired'; fails without.

--- a/src/stages/maker.ts
+++ b/src/stages/maker.ts
@@ -18,6 +18,9 @@
 /** Largest slowness that is assumed; a silent target is tried again after about the same time as a very slow one. */
 const LARGEST_SLOWNESS = 6;
 
+/** Part of the results' lifetime within which unknown ones are taken to expire; when they have not, a piece tells so. */
+const UNKNOWN_LIFETIME = 0.5;
+
 /** From this slowness on a target counts as slow. */
 const SLOW_RATIO = 2;
 
@@ -32,6 +35,9 @@
     private callsInProgress = 0;
     private reservedBytes = 0;
     private readonly held = new Map<string, { readonly bytes: number; readonly until: number }>();
+    /** Room in bytes that was taken by results of which this gatherer does not know, and when that was seen. */
+    private unknownBytes = 0;
+    private unknownAt = 0;
     private measuredSlowness = 1;
     private measuredAt = 0;
 
@@ -60,8 +66,19 @@
         return this.callsInProgress < slots && this.blockedUntil <= performance.now();
     }
 
-    /** Bytes of results for which the target has room. */
+    /** Bytes of results for which the target has room. Unknown results expire one after the other. */
     freeBytes(capacity: StageCapacity): number {
+        const age = (performance.now() - this.unknownAt) / (capacity.resultLifetimeMs * UNKNOWN_LIFETIME);
+        return this.unreservedBytes(capacity) - this.unknownBytes * Math.max(0, 1 - age);
+    }
+
+    /** A piece found no room although there should have been some: results of an earlier gatherer take it. */
+    foundNoRoom(capacity: StageCapacity): void {
+        this.unknownBytes = Math.max(0, this.unreservedBytes(capacity));
+        this.unknownAt = performance.now();
+    }
+
+    private unreservedBytes(capacity: StageCapacity): number {
         const now = performance.now();
         let used = this.reservedBytes;
         for (const [handle, { bytes, until }] of this.held) {
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -44,7 +44,7 @@
 /** Time in milliseconds between two looks for a usable target while pieces wait and none is free. */
 const RECHECK_MS = 25;
 
-/** Time in milliseconds for which a target that was full or had no room gets no call. */
+/** Time in milliseconds for which a target that was full gets no call. */
 const FULL_PAUSE_MS = 60;
 
 /** Time in milliseconds within which released results are gathered into one call. */
@@ -284,12 +284,14 @@
         if (outcome.kind === "answered") {
             maker.answered(tookMs / expectedMs);
             targets.succeeded(target, tookMs / expectedMs);
+            this.noteUnmade(target, pieces, outcome.answers, maker.freeBytes(capacity));
             const until = performance.now() + capacity.resultLifetimeMs;
             pieces.forEach((piece, index) => {
                 const answer = outcome.answers[index];
                 if (answer?.kind === "made") maker.holds(answer.handle, piece.resultBytes, until);
-                this.settle(piece, answer, maker);
+                this.settle(piece, answer);
             });
+            if (outcome.answers.some(answer => answer.kind === "noRoom")) maker.foundNoRoom(capacity);
         } else {
             this.environment.onDecision("stage call failed", {
                 service: this.service,
@@ -319,7 +321,30 @@
         this.dispatch();
     }
 
-    private settle(piece: Waiting, answer: PieceAnswer | undefined, maker: Maker): void {
+    /** One line for a call of which some pieces were not made. */
+    private noteUnmade(
+        target: Target,
+        pieces: readonly Waiting[],
+        answers: readonly PieceAnswer[],
+        freeBytes: number,
+    ): void {
+        const unmade = pieces.flatMap(({ requestId }, index) => {
+            const kind = answers[index]?.kind ?? "missing";
+            return kind === "made" ? [] : [{ id: requestId, kind }];
+        });
+        if (unmade.length === 0) return;
+        this.environment.onDecision("pieces not made", {
+            service: this.service,
+            target: target.name,
+            asked: pieces.length,
+            unmade: unmade.length,
+            reasons: [...new Set(unmade.map(({ kind }) => kind))],
+            ids: [...new Set(unmade.map(({ id }) => id))],
+            freeBytes: Math.round(freeBytes),
+        });
+    }
+
+    private settle(piece: Waiting, answer: PieceAnswer | undefined): void {
         switch (answer?.kind) {
             case "made":
                 return piece.resolve({ kind: "made", handle: answer.handle });
@@ -328,7 +353,6 @@
             case "inputGone":
                 return this.lose(piece, "inputGone");
             case "noRoom":
-                maker.blockedUntil = performance.now() + FULL_PAUSE_MS;
                 return this.retry(piece, "noRoom", true);
             default:
                 return this.retry(piece, "failed", false);
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -104,6 +104,18 @@
         expect(lost).toEqual([]);
     });
 
+    it("are made once results that nobody knows of have expired", async () => {
+        const targets = directory();
+        const target = await addTarget(targets, "a");
+        const start = performance.now();
+        target.pieceReasons = () => (performance.now() - start < 600 ? "room" : undefined);
+        const large = jobs(4, "r").map(job => ({ ...job, resultBytes: 200_000 }));
+        const results = await queueOf(targets).make(large, new AbortController().signal);
+        expect(results.map(({ kind }) => kind)).toEqual(["made", "made", "made", "made"]);
+        // One at once, one too early, and one for each piece.
+        expect(target.pieceCalls.length).toBeLessThanOrEqual(6);
+    });
+
     it("are given up when most calls fail", async () => {
         const targets = directory();
         const target = await addTarget(targets, "a");
