Estimate the time left for engines from each route's own requests

Cause: stages had to be ready 200 ms before a request's first event was due. Ruled out: the engines' load (at most 395 ms for one in fifty). Change: mean plus two mean deviations by route (src/gateway/firstevent.ts); the line of a request tells firstEventMs.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -73,6 +73,8 @@
     private readonly receivedAt = performance.now();
     private attempts = 0;
     private stagesMs = 0;
+    /** Time in milliseconds from the request to its stream's first event. */
+    private firstEventMs: number | undefined;
     private readonly tried = new Set<string>();
 
     private constructor(
@@ -101,6 +103,7 @@
                 attempts: exchange.attempts,
                 targets: [...exchange.tried],
                 stagesMs: Math.round(exchange.stagesMs),
+                firstEventMs: exchange.firstEventMs === undefined ? undefined : Math.round(exchange.firstEventMs),
                 tookMs: Math.round(performance.now() - exchange.receivedAt),
                 configuration: context.configuration()?.version,
             },
@@ -315,6 +318,8 @@
                 continue;
             }
             const outcome = await this.passOn(order, target, sent.head, sent.body, delivery, () => {
+                this.firstEventMs ??= performance.now() - this.receivedAt;
+                this.context.firstEventTimes.note(order.route.name, performance.now() - startedAt);
                 this.context.targets.promptRead(target, promptTokens);
                 releaseInputs();
                 this.context.targets.succeeded(target, (performance.now() - startedAt) / order.route.targetLatencyMs);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { Deadline } from "../model/index.js";
 import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
+import { FirstEventTimes } from "./firstevent.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixMemory } from "./placement.js";
 import { TargetDirectory } from "./target.js";
@@ -22,6 +23,7 @@
     readonly configuration: () => GatewayConfiguration | undefined;
     readonly targets: TargetDirectory;
     readonly prefixMemory: PrefixMemory;
+    readonly firstEventTimes: FirstEventTimes;
     /** This gateway's part of the repeats that a service may get. */
     readonly budgetOf: (service: string) => RetryBudget;
     readonly makePieces: MakePieces;
@@ -56,9 +58,6 @@
 /** Part of the allowed repeats that is used; the rest covers a view of the gateways' number that is out of date. */
 const RETRY_USE = 0.6;
 
-/** Time in milliseconds that a generation takes from its inputs to its first event, without a queue. */
-const FIRST_EVENT_MS = 200;
-
 /** One gateway. */
 export class Gateway {
     readonly context: GatewayContext;
@@ -66,6 +65,7 @@
     readonly gathering: Gathering;
     private currentPhase: GatewayPhase = "serving";
     private inForce: GatewayConfiguration | undefined;
+    private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly queues = new Map<string, StageQueue>();
 
@@ -94,6 +94,7 @@
             configuration: () => this.inForce,
             targets: this.targets,
             prefixMemory,
+            firstEventTimes: this.firstEventTimes,
             budgetOf: service => this.budgetOf(service),
             makePieces: (jobs, signal) => this.gathering.make(jobs, signal),
             releaseResults: (service, handles) => this.gathering.release(service, handles),
@@ -162,7 +163,8 @@
 
     private stageTarget(route: Route, stage: number, latest: Deadline): Deadline {
         const followingMs = this.followingMs(route, stage);
-        return Deadline.after(latest.at - performance.now() - FIRST_EVENT_MS - followingMs);
+        const engineMs = this.firstEventTimes.reserveMs(route.name);
+        return Deadline.after(latest.at - performance.now() - engineMs - followingMs);
     }
 
     /** Time in milliseconds of the stages that follow one and of their queues, along the longest way. */
