Expect an overload that has lasted to last as long again, in Retry-After

Ruled out: a forecast that is too long was not told apart from an early return; the change acts on the return only.

--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -22,6 +22,7 @@
     waitsForZone,
 } from "./batch.js";
 import { Maker } from "./maker.js";
+import { Overload } from "./overload.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
 
 /** What a queue works with. */
@@ -47,6 +48,9 @@
 /** Time in milliseconds for which a target that was full gets no call. */
 const FULL_PAUSE_MS = 60;
 
+/** Shortest time in milliseconds after which a caller whose pieces were given up as late comes back. */
+const LATE_RETRY_MS = 500;
+
 /** Time in milliseconds within which released results are gathered into one call. */
 const RELEASE_GATHER_MS = 30;
 
@@ -72,6 +76,7 @@
     private readonly makers = new Map<string, Maker>();
     private readonly releases = new Map<string, string[]>();
     private timer: NodeJS.Timeout | undefined;
+    private readonly overload = Overload.create();
     private readonly budget = RetryBudget.create({
         fractionOfRequests: REPEATS_PER_PIECE,
         perSecond: 0,
@@ -149,7 +154,8 @@
         if (capacity === undefined) return undefined;
         const admission = admit(this.waiting, jobs, capacity, performance.now());
         if (admission.kind !== "refused") return undefined;
-        const { neededMs, retryAfterMs } = admission;
+        const { neededMs } = admission;
+        const retryAfterMs = this.overload.turnAway(performance.now(), admission.retryAfterMs);
         this.environment.onDecision("stage refused", {
             id: jobs[0]?.requestId,
             service: this.service,
@@ -176,7 +182,8 @@
         if (reason !== "cancelled" && reason !== "givenBack") {
             this.environment.onDecision("piece lost", { id: requestId, stage, index, calls, reason });
         }
-        piece.resolve({ kind: "lost", reason, retryAfterMs: 0 });
+        const retryAfterMs = reason === "late" ? this.overload.turnAway(performance.now(), LATE_RETRY_MS) : 0;
+        piece.resolve({ kind: "lost", reason, retryAfterMs });
     }
 
     /** Sends calls while pieces wait and targets are free. */
