--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,11 +11,13 @@
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type AnswerBody, type AnswerHead, type AttemptOutcome, readWhole, sendAttempt } from "./attempt.js";
+import { readCallerBody } from "./callerbody.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestFacts } from "./dialect.js";
 import { answerHeaders, StreamDelivery } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
+import { callerPatienceMs, firstEventStallMs, pauseStallMs } from "./patience.js";
 import { placeCall, placeGeneration } from "./placement.js";
 import type { Target } from "./target.js";
 
@@ -29,19 +31,6 @@
 /** Largest plain answer in bytes that is held until it is complete. */
 const MAXIMUM_ANSWER_BYTES = 16_777_216;
 
-/** Silence before a resumable stream's first event, as a multiple of its target latency, after which it is moved. */
-const FIRST_EVENT_STALL_RATIO = 0.8;
-/** Shortest such silence in milliseconds: reading a long prompt behind others takes that long. */
-const SHORTEST_FIRST_EVENT_STALL_MS = 900;
-/** Silence between two events, as a multiple of the route's limit for pauses, after which a stream is moved. */
-const PAUSE_STALL_RATIO = 2.5;
-const DEFAULT_PAUSE_STALL_MS = 2_000;
-
-/** Callers leave a stream after the longest of these waits for an event: a time, and multiples of the route's limits. */
-const CALLER_PATIENCE_MS = 2_000;
-const CALLER_PATIENCE_LATENCIES = 4;
-const CALLER_PATIENCE_PAUSES = 8;
-
 /** Shortest remaining time in milliseconds in which an attempt can succeed. */
 const SHORTEST_ATTEMPT_MS = 10;
 
@@ -130,7 +119,7 @@
         this.accountName = account?.name;
         if (this.context.stopping()) return this.refuse("stopping", 0);
         const deadline = this.deadlineOf(facts, route);
-        const body = await this.readBody(limits.bodyBytes, deadline);
+        const body = await readCallerBody(this.request, limits.bodyBytes, deadline);
         if (body === "tooLong") return this.reject(413, "body is too long");
         if (body === "late") return this.answerOwn("refused", 408, "body did not arrive in time");
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
@@ -211,11 +200,7 @@
     /** When a stream's first event has to be there, since its caller waits no longer. */
     private firstEventDeadline({ route, deadline, receivedAt }: Order): Deadline {
         if (!route.streaming) return deadline;
-        const patienceMs = Math.max(
-            CALLER_PATIENCE_MS,
-            route.targetLatencyMs * CALLER_PATIENCE_LATENCIES,
-            (route.pauseLimitMs ?? 0) * CALLER_PATIENCE_PAUSES,
-        );
+        const patienceMs = callerPatienceMs(route);
         return deadline.within(receivedAt + patienceMs - FIRST_EVENT_RESERVE_MS - performance.now());
     }
 
@@ -288,7 +273,7 @@
             const target = await this.chooseTarget(order, inputs);
             if (target === undefined) break;
             const promptTokens = this.unreadTokens(order, target);
-            const headTimeoutMs = order.route.idempotent ? this.firstEventStallMs(order.route) : undefined;
+            const headTimeoutMs = order.route.idempotent ? firstEventStallMs(order.route) : undefined;
             const startedAt = performance.now();
             const sent = await this.send(order, target, inputs, delivery.resumeAfter, headTimeoutMs);
             if (sent.kind !== "answered") {
@@ -355,14 +340,10 @@
         const splitter = EventSplitter.create();
         let first = true;
         const { route } = order;
-        const stallMs =
-            route.pauseLimitMs === undefined
-                ? DEFAULT_PAUSE_STALL_MS
-                : Math.max(route.pauseLimitMs * PAUSE_STALL_RATIO, this.firstEventStallMs(route));
         const outcome = await body.read({
             deadline: order.deadline,
             signal: order.signal,
-            stallMs: route.idempotent ? stallMs : undefined,
+            stallMs: route.idempotent ? pauseStallMs(route) : undefined,
             onChunk: chunk => {
                 const events = splitter.push(chunk);
                 if (events.length === 0) return undefined;
@@ -426,10 +407,6 @@
         return Math.max(0, order.facts.promptTokens - held);
     }
 
-    private firstEventStallMs(route: Route): number {
-        return Math.max(SHORTEST_FIRST_EVENT_STALL_MS, route.targetLatencyMs * FIRST_EVENT_STALL_RATIO);
-    }
-
     /** What follows an attempt without an answer; `again` when nothing was sent. */
     private afterUnanswered(
         order: Order,
@@ -531,29 +508,6 @@
         return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
-    private readBody(limit: number, deadline: Deadline): Promise<Buffer | "tooLong" | "late" | "broken"> {
-        const { request } = this;
-        const announced = Number(request.headers["content-length"] ?? 0);
-        if (announced > limit) return Promise.resolve("tooLong");
-        return new Promise(resolve => {
-            const chunks: Buffer[] = [];
-            let size = 0;
-            const finish = (outcome: Buffer | "tooLong" | "late" | "broken"): void => {
-                clearTimeout(timer);
-                resolve(outcome);
-            };
-            const timer = setTimeout(() => finish("late"), deadline.remaining());
-            request.on("data", (chunk: Buffer) => {
-                size += chunk.length;
-                if (size > limit) finish("tooLong");
-                else chunks.push(chunk);
-            });
-            request.on("end", () => finish(Buffer.concat(chunks)));
-            request.on("error", () => finish("broken"));
-            request.on("close", () => finish("broken"));
-        });
-    }
-
     /**
      * Gives the caller a target's complete answer. A body that ended with its connection goes on in the same way: nobody
      * can tell whether its target ended it or crashed, and a length of our own would claim that it is whole.
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,9 +7,8 @@
 import { DecisionLog } from "../observability/decisionlog.js";
 import { formatSettingsErrors, gatewaySettingsSchema, loadSettings } from "../settings/index.js";
 import { CallLedger } from "../store/index.js";
-import { decodeConfiguration, decodeTarget } from "./configuration.js";
 import { platformDialect } from "./dialect.js";
-import { KIND } from "./names.js";
+import { platformSource } from "./source.js";
 import { PlatformStore } from "./store.js";
 
 const SETTINGS_VARIABLE = "PARSLEYRUN_NODE_FILE";
@@ -33,14 +32,7 @@
 const ledger = CallLedger.create();
 const running = await startGateway(settings, {
     dialect: platformDialect,
-    source: {
-        configurationPrefix: `${KIND.configuration}/`,
-        targetPrefix: `${KIND.targets}/`,
-        closedZonePrefix: `${KIND.closedZones}/`,
-        gatewayPrefix: `${KIND.gateways}/`,
-        decodeConfiguration,
-        decodeTarget,
-    },
+    source: platformSource,
     store: PlatformStore.create({ ...settings.store, ledger }),
     ledger,
     log,
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -3,9 +3,9 @@
 import { expect, vi } from "vitest";
 import { type GatewayProcess, startGateway } from "../../src/daemon/gateway.js";
 import { DecisionLog, LineSink } from "../../src/observability/index.js";
-import { decodeConfiguration, decodeTarget } from "../../src/platform/configuration.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { KIND } from "../../src/platform/names.js";
+import { platformSource } from "../../src/platform/source.js";
 import { PlatformStore } from "../../src/platform/store.js";
 import { gatewaySettingsSchema } from "../../src/settings/index.js";
 import { CallLedger } from "../../src/store/index.js";
@@ -158,14 +158,7 @@
         });
         const gateway = await startGateway(settings, {
             dialect: platformDialect,
-            source: {
-                configurationPrefix: `${KIND.configuration}/`,
-                targetPrefix: `${KIND.targets}/`,
-                closedZonePrefix: `${KIND.closedZones}/`,
-                gatewayPrefix: `${KIND.gateways}/`,
-                decodeConfiguration,
-                decodeTarget,
-            },
+            source: platformSource,
             store: PlatformStore.create({ ...settings.store, ledger }),
             ledger,
             log: DecisionLog.create(name, sink),
