Ask a gatherer that cannot be reached by empty orders whether it is back

Cause: a gateway that froze or was cut off was passed over for 1.5 s and then sent pieces again. Until the first of them had been silent for 0.7 s, all pieces of its services went there: about a third of them, while the outage lasted. Ruled out: gatherers that refuse connections, which cost nothing. Change: an unreachable gatherer gets an empty order each second and pieces only after it answered one. Test: test/gateway/gateway.test.ts, 'are not used to find out whether a silent gatherer is back'; failed before.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -134,10 +134,9 @@
     // Spaces before the JSON text tell the other gateway that this one still works on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
-    const queue = gateway.queueOf(order.service);
     const results = await gateway.gathering.makeFor(order, abort.signal);
     clearInterval(progress);
-    response.end(JSON.stringify({ results, waitMs: queue.waitMs }));
+    response.end(JSON.stringify({ results, waitMs: gateway.gathering.ownWaitMs(order.service) }));
 }
 
 function readBody(request: IncomingMessage): Promise<string | undefined> {
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -27,8 +27,11 @@
 /** Silence in milliseconds after which a gatherer is passed over: three missed signs of progress. */
 const PROGRESS_TIMEOUT_MS = 700;
 
-/** Time in milliseconds for which a gatherer that could not be reached, or gave pieces back, is passed over. */
-const PEER_PAUSE_MS = 1_500;
+/** Time in milliseconds for which a gatherer that gave pieces back is passed over: the store tells the change by then. */
+const GIVEN_BACK_PAUSE_MS = 1_500;
+
+/** Interval in milliseconds at which a gatherer that could not be reached is asked whether it is back. */
+const PROBE_INTERVAL_MS = 1_000;
 
 /** Time in milliseconds for passing on released results. */
 const RELEASE_TIMEOUT_MS = 500;
@@ -85,6 +88,8 @@
 
 const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()) });
 
+const NEVER_ABORTED = new AbortController().signal;
+
 const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What gathering works with. */
@@ -102,7 +107,11 @@
 
 /** Sends pieces to their gatherer. */
 export class Gathering {
+    /** Gateways that could not be reached, by name. */
+    private readonly unreachable = new Set<string>();
+    /** Time on the monotonic clock until which a gateway does not gather a service, by service and gateway. */
     private readonly passedOverUntil = new Map<string, number>();
+    private stopped = false;
     private readonly waits = new Map<string, { readonly milliseconds: number; readonly at: number }>();
 
     private constructor(private readonly environment: GatheringEnvironment) {}
@@ -128,7 +137,8 @@
                 return !results.has(job);
             });
             if (unanswered.length > 0 && gatherer !== undefined && !signal.aborted) {
-                this.passOver(gatherer, answers === undefined ? undefined : service, jobs);
+                if (answers === undefined) this.noteUnreachable(gatherer, jobs);
+                else this.passedOverUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_PAUSE_MS);
             }
             open = unanswered;
         }
@@ -137,6 +147,7 @@
 
     /** Makes the pieces of another gateway's order. */
     async makeFor({ service, jobs }: GatheringOrder, signal: AbortSignal): Promise<readonly PieceResult[]> {
+        if (jobs.length === 0) return [];
         const refused = !this.environment.isGathering() && this.gathererOf(service) !== undefined;
         return refused ? jobs.map(() => GIVEN_BACK) : this.environment.queueOf(service).make(jobs, signal);
     }
@@ -162,6 +173,11 @@
         return told.milliseconds * 2 ** (-(performance.now() - told.at) / WAIT_HALF_LIFE_MS);
     }
 
+    /** Time in milliseconds that a piece waits in this gateway's queue of a service. */
+    ownWaitMs(service: string): number {
+        return this.environment.queues().get(service)?.waitMs ?? 0;
+    }
+
     private async makeHere(
         service: string,
         jobs: readonly PieceJob[],
@@ -193,23 +209,39 @@
             : Number.NEGATIVE_INFINITY;
         for (const peer of this.environment.peers()) {
             if (peer.name === this.environment.self) continue;
-            if (this.isPassedOver(peer, service, now)) continue;
+            if (this.unreachable.has(peer.name)) continue;
+            if ((this.passedOverUntil.get(`${service} ${peer.name}`) ?? 0) > now) continue;
             const weight = rendezvousWeight(service, peer.name);
             if (weight > bestWeight) [best, bestWeight] = [peer, weight];
         }
         return best;
     }
 
-    private isPassedOver({ name }: GatewayPeer, service: string, now: number): boolean {
-        const untils = [this.passedOverUntil.get(name), this.passedOverUntil.get(`${name} ${service}`)];
-        return untils.some(until => until !== undefined && until > now);
+    /** Ends the questions to gateways that could not be reached. */
+    stop(): void {
+        this.stopped = true;
     }
 
-    /** Passes a gateway over for one service, or for all when it cannot be reached. */
-    private passOver({ name }: GatewayPeer, service: string | undefined, jobs: readonly PieceJob[]): void {
-        const key = service === undefined ? name : `${name} ${service}`;
-        this.passedOverUntil.set(key, performance.now() + PEER_PAUSE_MS);
-        this.environment.onDecision("gatherer passed over", { peer: name, service, id: jobs[0]?.requestId });
+    /** Passes a gateway over until it answers again. Pieces are not used to find out, since each would be late. */
+    private noteUnreachable(peer: GatewayPeer, jobs: readonly PieceJob[]): void {
+        if (this.unreachable.has(peer.name)) return;
+        this.unreachable.add(peer.name);
+        this.environment.onDecision("gatherer unreachable", { peer: peer.name, id: jobs[0]?.requestId });
+        void this.waitUntilReachable(peer, performance.now());
+    }
+
+    private async waitUntilReachable(lost: GatewayPeer, since: number): Promise<void> {
+        const registered = (): GatewayPeer | undefined =>
+            this.environment.peers().find(({ name }) => name === lost.name);
+        for (;;) {
+            await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MS).unref());
+            const peer = registered();
+            if (this.stopped) return;
+            if (peer === undefined || (await this.order(peer, "", [], NEVER_ABORTED)) !== undefined) break;
+        }
+        this.unreachable.delete(lost.name);
+        const afterMs = Math.round(performance.now() - since);
+        this.environment.onDecision("gatherer reachable again", { peer: lost.name, afterMs });
     }
 
     private async makeAt(
@@ -218,7 +250,19 @@
         jobs: readonly PieceJob[],
         signal: AbortSignal,
     ): Promise<readonly PieceResult[] | undefined> {
-        const longest = Math.max(...jobs.map(job => job.deadline.remaining()));
+        const answer = await this.order(peer, service, jobs, signal);
+        if (answer !== undefined) this.noteWait(service, answer.waitMs);
+        return answer?.results;
+    }
+
+    /** Sends an order; undefined when the gateway does not answer it. */
+    private async order(
+        peer: GatewayPeer,
+        service: string,
+        jobs: readonly PieceJob[],
+        signal: AbortSignal,
+    ): Promise<{ readonly waitMs: number; readonly results: readonly PieceResult[] } | undefined> {
+        const longest = Math.max(0, ...jobs.map(job => job.deadline.remaining()));
         const limits = { deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS), signal };
         const body = Buffer.from(JSON.stringify({ service, pieces: jobs.map(encodeJob) }));
         const sent = await sendAttempt(
@@ -233,8 +277,7 @@
         const text = await readProgress(sent.body, limits);
         const parsed = resultSchema.safeParse(parseJson(text ?? ""));
         if (!parsed.success || parsed.data.results.length !== jobs.length) return undefined;
-        this.noteWait(service, parsed.data.waitMs);
-        return parsed.data.results;
+        return parsed.data;
     }
 
     private async releaseAt(peer: GatewayPeer, service: string, handles: readonly string[]): Promise<void> {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,5 +1,8 @@
 /** A gateway in front of stand-in targets: who may call, what is sent where, and what callers are told. */
 import { afterEach, describe, expect, it, vi } from "vitest";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { rendezvousWeight } from "../../src/routing/index.js";
 import { pause } from "../../src/model/pause.js";
 import { type Behaviour } from "../platform/standin.js";
 import { KIND } from "../../src/platform/names.js";
@@ -286,6 +289,28 @@
         }
     });
 
+    it("are not used to find out whether a silent gatherer is back", async () => {
+        deployment = await Deployment.start(TWO_OF_EACH);
+        behaveInTurn("engines", [{ kind: "stream", events: 1 }]);
+        const silent = await SilentGateway.start();
+        const name = ["a", "b", "c", "d", "e", "f", "g", "h"].find(
+            each => rendezvousWeight("encode", each) > rendezvousWeight("encode", "gateway-0"),
+        );
+        deployment.platform.put(KIND.gateways, name ?? "", { name, zone: "east", address: silent.address });
+        const gathering = deployment.gateways[0]?.gateway.gathering;
+        await vi.waitFor(() => expect(gathering?.gathererOf("encode")?.name).toBe(name));
+        const one = { ...headers, "x-parsleyrun-pieces": "1,0" };
+        for (let index = 0; index < 10; index += 1) {
+            expect((await deployment.call({ path: "/staged/1", headers: one, id: `r${index}` })).status).toBe(200);
+            await pause(250);
+        }
+        expect(silent.orders.filter(order => order.includes("requestId"))).toHaveLength(1);
+        expect(silent.orders.length).toBeGreaterThan(1);
+        silent.answers = true;
+        await vi.waitFor(() => expect(gathering?.gathererOf("encode")?.name).toBe(name), 3_000);
+        silent.close();
+    });
+
     it("are made by another gateway when the gatherer is gone", async () => {
         deployment = await Deployment.start(TWO_OF_EACH, 2);
         behaveInTurn("engines", [{ kind: "stream", events: 1 }]);
@@ -295,6 +320,34 @@
     });
 });
 
+/** A gateway that takes orders and does not answer them until it is told to. */
+class SilentGateway {
+    readonly orders: string[] = [];
+    answers = false;
+
+    private constructor(
+        readonly address: string,
+        private readonly server: Server,
+    ) {}
+
+    static async start(): Promise<SilentGateway> {
+        const server = createServer((request, response) => {
+            request.on("data", (chunk: Buffer) => silent.orders.push(chunk.toString()));
+            request.on("end", () => {
+                if (silent.answers) response.end(JSON.stringify({ waitMs: 0, results: [] }));
+            });
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const silent = new SilentGateway(`127.0.0.1:${(server.address() as AddressInfo).port}`, server);
+        return silent;
+    }
+
+    close(): void {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+}
+
 /** Index of the gateway of two that gathers a service's pieces. */
 function gathererOf({ gateways }: Deployment, service: string): number {
     return gateways[0]?.gateway.gathering.gathererOf(service) === undefined ? 0 : 1;
