--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -264,15 +264,24 @@
     });
 
     it("are all made by the next gatherer as soon as theirs stops", async () => {
-        deployment = await Deployment.start({ ...TWO_OF_EACH, encode: 1, bookings: 0 }, 2);
+        // Twelve pieces need three calls one after the other, which the route's target leaves time for.
+        const callMs = 150;
+        const configuration = {
+            ...CONFIGURATION,
+            Routes: CONFIGURATION.Routes.map(route => ({ ...route, TargetLatencyMs: 4_000, TimeoutMs: 6_000 })),
+            Services: CONFIGURATION.Services.map(service =>
+                "Segments" in service ? { ...service, Segments: { ...service.Segments, CallMs: callMs } } : service,
+            ),
+        };
+        deployment = await Deployment.start({ ...TWO_OF_EACH, bookings: 0 }, 2, configuration);
         behaveInTurn("engines", [{ kind: "stream", events: 1 }]);
         const encode = deployment.target("encode-0");
-        encode.callMs = 150;
+        encode.callMs = callMs;
         const gatherer = gathererOf(deployment, "encode");
         const first = Array.from({ length: 6 }, (_, index) => callStaged(index, `r${index}`));
         await vi.waitFor(() => expect(encode.pieceCalls).toHaveLength(1));
         const stopped = deployment.gateways[gatherer]?.stop();
-        await vi.waitFor(() => expect(deployment?.platform.names(KIND.gateways)).toHaveLength(1));
+        await vi.waitFor(() => expect(deployment.platform.names(KIND.gateways)).toHaveLength(1));
         // The call that was in progress at the gateway that stops ends first.
         await pause(2 * encode.callMs);
         encode.mostCallsAtOnce = 0;
@@ -284,8 +293,8 @@
         await stopped;
 
         function callStaged(index: number, id: string): Promise<CallAnswer> {
-            const pieces = { ...headers, "x-parsleyrun-pieces": "2,0" };
-            return (deployment as Deployment).call({ path: "/staged/1", headers: pieces, id }, index % 2);
+            const staged = { ...headers, "x-parsleyrun-pieces": "2,0", "x-parsleyrun-deadline-ms": "6000" };
+            return deployment.call({ path: "/staged/1", headers: staged, id }, index % 2);
         }
     });
 
