Use one reader of bodies and answers, split the queue, and tie what is known of a target to its registration

It kept what it knew of targets by name for ever, so a target that restarted under its name was taken to hold the results of before, for 4 s. Ruled out: a second mechanism beside the target directory: a registration is already an object of its own there, anew after each restart, so it is the key. Change: requestbody.ts, readWhole with a limit for silence, NEVER_ABORTED in attempt.ts; stages/piececall.ts and stages/releases.ts; an answer that is not complete in time counts as a call given up; estimates begin like any other. Test: test/stages/queue.test.ts, 'are made by a restarted target', fails before (four pieces lost).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -64,6 +64,9 @@
     readonly headTimeoutMs?: number | undefined;
 }
 
+/** Signal of attempts that nobody ends. */
+export const NEVER_ABORTED = new AbortController().signal;
+
 /** Sends a request and waits for the head of its answer. */
 export async function sendAttempt(order: AttemptRequest, limits: AttemptLimits): Promise<AttemptOutcome> {
     if (limits.signal.aborted) return { kind: "cancelled", sent: false };
@@ -245,7 +248,7 @@
 /** Reads a body of limited size into memory. */
 export async function readWhole(
     body: AnswerBody,
-    limits: AttemptLimits,
+    limits: AttemptLimits & Pick<BodyReading, "stallMs">,
     maximumBytes: number,
 ): Promise<{ readonly outcome: BodyOutcome; readonly bytes: Buffer }> {
     const chunks: Buffer[] = [];
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,13 +11,13 @@
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type AnswerBody, type AnswerHead, type AttemptOutcome, readWhole, sendAttempt } from "./attempt.js";
-import { readCallerBody } from "./callerbody.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestFacts } from "./dialect.js";
 import { answerHeaders, StreamDelivery } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
 import { callerPatienceMs, firstEventStallMs, pauseStallMs } from "./patience.js";
+import { readRequestBody } from "./requestbody.js";
 import { placeCall, placeGeneration } from "./placement.js";
 import type { Target } from "./target.js";
 
@@ -119,7 +119,7 @@
         this.accountName = account?.name;
         if (this.context.stopping()) return this.refuse("stopping", 0);
         const deadline = this.deadlineOf(facts, route);
-        const body = await readCallerBody(this.request, limits.bodyBytes, deadline);
+        const body = await readRequestBody(this.request, limits.bodyBytes, deadline);
         if (body === "tooLong") return this.reject(413, "body is too long");
         if (body === "late") return this.answerOwn("refused", 408, "body did not arrive in time");
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
--- a/src/gateway/firstevent.ts
+++ b/src/gateway/firstevent.ts
@@ -3,11 +3,12 @@
  *
  * Stages have to be ready this much before the request's first event is due. Routes differ by several times, since long
  * prompts take longer to read and wait for each other, so the time is estimated from the route's own requests: their mean
- * plus two mean deviations, which nine in ten do not exceed.
+ * plus two mean deviations, which most do not exceed.
  */
 
-/** Estimate in milliseconds before the first request of a route. */
-const FIRST_ESTIMATE_MS = 200;
+/** Mean and mean deviation in milliseconds before the first request of a route: an engine that is not loaded. */
+const FIRST_MEAN_MS = 100;
+const FIRST_DEVIATION_MS = 50;
 
 /** Limits of the estimate in milliseconds: a step of an engine, and half of the shortest usual target latency. */
 const SHORTEST_MS = 30;
@@ -21,8 +22,8 @@
 const DEVIATIONS = 2;
 
 interface Estimate {
-    mean: number;
-    deviation: number;
+    readonly mean: number;
+    readonly deviation: number;
 }
 
 /** Estimates by route. */
@@ -37,23 +38,21 @@
 
     /** Counts a request whose engine took this time in milliseconds. */
     note(route: string, milliseconds: number): void {
-        const estimate = this.estimates.get(route);
-        if (estimate === undefined) {
-            // Half of the distance to the first estimate keeps one request from deciding alone.
-            const mean = (milliseconds + FIRST_ESTIMATE_MS / 2) / 2;
-            this.estimates.set(route, { mean, deviation: FIRST_ESTIMATE_MS / 4 });
-            return;
-        }
-        const error = milliseconds - estimate.mean;
-        estimate.mean += MEAN_WEIGHT * error;
-        estimate.deviation += DEVIATION_WEIGHT * (Math.abs(error) - estimate.deviation);
+        const { mean, deviation } = this.estimateOf(route);
+        const error = milliseconds - mean;
+        this.estimates.set(route, {
+            mean: mean + MEAN_WEIGHT * error,
+            deviation: deviation + DEVIATION_WEIGHT * (Math.abs(error) - deviation),
+        });
     }
 
     /** Time in milliseconds to leave for the engine. */
     reserveMs(route: string): number {
-        const estimate = this.estimates.get(route);
-        if (estimate === undefined) return FIRST_ESTIMATE_MS;
-        const { mean, deviation } = estimate;
+        const { mean, deviation } = this.estimateOf(route);
         return Math.min(LONGEST_MS, Math.max(SHORTEST_MS, mean + DEVIATIONS * deviation));
     }
+
+    private estimateOf(route: string): Estimate {
+        return this.estimates.get(route) ?? { mean: FIRST_MEAN_MS, deviation: FIRST_DEVIATION_MS };
+    }
 }
--- a/src/gateway/callerbody.ts
+++ b/src/gateway/requestbody.ts
@@ -1,18 +1,18 @@
-/** Reading of a caller's whole body, within the limits of size and time. */
+/** Reading of a request's whole body, within limits of size and time. */
 import type { IncomingMessage } from "node:http";
 import type { Deadline } from "../model/index.js";
 
 /** The bytes, or why there are none. */
-export type CallerBody = Buffer | "tooLong" | "late" | "broken";
+export type RequestBody = Buffer | "tooLong" | "late" | "broken";
 
 /** Reads a body of at most `limit` bytes. */
-export function readCallerBody(request: IncomingMessage, limit: number, deadline: Deadline): Promise<CallerBody> {
+export function readRequestBody(request: IncomingMessage, limit: number, deadline: Deadline): Promise<RequestBody> {
     const announced = Number(request.headers["content-length"] ?? 0);
     if (announced > limit) return Promise.resolve("tooLong");
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
-        const finish = (outcome: CallerBody): void => {
+        const finish = (outcome: RequestBody): void => {
             clearTimeout(timer);
             resolve(outcome);
         };
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,11 +1,13 @@
 /** The gateway's listeners: callers, the load balancer's question, other gateways, and metrics. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
 import { GATHERING_PATH, PROGRESS_INTERVAL_MS, readOrder, readRelease } from "../stages/index.js";
 import type { ConnectionLimits } from "./configuration.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
+import { readRequestBody } from "./requestbody.js";
 
 /** Longest head that is read at all, in bytes; the configuration's limit is checked after that. */
 const MAXIMUM_HEAD_BYTES = 131_072;
@@ -22,6 +24,9 @@
 /** Largest order of another gateway in bytes. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
+/** Time in milliseconds for an order to arrive; its sender gives up sooner. */
+const ORDER_TIMEOUT_MS = 2_000;
+
 /** A server and its open connections. */
 export class Listener {
     private readonly sockets = new Set<Socket>();
@@ -112,8 +117,12 @@
 }
 
 async function servePeer(gateway: Gateway, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(request);
-    if (body === undefined) return;
+    const read = await readRequestBody(request, MAXIMUM_ORDER_BYTES, Deadline.after(ORDER_TIMEOUT_MS));
+    if (!Buffer.isBuffer(read)) {
+        request.destroy();
+        return;
+    }
+    const body = read.toString();
     if (request.url === GATHERING_PATH.make) return serveOrder(gateway, body, response);
     const release = request.url === GATHERING_PATH.release ? readRelease(body) : undefined;
     if (release !== undefined) gateway.queueOf(release.service).release(release.handles);
@@ -139,21 +148,6 @@
     response.end(JSON.stringify({ results, waitMs: gateway.gathering.ownWaitMs(order.service) }));
 }
 
-function readBody(request: IncomingMessage): Promise<string | undefined> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
-        request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
-            if (size > MAXIMUM_ORDER_BYTES) request.destroy();
-            else chunks.push(chunk);
-        });
-        request.on("end", () => resolve(Buffer.concat(chunks).toString()));
-        request.on("error", () => resolve(undefined));
-        request.on("close", () => resolve(undefined));
-    });
-}
-
 /** Waits until a condition holds or a time has passed. */
 export async function waitUntil(condition: () => boolean, milliseconds: number): Promise<void> {
     const end = performance.now() + milliseconds;
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -10,7 +10,7 @@
  * send calls that wait for each other.
  */
 import { z } from "zod";
-import { type AnswerBody, sendAttempt } from "../gateway/attempt.js";
+import { NEVER_ABORTED, readWhole, sendAttempt } from "../gateway/attempt.js";
 import type { GatewayPeer } from "../gateway/peers.js";
 import { parseJson } from "../model/json.js";
 import { Deadline } from "../model/index.js";
@@ -88,8 +88,6 @@
 
 const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()) });
 
-const NEVER_ABORTED = new AbortController().signal;
-
 const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What gathering works with. */
@@ -274,8 +272,9 @@
             sent.body.discard();
             return undefined;
         }
-        const text = await readProgress(sent.body, limits);
-        const parsed = resultSchema.safeParse(parseJson(text ?? ""));
+        const reading = { ...limits, stallMs: PROGRESS_TIMEOUT_MS };
+        const { outcome, bytes } = await readWhole(sent.body, reading, MAXIMUM_ANSWER_BYTES);
+        const parsed = resultSchema.safeParse(outcome.kind === "complete" ? parseJson(bytes.toString()) : undefined);
         if (!parsed.success || parsed.data.results.length !== jobs.length) return undefined;
         return parsed.data;
     }
@@ -284,7 +283,7 @@
         const body = Buffer.from(JSON.stringify({ service, handles }));
         const sent = await sendAttempt(
             { address: peer.address, method: "POST", path: GATHERING_PATH.release, headers: jsonHeaders(body), body },
-            { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: new AbortController().signal },
+            { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED },
         );
         if (sent.kind === "answered") return sent.body.discard();
         this.environment.onDecision("release passed on failed", { peer: peer.name, reason: sent.kind });
@@ -333,22 +332,3 @@
 function jsonHeaders(body: Buffer): readonly string[] {
     return ["content-type", "application/json", "content-length", String(body.length)];
 }
-
-async function readProgress(
-    body: AnswerBody,
-    limits: { readonly deadline: Deadline; readonly signal: AbortSignal },
-): Promise<string | undefined> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const outcome = await body.read({
-        ...limits,
-        stallMs: PROGRESS_TIMEOUT_MS,
-        onChunk: chunk => {
-            size += chunk.length;
-            if (size <= MAXIMUM_ANSWER_BYTES) chunks.push(chunk);
-            else body.discard();
-            return undefined;
-        },
-    });
-    return outcome.kind === "complete" ? Buffer.concat(chunks).toString() : undefined;
-}
--- /dev/null
+++ b/src/stages/piececall.ts
@@ -0,0 +1,48 @@
+/** One call for pieces at a target: what is sent, and what its answer or its failure says about the pieces. */
+import { NEVER_ABORTED, readWhole, sendAttempt } from "../gateway/attempt.js";
+import type { Dialect, PieceAnswer } from "../gateway/dialect.js";
+import type { Target, TargetDirectory } from "../gateway/target.js";
+import { Deadline } from "../model/index.js";
+import type { PieceJob } from "./piece.js";
+
+/** Largest answer to a call in bytes. */
+const MAXIMUM_ANSWER_BYTES = 1_048_576;
+
+/** What a call came to. The target has not begun a call that was not sent, nor one for which it was full. */
+export type CallOutcome =
+    | { readonly kind: "answered"; readonly answers: readonly PieceAnswer[] }
+    | { readonly kind: "notSent" | "full" | "failed" | "gaveUp"; readonly reason: string };
+
+/** Asks a target for pieces; gives up after a time in milliseconds. The answers have the order of the pieces. */
+export async function callForPieces(
+    { dialect, targets }: { readonly dialect: Dialect; readonly targets: TargetDirectory },
+    target: Target,
+    pieces: readonly PieceJob[],
+    timeoutMs: number,
+): Promise<CallOutcome> {
+    const orders = pieces.map(piece => ({
+        requestId: piece.requestId,
+        stage: piece.stage,
+        index: piece.index,
+        remainingMs: piece.deadline.remaining(),
+        key: piece.key,
+        inputs: piece.inputs,
+    }));
+    const limits = { deadline: Deadline.after(timeoutMs), signal: NEVER_ABORTED };
+    const call = dialect.pieceCall(target.record.id, orders);
+    const sent = await sendAttempt({ ...call, address: target.record.address }, limits);
+    if (sent.kind === "unreachable") return { kind: "notSent", reason: sent.reason };
+    if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
+    if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
+    const facts = dialect.readAnswer(sent.head.status, sent.head.headers);
+    targets.loadReported(target, facts.load);
+    const { outcome, bytes } = await readWhole(sent.body, limits, MAXIMUM_ANSWER_BYTES);
+    if (facts.wrongTarget) return { kind: "notSent", reason: "another target has the address" };
+    if (facts.notExecuted) return { kind: "full", reason: "target is full" };
+    if (outcome.kind === "expired") return { kind: "gaveUp", reason: "answer not complete in time" };
+    if (outcome.kind !== "complete") return { kind: "failed", reason: `answer ${outcome.kind}` };
+    const answers = sent.head.status === 200 ? dialect.readPieces(bytes.toString(), pieces.length) : undefined;
+    return answers === undefined
+        ? { kind: "failed", reason: `status ${sent.head.status} or unreadable answer` }
+        : { kind: "answered", answers };
+}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -5,10 +5,8 @@
  * elsewhere when a call breaks. A piece may be made twice without harm; a request whose time is up is given up.
  */
 import type { StageCapacity } from "../gateway/configuration.js";
-import { readWhole, sendAttempt } from "../gateway/attempt.js";
 import type { Dialect, PieceAnswer } from "../gateway/dialect.js";
 import type { Target, TargetDirectory } from "../gateway/target.js";
-import { Deadline } from "../model/index.js";
 import { RetryBudget } from "../routing/index.js";
 import {
     admit,
@@ -23,7 +21,9 @@
 } from "./batch.js";
 import { Maker } from "./maker.js";
 import { Overload } from "./overload.js";
+import { type CallOutcome, callForPieces } from "./piececall.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
+import { Releases } from "./releases.js";
 
 /** What a queue works with. */
 export interface StageQueueEnvironment {
@@ -51,15 +51,6 @@
 /** Shortest time in milliseconds after which a caller whose pieces were given up as late comes back. */
 const LATE_RETRY_MS = 500;
 
-/** Time in milliseconds within which released results are gathered into one call. */
-const RELEASE_GATHER_MS = 30;
-
-/** Time in milliseconds for a call that releases results. */
-const RELEASE_TIMEOUT_MS = 1_000;
-
-/** Largest answer to a call in bytes. */
-const MAXIMUM_ANSWER_BYTES = 1_048_576;
-
 /** Bytes between zones that weigh as much as a target being slower by its expected time. */
 const SLOWNESS_BYTES = 100_000_000;
 
@@ -73,8 +64,9 @@
 /** The queue of one stage service. */
 export class StageQueue {
     private waiting: Waiting[] = [];
-    private readonly makers = new Map<string, Maker>();
-    private readonly releases = new Map<string, string[]>();
+    /** Each registration of a target has its own; a restarted target holds no results. */
+    private readonly makers = new WeakMap<Target, Maker>();
+    private readonly releases: Releases;
     private timer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
     private readonly budget = RetryBudget.create({
@@ -86,7 +78,13 @@
     private constructor(
         private readonly service: string,
         private readonly environment: StageQueueEnvironment,
-    ) {}
+    ) {
+        this.releases = Releases.create({
+            ...environment,
+            onReleasing: (target, handles) => this.makerOf(target).released(handles),
+            onReleased: () => this.dispatch(),
+        });
+    }
 
     static create(service: string, environment: StageQueueEnvironment): StageQueue {
         return new StageQueue(service, environment);
@@ -126,16 +124,7 @@
 
     /** Gives up results that are not needed any more. */
     release(handles: readonly string[]): void {
-        for (const handle of handles) {
-            const holder = this.environment.dialect.holderOf(handle);
-            const gathered = this.releases.get(holder);
-            if (gathered !== undefined) {
-                gathered.push(handle);
-                continue;
-            }
-            this.releases.set(holder, [handle]);
-            setTimeout(() => void this.sendReleases(holder), RELEASE_GATHER_MS);
-        }
+        this.releases.add(handles);
     }
 
     /** Capacity of the targets that can be used now; undefined while the service is not configured. */
@@ -215,11 +204,11 @@
 
     /** The pieces of the next call to a target; none when those that wait are better made elsewhere. */
     private piecesFor(target: Target, capacity: StageCapacity): readonly Waiting[] {
-        const maker = this.makerOf(target.name);
+        const maker = this.makerOf(target);
         const freeBytes = maker.freeBytes(capacity);
         const ordered = this.orderFor(target, capacity);
         const others = this.environment.targets.usable(this.service);
-        const onlySlow = others.every(other => this.makerOf(other.name).isSlow);
+        const onlySlow = others.every(other => this.makerOf(other).isSlow);
         if (onlySlow || (!maker.isSlow && !maker.isOnTrial)) return fillBatch(ordered, capacity.batch, freeBytes);
         const earliest = performance.now() + fullCallMs(capacity) * maker.slowness;
         const patient = ordered.filter(({ piece }) => piece.target.at >= earliest);
@@ -273,18 +262,18 @@
     /** Targets that can take a call. */
     private freeTargets(capacity: StageCapacity): readonly Target[] {
         const usable = this.environment.targets.usable(this.service);
-        return usable.filter(target => this.makerOf(target.name).isFree(capacity.slots));
+        return usable.filter(target => this.makerOf(target).isFree(capacity.slots));
     }
 
     private async call(target: Target, pieces: readonly Waiting[], capacity: StageCapacity): Promise<void> {
         const { targets } = this.environment;
-        const maker = this.makerOf(target.name);
+        const maker = this.makerOf(target);
         const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
         const expectedMs = capacity.callMs + pieces.length * capacity.pieceMs;
         const startedAt = performance.now();
         maker.callStarted(bytes);
         targets.sent(target);
-        const outcome = await this.send(target, pieces, expectedMs);
+        const outcome = await callForPieces(this.environment, target, pieces, maker.callTimeoutMs(expectedMs));
         targets.ended(target);
         maker.callEnded(bytes);
         const tookMs = performance.now() - startedAt;
@@ -378,74 +367,21 @@
         this.waiting.push(piece);
     }
 
-    private async send(target: Target, pieces: readonly Waiting[], expectedMs: number): Promise<CallOutcome> {
-        const { dialect, targets } = this.environment;
-        const orders = pieces.map(piece => ({
-            requestId: piece.requestId,
-            stage: piece.stage,
-            index: piece.index,
-            remainingMs: piece.deadline.remaining(),
-            key: piece.key,
-            inputs: piece.inputs,
-        }));
-        const call = dialect.pieceCall(target.record.id, orders);
-        const limits = {
-            deadline: Deadline.after(this.makerOf(target.name).callTimeoutMs(expectedMs)),
-            signal: NEVER_ABORTED,
-        };
-        const sent = await sendAttempt({ ...call, address: target.record.address }, limits);
-        if (sent.kind === "unreachable") return { kind: "notSent", reason: sent.reason };
-        if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
-        if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
-        const facts = dialect.readAnswer(sent.head.status, sent.head.headers);
-        targets.loadReported(target, facts.load);
-        const { outcome, bytes } = await readWhole(sent.body, limits, MAXIMUM_ANSWER_BYTES);
-        if (facts.wrongTarget) return { kind: "notSent", reason: "another target has the address" };
-        if (facts.notExecuted) return { kind: "full", reason: "target is full" };
-        if (outcome.kind !== "complete") return { kind: "failed", reason: `answer ${outcome.kind}` };
-        const answers = sent.head.status === 200 ? dialect.readPieces(bytes.toString(), pieces.length) : undefined;
-        return answers === undefined
-            ? { kind: "failed", reason: `status ${sent.head.status} or unreadable answer` }
-            : { kind: "answered", answers };
-    }
-
-    private async sendReleases(holder: string): Promise<void> {
-        const handles = this.releases.get(holder) ?? [];
-        this.releases.delete(holder);
-        const { dialect, targets } = this.environment;
-        const target = targets.withAddress(holder);
-        if (target === undefined || handles.length === 0) return;
-        this.makers.get(target.name)?.released(handles);
-        const call = dialect.releaseCall(target.record.id, handles);
-        const limits = { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const sent = await sendAttempt({ ...call, address: holder }, limits);
-        // An unreleased result expires at its holder; only its room is missing until then.
-        if (sent.kind === "answered") sent.body.discard();
-        else this.environment.onDecision("release failed", { target: target.name, reason: sent.kind });
-        this.dispatch();
-    }
-
     /** Slowness of a target as far as it matters for the choice; small differences do not. */
     private slownessOf(target: Target): number {
-        const maker = this.makerOf(target.name);
+        const maker = this.makerOf(target);
         return maker.isSlow ? maker.slowness : 1;
     }
 
-    private makerOf(name: string): Maker {
-        const existing = this.makers.get(name);
+    private makerOf(target: Target): Maker {
+        const existing = this.makers.get(target);
         if (existing !== undefined) return existing;
         const created = Maker.create();
-        this.makers.set(name, created);
+        this.makers.set(target, created);
         return created;
     }
 }
 
-type CallOutcome =
-    | { readonly kind: "answered"; readonly answers: readonly PieceAnswer[] }
-    | { readonly kind: "notSent" | "full" | "failed" | "gaveUp"; readonly reason: string };
-
-const NEVER_ABORTED = new AbortController().signal;
-
 /** Results of pieces whose request has gone meanwhile. */
 function abandonedResults(pieces: readonly Waiting[], outcome: CallOutcome): readonly string[] {
     if (outcome.kind !== "answered") return [];
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -34,18 +34,22 @@
     const target = await StandInTarget.start(id);
     started.push(target);
     target.callMs = 20;
+    register(targets, target, 1);
+    return target;
+}
+
+function register(targets: TargetDirectory, { id, address }: StandInTarget, incarnation: number): void {
     targets.put({
         id,
-        incarnation: 1,
+        incarnation,
         service: SERVICE,
-        address: target.address,
+        address,
         zone: "east",
         version: "v1",
         slots: 1,
         state: "available",
         coldRemainingMs: 0,
     });
-    return target;
 }
 
 function queueOf(targets: TargetDirectory, decisions: string[] = []): StageQueue {
@@ -116,6 +120,18 @@
         expect(target.pieceCalls.length).toBeLessThanOrEqual(6);
     });
 
+    it("are made by a restarted target, which holds no earlier results", async () => {
+        const targets = directory();
+        const target = await addTarget(targets, "a");
+        const queue = queueOf(targets);
+        const large = (id: string): readonly PieceJob[] => jobs(4, id).map(job => ({ ...job, resultBytes: 200_000 }));
+        // Kept by the target until they expire, as nobody releases them.
+        await queue.make(large("before"), new AbortController().signal);
+        register(targets, target, 2);
+        const results = await queue.make(large("after"), new AbortController().signal);
+        expect(results.map(({ kind }) => kind)).toEqual(["made", "made", "made", "made"]);
+    });
+
     it("are given up when most calls fail", async () => {
         const targets = directory();
         const target = await addTarget(targets, "a");
