Split the attempts of a request, its order and the answers of the gateway off the exchange

Ruled out: one module for calls and one for streams, which would both need all of these. Change: a move without a change of behaviour: attempts.ts (targets, sending, repeats), order.ts (what a request is), and the gateway's and the targets' whole answers in delivery.ts.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -1,4 +1,4 @@
-/** The caller's side of an answer: the headers that go on to it, and streams of whole events. */
+/** The caller's side of answers: a target's whole answer, the gateway's own, and streams of whole events. */
 import type { ServerResponse } from "node:http";
 import type { AnswerHead } from "./attempt.js";
 import type { StreamEvent } from "./eventstream.js";
@@ -7,7 +7,7 @@
 const CONNECTION_HEADERS = new Set(["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade", "te"]);
 
 /** A target's headers as they go to the caller. */
-export function answerHeaders(head: AnswerHead, closing: boolean): string[] {
+function answerHeaders(head: AnswerHead, closing: boolean): string[] {
     const headers: string[] = [];
     for (let index = 0; index + 1 < head.rawHeaders.length; index += 2) {
         const name = head.rawHeaders[index] ?? "";
@@ -18,6 +18,44 @@
     return headers;
 }
 
+/**
+ * Gives the caller a target's complete answer. A body that ended with its connection goes on in the same way: nobody can
+ * tell whether its target ended it or crashed, and a length of our own would claim that it is whole.
+ */
+export function deliverWhole(response: ServerResponse, head: AnswerHead, bytes: Buffer, closing: boolean): void {
+    const framed = head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
+    const headers = answerHeaders(head, closing || !framed);
+    if (!framed) response.useChunkedEncodingByDefault = false;
+    else if (head.headers["content-length"] === undefined) headers.push("content-length", String(bytes.length));
+    response.writeHead(head.status, head.statusText, headers);
+    // A write before the end keeps the length from being added.
+    if (!framed) response.write(bytes);
+    response.end(framed ? bytes : undefined);
+}
+
+/** An answer of the gateway itself. */
+export interface OwnAnswer {
+    readonly status: number;
+    readonly reason: string;
+    /** Time in milliseconds after which the caller may come back. */
+    readonly retryAfterMs: number | undefined;
+}
+
+/** Gives the caller an answer of the gateway itself, unless one has begun or the caller has left. */
+export function deliverOwn(
+    response: ServerResponse,
+    { status, reason, retryAfterMs }: OwnAnswer,
+    closing: boolean,
+): void {
+    if (response.headersSent || response.destroyed) return;
+    const body = Buffer.from(`${JSON.stringify({ reason })}\n`);
+    const headers = ["content-type", "application/json", "content-length", String(body.length)];
+    if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
+    if (closing) headers.push("connection", "close");
+    response.writeHead(status, headers);
+    response.end(body);
+}
+
 /** The caller's side of a stream: one head, whole events, and the id after which a broken stream is continued. */
 export class StreamDelivery {
     started = false;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,64 +7,39 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Deadline } from "../model/index.js";
-import { pause } from "../model/pause.js";
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
-import { type AnswerBody, type AnswerHead, type AttemptOutcome, readWhole, sendAttempt } from "./attempt.js";
+import { type AnswerBody, type AnswerHead, readWhole } from "./attempt.js";
+import { Attempts } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestFacts } from "./dialect.js";
-import { answerHeaders, StreamDelivery } from "./delivery.js";
+import { deliverOwn, deliverWhole, StreamDelivery } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
+import type { ExchangeEnd, Order } from "./order.js";
 import { callerPatienceMs, firstEventStallMs, pauseStallMs } from "./patience.js";
 import { readRequestBody } from "./requestbody.js";
-import { placeCall, placeGeneration } from "./placement.js";
 import type { Target } from "./target.js";
 
 /** Wait in milliseconds after which a caller whose request found no target comes back. */
 const NO_TARGET_RETRY_MS = 500;
 
-/** Part of the remaining time for which a request waits for a target that may be used. */
-const TARGET_WAIT_SHARE = 0.25;
-const TARGET_RECHECK_MS = 20;
-
 /** Largest plain answer in bytes that is held until it is complete. */
 const MAXIMUM_ANSWER_BYTES = 16_777_216;
 
-/** Shortest remaining time in milliseconds in which an attempt can succeed. */
-const SHORTEST_ATTEMPT_MS = 10;
-
 /** Time in milliseconds that is left for the engine when the stages' results are there. */
 const FIRST_EVENT_RESERVE_MS = 150;
 
-/** What a request came to, for the log and the counters. */
-export interface ExchangeEnd {
-    readonly outcome: "answered" | "refused" | "rejected" | "failed" | "expired" | "cancelled" | "brokenOff";
-    readonly status: number;
-    readonly reason: string;
-}
-
-interface Order {
-    readonly route: Route;
-    readonly service: string;
-    readonly facts: RequestFacts;
-    readonly accountName: string | undefined;
-    readonly priority: number;
-    readonly body: Buffer;
-    readonly deadline: Deadline;
-    readonly receivedAt: number;
-    readonly signal: AbortSignal;
-}
-
 /** The exchange of one request. */
 export class Exchange {
     private readonly abort = new AbortController();
     private readonly receivedAt = performance.now();
-    private attempts = 0;
+    private route: Route | undefined;
+    private accountName: string | undefined;
+    private attempts: Attempts | undefined;
     private stagesMs = 0;
     /** Time in milliseconds from the request to its stream's first event. */
     private firstEventMs: number | undefined;
-    private readonly tried = new Set<string>();
 
     private constructor(
         private readonly context: GatewayContext,
@@ -89,8 +64,8 @@
                 outcome: end.outcome,
                 status: end.status,
                 reason: end.reason,
-                attempts: exchange.attempts,
-                targets: [...exchange.tried],
+                attempts: exchange.attempts?.count ?? 0,
+                targets: exchange.attempts?.targets ?? [],
                 stagesMs: Math.round(exchange.stagesMs),
                 firstEventMs: exchange.firstEventMs === undefined ? undefined : Math.round(exchange.firstEventMs),
                 tookMs: Math.round(performance.now() - exchange.receivedAt),
@@ -101,9 +76,6 @@
         );
     }
 
-    private route: Route | undefined;
-    private accountName: string | undefined;
-
     private async run(facts: RequestFacts): Promise<ExchangeEnd> {
         const configuration = this.context.configuration();
         if (configuration === undefined) return this.refuse("starting", NO_TARGET_RETRY_MS);
@@ -132,7 +104,10 @@
             facts,
             accountName: account?.name,
             priority: account?.priority ?? route.priority,
-            body,
+            method: this.request.method ?? "GET",
+            path: this.request.url ?? "/",
+            rawHeaders: this.request.rawHeaders,
+            body: body.length > 0 || this.request.headers["content-length"] !== undefined ? body : undefined,
             deadline,
             receivedAt: this.receivedAt,
             signal: this.abort.signal,
@@ -146,13 +121,15 @@
     }
 
     private async serveOrder(order: Order): Promise<ExchangeEnd> {
-        const prepared = await this.prepare(order);
+        const attempts = Attempts.create(this.context, order);
+        this.attempts = attempts;
+        const prepared = await this.prepare(order, attempts);
         if (prepared.kind === "ended") return prepared.end;
         const { inputs, release } = prepared;
         try {
             return order.route.streaming
-                ? await this.serveStream(order, inputs, release)
-                : await this.serveCall(order, inputs);
+                ? await this.serveStream(order, attempts, inputs, release)
+                : await this.serveCall(order, attempts, inputs);
         } finally {
             release();
         }
@@ -161,6 +138,7 @@
     /** Runs the stages of a request, if it has any. */
     private async prepare(
         order: Order,
+        attempts: Attempts,
     ): Promise<
         | { readonly kind: "ready"; readonly inputs: readonly StageResult[]; readonly release: () => void }
         | { readonly kind: "ended"; readonly end: ExchangeEnd }
@@ -180,7 +158,7 @@
             deadline: this.firstEventDeadline(order),
             targetOf: stage => this.context.stageTarget(route, stage, latestReady),
             expectedMs: stage => this.context.stageMs(route, stage),
-            zone: this.preferredZone(order),
+            zone: attempts.preferredZone(),
             make: this.context.makePieces,
             release: this.context.releaseResults,
             signal: order.signal,
@@ -190,13 +168,6 @@
         return { kind: "ended", end: this.endWithoutStages(order, outcome.reason, outcome.retryAfterMs) };
     }
 
-    /** Zone of the target that the request will probably be sent to. */
-    private preferredZone(order: Order): string {
-        const usable = this.context.targets.usable(order.service);
-        const placement = this.placementOf(order, []);
-        return placeGeneration(usable, placement, this.context.prefixMemory)?.record.zone ?? this.context.zone;
-    }
-
     /** When a stream's first event has to be there, since its caller waits no longer. */
     private firstEventDeadline({ route, deadline, receivedAt }: Order): Deadline {
         if (!route.streaming) return deadline;
@@ -210,16 +181,16 @@
     }
 
     /** A plain call: the answer is held until it is complete. */
-    private async serveCall(order: Order, inputs: readonly StageResult[]): Promise<ExchangeEnd> {
+    private async serveCall(order: Order, attempts: Attempts, inputs: readonly StageResult[]): Promise<ExchangeEnd> {
         let broken: ExchangeEnd | undefined;
         let failure: { readonly head: AnswerHead; readonly bytes: Buffer } | undefined;
-        while (broken === undefined || this.mayRepeat(order)) {
-            const target = await this.chooseTarget(order, inputs);
+        while (broken === undefined || attempts.mayRepeat()) {
+            const target = await attempts.chooseTarget(inputs);
             if (target === undefined) break;
             const startedAt = performance.now();
-            const sent = await this.send(order, target, inputs, undefined, undefined);
+            const sent = await attempts.send(target, { inputs });
             if (sent.kind !== "answered") {
-                const end = this.afterUnanswered(order, target, sent);
+                const end = attempts.unanswered(target, sent);
                 if (end === "again") continue;
                 if (isFinal(end)) return this.finishOwn(broken === undefined ? end : mayHaveRun(end));
                 broken = end;
@@ -229,8 +200,8 @@
             const { outcome, bytes } = await readWhole(sent.body, order, MAXIMUM_ANSWER_BYTES);
             this.context.targets.ended(target);
             if (facts.notExecuted) {
-                this.notExecuted(order, target, facts.wrongTarget);
-                if (broken === undefined && !this.mayTryElsewhere(order)) {
+                attempts.declined(target, facts.wrongTarget);
+                if (broken === undefined && !attempts.mayTryElsewhere()) {
                     return this.refuse("targets are full", NO_TARGET_RETRY_MS);
                 }
                 continue;
@@ -264,21 +235,22 @@
     /** A generation: events are passed on as they come, and a broken stream is continued where the route allows it. */
     private async serveStream(
         order: Order,
+        attempts: Attempts,
         inputs: readonly StageResult[],
         releaseInputs: () => void,
     ): Promise<ExchangeEnd> {
         const delivery = new StreamDelivery(this.response, order.facts.lastEventId, () => this.context.closing());
         let broken: ExchangeEnd | undefined;
-        while (broken === undefined || this.mayRepeat(order)) {
-            const target = await this.chooseTarget(order, inputs);
+        while (broken === undefined || attempts.mayRepeat()) {
+            const target = await attempts.chooseTarget(inputs);
             if (target === undefined) break;
-            const promptTokens = this.unreadTokens(order, target);
+            const promptTokens = attempts.unreadTokens(target);
             const headTimeoutMs = order.route.idempotent ? firstEventStallMs(order.route) : undefined;
             const startedAt = performance.now();
-            const sent = await this.send(order, target, inputs, delivery.resumeAfter, headTimeoutMs);
+            const sent = await attempts.send(target, { inputs, lastEventId: delivery.resumeAfter, headTimeoutMs });
             if (sent.kind !== "answered") {
                 this.context.targets.promptRead(target, promptTokens);
-                const end = this.afterUnanswered(order, target, sent);
+                const end = attempts.unanswered(target, sent);
                 if (end === "again") continue;
                 if (isFinal(end)) return this.finishStream(delivery, broken === undefined ? end : mayHaveRun(end));
                 broken = end;
@@ -292,13 +264,13 @@
                 this.context.targets.ended(target);
                 if (facts.notExecuted) {
                     if (sent.head.status === 409) return this.finishStream(delivery, broken ?? inputsGone());
-                    this.notExecuted(order, target, facts.wrongTarget);
-                    if (broken === undefined && !this.mayTryElsewhere(order)) break;
+                    attempts.declined(target, facts.wrongTarget);
+                    if (broken === undefined && !attempts.mayTryElsewhere()) break;
                     continue;
                 }
                 if (sent.head.status >= 500) this.context.targets.failed(target);
                 broken = { outcome: "failed", status: sent.head.status, reason: "target failed" };
-                const last = !this.mayRepeat(order);
+                const last = !attempts.mayRepeat();
                 if (outcome.kind === "complete" && last && !delivery.started) return this.deliver(sent.head, bytes);
                 continue;
             }
@@ -368,159 +340,13 @@
         }
     }
 
-    private async send(
-        order: Order,
-        target: Target,
-        inputs: readonly StageResult[],
-        lastEventId: string | undefined,
-        headTimeoutMs: number | undefined,
-    ): Promise<AttemptOutcome> {
-        const { route, facts } = order;
-        const headers = this.context.dialect.attemptHeaders(this.request.rawHeaders, {
-            remainingMs: order.deadline.remaining(),
-            targetId: target.record.id,
-            accountName: order.accountName,
-            priority: route.streaming ? Math.min(9, order.priority) : undefined,
-            inputs: inputs.map(({ handle }) => handle),
-            lastEventId,
-        });
-        const hasBody = order.body.length > 0 || this.request.headers["content-length"] !== undefined;
-        if (hasBody) headers.push("content-length", String(order.body.length));
-        this.attempts += 1;
-        this.tried.add(target.name);
-        this.context.targets.sent(target, route.streaming ? this.unreadTokens(order, target) : 0);
-        if (route.streaming) this.context.prefixMemory.sent(target.name, facts.promptParts);
-        return sendAttempt(
-            {
-                address: target.record.address,
-                method: this.request.method ?? "GET",
-                path: this.request.url ?? "/",
-                headers,
-                body: hasBody ? order.body : undefined,
-            },
-            { deadline: order.deadline, signal: order.signal, headTimeoutMs },
-        );
-    }
-
-    private unreadTokens(order: Order, target: Target): number {
-        const held = this.context.prefixMemory.heldTokens(target.name, order.facts.promptParts.slice(0, -1));
-        return Math.max(0, order.facts.promptTokens - held);
-    }
-
-    /** What follows an attempt without an answer; `again` when nothing was sent. */
-    private afterUnanswered(
-        order: Order,
-        target: Target,
-        sent: Exclude<AttemptOutcome, { kind: "answered" }>,
-    ): ExchangeEnd | "again" {
-        this.context.targets.ended(target);
-        switch (sent.kind) {
-            case "unreachable":
-                this.attempts -= 1;
-                this.context.targets.unreachable(target);
-                this.context.onDecision("target unreachable", {
-                    id: order.facts.requestId,
-                    target: target.name,
-                    reason: sent.reason,
-                });
-                return "again";
-            case "broken":
-                this.context.targets.failed(target);
-                this.context.onDecision("attempt broken", {
-                    id: order.facts.requestId,
-                    target: target.name,
-                    reason: sent.reason,
-                });
-                return { outcome: "failed", status: 502, reason: sent.reason };
-            case "expired":
-                this.context.targets.undecided(target);
-                return sent.sent
-                    ? { outcome: "expired", status: 504, reason: "no answer before the deadline" }
-                    : { outcome: "expired", status: 503, reason: "deadline passed before sending" };
-            case "cancelled":
-                this.context.targets.undecided(target);
-                return { outcome: "cancelled", status: 0, reason: "caller left" };
-        }
-    }
-
-    private notExecuted(order: Order, target: Target, wrongTarget: boolean): void {
-        this.attempts -= 1;
-        this.declined += 1;
-        this.context.targets.undecided(target);
-        if (wrongTarget) this.context.targets.unreachable(target);
-        this.context.onDecision("attempt declined", { id: order.facts.requestId, target: target.name, wrongTarget });
-    }
-
-    private declined = 0;
-
-    /** Whether a request that no target has run may be sent to another one, within the budget for repeats. */
-    private mayTryElsewhere(order: Order): boolean {
-        return this.declined <= 2 && this.takeRepeat(order);
-    }
-
-    /** Whether a request that a target may have run may be sent again. */
-    private mayRepeat(order: Order): boolean {
-        if (!order.route.idempotent || this.attempts >= order.route.maximumAttempts) return false;
-        if (order.signal.aborted || order.deadline.remaining() < SHORTEST_ATTEMPT_MS) return false;
-        return this.takeRepeat(order);
-    }
-
-    private takeRepeat(order: Order): boolean {
-        const budget = this.context.budgetOf(order.service);
-        if (!budget.available()) {
-            this.context.onDecision("repeat denied", { id: order.facts.requestId, service: order.service });
-            return false;
-        }
-        budget.take();
-        return true;
-    }
-
-    /** A target that may be used, preferably one that was not tried; waits a little when there is none. */
-    private async chooseTarget(order: Order, inputs: readonly StageResult[]): Promise<Target | undefined> {
-        const waitUntil = performance.now() + order.deadline.remaining() * TARGET_WAIT_SHARE;
-        for (;;) {
-            if (order.signal.aborted || order.deadline.remaining() < SHORTEST_ATTEMPT_MS) return undefined;
-            const usable = this.context.targets.usable(order.service);
-            const untried = usable.filter(target => !this.tried.has(target.name));
-            const candidates = untried.length > 0 ? untried : usable;
-            const chosen = order.route.streaming
-                ? placeGeneration(candidates, this.placementOf(order, inputs), this.context.prefixMemory)
-                : placeCall(candidates, this.context.zone, Math.random);
-            if (chosen !== undefined) return chosen;
-            if (performance.now() >= waitUntil) return undefined;
-            await pause(TARGET_RECHECK_MS);
-        }
-    }
-
-    private placementOf(order: Order, inputs: readonly StageResult[]): Parameters<typeof placeGeneration>[1] {
-        const inputBytesByZone = new Map<string, number>();
-        for (const { handle, bytes } of inputs) {
-            const holder = this.context.targets.withAddress(this.context.dialect.holderOf(handle));
-            const zone = holder?.record.zone ?? "";
-            inputBytesByZone.set(zone, (inputBytesByZone.get(zone) ?? 0) + bytes);
-        }
-        const { promptTokens, promptParts } = order.facts;
-        return { promptTokens, promptParts, inputBytesByZone };
-    }
-
     private endWithoutTarget(order: Order): ExchangeEnd {
         if (order.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
         return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
-    /**
-     * Gives the caller a target's complete answer. A body that ended with its connection goes on in the same way: nobody
-     * can tell whether its target ended it or crashed, and a length of our own would claim that it is whole.
-     */
     private deliver(head: AnswerHead, bytes: Buffer): ExchangeEnd {
-        const framed = head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
-        const headers = answerHeaders(head, this.context.closing() || !framed);
-        if (!framed) this.response.useChunkedEncodingByDefault = false;
-        else if (head.headers["content-length"] === undefined) headers.push("content-length", String(bytes.length));
-        this.response.writeHead(head.status, head.statusText, headers);
-        // A write before the end keeps the length from being added.
-        if (!framed) this.response.write(bytes);
-        this.response.end(framed ? bytes : undefined);
+        deliverWhole(this.response, head, bytes, this.context.closing());
         return { outcome: "answered", status: head.status, reason: "complete" };
     }
 
@@ -551,14 +377,8 @@
         reason: string,
         retryAfterMs?: number,
     ): ExchangeEnd {
-        if (!this.response.headersSent && !this.response.destroyed) {
-            const body = Buffer.from(`${JSON.stringify({ reason })}\n`);
-            const headers = ["content-type", "application/json", "content-length", String(body.length)];
-            if (retryAfterMs !== undefined) headers.push("retry-after", (retryAfterMs / 1_000).toFixed(3));
-            if (this.context.closing() || !this.request.complete) headers.push("connection", "close");
-            this.response.writeHead(status, headers);
-            this.response.end(body);
-        }
+        const closing = this.context.closing() || !this.request.complete;
+        deliverOwn(this.response, { status, reason, retryAfterMs }, closing);
         return { outcome, status, reason };
     }
 }
--- /dev/null
+++ b/src/gateway/order.ts
@@ -0,0 +1,34 @@
+/** A request that is allowed and has been read, and what a request can come to. */
+import type { Deadline } from "../model/index.js";
+import type { Route } from "./configuration.js";
+import type { RequestFacts } from "./dialect.js";
+
+/** A request as its stages and attempts need it. */
+export interface Order {
+    readonly route: Route;
+    /** The service that runs the request itself. */
+    readonly service: string;
+    readonly facts: RequestFacts;
+    readonly accountName: string | undefined;
+    /** Rank; 0 is the most urgent. */
+    readonly priority: number;
+    readonly method: string;
+    /** Path with its query. */
+    readonly path: string;
+    /** Names and values in turn, as received. */
+    readonly rawHeaders: readonly string[];
+    /** The body; undefined when the caller sent none. */
+    readonly body: Buffer | undefined;
+    readonly deadline: Deadline;
+    /** Time on the monotonic clock at which the request's head was read. */
+    readonly receivedAt: number;
+    /** Aborted when the caller goes away. */
+    readonly signal: AbortSignal;
+}
+
+/** What a request came to, for the log and the counters. */
+export interface ExchangeEnd {
+    readonly outcome: "answered" | "refused" | "rejected" | "failed" | "expired" | "cancelled" | "brokenOff";
+    readonly status: number;
+    readonly reason: string;
+}
