--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -65,7 +65,7 @@
 }
 
 /** Signal of attempts that nobody ends. */
-export const NEVER_ABORTED = new AbortController().signal;
+export const NEVER_ABORTED: AbortSignal = new AbortController().signal;
 
 /** Sends a request and waits for the head of its answer. */
 export async function sendAttempt(order: AttemptRequest, limits: AttemptLimits): Promise<AttemptOutcome> {
--- a/src/stages/maker.ts
+++ b/src/stages/maker.ts
@@ -2,7 +2,9 @@
  * What a gatherer knows of one target that makes pieces: calls in progress, room for results, and slowness.
  *
  * A target that takes several times as long as its service says makes whole calls late. It gets pieces that are on time
- * in spite of that, and otherwise single ones from time to time that show whether it is quick again.
+ * in spite of that, and later single ones that show whether it is quick again. A target that has not answered in time may
+ * be slow or silent; until it answers, it gets single pieces only. Health (src/routing) keeps targets out altogether; this
+ * is about those that it lets in.
  */
 import type { StageCapacity } from "../gateway/configuration.js";
 
@@ -40,6 +42,8 @@
     private unknownAt = 0;
     private measuredSlowness = 1;
     private measuredAt = 0;
+    /** Whether the last call was given up. */
+    private isSilent = false;
 
     private constructor() {}
 
@@ -57,9 +61,9 @@
         return this.slowness >= SLOW_RATIO;
     }
 
-    /** Whether the target was slow when it was last used and no later call has shown that it is quick again. */
+    /** Whether the target did not answer the last call in time, or was slow long ago, and gets single pieces only. */
     get isOnTrial(): boolean {
-        return this.measuredSlowness >= SLOW_RATIO && !this.isSlow;
+        return this.isSilent || (this.measuredSlowness >= SLOW_RATIO && !this.isSlow);
     }
 
     isFree(slots: number): boolean {
@@ -105,11 +109,13 @@
 
     /** A call was answered. `ratio` is its duration relative to what was expected. */
     answered(ratio: number): void {
+        this.isSilent = false;
         this.setSlowness(this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness));
     }
 
     /** A call was given up. The target may still work on it for about as long again. */
     gaveUp(tookMs: number, expectedMs: number): void {
+        this.isSilent = true;
         this.setSlowness(Math.max(this.slowness, tookMs / expectedMs));
         this.blockedUntil = performance.now() + expectedMs;
     }
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -212,7 +212,8 @@
         if (onlySlow || (!maker.isSlow && !maker.isOnTrial)) return fillBatch(ordered, capacity.batch, freeBytes);
         const earliest = performance.now() + fullCallMs(capacity) * maker.slowness;
         const patient = ordered.filter(({ piece }) => piece.target.at >= earliest);
-        if (maker.isSlow) return fillBatch(patient, capacity.batch, freeBytes);
+        if (!maker.isOnTrial) return fillBatch(patient, capacity.batch, freeBytes);
+        // The piece that can wait longest is asked for, since the call may be in vain.
         return fillBatch((patient.length > 0 ? patient : ordered).slice(-1), 1, freeBytes);
     }
 
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -1,5 +1,5 @@
 /** The queue of a stage service before stand-in targets that fail, are slow or have no room. */
-import { afterEach, describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import type { StageCapacity } from "../../src/gateway/configuration.js";
 import { TargetDirectory } from "../../src/gateway/target.js";
 import { Deadline } from "../../src/model/index.js";
@@ -172,6 +172,25 @@
         expect(piecesOf(slow) - before).toBeLessThanOrEqual(mostPieces);
     });
 
+    it("and has not answered gets one piece, even when all can wait", async () => {
+        const targets = directory();
+        const silent = await addTarget(targets, "a");
+        silent.callMs = 60_000;
+        const queue = queueOf(targets);
+        const patient = (id: string): Promise<unknown> =>
+            queue.make(jobs(4, id, 20_000, 30_000), new AbortController().signal);
+        void patient("first");
+        await vi.waitFor(() => expect(piecesOf(silent)).toBe(4));
+        const quick = await addTarget(targets, "b");
+        // The first call is given up, and its pieces are made elsewhere.
+        await vi.waitFor(() => expect(piecesOf(quick)).toBeGreaterThan(0), 2_000);
+        const before = silent.pieceCalls.length;
+        const asked = Array.from({ length: 10 }, (_, index) => patient(`r${index}`));
+        await Promise.race([Promise.all(asked), pause(400)]);
+        const sizes = silent.pieceCalls.slice(before).map(call => (call.Entries as readonly unknown[]).length);
+        expect(Math.max(0, ...sizes)).toBeLessThanOrEqual(1);
+    });
+
     it("is used again when it is quick again", async () => {
         const targets = directory();
         const slow = await addTarget(targets, "a");
