Play loads on the stage queues in tests; take the schedule of stages out of the gateway

Change: test/stages/load.ts plays requests with stages through the real queues on the paused clock, before targets with limited memory; when stages are due is a module of its own (src/stages/schedule.ts), which the play shares with the gateway. Nothing else changes.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,7 +6,14 @@
  */
 import type { LineFields } from "../observability/index.js";
 import { RetryBudget } from "../routing/index.js";
-import { callForPieces, fullCallMs, Gathering, type MakePieces, releaseResults, StageQueue } from "../stages/index.js";
+import {
+    callForPieces,
+    Gathering,
+    type MakePieces,
+    releaseResults,
+    StageQueue,
+    StageSchedule,
+} from "../stages/index.js";
 import { Deadline } from "../model/index.js";
 import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
@@ -68,6 +75,7 @@
     private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, RetryBudget>();
     private readonly queues = new Map<string, StageQueue>();
+    private readonly schedule: StageSchedule;
 
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, peers, onDecision, onEnd, onChange } = options;
@@ -88,6 +96,10 @@
             queues: () => this.queues,
             onDecision,
         });
+        this.schedule = StageSchedule.create({
+            capacity: service => this.inForce?.service(service)?.stage,
+            waitMs: service => this.gathering.waitMs(service),
+        });
         this.context = {
             dialect,
             zone,
@@ -98,8 +110,9 @@
             budgetOf: service => this.budgetOf(service),
             makePieces: (jobs, signal) => this.gathering.make(jobs, signal),
             releaseResults: (service, handles) => this.gathering.release(service, handles),
-            stageTarget: (route, stage, latest) => this.stageTarget(route, stage, latest),
-            stageMs: (route, stage) => this.stageMs(route.stages[stage]?.service ?? ""),
+            stageTarget: (route, stage, latest) =>
+                this.schedule.targetOf(route.stages, stage, latest.before(this.firstEventTimes.reserveMs(route.name))),
+            stageMs: (route, stage) => this.schedule.callMs(route.stages[stage]?.service ?? ""),
             stopping: () => this.phase === "stopping",
             closing: () => this.phase !== "serving",
             onDecision,
@@ -162,24 +175,4 @@
         this.budgets.set(service, created);
         return created;
     }
-
-    private stageTarget(route: Route, stage: number, latest: Deadline): Deadline {
-        const followingMs = this.followingMs(route, stage);
-        const engineMs = this.firstEventTimes.reserveMs(route.name);
-        return Deadline.after(latest.at - performance.now() - engineMs - followingMs);
-    }
-
-    /** Time in milliseconds of the stages that follow one and of their queues, along the longest way. */
-    private followingMs(route: Route, stage: number): number {
-        const following = route.stages.flatMap(({ service, after }, index) => {
-            if (!after.includes(stage)) return [];
-            return [this.stageMs(service) + this.gathering.waitMs(service) + this.followingMs(route, index)];
-        });
-        return Math.max(0, ...following);
-    }
-
-    private stageMs(service: string): number {
-        const capacity = this.inForce?.service(service)?.stage;
-        return capacity === undefined ? 0 : fullCallMs(capacity);
-    }
 }
--- a/src/model/deadline.ts
+++ b/src/model/deadline.ts
@@ -22,6 +22,11 @@
         return performance.now() >= this.at;
     }
 
+    /** The deadline `milliseconds` earlier than this one. */
+    before(milliseconds: number): Deadline {
+        return new Deadline(this.at - milliseconds);
+    }
+
     /** The earlier of this deadline and one `milliseconds` from now. */
     within(milliseconds: number): Deadline {
         return new Deadline(Math.min(this.at, performance.now() + milliseconds));
--- a/src/stages/index.ts
+++ b/src/stages/index.ts
@@ -4,3 +4,4 @@
 export * from "./piececall.js";
 export * from "./queue.js";
 export * from "./run.js";
+export * from "./schedule.js";
--- /dev/null
+++ b/test/stages/load.test.ts
@@ -0,0 +1,93 @@
+/** What requests with stages get under load: short plays of a deployment whose stage services are near their capacity. */
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { type Load, type LoadRoute, type LoadService, playLoad } from "./load.js";
+
+const SECONDS = 10;
+const SEED = 20_261_204;
+
+beforeEach(() => vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance"] }));
+afterEach(() => vi.useRealTimers());
+
+interface Call {
+    readonly batch: number;
+    readonly pieceMs: number;
+    readonly megabytes: number;
+}
+
+/** A service with one target for each letter, which names its zone. */
+function service(zones: string, { batch, pieceMs, megabytes }: Call): LoadService {
+    const rest = { slots: 1, callMs: 200, resultLifetimeMs: 4_000 };
+    return { ...rest, batch, pieceMs, memoryBytes: megabytes * 1_000_000, zones: [...zones] };
+}
+
+const SERVICES = {
+    reader: service("abc", { batch: 8, pieceMs: 12, megabytes: 18 }),
+    notifier: service("aabbc", { batch: 14, pieceMs: 12, megabytes: 1.8 }),
+    reviewer: service("aabbc", { batch: 34, pieceMs: 5, megabytes: 0.45 }),
+};
+
+function stage(name: string, after: readonly number[], resultBytes: number): LoadRoute["stages"][number] {
+    return { service: name, after, resultBytes };
+}
+
+/** Rounded number around a mean: between half and one and a half of it. */
+function around(mean: number, random: () => number): number {
+    return Math.max(1, Math.round(mean * (0.5 + random())));
+}
+
+/** Routes at a multiple of the load of a calm day. */
+function routes(multiple: number): readonly LoadRoute[] {
+    const common = { lateShare: 0.15 };
+    return [
+        {
+            ...common,
+            name: "draft",
+            worth: 3.2,
+            targetMs: 2_000,
+            deadlineMs: 6_000,
+            priority: 1,
+            perSecond: () => 8 * multiple,
+            stages: [
+                stage("reader", [], 1_500_000),
+                stage("reader", [], 8_000),
+                stage("notifier", [1], 60_000),
+                stage("reviewer", [2], 6_000),
+            ],
+            pieces: random => [random() < 0.4 ? around(1.5, random) : 0, 1, 4, around(10, random)],
+        },
+        {
+            ...common,
+            name: "review",
+            worth: 2,
+            targetMs: 1_900,
+            deadlineMs: 6_000,
+            priority: 0,
+            perSecond: () => 8.5 * multiple,
+            stages: [stage("reader", [], 8_000), stage("notifier", [0], 60_000), stage("reviewer", [1], 6_000)],
+            pieces: random => [1, 4, around(10, random)],
+        },
+        {
+            ...common,
+            name: "summary",
+            worth: 0.8,
+            targetMs: 910,
+            deadlineMs: 10_000,
+            priority: 2,
+            perSecond: () => 4.2 * multiple,
+            stages: [stage("reader", [], 1_500_000)],
+            pieces: random => [random() < 0.7 ? around(2.5, random) : 0],
+        },
+    ];
+}
+
+function load(multiple: number, services: Load["services"] = SERVICES): Load {
+    return { seed: SEED, seconds: SECONDS, services, routes: routes(multiple) };
+}
+
+describe("requests with stages", () => {
+    it("are served on time on a calm day", async () => {
+        const { worth, unanswered } = await playLoad(load(1));
+        expect(unanswered).toBe(0);
+        expect(worth).toBeGreaterThan(0.95);
+    });
+});
--- /dev/null
+++ b/test/stages/load.ts
@@ -0,0 +1,305 @@
+/**
+ * A load on stage services, played on the paused clock.
+ *
+ * Requests come in clumps and go through the gateway's real stages and queues to scripted targets, whose calls take their
+ * time and whose memory is limited. What is left out: networks, processors, and engines beyond a time that they take.
+ */
+import { vi } from "vitest";
+import { createRandom } from "../../src/bench/random.js";
+import type { RouteStage, StageCapacity } from "../../src/gateway/configuration.js";
+import { FirstEventTimes } from "../../src/gateway/firstevent.js";
+import { type TargetRecord, TargetDirectory } from "../../src/gateway/target.js";
+import { Deadline } from "../../src/model/index.js";
+import { pause, withinTime } from "../../src/model/pause.js";
+import { type CallOutcome, type PieceJob, StageQueue, StageSchedule } from "../../src/stages/index.js";
+import { runStages } from "../../src/stages/run.js";
+
+/** A stage service of the load, with one target for each zone that is named. */
+export interface LoadService extends StageCapacity {
+    readonly zones: readonly string[];
+}
+
+/** A kind of request of the load. */
+export interface LoadRoute {
+    readonly name: string;
+    readonly worth: number;
+    /** Part of the worth that a late answer has. */
+    readonly lateShare: number;
+    readonly targetMs: number;
+    readonly deadlineMs: number;
+    readonly priority: number;
+    /** Requests a second, at a second of the load. */
+    readonly perSecond: (second: number) => number;
+    readonly stages: readonly RouteStage[];
+    /** Number of pieces by stage, drawn with numbers from 0 to 1. */
+    readonly pieces: (random: () => number) => readonly number[];
+}
+
+/** A load. */
+export interface Load {
+    readonly seed: number;
+    readonly seconds: number;
+    readonly services: Readonly<Record<string, LoadService>>;
+    readonly routes: readonly LoadRoute[];
+}
+
+/** What became of the requests. */
+export interface LoadResult {
+    /** Worth of the answers relative to that of all requests. */
+    readonly worth: number;
+    readonly onTime: number;
+    readonly late: number;
+    /** Requests without an answer. */
+    readonly unanswered: number;
+    /** Calls to targets, and pieces asked for in them. */
+    readonly calls: number;
+    readonly pieces: number;
+}
+
+/** Time in milliseconds from a caller to its gateway, and from there to the queue: network and processor. */
+const HOP_MS = 12;
+
+/** Median time in milliseconds of an engine, and the spread of its logarithm. */
+const ENGINE_MS = 80;
+const ENGINE_SPREAD = 0.5;
+
+/** Mean number of requests that arrive together, and the time in milliseconds within which they do. */
+const CLUMP = 3;
+const CLUMP_MS = 30;
+
+/** Part of a deadline that the gateway leaves for the engine and the answer, in milliseconds. */
+const ANSWER_MS = 1_150;
+
+/** Shortest time in milliseconds after which a refused caller comes back, once. */
+const SHORTEST_RETRY_MS = 500;
+
+/** Time in milliseconds after which a told wait counts half. */
+const WAIT_HALF_LIFE_MS = 1_000;
+
+/** Step in milliseconds by which the clock is advanced, and time after the load within which everything ends. */
+const STEP_MS = 5;
+const END_MS = 30_000;
+
+/** A target that makes one call after the other and keeps results until they are released or expire. */
+class LoadTarget {
+    calls = 0;
+    pieces = 0;
+    private readonly results = new Map<string, { readonly bytes: number; readonly until: number }>();
+    private lastCall: Promise<void> = Promise.resolve();
+    private made = 0;
+
+    constructor(
+        readonly address: string,
+        private readonly capacity: StageCapacity,
+    ) {}
+
+    release(handles: readonly string[]): void {
+        for (const handle of handles) this.results.delete(handle);
+    }
+
+    holds(handle: string): boolean {
+        return this.results.has(handle);
+    }
+
+    async call(
+        pieces: readonly PieceJob[],
+        timeoutMs: number,
+        holdsInput: (handle: string) => boolean,
+    ): Promise<CallOutcome> {
+        this.calls += 1;
+        this.pieces += pieces.length;
+        const answered = this.work(pieces, holdsInput);
+        return withinTime(answered, timeoutMs, { kind: "gaveUp", reason: "no answer in time" });
+    }
+
+    private async work(pieces: readonly PieceJob[], holdsInput: (handle: string) => boolean): Promise<CallOutcome> {
+        const before = this.lastCall;
+        let end = (): void => undefined;
+        this.lastCall = new Promise(resolve => (end = resolve));
+        await before;
+        // Inputs are fetched, and room is taken, when the call's turn comes.
+        const answers = pieces.map(({ inputs, resultBytes }) => {
+            if (!inputs.every(holdsInput)) return { kind: "inputGone" } as const;
+            if (this.freeBytes() < resultBytes) return { kind: "noRoom" } as const;
+            this.made += 1;
+            const handle = `${this.address}/${this.made}`;
+            this.results.set(handle, { bytes: resultBytes, until: Number.POSITIVE_INFINITY });
+            return { kind: "made", handle } as const;
+        });
+        await pause(this.capacity.callMs + pieces.length * this.capacity.pieceMs);
+        const until = performance.now() + this.capacity.resultLifetimeMs;
+        for (const answer of answers) {
+            const result = answer.kind === "made" ? this.results.get(answer.handle) : undefined;
+            if (answer.kind === "made" && result !== undefined) this.results.set(answer.handle, { ...result, until });
+        }
+        end();
+        return { kind: "answered", answers };
+    }
+
+    private freeBytes(): number {
+        let used = 0;
+        for (const [handle, { bytes, until }] of this.results) {
+            if (until <= performance.now()) this.results.delete(handle);
+            else used += bytes;
+        }
+        return this.capacity.memoryBytes - used;
+    }
+}
+
+/** The stage services of a load, with the gateway's queues before them. */
+class StageServices {
+    readonly targets = new Map<string, LoadTarget>();
+    readonly schedule: StageSchedule;
+    private readonly queues = new Map<string, StageQueue>();
+    private readonly waits = new Map<string, { readonly milliseconds: number; readonly at: number }>();
+
+    constructor(services: Readonly<Record<string, LoadService>>) {
+        const directory = TargetDirectory.create(
+            () => undefined,
+            () => 1,
+        );
+        for (const [service, capacity] of Object.entries(services)) {
+            capacity.zones.forEach((zone, index) => {
+                const id = `${service}-${index}`;
+                this.targets.set(id, new LoadTarget(`${id}:1`, capacity));
+                directory.put(recordOf(service, id, zone));
+            });
+            this.queues.set(service, this.queueOf(service, capacity, directory));
+        }
+        this.schedule = StageSchedule.create({
+            capacity: service => services[service],
+            waitMs: service => {
+                const told = this.waits.get(service);
+                if (told === undefined) return 0;
+                return told.milliseconds * 2 ** (-(performance.now() - told.at) / WAIT_HALF_LIFE_MS);
+            },
+        });
+    }
+
+    async make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<Awaited<ReturnType<StageQueue["make"]>>> {
+        const service = jobs[0]?.service ?? "";
+        const queue = this.queue(service);
+        await pause(HOP_MS);
+        const results = await queue.make(jobs, signal);
+        await pause(HOP_MS);
+        this.waits.set(service, { milliseconds: queue.waitMs, at: performance.now() });
+        return results;
+    }
+
+    release(service: string, handles: readonly string[]): void {
+        setTimeout(() => this.queue(service).release(handles), HOP_MS);
+    }
+
+    private queue(service: string): StageQueue {
+        const queue = this.queues.get(service);
+        if (queue === undefined) throw new Error(`no service ${service}`);
+        return queue;
+    }
+
+    private queueOf(service: string, capacity: StageCapacity, directory: TargetDirectory): StageQueue {
+        const target = (id: string): LoadTarget => this.targets.get(id) ?? new LoadTarget("", capacity);
+        return StageQueue.create(service, {
+            targets: directory,
+            callForPieces: ({ name }, pieces, timeoutMs) =>
+                target(name).call(pieces, timeoutMs, handle =>
+                    target(holderOf(handle).split(":")[0] ?? "").holds(handle),
+                ),
+            releaseResults: async ({ name }, handles) => {
+                await pause(1);
+                target(name).release(handles);
+                return undefined;
+            },
+            holderOf,
+            capacity: () => capacity,
+            onDecision: () => undefined,
+        });
+    }
+}
+
+function holderOf(handle: string): string {
+    return handle.split("/")[0] ?? "";
+}
+
+function recordOf(service: string, id: string, zone: string): TargetRecord {
+    const rest = { incarnation: 1, version: "v1", slots: 1, state: "available", coldRemainingMs: 0 } as const;
+    return { id, service, address: `${id}:1`, zone, ...rest };
+}
+
+/** Plays a load. The clock has to be paused. */
+export async function playLoad({ seed, seconds, services, routes }: Load): Promise<LoadResult> {
+    const random = createRandom(seed);
+    const stages = new StageServices(services);
+    const engines = FirstEventTimes.create();
+    const zones = [...new Set(Object.values(services).flatMap(service => service.zones))];
+    const counts = { onTime: 0, late: 0, unanswered: 0 };
+    let [earned, owed] = [0, 0];
+
+    /** One attempt of a caller; undefined when it was answered, otherwise the time to wait before the next. */
+    const attempt = async (route: LoadRoute, id: string, pieces: readonly number[]): Promise<number | undefined> => {
+        await pause(HOP_MS);
+        const latest = Deadline.after(route.targetMs);
+        const outcome = await runStages({
+            requestId: id,
+            stages: route.stages,
+            pieces,
+            key: id,
+            priority: route.priority,
+            deadline: Deadline.after(route.deadlineMs - ANSWER_MS),
+            targetOf: stage =>
+                stages.schedule.targetOf(route.stages, stage, latest.before(engines.reserveMs(route.name))),
+            expectedMs: stage => stages.schedule.callMs(route.stages[stage]?.service ?? ""),
+            zone: zones[Math.floor(random() * zones.length)] ?? "",
+            make: (jobs, signal) => stages.make(jobs, signal),
+            release: (service, handles) => stages.release(service, handles),
+            signal: new AbortController().signal,
+        });
+        if (outcome.kind === "lost") return HOP_MS + Math.max(SHORTEST_RETRY_MS, outcome.retryAfterMs);
+        const engineMs = ENGINE_MS * Math.exp(ENGINE_SPREAD * 2 * (random() + random() + random() - 1.5));
+        await pause(engineMs);
+        engines.note(route.name, engineMs);
+        outcome.release();
+        await pause(HOP_MS);
+        return undefined;
+    };
+
+    const serve = async (route: LoadRoute, id: string): Promise<void> => {
+        const sentAt = performance.now();
+        const pieces = route.pieces(random);
+        owed += route.worth;
+        let waitMs = await attempt(route, id, pieces);
+        if (waitMs !== undefined && performance.now() - sentAt + waitMs < route.deadlineMs) {
+            await pause(waitMs);
+            waitMs = await attempt(route, `${id}-again`, pieces);
+        }
+        const tookMs = performance.now() - sentAt;
+        if (waitMs !== undefined) counts.unanswered += 1;
+        else if (tookMs > route.targetMs) counts.late += 1;
+        else counts.onTime += 1;
+        if (waitMs === undefined) earned += route.worth * (tookMs > route.targetMs ? route.lateShare : 1);
+    };
+
+    let pending = 0;
+    for (const route of routes) {
+        for (const [index, at] of arrivals(route, seconds, random).entries()) {
+            pending += 1;
+            setTimeout(() => void serve(route, `${route.name}-${index}`).finally(() => (pending -= 1)), at);
+        }
+    }
+    const latest = performance.now() + seconds * 1_000 + END_MS;
+    while (pending > 0 && performance.now() < latest) await vi.advanceTimersByTimeAsync(STEP_MS);
+    const targets = [...stages.targets.values()];
+    const calls = targets.reduce((sum, target) => sum + target.calls, 0);
+    const pieces = targets.reduce((sum, target) => sum + target.pieces, 0);
+    return { worth: earned / owed, ...counts, unanswered: counts.unanswered + pending, calls, pieces };
+}
+
+/** Times of a route's requests in milliseconds from the start. */
+function arrivals({ perSecond }: LoadRoute, seconds: number, random: () => number): readonly number[] {
+    const times: number[] = [];
+    for (let at = 0; at < seconds * 1_000;) {
+        at += (-Math.log(1 - random()) / (perSecond(at / 1_000) / CLUMP)) * 1_000;
+        do times.push(at + random() * CLUMP_MS);
+        while (random() < 1 - 1 / CLUMP);
+    }
+    return times;
+}
