Release results once their last readers have read them, where room is short

Cause: at twice the calm load, memory for results binds the second stage service, not calls: a result takes room from the start of its own call until the next stage's call has ended and the release has arrived. Half of a call's fixed time after it was sent, the gatherer tells the gatherers of the holders which results have been read by the last piece that needs them; these release them when a full call would find no room. A call that breaks after that loses its requests as one whose inputs are gone.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -157,12 +157,24 @@
             releaseResults: (target, handles) => releaseResults(dialect, target, handles),
             holderOf: handle => dialect.holderOf(handle),
             capacity: () => this.inForce?.service(service)?.stage,
+            onInputsRead: handles => this.releaseRead(handles),
             onDecision,
         });
         this.queues.set(service, created);
         return created;
     }
 
+    /** Tells the gatherers of the holders that results have been read for the last time. */
+    private releaseRead(handles: readonly string[]): void {
+        const byService = new Map<string, string[]>();
+        for (const handle of handles) {
+            const service = this.targets.withAddress(this.options.dialect.holderOf(handle))?.record.service;
+            if (service === undefined) continue;
+            byService.set(service, [...(byService.get(service) ?? []), handle]);
+        }
+        for (const [service, own] of byService) this.gathering.releaseRead(service, own);
+    }
+
     private budgetOf(service: string): RetryBudget {
         const existing = this.budgets.get(service);
         if (existing !== undefined) return existing;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -125,7 +125,7 @@
     const body = read.toString();
     if (request.url === GATHERING_PATH.make) return serveOrder(gateway, body, response);
     const release = request.url === GATHERING_PATH.release ? readRelease(body) : undefined;
-    if (release !== undefined) gateway.queueOf(release.service).release(release.handles);
+    if (release !== undefined) gateway.gathering.releaseFor(release);
     response.writeHead(release === undefined ? 400 : 200, { "content-length": 0 });
     response.end();
 }
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -9,12 +9,18 @@
  * them: two gatherers would each forecast from their own queue alone, take on too much for the targets that they share, and
  * send calls that wait for each other.
  */
-import { z } from "zod";
-import { NEVER_ABORTED, readWhole, sendAttempt } from "../gateway/attempt.js";
+import { type AttemptRequest, NEVER_ABORTED, readWhole, sendAttempt } from "../gateway/attempt.js";
 import type { GatewayPeer } from "../gateway/peers.js";
-import { parseJson } from "../model/json.js";
 import { Deadline } from "../model/index.js";
 import { rendezvousWeight } from "../routing/index.js";
+import {
+    encodeOrder,
+    encodeRelease,
+    type GatheringAnswer,
+    type GatheringOrder,
+    readAnswer,
+    type ReleaseOrder,
+} from "./order.js";
 import type { PieceJob, PieceResult } from "./piece.js";
 import type { StageQueue } from "./queue.js";
 
@@ -42,52 +48,6 @@
 /** Largest answer of a gatherer in bytes. */
 const MAXIMUM_ANSWER_BYTES = 1_048_576;
 
-const orderSchema = z.object({
-    service: z.string(),
-    pieces: z.array(
-        z.object({
-            requestId: z.string(),
-            stage: z.int(),
-            index: z.int(),
-            key: z.string().optional(),
-            inputs: z.array(z.string()),
-            inputBytes: z.number(),
-            resultBytes: z.number(),
-            fetches: z.number(),
-            priority: z.number(),
-            deadlineMs: z.number(),
-            targetMs: z.number(),
-            zone: z.string(),
-            begun: z.boolean(),
-        }),
-    ),
-});
-
-const resultSchema = z.object({
-    waitMs: z.number(),
-    results: z.array(
-        z.union([
-            z.object({ kind: z.literal("made"), handle: z.string() }),
-            z.object({
-                kind: z.literal("lost"),
-                reason: z.enum([
-                    "late",
-                    "inputGone",
-                    "failed",
-                    "noRoom",
-                    "noTarget",
-                    "overloaded",
-                    "cancelled",
-                    "givenBack",
-                ]),
-                retryAfterMs: z.number(),
-            }),
-        ]),
-    ),
-});
-
-const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()) });
-
 const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What gathering works with. */
@@ -193,9 +153,25 @@
 
     /** Gives up results that are not needed any more. */
     release(service: string, handles: readonly string[]): void {
-        const gatherer = this.gathererOf(service);
-        if (gatherer === undefined) this.environment.queueOf(service).release(handles);
-        else void this.releaseAt(gatherer, service, handles);
+        this.passOn({ service, handles, isInUse: false });
+    }
+
+    /** Gives up results that calls in progress have read and that nothing else needs, where their room is needed. */
+    releaseRead(service: string, handles: readonly string[]): void {
+        this.passOn({ service, handles, isInUse: true });
+    }
+
+    /** Gives up results for this or another gateway. */
+    releaseFor({ service, handles, isInUse }: ReleaseOrder): void {
+        const queue = this.environment.queueOf(service);
+        if (isInUse) queue.releaseRead(handles);
+        else queue.release(handles);
+    }
+
+    private passOn(order: ReleaseOrder): void {
+        const gatherer = this.gathererOf(order.service);
+        if (gatherer === undefined) this.releaseFor(order);
+        else void this.releaseAt(gatherer, order);
     }
 
     /** The gateway that gathers a service's pieces; undefined for this one. */
@@ -259,14 +235,14 @@
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
-    ): Promise<{ readonly waitMs: number; readonly results: readonly PieceResult[] } | undefined> {
+    ): Promise<GatheringAnswer | undefined> {
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remaining()));
         const limits = { deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS), signal };
-        const body = Buffer.from(JSON.stringify({ service, pieces: jobs.map(encodeJob) }));
-        const sent = await sendAttempt(
-            { address: peer.address, method: "POST", path: GATHERING_PATH.make, headers: jsonHeaders(body), body },
-            { ...limits, headTimeoutMs: PROGRESS_TIMEOUT_MS },
-        );
+        const call = jsonCall(peer, GATHERING_PATH.make, encodeOrder(service, jobs));
+        const sent = await sendAttempt(call, {
+            ...limits,
+            headTimeoutMs: PROGRESS_TIMEOUT_MS,
+        });
         if (sent.kind !== "answered") return undefined;
         if (sent.head.status !== 200) {
             sent.body.discard();
@@ -274,61 +250,24 @@
         }
         const reading = { ...limits, stallMs: PROGRESS_TIMEOUT_MS };
         const { outcome, bytes } = await readWhole(sent.body, reading, MAXIMUM_ANSWER_BYTES);
-        const parsed = resultSchema.safeParse(outcome.kind === "complete" ? parseJson(bytes.toString()) : undefined);
-        if (!parsed.success || parsed.data.results.length !== jobs.length) return undefined;
-        return parsed.data;
+        return outcome.kind === "complete" ? readAnswer(bytes.toString(), jobs.length) : undefined;
     }
 
-    private async releaseAt(peer: GatewayPeer, service: string, handles: readonly string[]): Promise<void> {
-        const body = Buffer.from(JSON.stringify({ service, handles }));
-        const sent = await sendAttempt(
-            { address: peer.address, method: "POST", path: GATHERING_PATH.release, headers: jsonHeaders(body), body },
-            { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED },
-        );
+    private async releaseAt(peer: GatewayPeer, order: ReleaseOrder): Promise<void> {
+        const limits = { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED };
+        const sent = await sendAttempt(jsonCall(peer, GATHERING_PATH.release, encodeRelease(order)), limits);
         if (sent.kind === "answered") return sent.body.discard();
         this.environment.onDecision("release passed on failed", { peer: peer.name, reason: sent.kind });
-        this.environment.queueOf(service).release(handles);
+        this.releaseFor(order);
     }
 }
 
-/** An order from another gateway. */
-export interface GatheringOrder {
-    readonly service: string;
-    readonly jobs: readonly PieceJob[];
-}
-
-/** Reads an order; undefined when it is malformed. */
-export function readOrder(body: string): GatheringOrder | undefined {
-    const parsed = orderSchema.safeParse(parseJson(body));
-    if (!parsed.success) return undefined;
-    const { service, pieces } = parsed.data;
-    const jobs = pieces.map(({ deadlineMs, targetMs, key, ...piece }): PieceJob => ({
-        ...piece,
-        key,
-        service,
-        deadline: Deadline.after(deadlineMs),
-        target: Deadline.after(targetMs),
-    }));
-    return { service, jobs };
-}
-
-/** Reads results that another gateway releases; undefined when the body is malformed. */
-export function readRelease(
-    body: string,
-): { readonly service: string; readonly handles: readonly string[] } | undefined {
-    return releaseSchema.safeParse(parseJson(body)).data;
-}
-
 function isGivenBack(result: PieceResult): boolean {
     return result.kind === "lost" && result.reason === "givenBack";
 }
 
-function encodeJob(job: PieceJob): object {
-    const { requestId, stage, index, key, inputs, inputBytes, resultBytes, fetches, priority, zone, begun } = job;
-    const times = { deadlineMs: job.deadline.remaining(), targetMs: job.target.at - performance.now() };
-    return { requestId, stage, index, key, inputs, inputBytes, resultBytes, fetches, priority, zone, begun, ...times };
-}
-
-function jsonHeaders(body: Buffer): readonly string[] {
-    return ["content-type", "application/json", "content-length", String(body.length)];
+function jsonCall({ address }: GatewayPeer, path: string, text: string): AttemptRequest {
+    const body = Buffer.from(text);
+    const headers = ["content-type", "application/json", "content-length", String(body.length)];
+    return { address, method: "POST", path, headers, body };
 }
--- a/src/stages/index.ts
+++ b/src/stages/index.ts
@@ -1,5 +1,6 @@
 export * from "./batch.js";
 export * from "./gathering.js";
+export * from "./order.js";
 export * from "./piece.js";
 export * from "./piececall.js";
 export * from "./queue.js";
--- a/src/stages/maker.ts
+++ b/src/stages/maker.ts
@@ -37,6 +37,8 @@
     private callsInProgress = 0;
     private reservedBytes = 0;
     private readonly held = new Map<string, { readonly bytes: number; readonly until: number }>();
+    /** Results that were released, until the time at which they would have expired. */
+    private readonly gone = new Map<string, number>();
     /** Room in bytes that was taken by results of which this gatherer does not know, and when that was seen. */
     private unknownBytes = 0;
     private unknownAt = 0;
@@ -84,6 +86,12 @@
         return this.unreservedBytes(capacity) - this.unknownBytes * Math.max(0, 1 - age);
     }
 
+    /** Whether a full call of pieces like those that are held finds no room. */
+    isShortOfRoom(capacity: StageCapacity): boolean {
+        const largest = Math.max(0, ...[...this.held.values()].map(({ bytes }) => bytes));
+        return this.freeBytes(capacity) < largest * capacity.batch;
+    }
+
     /** A piece found no room although there should have been some: results of an earlier gatherer take it. */
     foundNoRoom(capacity: StageCapacity): void {
         this.unknownBytes = Math.max(0, this.unreservedBytes(capacity));
@@ -133,7 +141,17 @@
     }
 
     released(handles: readonly string[]): void {
-        for (const handle of handles) this.held.delete(handle);
+        const now = performance.now();
+        for (const [handle, until] of this.gone) if (until <= now) this.gone.delete(handle);
+        for (const handle of handles) {
+            const until = this.held.get(handle)?.until;
+            if (until !== undefined) this.gone.set(handle, until);
+            this.held.delete(handle);
+        }
+    }
+
+    hasReleased(handle: string): boolean {
+        return this.gone.has(handle);
     }
 
     private setSlowness(slowness: number): void {
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -8,10 +8,14 @@
     /** Index of the stage in the request's route. */
     readonly stage: number;
     readonly index: number;
+    /** Number of pieces of the stage. */
+    readonly pieces: number;
     /** Key of the request's input, for stages without inputs. */
     readonly key: string | undefined;
     /** Handles of the results that the piece needs. */
     readonly inputs: readonly string[];
+    /** Whether nothing but this stage needs the inputs. */
+    readonly isLastUse: boolean;
     /** Approximate size of one input in bytes. */
     readonly inputBytes: number;
     /** Approximate size of the result in bytes. */
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -19,6 +19,7 @@
     type QueueCapacity,
     waitsForZone,
 } from "./batch.js";
+import { InputUse } from "./inputuse.js";
 import { Maker } from "./maker.js";
 import { Overload } from "./overload.js";
 import type { CallOutcome } from "./piececall.js";
@@ -35,6 +36,8 @@
     /** Address (`ip:port`) of the target that holds a result. */
     readonly holderOf: (handle: string) => string;
     readonly capacity: () => StageCapacity | undefined;
+    /** Called with results that calls in progress have read and that nothing else needs. */
+    readonly onInputsRead: (handles: readonly string[]) => void;
     readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
 }
 
@@ -56,6 +59,9 @@
 /** Shortest time in milliseconds after which a caller whose pieces were given up as late comes back. */
 const LATE_RETRY_MS = 500;
 
+/** Part of a call's fixed time after which its inputs have been read; targets read them before they begin to work. */
+const READ_SHARE = 0.5;
+
 /** Bytes between zones that weigh as much as a target being slower by its expected time. */
 const SLOWNESS_BYTES = 100_000_000;
 
@@ -72,6 +78,7 @@
     /** Each registration of a target has its own; a restarted target holds no results. */
     private readonly makers = new WeakMap<Target, Maker>();
     private readonly releases: Releases;
+    private readonly inputUse = InputUse.create();
     private timer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
     private readonly budget = RetryBudget.create({
@@ -119,7 +126,7 @@
         );
         signal.addEventListener("abort", () => this.drop(), { once: true });
         this.dispatch();
-        return Promise.all(results);
+        return Promise.all(results).finally(() => jobs.slice(0, 1).forEach(job => this.inputUse.forget(job)));
     }
 
     /** Ends the wait of all pieces that are in no call, so that another gateway can make them. */
@@ -129,7 +136,30 @@
 
     /** Gives up results that are not needed any more. */
     release(handles: readonly string[]): void {
-        this.releases.add(handles);
+        this.releases.add(handles.filter(handle => !this.isReleased(handle)));
+    }
+
+    /**
+     * Gives up results that are needed only if a call breaks that has read them already: where the room is short, room is
+     * worth more than the repeat.
+     */
+    releaseRead(handles: readonly string[]): void {
+        const capacity = this.environment.capacity();
+        if (capacity === undefined) return;
+        const short = handles.filter(handle => {
+            const target = this.holderOf(handle);
+            return target !== undefined && this.makerOf(target).isShortOfRoom(capacity);
+        });
+        this.release(short);
+    }
+
+    private isReleased(handle: string): boolean {
+        const target = this.holderOf(handle);
+        return target !== undefined && this.makerOf(target).hasReleased(handle);
+    }
+
+    private holderOf(handle: string): Target | undefined {
+        return this.environment.targets.withAddress(this.environment.holderOf(handle));
     }
 
     /** Capacity of the targets that can be used now; undefined while the service is not configured. */
@@ -237,8 +267,7 @@
     }
 
     private crossingBytes(piece: PieceJob, target: Target): number {
-        const { holderOf, targets } = this.environment;
-        const zoneOf = (handle: string): string => targets.withAddress(holderOf(handle))?.record.zone ?? "";
+        const zoneOf = (handle: string): string => this.holderOf(handle)?.record.zone ?? "";
         return crossingBytes(piece, target.record.zone, zoneOf, piece.inputBytes);
     }
 
@@ -279,7 +308,10 @@
         const startedAt = performance.now();
         maker.callStarted(bytes);
         targets.sent(target);
+        const readMs = capacity.callMs * READ_SHARE * maker.slowness;
+        const readTimer = setTimeout(() => this.noteRead(pieces), readMs);
         const outcome = await callForPieces(target, pieces, maker.callTimeoutMs(expectedMs));
+        clearTimeout(readTimer);
         targets.ended(target);
         maker.callEnded(bytes);
         const tookMs = performance.now() - startedAt;
@@ -323,6 +355,11 @@
         this.dispatch();
     }
 
+    private noteRead(pieces: readonly Waiting[]): void {
+        const handles = this.inputUse.noteRead(pieces);
+        if (handles.length > 0) this.environment.onInputsRead(handles);
+    }
+
     /** One line for a call of which some pieces were not made. */
     private noteUnmade(
         target: Target,
--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -144,17 +144,17 @@
     if (count === 0) return { handles: [] };
     const inputs = before.flatMap(outcome => ("handles" in outcome ? outcome.handles : []));
     const target = order.targetOf(index);
-    const consumers = order.stages.flatMap(({ after }, other) =>
-        after.includes(index) ? [order.pieces[other] ?? 0] : [],
-    );
+    const consumers = consumersOf(order, index);
     const fetches = consumers.length === 0 ? 1 : consumers.reduce((sum, pieces) => sum + pieces, 0);
     const jobs = Array.from({ length: count }, (_, piece): PieceJob => ({
         requestId: order.requestId,
         service: stage.service,
         stage: index,
         index: piece,
+        pieces: count,
         key: inputs.length === 0 ? order.key : undefined,
         inputs,
+        isLastUse: stage.after.every(other => consumersOf(order, other).filter(pieces => pieces > 0).length === 1),
         inputBytes: Math.max(0, ...stage.after.map(other => order.stages[other]?.resultBytes ?? 0)),
         resultBytes: stage.resultBytes,
         fetches,
@@ -171,3 +171,8 @@
     order.release(stage.service, handles);
     return { lost: lost.reason, retryAfterMs: lost.retryAfterMs };
 }
+
+/** Number of pieces of each stage that needs the results of a stage. */
+function consumersOf(order: StagesOrder, index: number): readonly number[] {
+    return order.stages.flatMap(({ after }, other) => (after.includes(index) ? [order.pieces[other] ?? 0] : []));
+}
--- a/test/stages/load.test.ts
+++ b/test/stages/load.test.ts
@@ -90,4 +90,11 @@
         expect(unanswered).toBe(0);
         expect(worth).toBeGreaterThan(0.95);
     });
+
+    it("lose little to the limited memory of targets at twice that load", async () => {
+        const ample = Object.entries(SERVICES).map(([name, each]) => [name, { ...each, memoryBytes: 1_000_000_000 }]);
+        const limited = await playLoad(load(2));
+        const unlimited = await playLoad(load(2, Object.fromEntries(ample) as Load["services"]));
+        expect(limited.worth).toBeGreaterThan(0.95 * unlimited.worth);
+    }, 30_000);
 });
--- a/test/stages/load.ts
+++ b/test/stages/load.ts
@@ -190,6 +190,14 @@
         setTimeout(() => this.queue(service).release(handles), HOP_MS);
     }
 
+    private releaseRead(handles: readonly string[]): void {
+        const serviceOf = (handle: string): string => holderOf(handle).split("-")[0] ?? "";
+        for (const service of new Set(handles.map(serviceOf))) {
+            const own = handles.filter(handle => serviceOf(handle) === service);
+            setTimeout(() => this.queue(service).releaseRead(own), HOP_MS);
+        }
+    }
+
     private queue(service: string): StageQueue {
         const queue = this.queues.get(service);
         if (queue === undefined) throw new Error(`no service ${service}`);
@@ -211,6 +219,7 @@
             },
             holderOf,
             capacity: () => capacity,
+            onInputsRead: handles => this.releaseRead(handles),
             onDecision: () => undefined,
         });
     }
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -114,6 +114,7 @@
         releaseResults: () => Promise.resolve(undefined),
         holderOf: handle => handle.split("/")[0] ?? "",
         capacity: () => CAPACITY,
+        onInputsRead: () => undefined,
         onDecision: () => undefined,
     });
 }
@@ -124,8 +125,10 @@
         service: SERVICE,
         stage: 0,
         index,
+        pieces: count,
         key: "key",
         inputs: [],
+        isLastUse: true,
         inputBytes: 0,
         resultBytes: 1_000,
         fetches: 1,
