Keep connections between gateways

Each stage of a request makes an order and one or two releases, two of three to another gateway, each on a connection of its own at both ends. Ruled out: keeping connections to targets: an answer's late or extra bytes would be taken for the next one's, which the platform's troubles bring. Change: src/stages/peercalls.ts keeps connections to other gateways with Node's agent. One that is found closed is replaced and the call made once more; after silence all unused ones to that gateway are given up. A gatherer ends an order only when its answer was not finished.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,7 +5,14 @@
  * the target closed or that went silent while it was idle. Whether anything was sent is known exactly, which decides
  * whether a request that must not be repeated may go to another target.
  */
-import { type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
+import {
+    type Agent,
+    type ClientRequest,
+    type IncomingHttpHeaders,
+    type IncomingMessage,
+    request,
+    type RequestOptions,
+} from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Deadline } from "../model/index.js";
 
@@ -55,6 +62,9 @@
  */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/** Reason of an attempt whose time for the answer's head has passed. */
+export const NO_ANSWER_IN_TIME = "no answer in time";
+
 /** Limits of one attempt. */
 export interface AttemptLimits {
     readonly deadline: Deadline;
@@ -73,7 +83,20 @@
     if (limits.deadline.passed()) return { kind: "expired", sent: false };
     const connection = await openConnection(order.address, limits);
     if (connection.kind !== "connected") return connection;
-    return sendOn(connection.socket, order, limits);
+    const { socket } = connection;
+    return sendOn({ createConnection: () => socket }, order, limits);
+}
+
+/**
+ * Sends a request on a connection that is kept for the next one. This is for servers that answer in order and whole, and
+ * for requests that may be sent again when the other end has closed an idle connection.
+ */
+export async function sendOnKept(agent: Agent, order: AttemptRequest, limits: AttemptLimits): Promise<AttemptOutcome> {
+    if (limits.signal.aborted) return { kind: "cancelled", sent: false };
+    if (limits.deadline.passed()) return { kind: "expired", sent: false };
+    const separator = order.address.lastIndexOf(":");
+    const [host, port] = [order.address.slice(0, separator), Number(order.address.slice(separator + 1))];
+    return sendOn({ agent, host, port }, order, limits);
 }
 
 type ConnectionOutcome =
@@ -112,7 +135,11 @@
     });
 }
 
-function sendOn(socket: Socket, order: AttemptRequest, limits: AttemptLimits): Promise<AttemptOutcome> {
+function sendOn(
+    connection: Pick<RequestOptions, "agent" | "createConnection" | "host" | "port">,
+    order: AttemptRequest,
+    limits: AttemptLimits,
+): Promise<AttemptOutcome> {
     return new Promise(resolve => {
         let settled = false;
         const finish = (outcome: AttemptOutcome): void => {
@@ -130,7 +157,7 @@
             () =>
                 finish(
                     headTimeout < remaining
-                        ? { kind: "broken", reason: "no answer in time" }
+                        ? { kind: "broken", reason: NO_ANSWER_IN_TIME }
                         : { kind: "expired", sent: true },
                 ),
             Math.min(headTimeout, remaining),
@@ -139,7 +166,16 @@
             method: order.method,
             path: order.path,
             headers: withHost(order),
-            createConnection: () => socket,
+            ...connection,
+        });
+        outgoing.once("socket", socket => {
+            if (!socket.connecting) return;
+            const connectTimer = setTimeout(
+                () => finish({ kind: "unreachable", reason: "connection timed out" }),
+                CONNECT_TIMEOUT_MS,
+            );
+            socket.once("connect", () => clearTimeout(connectTimer));
+            socket.once("close", () => clearTimeout(connectTimer));
         });
         // An answer may come before the whole body was sent; what then goes wrong in sending changes nothing.
         outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
@@ -150,7 +186,7 @@
                 headers: message.headers,
                 rawHeaders: message.rawHeaders,
             };
-            finish({ kind: "answered", head, body: AnswerBody.of(message, outgoing, socket) });
+            finish({ kind: "answered", head, body: AnswerBody.of(message, outgoing, connection.agent !== undefined) });
         });
         limits.signal.addEventListener("abort", onAbort);
         outgoing.end(order.body);
@@ -178,16 +214,17 @@
     private constructor(
         private readonly message: IncomingMessage,
         private readonly outgoing: ClientRequest,
-        socket: Socket,
+        private readonly isKept: boolean,
     ) {
         // A break can come before anybody reads.
         message.on("error", error => (this.failure ??= error.message));
         // A body without a length ends with its connection. The parser takes a reset for that end as well.
-        if (!isDelimited(message)) socket.on("error", error => (this.failure ??= error.message));
+        if (!isDelimited(message)) message.socket.on("error", error => (this.failure ??= error.message));
     }
 
-    static of(message: IncomingMessage, outgoing: ClientRequest, socket: Socket): AnswerBody {
-        return new AnswerBody(message, outgoing, socket);
+    /** `isKept` says whether the connection stays open after a complete answer. */
+    static of(message: IncomingMessage, outgoing: ClientRequest, isKept: boolean): AnswerBody {
+        return new AnswerBody(message, outgoing, isKept);
     }
 
     /** Closes the connection without reading further. */
@@ -195,7 +232,7 @@
         this.outgoing.destroy();
     }
 
-    /** Reads to the end. On every outcome but `complete` the connection is closed. */
+    /** Reads to the end. Only a kept connection stays open, and only when the answer is complete. */
     read(reading: BodyReading): Promise<BodyOutcome> {
         const { message } = this;
         return new Promise(resolve => {
@@ -207,7 +244,7 @@
                 clearTimeout(deadlineTimer);
                 clearTimeout(stallTimer);
                 reading.signal.removeEventListener("abort", onAbort);
-                this.outgoing.destroy();
+                if (outcome.kind !== "complete" || !this.isKept) this.outgoing.destroy();
                 resolve(outcome);
             };
             const onAbort = (): void => finish({ kind: "cancelled" });
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -138,7 +138,9 @@
         return;
     }
     const abort = new AbortController();
-    response.once("close", () => abort.abort());
+    response.once("close", () => {
+        if (!response.writableFinished) abort.abort();
+    });
     response.writeHead(200, { "content-type": "application/json" });
     // Spaces before the JSON text tell the other gateway that this one still works on its order.
     response.write(" ");
--- a/src/stages/gathering.ts
+++ b/src/stages/gathering.ts
@@ -9,7 +9,7 @@
  * them: two gatherers would each forecast from their own queue alone, take on too much for the targets that they share, and
  * send calls that wait for each other.
  */
-import { type AttemptRequest, NEVER_ABORTED, readWhole, sendAttempt } from "../gateway/attempt.js";
+import { NEVER_ABORTED } from "../gateway/attempt.js";
 import type { GatewayPeer } from "../gateway/peers.js";
 import { Deadline } from "../model/index.js";
 import { rendezvousWeight } from "../routing/index.js";
@@ -21,6 +21,7 @@
     readAnswer,
     type ReleaseOrder,
 } from "./order.js";
+import { PeerCalls } from "./peercalls.js";
 import type { PieceJob, PieceResult } from "./piece.js";
 import type { StageQueue } from "./queue.js";
 
@@ -45,9 +46,6 @@
 /** Time in milliseconds after which a told waiting time counts half; queues build up and drain within seconds. */
 const WAIT_HALF_LIFE_MS = 1_000;
 
-/** Largest answer of a gatherer in bytes. */
-const MAXIMUM_ANSWER_BYTES = 1_048_576;
-
 const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What gathering works with. */
@@ -69,6 +67,7 @@
     private readonly unreachable = new Set<string>();
     /** Time on the monotonic clock until which a gateway does not gather a service, by service and gateway. */
     private readonly passedOverUntil = new Map<string, number>();
+    private readonly peerCalls = PeerCalls.create();
     private stopped = false;
     private readonly waits = new Map<string, { readonly milliseconds: number; readonly at: number }>();
 
@@ -191,9 +190,10 @@
         return best;
     }
 
-    /** Ends the questions to gateways that could not be reached. */
+    /** Ends the questions to gateways that could not be reached, and closes unused connections. */
     stop(): void {
         this.stopped = true;
+        this.peerCalls.close();
     }
 
     /** Passes a gateway over until it answers again. Pieces are not used to find out, since each would be late. */
@@ -237,27 +237,20 @@
         signal: AbortSignal,
     ): Promise<GatheringAnswer | undefined> {
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remaining()));
-        const limits = { deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS), signal };
-        const call = jsonCall(peer, GATHERING_PATH.make, encodeOrder(service, jobs));
-        const sent = await sendAttempt(call, {
-            ...limits,
+        const answer = await this.peerCalls.call(peer, GATHERING_PATH.make, encodeOrder(service, jobs), {
+            deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS),
+            signal,
             headTimeoutMs: PROGRESS_TIMEOUT_MS,
+            stallMs: PROGRESS_TIMEOUT_MS,
         });
-        if (sent.kind !== "answered") return undefined;
-        if (sent.head.status !== 200) {
-            sent.body.discard();
-            return undefined;
-        }
-        const reading = { ...limits, stallMs: PROGRESS_TIMEOUT_MS };
-        const { outcome, bytes } = await readWhole(sent.body, reading, MAXIMUM_ANSWER_BYTES);
-        return outcome.kind === "complete" ? readAnswer(bytes.toString(), jobs.length) : undefined;
+        return answer.kind === "answered" ? readAnswer(answer.text, jobs.length) : undefined;
     }
 
     private async releaseAt(peer: GatewayPeer, order: ReleaseOrder): Promise<void> {
         const limits = { deadline: Deadline.after(RELEASE_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const sent = await sendAttempt(jsonCall(peer, GATHERING_PATH.release, encodeRelease(order)), limits);
-        if (sent.kind === "answered") return sent.body.discard();
-        this.environment.onDecision("release passed on failed", { peer: peer.name, reason: sent.kind });
+        const answer = await this.peerCalls.call(peer, GATHERING_PATH.release, encodeRelease(order), limits);
+        if (answer.kind === "answered") return;
+        this.environment.onDecision("release passed on failed", { peer: peer.name, reason: answer.reason });
         this.releaseFor(order);
     }
 }
@@ -265,9 +258,3 @@
 function isGivenBack(result: PieceResult): boolean {
     return result.kind === "lost" && result.reason === "givenBack";
 }
-
-function jsonCall({ address }: GatewayPeer, path: string, text: string): AttemptRequest {
-    const body = Buffer.from(text);
-    const headers = ["content-type", "application/json", "content-length", String(body.length)];
-    return { address, method: "POST", path, headers, body };
-}
--- /dev/null
+++ b/test/stages/peercalls.test.ts
@@ -0,0 +1,111 @@
+/** Calls between gateways on kept connections. */
+import { createServer, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { GatewayPeer } from "../../src/gateway/peers.js";
+import { Deadline } from "../../src/model/index.js";
+import { PeerCalls } from "../../src/stages/peercalls.js";
+
+/** Long enough for an answer on a busy machine, in milliseconds. */
+const PATIENCE_MS = 20_000;
+
+let server: Server;
+let sockets: Socket[];
+let respond: (response: ServerResponse, call: number) => void;
+let calls: PeerCalls;
+let peer: GatewayPeer;
+
+async function listen(port = 0): Promise<void> {
+    let call = 0;
+    server = createServer((request, response) => {
+        request.resume();
+        request.on("end", () => respond(response, (call += 1)));
+    });
+    server.on("connection", socket => sockets.push(socket));
+    await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
+}
+
+async function close(): Promise<void> {
+    for (const socket of sockets) socket.destroy();
+    await new Promise(resolve => server.close(resolve));
+}
+
+function call(limits: { readonly headTimeoutMs?: number; readonly signal?: AbortSignal } = {}): Promise<unknown> {
+    const signal = limits.signal ?? new AbortController().signal;
+    return calls.call(peer, "/pieces", "{}", { ...limits, deadline: Deadline.after(PATIENCE_MS), signal });
+}
+
+beforeEach(async () => {
+    sockets = [];
+    respond = (response, number): void => void response.end(`answer ${number}`);
+    await listen();
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    peer = { name: "gateway-2", address } as GatewayPeer;
+    calls = PeerCalls.create();
+});
+
+afterEach(async () => {
+    calls.close();
+    await close();
+});
+
+describe("a call to another gateway", () => {
+    it("uses the connection of the one before", async () => {
+        expect(await call()).toEqual({ kind: "answered", text: "answer 1" });
+        expect(await call()).toEqual({ kind: "answered", text: "answer 2" });
+        expect(sockets).toHaveLength(1);
+    });
+
+    it("has a connection of its own beside another call", async () => {
+        await Promise.all([call(), call()]);
+        expect(sockets).toHaveLength(2);
+    });
+
+    it("is made on a new connection when the gateway has restarted meanwhile", async () => {
+        await call();
+        const { port } = server.address() as AddressInfo;
+        await close();
+        await listen(port);
+        expect(await call()).toEqual({ kind: "answered", text: "answer 1" });
+    });
+
+    it.each<[string, (response: ServerResponse) => void, string]>([
+        ["is not answered", () => undefined, "no answer in time"],
+        [
+            "is answered by half",
+            response => void response.writeHead(200, { "content-length": 9 }).write("half"),
+            "answer stalled",
+        ],
+        ["is refused", response => void response.writeHead(503).end(), "status 503"],
+    ])("that %s fails", async (_, answer, reason) => {
+        await call();
+        respond = answer;
+        const limits = { headTimeoutMs: 100, stallMs: 100 };
+        expect(await call(limits)).toEqual({ kind: "failed", reason });
+        respond = response => void response.end("again");
+        expect(await call()).toEqual({ kind: "answered", text: "again" });
+    });
+
+    it("gives up the connections that are kept when one of them is silent", async () => {
+        await Promise.all([call(), call(), call()]);
+        respond = (): void => undefined;
+        await call({ headTimeoutMs: 100 });
+        const before = sockets.length;
+        respond = (response): void => void response.end();
+        await call();
+        expect(sockets.length).toBe(before + 1);
+    });
+
+    it("ends with its caller, and the others go on", async () => {
+        const abort = new AbortController();
+        const open: ServerResponse[] = [];
+        respond = (response): void => void open.push(response);
+        const ended = call({ signal: abort.signal });
+        const other = call();
+        while (open.length < 2) await new Promise(resolve => setTimeout(resolve, 5));
+        abort.abort();
+        expect(await ended).toEqual({ kind: "failed", reason: "cancelled" });
+        for (const response of open) response.end("late");
+        expect(await other).toEqual({ kind: "answered", text: "late" });
+    });
+});
