--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -96,7 +96,8 @@
     ) {
         this.releases = Releases.create({
             ...environment,
-            onReleasing: (target, handles) => this.makerOf(target).released(handles),
+            service,
+            makerOf: target => this.makerOf(target),
             onReleased: () => this.dispatch(),
         });
     }
@@ -141,26 +142,12 @@
 
     /** Gives up results that are not needed any more. */
     release(handles: readonly string[]): void {
-        this.releases.add(handles.filter(handle => !this.isReleased(handle)));
+        this.releases.add(handles);
     }
 
-    /**
-     * Gives up results that are needed only if a call breaks that has read them already: where the room is short, room is
-     * worth more than the repeat.
-     */
+    /** Gives up results that calls in progress have read, where their room is needed. */
     releaseRead(handles: readonly string[]): void {
-        const capacity = this.environment.capacity();
-        if (capacity === undefined) return;
-        const short = handles.filter(handle => {
-            const target = this.holderOf(handle);
-            return target !== undefined && this.makerOf(target).isShortOfRoom(capacity);
-        });
-        this.release(short);
-    }
-
-    private isReleased(handle: string): boolean {
-        const target = this.holderOf(handle);
-        return target !== undefined && this.makerOf(target).hasReleased(handle);
+        this.releases.addRead(handles);
     }
 
     private holderOf(handle: string): Target | undefined {
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -67,6 +67,8 @@
         () => undefined,
         () => 1,
     );
+    /** Handles in the order in which targets were told to release them. */
+    readonly released: string[] = [];
     private readonly targets = new Map<string, ScriptedTarget>();
 
     add(id: string): ScriptedTarget {
@@ -111,7 +113,10 @@
     return StageQueue.create(SERVICE, {
         targets: fleet.directory,
         callForPieces: (...call) => fleet.call(...call),
-        releaseResults: () => Promise.resolve(undefined),
+        releaseResults: (_, handles) => {
+            fleet.released.push(...handles);
+            return Promise.resolve(undefined);
+        },
         holderOf: handle => {
             onHolderAsked();
             return handle.split("/")[0] ?? "";
@@ -303,3 +308,27 @@
         expect(asked).toBeLessThanOrEqual(requests.length * inputs.length);
     });
 });
+
+describe("results that calls in progress have read", () => {
+    it.each<[string, number, number]>([
+        ["kept by a holder with room", 1_000, 0],
+        ["released by a holder that is short of room", 200_000, 4],
+    ])("are %s, and released once in all", async (_, resultBytes, early) => {
+        const fleet = new Fleet();
+        fleet.add("a");
+        const queue = queueOf(fleet);
+        const results = await settled(
+            make(
+                queue,
+                jobs(4, "r").map(job => ({ ...job, resultBytes })),
+            ),
+        );
+        const handles = results.flatMap(result => (result.kind === "made" ? [result.handle] : []));
+        queue.releaseRead(handles);
+        await vi.advanceTimersByTimeAsync(100);
+        expect(fleet.released).toHaveLength(early);
+        queue.release(handles);
+        await vi.advanceTimersByTimeAsync(100);
+        expect([...fleet.released].sort()).toEqual([...handles].sort());
+    });
+});
