Log event loop delays, waiting times of calls between gateways, and the chosen gatherer

Cause: the logs of a loss on the grown deployments cannot tell a gatherer that is short of processor time from a waiting gateway that is, and do not say which gatherer a gateway believed in.

Change: a monitor measures how late a timer runs, with the processor time used meanwhile; `gatherer unreachable` has the reason, the time waited and the own delay; `gatherer chosen` is logged when a gateway's choice changes; durations of calls between gateways, delays and processor seconds are on the metrics page. No decision has changed.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -11,7 +11,14 @@
     listenForReadiness,
     waitUntil,
 } from "../gateway/index.js";
-import { DecisionLog, HistogramSet, type LineFields, ProcessMetrics, renderMetrics } from "../observability/index.js";
+import {
+    DecisionLog,
+    EventLoopMonitor,
+    HistogramSet,
+    type LineFields,
+    ProcessMetrics,
+    renderMetrics,
+} from "../observability/index.js";
 import { pause } from "../model/pause.js";
 import type { GatewaySettings } from "../settings/index.js";
 import type { CallCounter, Store } from "../store/index.js";
@@ -61,6 +68,12 @@
         metrics.increment("changes", 1, { change });
         log.write(change, fields);
     };
+    const recordProcess = (measure: string, kind: string, milliseconds: number): void =>
+        durations.record({ account: "", plan: "", kind, pipeline: "", measure }, milliseconds);
+    const eventLoop = EventLoopMonitor.start(({ delayMs, processorMs }) => {
+        recordProcess("eventLoopDelay", "", delayMs);
+        onChange("event loop delayed", { delayMs: Math.round(delayMs), processorMs: Math.round(processorMs) });
+    });
     const peers = GatewayPeers.create(
         { name: settings.name, zone: settings.zone, address: settings.peerAddress },
         source.gatewayPrefix,
@@ -83,6 +96,8 @@
             durations.record({ account, plan: "", kind: outcome, pipeline, measure: "total" }, milliseconds);
             log.write("request ended", fields);
         },
+        onPeerCall: (outcome, milliseconds) => recordProcess("peerCall", outcome, milliseconds),
+        eventLoopDelayMs: () => eventLoop.recentDelayMs(),
     });
     let isStopping = false;
     let isStoreRead = false;
@@ -100,6 +115,7 @@
                 open_requests: callers.openRequests,
                 targets: gateway.targets.size,
                 gateways: peers.count,
+                processor_seconds: process.cpuUsage().user / 1e6 + process.cpuUsage().system / 1e6,
             };
             return renderMetrics(counters, gauges, durations.summary());
         };
@@ -121,6 +137,7 @@
     const kill = async (): Promise<void> => {
         isStopping = true;
         feed.stop();
+        eventLoop.stop();
         gateway.pieceRouter.stop();
         log.flush();
         await Promise.all([callers, ...otherListeners].map(listener => listener.close()));
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -61,6 +61,10 @@
     readonly onDecision: (decision: string, fields: LineFields) => void;
     readonly onChange: (change: string, fields: LineFields) => void;
     readonly onRequestEnd: (fields: LineFields, route: Route | undefined, milliseconds: number) => void;
+    /** Called with the outcome and the duration of each call to another gateway. */
+    readonly onPeerCall: (outcome: string, milliseconds: number) => void;
+    /** Longest recent delay of this process's event loop in milliseconds, for the log. */
+    readonly eventLoopDelayMs: () => number;
 }
 
 /** Lifecycle phases of a gateway, in order. */
@@ -99,6 +103,8 @@
             queueOf: service => this.queueOf(service),
             queues: () => this.queues,
             onDecision,
+            onPeerCall: options.onPeerCall,
+            eventLoopDelayMs: options.eventLoopDelayMs,
         });
         this.schedule = StageSchedule.create({
             capacity: service => this.currentConfiguration?.service(service)?.stage,
--- a/src/observability/histogram.ts
+++ b/src/observability/histogram.ts
@@ -28,7 +28,7 @@
 /** Ten minutes. Longer durations are recorded as this value. */
 const MAXIMUM_UNITS = 600_000 * UNITS_PER_MILLISECOND;
 /** Measures that get an overflow histogram each; all other measures share one. */
-const KNOWN_MEASURES = ["total", "firstToken", "tokenGap", "stage", "cost"];
+const KNOWN_MEASURES = ["total", "firstToken", "tokenGap", "stage", "cost", "peerCall", "eventLoopDelay"];
 
 const labelsSchema = z.strictObject({
     account: z.string(),
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -57,6 +57,16 @@
     /** The existing queues, by service. */
     readonly queues: () => ReadonlyMap<string, StageQueue>;
     readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
+    /** Called with the outcome and the duration of each call to another gateway. */
+    readonly onPeerCall: (outcome: string, milliseconds: number) => void;
+    /** Longest recent delay of this process's event loop in milliseconds, for the log. */
+    readonly eventLoopDelayMs: () => number;
+}
+
+/** A call to a gateway that was not answered. */
+interface UnansweredCall {
+    readonly reason: string;
+    readonly waitedMs: number;
 }
 
 /** Sends pieces and releases to the gatherer of their service, which may be this gateway. */
@@ -68,6 +78,8 @@
     private readonly peerCalls = PeerCalls.create();
     private stopped = false;
     private readonly recentWaits = RecentWaits.create();
+    /** Name of the last gatherer of each service, for the log. */
+    private readonly lastGatherers = new Map<string, string>();
 
     private constructor(private readonly environment: PieceRouterEnvironment) {}
 
@@ -82,17 +94,18 @@
         let remainingJobs = jobs;
         while (remainingJobs.length > 0 && !signal.aborted) {
             const gatherer = this.gathererOf(service);
+            this.logGatherer(service, gatherer?.name ?? this.environment.self);
             const answers =
                 gatherer === undefined
                     ? await this.makeHere(service, remainingJobs, signal)
                     : await this.makeAtPeer(gatherer, service, remainingJobs, signal);
             const unanswered = remainingJobs.filter((job, position) => {
-                const answer = answers?.[position];
+                const answer = "results" in answers ? answers.results[position] : undefined;
                 if (answer !== undefined && !isGivenBack(answer)) results.set(job, answer);
                 return !results.has(job);
             });
             if (unanswered.length > 0 && gatherer !== undefined && !signal.aborted) {
-                if (answers === undefined) this.markUnreachable(gatherer, jobs);
+                if ("reason" in answers) this.markUnreachable(gatherer, jobs, answers);
                 else this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
             }
             remainingJobs = unanswered;
@@ -135,11 +148,11 @@
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
-    ): Promise<readonly PieceResult[]> {
+    ): Promise<Pick<PeerAnswer, "results">> {
         const queue = this.environment.queueOf(service);
         const results = await queue.make(jobs, signal);
         this.recentWaits.record(service, queue.waitMs);
-        return results;
+        return { results };
     }
 
     /** Releases results that are no longer needed. */
@@ -189,10 +202,17 @@
     }
 
     /** Skips a gateway until it answers a probe. Pieces are not used as probes, since each would be late. */
-    private markUnreachable(peer: GatewayPeer, jobs: readonly PieceJob[]): void {
+    private markUnreachable(peer: GatewayPeer, jobs: readonly PieceJob[], { reason, waitedMs }: UnansweredCall): void {
         if (this.unreachable.has(peer.name)) return;
         this.unreachable.add(peer.name);
-        this.environment.onDecision("gatherer unreachable", { peer: peer.name, id: jobs[0]?.requestId });
+        this.environment.onDecision("gatherer unreachable", {
+            peer: peer.name,
+            id: jobs[0]?.requestId,
+            service: jobs[0]?.service,
+            reason,
+            waitedMs: Math.round(waitedMs),
+            eventLoopDelayMs: Math.round(this.environment.eventLoopDelayMs()),
+        });
         void this.waitUntilReachable(peer, performance.now());
     }
 
@@ -203,7 +223,7 @@
             await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MS).unref());
             const peer = registered();
             if (this.stopped) return;
-            if (peer === undefined || (await this.sendOrder(peer, "", [], NEVER_ABORTED)) !== undefined) break;
+            if (peer === undefined || "results" in (await this.sendOrder(peer, "", [], NEVER_ABORTED))) break;
         }
         this.unreachable.delete(unreachablePeer.name);
         const afterMs = Math.round(performance.now() - since);
@@ -215,19 +235,20 @@
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
-    ): Promise<readonly PieceResult[] | undefined> {
+    ): Promise<PeerAnswer | UnansweredCall> {
         const answer = await this.sendOrder(peer, service, jobs, signal);
-        if (answer !== undefined) this.recentWaits.record(service, answer.waitMs);
-        return answer?.results;
+        if ("results" in answer) this.recentWaits.record(service, answer.waitMs);
+        return answer;
     }
 
-    /** Sends an order; undefined if the gateway does not answer it. */
+    /** Sends an order. */
     private async sendOrder(
         peer: GatewayPeer,
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
-    ): Promise<PeerAnswer | undefined> {
+    ): Promise<PeerAnswer | UnansweredCall> {
+        const sentAt = performance.now();
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remainingMs()));
         const answer = await this.peerCalls.call(peer, PEER_PATHS.make, encodeOrder(service, jobs), {
             deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS),
@@ -235,7 +256,17 @@
             headTimeoutMs: PROGRESS_TIMEOUT_MS,
             stallTimeoutMs: PROGRESS_TIMEOUT_MS,
         });
-        return answer.kind === "answered" ? decodeAnswer(answer.text, jobs.length) : undefined;
+        const waitedMs = performance.now() - sentAt;
+        this.environment.onPeerCall(answer.kind, waitedMs);
+        if (answer.kind === "failed") return { reason: answer.reason, waitedMs };
+        return decodeAnswer(answer.text, jobs.length) ?? { reason: "unreadable answer", waitedMs };
+    }
+
+    private logGatherer(service: string, gatherer: string): void {
+        const before = this.lastGatherers.get(service);
+        if (before === gatherer) return;
+        this.lastGatherers.set(service, gatherer);
+        this.environment.onDecision("gatherer chosen", { service, gatherer, before });
     }
 
     private async releaseAtPeer(peer: GatewayPeer, order: ReleaseOrder): Promise<void> {
