Read the data that has arrived before a timeout of a peer counts

Callers would see: requests sent again, or targets and gateways taken for silent, after this process itself was delayed.

Cause: after a delay of its event loop a process runs its timers before it reads its sockets, so a timeout ends a wait whose answer lies in the socket already. Class: a timeout that counts the own delay as one of the peer.

Change: timeouts of attempts, bodies and calls to the store take effect after sockets were read once more.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,6 +15,7 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Deadline } from "../model/index.js";
+import { startTimeout } from "../model/timeout.js";
 
 /** The request to send. */
 export interface AttemptRequest {
@@ -112,7 +113,7 @@
         const socket = connect(hostAndPort(address));
         socket.setNoDelay(true);
         const finish = (outcome: ConnectionOutcome): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             limits.signal.removeEventListener("abort", onAbort);
             socket.removeAllListeners("connect");
             socket.removeAllListeners("error");
@@ -124,7 +125,7 @@
         };
         const onAbort = (): void => finish({ kind: "cancelled", sent: false });
         const remaining = limits.deadline.remainingMs();
-        const timer = setTimeout(
+        const cancelTimeout = startTimeout(
             () =>
                 finish(
                     remaining <= CONNECT_TIMEOUT_MS
@@ -149,7 +150,7 @@
         const finish = (outcome: AttemptOutcome): void => {
             if (settled) return;
             settled = true;
-            clearTimeout(timer);
+            cancelTimeout();
             limits.signal.removeEventListener("abort", onAbort);
             if (outcome.kind !== "answered") outgoing.destroy();
             resolve(outcome);
@@ -157,7 +158,7 @@
         const onAbort = (): void => finish({ kind: "cancelled", sent: true });
         const remaining = limits.deadline.remainingMs();
         const headTimeout = limits.headTimeoutMs ?? Number.POSITIVE_INFINITY;
-        const timer = setTimeout(
+        const cancelTimeout = startTimeout(
             () =>
                 finish(
                     headTimeout < remaining
@@ -174,12 +175,12 @@
         });
         outgoing.once("socket", socket => {
             if (!socket.connecting) return;
-            const connectTimer = setTimeout(
+            const cancelConnectTimeout = startTimeout(
                 () => finish({ kind: "unreachable", reason: "connection timed out" }),
                 CONNECT_TIMEOUT_MS,
             );
-            socket.once("connect", () => clearTimeout(connectTimer));
-            socket.once("close", () => clearTimeout(connectTimer));
+            socket.once("connect", cancelConnectTimeout);
+            socket.once("close", cancelConnectTimeout);
         });
         // The response may come before the whole body was sent; `finish` then ignores errors of sending.
         outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
@@ -250,22 +251,22 @@
         const { message } = this;
         return new Promise(resolve => {
             let settled = false;
-            let stallTimer: NodeJS.Timeout | undefined;
+            let cancelStallTimeout = (): void => undefined;
             const finish = (outcome: BodyOutcome): void => {
                 if (settled) return;
                 settled = true;
-                clearTimeout(deadlineTimer);
-                clearTimeout(stallTimer);
+                cancelDeadline();
+                cancelStallTimeout();
                 options.signal.removeEventListener("abort", onAbort);
                 if (outcome.kind !== "complete" || !this.isPooled) this.outgoing.destroy();
                 resolve(outcome);
             };
             const onAbort = (): void => finish({ kind: "cancelled" });
-            const deadlineTimer = setTimeout(() => finish({ kind: "expired" }), options.deadline.remainingMs());
+            const cancelDeadline = startTimeout(() => finish({ kind: "expired" }), options.deadline.remainingMs());
             const armStallTimer = (): void => {
                 if (options.stallTimeoutMs === undefined) return;
-                clearTimeout(stallTimer);
-                stallTimer = setTimeout(() => finish({ kind: "stalled" }), options.stallTimeoutMs);
+                cancelStallTimeout();
+                cancelStallTimeout = startTimeout(() => finish({ kind: "stalled" }), options.stallTimeoutMs);
             };
             const onEnd = (): void =>
                 finish(
@@ -298,7 +299,7 @@
 /** Reads a body into memory; a body over the size limit is cut off. */
 export async function readBody(
     body: ResponseBody,
-    limits: AttemptLimits & Pick<BodyReadOptions, "stallTimeoutMs">,
+    limits: AttemptLimits & Pick<BodyReadOptions, "stallTimeoutMs"> & { readonly onBytes?: () => void },
     maximumBytes: number,
 ): Promise<{ readonly outcome: BodyOutcome; readonly bytes: Buffer }> {
     const chunks: Buffer[] = [];
@@ -306,6 +307,7 @@
     const outcome = await body.read({
         ...limits,
         onChunk: chunk => {
+            limits.onBytes?.();
             size += chunk.length;
             if (size <= maximumBytes) chunks.push(chunk);
             else body.discard();
--- a/src/gateway/requestbody.ts
+++ b/src/gateway/requestbody.ts
@@ -1,6 +1,7 @@
 /** Reads the whole body of a request, within a size limit and a deadline. */
 import type { IncomingMessage } from "node:http";
 import type { Deadline } from "../model/index.js";
+import { startTimeout } from "../model/timeout.js";
 
 /** The body, or why it was not read. */
 export type RequestBody = Buffer | "tooLong" | "late" | "broken";
@@ -17,10 +18,10 @@
         const chunks: Buffer[] = [];
         let size = 0;
         const finish = (outcome: RequestBody): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             resolve(outcome);
         };
-        const timer = setTimeout(() => finish("late"), deadline.remainingMs());
+        const cancelTimeout = startTimeout(() => finish("late"), deadline.remainingMs());
         request.on("data", (chunk: Buffer) => {
             size += chunk.length;
             if (size > maximumBytes) finish("tooLong");
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -1,6 +1,7 @@
 /** One HTTP call to a store, and its outcome. */
 import { type Agent, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
 import { parseJson } from "../model/json.js";
+import { startTimeout } from "../model/timeout.js";
 
 /** A request to a store. */
 export interface StoreCall {
@@ -45,14 +46,17 @@
             });
             response.on("error", fail);
             response.on("end", () => {
-                clearTimeout(timer);
+                cancelTimeout();
                 const text = Buffer.concat(chunks).toString();
                 resolve({ kind: "answered", status: response.statusCode ?? 0, body: parseJson(text) });
             });
         });
-        const timer = setTimeout(() => outgoing.destroy(new Error("no answer in time")), call.timeoutMilliseconds);
+        const cancelTimeout = startTimeout(
+            () => outgoing.destroy(new Error("no answer in time")),
+            call.timeoutMilliseconds,
+        );
         const fail = (error: Error): void => {
-            clearTimeout(timer);
+            cancelTimeout();
             const code = "code" in error ? String(error.code) : "";
             resolve({ kind: "unanswered", sent: !CONNECT_ERROR_CODES.includes(code), message: code || error.message });
         };
