Judge whether a gatherer is alive from all that it sends

Cause: an order that was not answered within 700 ms made its gatherer count as unreachable, although progress on other orders kept coming. Each gateway decided for itself, so several gateways gathered one service, planned for the same targets and were refused by them (`target is full`), and orders were made twice; their inputs had been released after the first time (`stage inputGone`). The extra work delayed the gatherers further. Class: failure detection by the timeout of one request.

Change: a gatherer counts as unreachable only if nothing was received from it on any connection. Otherwise the order is sent again to it, with a longer timeout, and a gatherer joins an order that arrives again with the one in progress. An order whose deadline has passed says nothing about its gatherer.

That a silent gatherer is replaced is tested as before.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
-import { decodeOrder, decodeRelease, PEER_PATHS, PROGRESS_INTERVAL_MS } from "../stages/index.js";
+import { decodeOrder, decodeRelease, OpenOrders, PEER_PATHS, PROGRESS_INTERVAL_MS } from "../stages/index.js";
 import type { ConnectionLimits } from "./configuration.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
@@ -112,25 +112,36 @@
 
 /** Serves calls from other gateways. */
 export async function listenForPeers(gateway: Gateway, address: string): Promise<Listener> {
-    const server = createServer((request, response) => void servePeer(gateway, request, response));
+    const openOrders = OpenOrders.create();
+    const server = createServer((request, response) => void servePeer(gateway, openOrders, request, response));
     return Listener.listen(server, address);
 }
 
-async function servePeer(gateway: Gateway, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function servePeer(
+    gateway: Gateway,
+    openOrders: OpenOrders,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
     const read = await readRequestBody(request, MAXIMUM_ORDER_BYTES, Deadline.after(ORDER_TIMEOUT_MS));
     if (!Buffer.isBuffer(read)) {
         request.destroy();
         return;
     }
     const body = read.toString();
-    if (request.url === PEER_PATHS.make) return serveOrder(gateway, body, response);
+    if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, body, response);
     const release = request.url === PEER_PATHS.release ? decodeRelease(body) : undefined;
     if (release !== undefined) gateway.pieceRouter.releaseHere(release);
     response.writeHead(release === undefined ? 400 : 200, { "content-length": 0 });
     response.end();
 }
 
-async function serveOrder(gateway: Gateway, body: string, response: ServerResponse): Promise<void> {
+async function serveOrder(
+    gateway: Gateway,
+    openOrders: OpenOrders,
+    body: string,
+    response: ServerResponse,
+): Promise<void> {
     const order = decodeOrder(body);
     if (order === undefined || gateway.phase === "stopping") {
         response.writeHead(order === undefined ? 400 : 503, { "content-length": 0 });
@@ -145,7 +156,7 @@
     // Spaces before the JSON text show the other gateway that this one is still working on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
-    const results = await gateway.pieceRouter.makeForPeer(order, abort.signal);
+    const results = await openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
     clearInterval(progress);
     response.end(JSON.stringify({ results, waitMs: gateway.pieceRouter.queueWaitMs(order.service) }));
 }
--- a/src/stages/index.ts
+++ b/src/stages/index.ts
@@ -1,4 +1,5 @@
 export * from "./batch.js";
+export * from "./openorders.js";
 export * from "./order.js";
 export * from "./piece.js";
 export * from "./piececall.js";
--- a/src/stages/peercalls.ts
+++ b/src/stages/peercalls.ts
@@ -5,6 +5,9 @@
  * would cost both ends processor time. An idle connection may have been closed by the peer or cut off, which shows only
  * when it is used. When a call fails, all idle connections to that gateway are closed. If the connection turns out to
  * be closed, the call is sent once more on a new one.
+ *
+ * Whether a gateway is alive is judged from everything that it sends, not from the call that went unanswered: a gateway
+ * that is short of processor time answers late, and a connection may go silent although its gateway is alive.
  */
 import { Agent } from "node:http";
 import {
@@ -33,11 +36,15 @@
 
 /** Outcome of a call. */
 export type PeerCallOutcome =
-    { readonly kind: "answered"; readonly text: string } | { readonly kind: "failed"; readonly reason: string };
+    | { readonly kind: "answered"; readonly text: string }
+    /** `isSilent` says that the time for an answer ended, not that the gateway or its machine refused the call. */
+    | { readonly kind: "failed"; readonly reason: string; readonly isSilent: boolean };
 
 /** Sends calls to other gateways and reuses the connections. */
 export class PeerCalls {
     private readonly agents = new Map<string, Agent>();
+    /** Time on the monotonic clock at which anything was last received from a gateway, by address. */
+    private readonly heardAt = new Map<string, number>();
 
     private constructor() {}
 
@@ -58,20 +65,40 @@
         }
         if (attempt.kind !== "answered") {
             if (attempt.kind !== "cancelled") this.closeIdle(address);
-            return { kind: "failed", reason: "reason" in attempt ? attempt.reason : attempt.kind };
+            const reason = "reason" in attempt ? attempt.reason : attempt.kind;
+            const isSilent = attempt.kind === "expired" || reason === NO_ANSWER_IN_TIME;
+            return { kind: "failed", reason, isSilent };
         }
-        const { outcome, bytes } = await readBody(attempt.body, limits, MAXIMUM_ANSWER_BYTES);
+        this.recordHeard(address);
+        const { outcome, bytes } = await readBody(
+            attempt.body,
+            { ...limits, onBytes: () => this.recordHeard(address) },
+            MAXIMUM_ANSWER_BYTES,
+        );
         if (outcome.kind === "stalled") this.closeIdle(address);
-        if (outcome.kind !== "complete") return { kind: "failed", reason: `answer ${outcome.kind}` };
-        if (attempt.head.status !== 200) return { kind: "failed", reason: `status ${attempt.head.status}` };
+        if (outcome.kind !== "complete") {
+            const isSilent = outcome.kind === "stalled" || outcome.kind === "expired";
+            return { kind: "failed", reason: `answer ${outcome.kind}`, isSilent };
+        }
+        const { status } = attempt.head;
+        if (status !== 200) return { kind: "failed", reason: `status ${status}`, isSilent: false };
         return { kind: "answered", text: bytes.toString() };
     }
 
+    /** Milliseconds since anything was received from a gateway; infinite if nothing was. */
+    silentMs({ address }: GatewayPeer): number {
+        return performance.now() - (this.heardAt.get(address) ?? Number.NEGATIVE_INFINITY);
+    }
+
     /** Closes all idle connections. */
     close(): void {
         for (const address of [...this.agents.keys()]) this.closeIdle(address);
     }
 
+    private recordHeard(address: string): void {
+        this.heardAt.set(address, performance.now());
+    }
+
     private agentOf(address: string): Agent {
         const existing = this.agents.get(address);
         if (existing !== undefined) return existing;
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -34,6 +34,9 @@
 /** Silence in milliseconds after which a gatherer counts as unreachable: three missed progress intervals. */
 const PROGRESS_TIMEOUT_MS = 700;
 
+/** Factor by which the timeout of an order grows when it is sent again to a gatherer that is alive but slow. */
+const RESEND_TIMEOUT_RATIO = 2;
+
 /** Time in milliseconds for which a gatherer that gave pieces back is skipped; by then the store reports the change. */
 const GIVEN_BACK_SKIP_MS = 1_500;
 
@@ -66,6 +69,8 @@
 interface UnansweredCall {
     readonly reason: string;
     readonly waitedMs: number;
+    /** Whether the order was not answered in time although the gateway was heard on other connections meanwhile. */
+    readonly isPeerAlive: boolean;
 }
 
 /** Sends pieces and releases to the gatherer of their service, which may be this gateway. */
@@ -91,25 +96,30 @@
         const service = jobs[0]?.service ?? "";
         const results = new Map<PieceJob, PieceResult>();
         let remainingJobs = jobs;
-        while (remainingJobs.length > 0 && !signal.aborted) {
+        let timeoutMs = PROGRESS_TIMEOUT_MS;
+        const latest = Math.max(0, ...jobs.map(({ deadline }) => deadline.at));
+        while (remainingJobs.length > 0 && !signal.aborted && performance.now() < latest) {
             const gatherer = this.gathererOf(service);
             this.logGatherer(service, gatherer?.name ?? this.environment.self.name);
             const answers =
                 gatherer === undefined
                     ? await this.makeHere(service, remainingJobs, signal)
-                    : await this.makeAtPeer(gatherer, service, remainingJobs, signal);
+                    : await this.makeAtPeer(gatherer, service, remainingJobs, signal, timeoutMs);
             const unanswered = remainingJobs.filter((job, position) => {
                 const answer = "results" in answers ? answers.results[position] : undefined;
                 if (answer !== undefined && !isGivenBack(answer)) results.set(job, answer);
                 return !results.has(job);
             });
             if (unanswered.length > 0 && gatherer !== undefined && !signal.aborted) {
-                if ("reason" in answers) this.markUnreachable(gatherer, jobs, answers);
-                else this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
+                if ("reason" in answers) {
+                    if (answers.isPeerAlive) timeoutMs *= RESEND_TIMEOUT_RATIO;
+                    this.recordUnanswered(gatherer, jobs, answers);
+                } else this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
             }
             remainingJobs = unanswered;
         }
-        return jobs.map(job => results.get(job) ?? { kind: "lost", reason: "cancelled", retryAfterMs: 0 });
+        const reason = signal.aborted ? "cancelled" : "late";
+        return jobs.map(job => results.get(job) ?? { kind: "lost", reason, retryAfterMs: 0 });
     }
 
     /** Makes the pieces of another gateway's order, or gives them back if this gateway stops and another gathers. */
@@ -197,11 +207,19 @@
         this.peerCalls.close();
     }
 
-    /** Skips a gateway until it answers a probe. Pieces are not used as probes, since each would be late. */
-    private markUnreachable(peer: GatewayPeer, jobs: readonly PieceJob[], { reason, waitedMs }: UnansweredCall): void {
+    /**
+     * Records an order that was not answered. A gateway that is silent altogether is skipped until it answers a probe;
+     * pieces are not used as probes, since each would be late. To one that is alive the order is sent again: a second
+     * gatherer would plan for the same targets, and both would send calls that wait for each other.
+     */
+    private recordUnanswered(peer: GatewayPeer, jobs: readonly PieceJob[], call: UnansweredCall): void {
+        const { reason, waitedMs, isPeerAlive } = call;
         if (this.unreachable.has(peer.name)) return;
-        this.unreachable.add(peer.name);
-        this.environment.onDecision("gatherer unreachable", {
+        if (!isPeerAlive) {
+            this.unreachable.add(peer.name);
+            void this.waitUntilReachable(peer, performance.now());
+        }
+        this.environment.onDecision(isPeerAlive ? "order sent again" : "gatherer unreachable", {
             peer: peer.name,
             id: jobs[0]?.requestId,
             service: jobs[0]?.service,
@@ -209,7 +227,6 @@
             waitedMs: Math.round(waitedMs),
             eventLoopDelayMs: Math.round(this.environment.eventLoopDelayMs()),
         });
-        void this.waitUntilReachable(peer, performance.now());
     }
 
     private async waitUntilReachable(unreachablePeer: GatewayPeer, since: number): Promise<void> {
@@ -219,7 +236,12 @@
             await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MS).unref());
             const peer = registered();
             if (this.stopped) return;
-            if (peer === undefined || "results" in (await this.sendOrder(peer, "", [], NEVER_ABORTED))) break;
+            if (
+                peer === undefined ||
+                "results" in (await this.sendOrder(peer, "", [], NEVER_ABORTED, PROGRESS_TIMEOUT_MS))
+            ) {
+                break;
+            }
         }
         this.unreachable.delete(unreachablePeer.name);
         const afterMs = Math.round(performance.now() - since);
@@ -231,8 +253,9 @@
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
+        timeoutMs: number,
     ): Promise<PeerAnswer | UnansweredCall> {
-        const answer = await this.sendOrder(peer, service, jobs, signal);
+        const answer = await this.sendOrder(peer, service, jobs, signal, timeoutMs);
         if ("results" in answer) this.recentWaits.record(service, answer.waitMs);
         return answer;
     }
@@ -243,19 +266,24 @@
         service: string,
         jobs: readonly PieceJob[],
         signal: AbortSignal,
+        timeoutMs: number,
     ): Promise<PeerAnswer | UnansweredCall> {
         const sentAt = performance.now();
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remainingMs()));
         const answer = await this.peerCalls.call(peer, PEER_PATHS.make, encodeOrder(service, jobs), {
             deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS),
             signal,
-            headTimeoutMs: PROGRESS_TIMEOUT_MS,
-            stallTimeoutMs: PROGRESS_TIMEOUT_MS,
+            headTimeoutMs: timeoutMs,
+            stallTimeoutMs: timeoutMs,
         });
         const waitedMs = performance.now() - sentAt;
         this.environment.onPeerCall(answer.kind, waitedMs);
-        if (answer.kind === "failed") return { reason: answer.reason, waitedMs };
-        return decodeAnswer(answer.text, jobs.length) ?? { reason: "unreadable answer", waitedMs };
+        if (answer.kind === "failed") {
+            const isPeerAlive = answer.isSilent && this.peerCalls.silentMs(peer) < PROGRESS_TIMEOUT_MS;
+            return { reason: answer.reason, waitedMs, isPeerAlive };
+        }
+        const unreadable = { reason: "unreadable answer", waitedMs, isPeerAlive: false };
+        return decodeAnswer(answer.text, jobs.length) ?? unreadable;
     }
 
     private logGatherer(service: string, gatherer: string): void {
--- a/test/stages/peercalls.test.ts
+++ b/test/stages/peercalls.test.ts
@@ -69,23 +69,40 @@
         expect(await call()).toEqual({ kind: "answered", text: "answer 1" });
     });
 
-    it.each<[string, (response: ServerResponse) => void, string]>([
-        ["is not answered", () => undefined, "no answer in time"],
+    it.each<[string, (response: ServerResponse) => void, string, boolean]>([
+        ["is not answered", () => undefined, "no answer in time", true],
         [
             "is answered only in part",
             response => void response.writeHead(200, { "content-length": 9 }).write("half"),
             "answer stalled",
+            true,
         ],
-        ["is refused", response => void response.writeHead(503).end(), "status 503"],
-    ])("that %s fails, and the next one succeeds", async (_, answer, reason) => {
+        ["is refused", response => void response.writeHead(503).end(), "status 503", false],
+    ])("that %s fails, and the next one succeeds", async (_, answer, reason, isSilent) => {
         await call();
         respond = answer;
         const limits = { headTimeoutMs: 100, stallTimeoutMs: 100 };
-        expect(await call(limits)).toEqual({ kind: "failed", reason });
+        expect(await call(limits)).toEqual({ kind: "failed", reason, isSilent });
         respond = response => void response.end("again");
         expect(await call()).toEqual({ kind: "answered", text: "again" });
     });
 
+    it("tells how long nothing was received from a gateway, whatever became of other calls", async () => {
+        expect(calls.silentMs(peer)).toBe(Number.POSITIVE_INFINITY);
+        let progress: NodeJS.Timeout | undefined;
+        respond = (response, number): void => {
+            if (number === 1) progress = setInterval(() => response.write(" "), 10);
+        };
+        const abort = new AbortController();
+        const open = call({ signal: abort.signal });
+        while (progress === undefined) await new Promise(resolve => setTimeout(resolve, 5));
+        expect(await call({ headTimeoutMs: 300 })).toMatchObject({ kind: "failed", isSilent: true });
+        expect(calls.silentMs(peer)).toBeLessThan(300);
+        clearInterval(progress);
+        abort.abort();
+        await open;
+    });
+
     it("closes the idle connections when the gateway does not answer on one of them", async () => {
         await Promise.all([call(), call(), call()]);
         respond = (): void => undefined;
@@ -104,7 +121,7 @@
         const other = call();
         while (open.length < 2) await new Promise(resolve => setTimeout(resolve, 5));
         abort.abort();
-        expect(await ended).toEqual({ kind: "failed", reason: "cancelled" });
+        expect(await ended).toEqual({ kind: "failed", reason: "cancelled", isSilent: false });
         for (const response of open) response.end("late");
         expect(await other).toEqual({ kind: "answered", text: "late" });
     });
