Give a new version a small share until it is judged, and write the roll-out's state

Callers saw: answers several times slower from a new version that got a third of its service's requests for the whole time of its roll-out and was kept.

Cause: the gateway did not know of roll-outs. Targets of the new version were registered beside the old ones and were chosen like them, nothing compared their answers, and no state was written.

One gateway, chosen by a hash, collects the outcomes of all gateways' attempts, compares failures and times with those of the old version, and writes the state: reverted on strong evidence against it or without enough evidence for it, completed after 85% of the set time otherwise. Gateways stop sending to the version as soon as they hear the verdict. Services that make pieces give a new version nothing.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -4,6 +4,7 @@
     type FeedSource,
     Gateway,
     GatewayFeed,
+    type GatewayOptions,
     GatewayPeers,
     listenForCallers,
     listenForMetrics,
@@ -29,6 +30,7 @@
     readonly dialect: Dialect;
     readonly source: FeedSource;
     readonly store: Store;
+    readonly writeRolloutState: GatewayOptions["writeRolloutState"];
     readonly ledger: CallCounter;
     readonly log: DecisionLog;
 }
@@ -59,7 +61,7 @@
     initialSettings: GatewaySettings,
     environment: GatewayEnvironment,
 ): Promise<GatewayProcess> {
-    const { dialect, source, store, ledger, log } = environment;
+    const { dialect, source, store, writeRolloutState, ledger, log } = environment;
     let settings = initialSettings;
     const startedAt = performance.now();
     const metrics = ProcessMetrics.create(undefined);
@@ -91,6 +93,7 @@
         zone: settings.zone,
         peers,
         retries: settings.retries,
+        writeRolloutState,
         onDecision: (decision, fields) => {
             metrics.increment("decisions", 1, { decision });
             log.write(decision, fields);
@@ -147,6 +150,7 @@
         feed.stop();
         eventLoop.stop();
         gateway.pieceRouter.stop();
+        gateway.rolloutController.stop();
         log.flush();
         await Promise.all([callers, ...otherListeners].map(listener => listener.close()));
     };
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -59,7 +59,11 @@
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
             const untried = usable.filter(target => !this.triedNames.has(target.name));
-            const candidates = untried.length > 0 ? untried : usable;
+            const candidates = context.rollouts.allowed(
+                request.service,
+                untried.length > 0 ? untried : usable,
+                service => context.targets.eligible(service),
+            );
             const chosen = request.route.streaming
                 ? cheapestEngine(candidates, this.placementInput(inputs), context.prefixCaches)
                 : leastLoadedTarget(candidates, context.zone, Math.random);
@@ -91,6 +95,7 @@
         if (body !== undefined) headers.push("content-length", String(body.length));
         this.count += 1;
         this.triedNames.add(target.name);
+        context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
         if (route.streaming) context.prefixCaches.recordSent(target.name, metadata.promptParts);
         const attemptRequest = {
@@ -126,11 +131,12 @@
                 this.logDecision("target unreachable", target, { reason: outcome.reason });
                 return "again";
             case "broken":
-                targets.recordFailure(target);
+                targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason });
                 return { outcome: "failed", status: 502, reason: outcome.reason };
             case "expired":
-                targets.recordInconclusive(target);
+                if (outcome.sent) targets.recordExpired(target, this.request.route.name);
+                else targets.recordInconclusive(target);
                 return outcome.sent
                     ? { outcome: "expired", status: 504, reason: "no answer before the deadline" }
                     : { outcome: "expired", status: 503, reason: "deadline passed before sending" };
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -218,7 +218,7 @@
             const isOwnResponse =
                 responseMetadata.requestId === undefined || responseMetadata.requestId === request.metadata.requestId;
             if (outcome.kind !== "complete" || !isOwnResponse) {
-                this.context.targets.recordFailure(target);
+                this.context.targets.recordFailure(target, request.route.name);
                 failure = {
                     outcome: "failed",
                     status: 502,
@@ -228,7 +228,7 @@
                 continue;
             }
             if (attempt.head.status >= 500) {
-                this.context.targets.recordFailure(target);
+                this.context.targets.recordFailure(target, request.route.name);
                 errorResponse = { head: attempt.head, bytes };
                 failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
                 continue;
@@ -236,6 +236,7 @@
             this.context.targets.recordSuccess(
                 target,
                 (performance.now() - startedAt) / request.route.latencyObjectiveMs,
+                request.route.name,
             );
             return this.respondWith(attempt.head, bytes);
         }
@@ -293,7 +294,7 @@
                     if (failure === undefined && !attempts.mayTryAnotherTarget()) break;
                     continue;
                 }
-                if (attempt.head.status >= 500) this.context.targets.recordFailure(target);
+                if (attempt.head.status >= 500) this.context.targets.recordFailure(target, request.route.name);
                 failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
                 const isLastAttempt = !attempts.mayRetry();
                 if (outcome.kind === "complete" && isLastAttempt && !writer.started) {
@@ -309,6 +310,7 @@
                 this.context.targets.recordSuccess(
                     target,
                     (performance.now() - startedAt) / request.route.latencyObjectiveMs,
+                    request.route.name,
                 );
             });
             this.context.targets.recordPromptRead(target, promptTokens);
@@ -317,7 +319,7 @@
             if (streamFailure.outcome === "cancelled" || streamFailure.outcome === "expired") {
                 return this.endBrokenStream(writer, streamFailure);
             }
-            this.context.targets.recordFailure(target);
+            this.context.targets.recordFailure(target, request.route.name);
             this.context.onDecision("stream broken", {
                 id: request.metadata.requestId,
                 target: target.name,
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -5,10 +5,11 @@
  * their targets are alive; such targets are kept for a short time after the store is available again.
  */
 import type { LineFields } from "../observability/index.js";
-import { type AvailabilityChange, type Store, StoreView, type StoreEvent } from "../store/index.js";
+import { type AvailabilityChange, type Store, StoreView, type StoredObject, type StoreEvent } from "../store/index.js";
 import type { ConfigurationContent } from "./configuration.js";
 import type { Gateway } from "./gateway.js";
 import type { GatewayPeers } from "./peers.js";
+import type { Rollout } from "./rollouts.js";
 import type { TargetRegistration } from "./target.js";
 
 /** Result of decoding an object. */
@@ -21,8 +22,10 @@
     readonly targetPrefix: string;
     readonly closedZonePrefix: string;
     readonly gatewayPrefix: string;
+    readonly rolloutPrefix: string;
     readonly decodeConfiguration: (text: string) => DecodedObject<ConfigurationContent>;
     readonly decodeTarget: (id: string, text: string) => DecodedObject<TargetRegistration>;
+    readonly decodeRollout: (object: StoredObject) => DecodedObject<Rollout>;
 }
 
 /** Dependencies of a feed. */
@@ -43,6 +46,9 @@
 /** Watch timeout in milliseconds for objects whose changes are less urgent. */
 const SLOW_WATCH_TIMEOUT_MS = 10_000;
 
+/** Watch timeout in milliseconds for roll-outs, whose targets start some time after the request. */
+const ROLLOUT_WATCH_TIMEOUT_MS = 4_000;
+
 /** Time in milliseconds after an outage within which live targets renew their expired registrations. */
 const LAPSE_GRACE_MS = 2_300;
 
@@ -80,7 +86,8 @@
             options.peers.apply(event);
             options.gateway.pieceRouter.giveBack();
         });
-        this.views = [configuration, targets, closedZones, gateways];
+        const rollouts = watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event));
+        this.views = [configuration, targets, closedZones, gateways, rollouts];
         this.ready = Promise.all([configuration.ready, targets.ready, closedZones.ready]).then(() => undefined);
     }
 
@@ -124,6 +131,19 @@
         gateway.targets.remove(id);
     }
 
+    private applyRollout({ key, object }: StoreEvent): void {
+        const { gateway, source, onChange } = this.options;
+        const name = key.slice(source.rolloutPrefix.length);
+        if (object === undefined) {
+            gateway.removeRollout(name);
+            onChange("rollout removed", { service: name });
+            return;
+        }
+        const decoded = source.decodeRollout(object);
+        if (decoded.kind === "decoded") gateway.putRollout(decoded.value);
+        else onChange("rollout ignored", { service: name, reason: decoded.message });
+    }
+
     private removeTarget(id: string, view: StoreView): void {
         const { gateway } = this.options;
         const graceMs = LAPSE_GRACE_MS - view.millisecondsSinceOutage;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,9 @@
 import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
 import { FirstEventTimes } from "./firstevent.js";
+import { RolloutController } from "./rolloutcontroller.js";
+import { type Rollout, Rollouts, type RolloutState, type SeenRollout } from "./rollouts.js";
+import type { WriteOutcome } from "../store/index.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import { type Target, TargetDirectory } from "./target.js";
@@ -29,6 +32,7 @@
     /** The current configuration; undefined until the first one is read. */
     readonly configuration: () => GatewayConfiguration | undefined;
     readonly targets: TargetDirectory;
+    readonly rollouts: Rollouts;
     /** The target that holds a stage result; undefined if it is not registered. */
     readonly holderOf: (handle: string) => Target | undefined;
     readonly prefixCaches: PrefixCacheTracker;
@@ -58,6 +62,8 @@
      * Retries allowed to all gateways together: a fraction of the requests, and an allowance beyond it in one window.
      */
     readonly retries: { readonly fractionOfRequests: number; readonly allowance: number };
+    /** Writes the state of a roll-out if the stored object has not changed. */
+    readonly writeRolloutState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
     readonly onDecision: (decision: string, fields: LineFields) => void;
     readonly onChange: (change: string, fields: LineFields) => void;
     readonly onRequestEnd: (fields: LineFields, route: Route | undefined, milliseconds: number) => void;
@@ -78,6 +84,8 @@
     readonly context: GatewayContext;
     readonly targets: TargetDirectory;
     readonly pieceRouter: PieceRouter;
+    readonly rolloutController: RolloutController;
+    private readonly rollouts = Rollouts.create();
     private currentPhase: GatewayPhase = "serving";
     private currentConfiguration: GatewayConfiguration | undefined;
     private readonly firstEventTimes = FirstEventTimes.create();
@@ -95,7 +103,20 @@
                 if (change === "removed" || change === "restarted") prefixMemory.forget(target);
                 onChange(`target ${change}`, { target, ...detail });
             },
+            {
+                isExcluded: target =>
+                    this.rollouts.isRolledBack(target) ||
+                    (this.rollouts.isOnTrial(target) && this.isStageTarget(target)),
+                onOutcome: (target, route, failed, slowness) =>
+                    this.rolloutController.observe(target, route, failed, slowness),
+            },
         );
+        this.rolloutController = RolloutController.create({
+            peers,
+            rollouts: this.rollouts,
+            writeState: options.writeRolloutState,
+            onChange,
+        });
         this.pieceRouter = PieceRouter.create({
             self: peers.self,
             peers: () => peers.all,
@@ -115,6 +136,7 @@
             zone,
             configuration: () => this.currentConfiguration,
             targets: this.targets,
+            rollouts: this.rollouts,
             holderOf: handle => this.holderOf(handle),
             prefixCaches: prefixMemory,
             firstEventTimes: this.firstEventTimes,
@@ -161,6 +183,20 @@
         this.options.onChange("configuration in force", { version: content.version, before: previousVersion });
     }
 
+    /** Applies a roll-out or a change of its state. */
+    putRollout(rollout: Rollout): void {
+        const before = this.rollouts.find(rollout.service);
+        this.rollouts.put(rollout);
+        this.rolloutController.follow();
+        if (before?.version === rollout.version && before.state === rollout.state) return;
+        const { service, version, state = "requested", durationMs } = rollout;
+        this.options.onChange("rollout", { service, version, state, durationMs });
+    }
+
+    removeRollout(service: string): void {
+        this.rollouts.remove(service);
+    }
+
     /** Returns this gateway's queue of a stage service; creates it if necessary. */
     queueOf(service: string): StageQueue {
         const existing = this.queues.get(service);
@@ -190,6 +226,10 @@
         for (const [service, serviceHandles] of byService) this.pieceRouter.releaseEarly(service, serviceHandles);
     }
 
+    private isStageTarget({ registration }: Target): boolean {
+        return this.currentConfiguration?.service(registration.service)?.stage !== undefined;
+    }
+
     private holderOf(handle: string): Target | undefined {
         return this.targets.findByAddress(this.options.dialect.holderOf(handle));
     }
--- /dev/null
+++ b/src/gateway/rolloutcontroller.ts
@@ -0,0 +1,200 @@
+/**
+ * Decides roll-outs of new versions from the answers that all gateways observe.
+ *
+ * One gateway, chosen by a hash of the service, collects the observations of all and writes the state of the roll-out.
+ * The others send theirs a few times a second and learn from the answer whether the new version is to be stopped. If
+ * the chosen gateway is lost, the next one begins with the observations from then on. Two gateways that take themselves
+ * for the chosen one write conditionally, and a decided state is never changed.
+ */
+import { z } from "zod";
+import { Deadline } from "../model/index.js";
+import { parseJson } from "../model/json.js";
+import type { LineFields } from "../observability/index.js";
+import { chooseGatherer } from "../stages/gatherers.js";
+import { PeerCalls } from "../stages/peercalls.js";
+import type { WriteOutcome } from "../store/index.js";
+import { NEVER_ABORTED } from "./attempt.js";
+import type { GatewayPeers } from "./peers.js";
+import type { Rollouts, RolloutState, SeenRollout } from "./rollouts.js";
+import type { Target } from "./target.js";
+import { VersionJudge, type VersionObservation } from "./versionjudge.js";
+
+/** Path of the interface between gateways on which observations are sent. */
+export const OBSERVATIONS_PATH = "/observations";
+
+/** Interval in milliseconds at which observations are sent and roll-outs are judged. */
+const INTERVAL_MS = 250;
+
+/** Time in milliseconds for another gateway to take observations. */
+const SEND_TIMEOUT_MS = 500;
+
+/** Fraction of a roll-out's duration after which it is decided, so that the state is stored in time. */
+const DECISION_SHARE = 0.85;
+
+/** Pause in milliseconds after a write of a state that failed. */
+const WRITE_RETRY_MS = 500;
+
+/** Maximum number of observations of one service that wait to be sent. */
+const MAXIMUM_WAITING = 2_000;
+
+const observationsSchema = z.object({
+    service: z.string(),
+    version: z.string(),
+    observations: z.array(
+        z.object({ route: z.string(), isNew: z.boolean(), failed: z.boolean(), slowness: z.number().optional() }),
+    ),
+});
+
+const verdictSchema = z.object({ isBad: z.boolean() });
+
+/** What a controller depends on. */
+export interface RolloutControllerEnvironment {
+    readonly peers: GatewayPeers;
+    readonly rollouts: Rollouts;
+    /** Writes the state of a roll-out if the stored object has not changed. */
+    readonly writeState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
+    readonly onChange: (change: string, fields: LineFields) => void;
+}
+
+interface Trial {
+    readonly version: string;
+    readonly judge: VersionJudge;
+    /** Why the version is bad; undefined while it is not known to be. */
+    fault: string | undefined;
+    isWriting: boolean;
+    writeAfter: number;
+}
+
+/** Observes answers during roll-outs, and decides those for which this gateway is chosen. */
+export class RolloutController {
+    private readonly waiting = new Map<string, VersionObservation[]>();
+    private readonly trials = new Map<string, Trial>();
+    private readonly peerCalls = PeerCalls.create();
+    private timer: NodeJS.Timeout | undefined;
+    private stopped = false;
+
+    private constructor(private readonly environment: RolloutControllerEnvironment) {}
+
+    static create(environment: RolloutControllerEnvironment): RolloutController {
+        return new RolloutController(environment);
+    }
+
+    /** Begins to follow roll-outs that are not decided; called when roll-outs have changed. */
+    follow(): void {
+        if (this.timer !== undefined || this.stopped || this.environment.rollouts.undecided().length === 0) return;
+        this.timer = setTimeout(() => {
+            this.timer = undefined;
+            for (const rollout of this.environment.rollouts.undecided()) this.advance(rollout);
+            this.follow();
+        }, INTERVAL_MS);
+    }
+
+    /** Records an answer of a target, or a missing one. */
+    observe(target: Target, route: string, failed: boolean, slowness: number | undefined): void {
+        const { service, version } = target.registration;
+        const rollout = this.environment.rollouts.find(service);
+        if (rollout === undefined || rollout.state === "completed" || rollout.state === "reverted") return;
+        const observations = this.waiting.get(service) ?? [];
+        this.waiting.set(service, observations);
+        if (observations.length >= MAXIMUM_WAITING) return;
+        observations.push({ route, isNew: version === rollout.version, failed, slowness });
+    }
+
+    /** Takes observations of another gateway; returns the text of the answer, or undefined if they are malformed. */
+    receive(text: string): string | undefined {
+        const parsed = observationsSchema.safeParse(parseJson(text));
+        if (!parsed.success) return undefined;
+        const { service, version, observations } = parsed.data;
+        const rollout = this.environment.rollouts.find(service);
+        if (rollout?.version !== version) return JSON.stringify({ isBad: false });
+        if (rollout.state === "reverted") return JSON.stringify({ isBad: true });
+        const trial = this.trialOf(rollout);
+        for (const observation of observations) trial.judge.add(observation);
+        return JSON.stringify({ isBad: trial.fault !== undefined });
+    }
+
+    stop(): void {
+        this.stopped = true;
+        clearTimeout(this.timer);
+        this.peerCalls.close();
+    }
+
+    private advance(rollout: SeenRollout): void {
+        const { service } = rollout;
+        const observations = this.waiting.get(service)?.splice(0) ?? [];
+        const { peers } = this.environment;
+        const others = peers.all.filter(({ name }) => name !== peers.self.name);
+        const chosen = chooseGatherer(`rollout ${service}`, [peers.self, ...others]) ?? peers.self;
+        if (chosen !== peers.self) {
+            void this.send(rollout, observations, chosen);
+            return;
+        }
+        const trial = this.trialOf(rollout);
+        for (const observation of observations) trial.judge.add(observation);
+        this.decide(rollout, trial);
+    }
+
+    private async send(
+        rollout: SeenRollout,
+        observations: readonly VersionObservation[],
+        chosen: GatewayPeers["self"],
+    ): Promise<void> {
+        const { service, version } = rollout;
+        const text = JSON.stringify({ service, version, observations });
+        const limits = { deadline: Deadline.after(SEND_TIMEOUT_MS), signal: NEVER_ABORTED };
+        const answer = await this.peerCalls.call(chosen, OBSERVATIONS_PATH, text, limits);
+        if (answer.kind === "failed") {
+            const lost = { service, peer: chosen.name, reason: answer.reason, observations: observations.length };
+            this.environment.onChange("observations not sent", lost);
+            return;
+        }
+        if (verdictSchema.safeParse(parseJson(answer.text)).data?.isBad === true) {
+            this.environment.rollouts.stop(rollout);
+        }
+    }
+
+    private decide(rollout: SeenRollout, trial: Trial): void {
+        trial.fault ??= trial.judge.findFault();
+        if (trial.fault !== undefined) {
+            this.environment.rollouts.stop(rollout);
+            this.write(rollout, trial, "reverted", trial.fault);
+            return;
+        }
+        const elapsedMs = performance.now() - rollout.seenAt;
+        if (elapsedMs >= rollout.durationMs * DECISION_SHARE) {
+            const isAcceptable = trial.judge.isAcceptable();
+            const reason = isAcceptable ? "no evidence against it" : "not enough evidence for it";
+            this.write(rollout, trial, isAcceptable ? "completed" : "reverted", reason);
+        } else if (rollout.state === undefined) {
+            this.write(rollout, trial, "inProgress", "requested");
+        }
+    }
+
+    private write(rollout: SeenRollout, trial: Trial, state: RolloutState, reason: string): void {
+        if (trial.isWriting || performance.now() < trial.writeAfter) return;
+        trial.isWriting = true;
+        const { service, version } = rollout;
+        void this.environment.writeState(rollout, state).then(outcome => {
+            trial.isWriting = false;
+            trial.writeAfter = performance.now() + WRITE_RETRY_MS;
+            const answers = trial.judge.newAnswers;
+            this.environment.onChange("rollout state written", {
+                service,
+                version,
+                state,
+                reason,
+                answers,
+                outcome: outcome.kind,
+            });
+        });
+    }
+
+    private trialOf({ service, version }: SeenRollout): Trial {
+        const known = this.trials.get(service);
+        if (known?.version === version) return known;
+        const judge = VersionJudge.create();
+        const trial: Trial = { version, judge, fault: undefined, isWriting: false, writeAfter: 0 };
+        this.trials.set(service, trial);
+        return trial;
+    }
+}
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import type { ConnectionLimits } from "./configuration.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
+import { OBSERVATIONS_PATH } from "./rolloutcontroller.js";
 import { readRequestBody } from "./requestbody.js";
 
 /** Maximum size in bytes of a request head that is parsed; the configured limit is checked after that. */
@@ -130,6 +131,12 @@
     }
     const body = read.toString();
     if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, body, response);
+    if (request.url === OBSERVATIONS_PATH) {
+        const answer = gateway.rolloutController.receive(body);
+        response.writeHead(answer === undefined ? 400 : 200, { "content-type": "application/json" });
+        response.end(answer ?? "");
+        return;
+    }
     const release = request.url === PEER_PATHS.release ? decodeRelease(body) : undefined;
     if (release !== undefined) gateway.pieceRouter.releaseHere(release);
     response.writeHead(release === undefined ? 400 : 200, { "content-length": 0 });
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -79,6 +79,16 @@
 /** Receives changes of targets, for the log. */
 export type TargetChangeListener = (change: string, target: string, detail: Readonly<Record<string, unknown>>) => void;
 
+/** Called with the outcome of an attempt; `slowness` is absent where the time says nothing about the target. */
+export type OutcomeListener = (target: Target, route: string, failed: boolean, slowness: number | undefined) => void;
+
+/** What a directory depends on beside its registrations. */
+export interface TargetDirectoryOptions {
+    /** Whether a target may get nothing, whatever its state. */
+    readonly isExcluded?: (target: Target) => boolean;
+    readonly onOutcome?: OutcomeListener;
+}
+
 /** The targets of all services. */
 export class TargetDirectory {
     private readonly targets = new Map<string, MutableTarget>();
@@ -91,6 +101,7 @@
         private readonly configuration: () => GatewayConfiguration | undefined,
         private readonly gatewayCount: () => number,
         private readonly onChange: TargetChangeListener,
+        private readonly options: TargetDirectoryOptions,
     ) {
         this.health = Health.create((target, ejected, reason) => {
             onChange(ejected ? "ejected" : "readmitted", target, { reason });
@@ -101,8 +112,9 @@
         configuration: () => GatewayConfiguration | undefined,
         gatewayCount: () => number,
         onChange: TargetChangeListener = () => undefined,
+        options: TargetDirectoryOptions = {},
     ): TargetDirectory {
-        return new TargetDirectory(configuration, gatewayCount, onChange);
+        return new TargetDirectory(configuration, gatewayCount, onChange, options);
     }
 
     get size(): number {
@@ -155,10 +167,13 @@
         return this.byAddress.get(address);
     }
 
-    /** The targets of a service that are available and in an open zone. */
+    /** The targets of a service that are available, in an open zone and not excluded. */
     eligible(service: string): readonly Target[] {
         return [...(this.byService.get(service) ?? [])].filter(
-            ({ registration: record }) => record.state === "available" && !this.closedZones.has(record.zone),
+            target =>
+                target.registration.state === "available" &&
+                !this.closedZones.has(target.registration.zone) &&
+                this.options.isExcluded?.(target) !== true,
         );
     }
 
@@ -202,17 +217,27 @@
         known.loadReportedAt = performance.now();
     }
 
-    /** Records a complete response; `slowness` is its duration relative to the expected one. */
-    recordSuccess(target: Target, slowness: number): void {
+    /**
+     * Records a complete response, or the first event of a stream; `slowness` is its time relative to the expected one.
+     */
+    recordSuccess(target: Target, slowness: number, route = ""): void {
+        this.options.onOutcome?.(target, route, false, this.isCold(target) ? undefined : slowness);
         (target as MutableTarget).unreachableCount = 0;
         this.health.recordSuccess(target.name, slowness, this.eligibleNames(target));
     }
 
     /** Records an attempt that failed because of the target. */
-    recordFailure(target: Target): void {
+    recordFailure(target: Target, route = ""): void {
+        this.options.onOutcome?.(target, route, true, undefined);
         this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
+    /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
+    recordExpired(target: Target, route = ""): void {
+        this.options.onOutcome?.(target, route, true, undefined);
+        this.recordInconclusive(target);
+    }
+
     /** Records an attempt that says nothing about the target's health. */
     recordInconclusive(target: Target): void {
         this.health.recordInconclusive(target.name);
--- a/src/moves/sequential.ts
+++ b/src/moves/sequential.ts
@@ -33,6 +33,14 @@
     readonly events: number;
 }
 
+/** Log likelihood ratio of the bad rate against the acceptable one; positive if the counts speak for the bad rate. */
+export function likelihoodRatio({ observations, events }: EventCount, rates: TestRates): number {
+    return (
+        events * Math.log(rates.bad / rates.acceptable) +
+        (observations - events) * Math.log((1 - rates.bad) / (1 - rates.acceptable))
+    );
+}
+
 /** Verdict of a test. `passed` is returned once for each run. */
 export type Verdict = "undecided" | "passed" | "bad";
 
@@ -50,9 +58,7 @@
     evaluate(count: EventCount, rates: TestRates): Verdict {
         const observations = count.observations - this.baseline.observations;
         const events = count.events - this.baseline.events;
-        const ratio =
-            events * Math.log(rates.bad / rates.acceptable) +
-            (observations - events) * Math.log((1 - rates.bad) / (1 - rates.acceptable));
+        const ratio = likelihoodRatio({ observations, events }, rates);
         if (ratio >= UPPER_BOUND && observations >= MINIMUM_OBSERVATIONS) return "bad";
         if (ratio > LOWER_BOUND) return "undecided";
         this.baseline = count;
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -2,8 +2,10 @@
 import { z } from "zod";
 import type { ConfigurationContent, Route, Service } from "../gateway/configuration.js";
 import type { DecodedObject } from "../gateway/feed.js";
+import type { Rollout, RolloutState } from "../gateway/rollouts.js";
 import type { TargetRegistration } from "../gateway/target.js";
 import { parseJson } from "../model/json.js";
+import type { StoredObject } from "../store/index.js";
 
 const BYTES_PER_MEGABYTE = 1_000_000;
 
@@ -91,6 +93,12 @@
     born: z.int().optional(),
 });
 
+const rolloutSchema = z.object({ Service: z.string(), Target: z.string(), DurationS: nonNegative });
+
+const ROLLOUT_STATES = { inProgress: "in_progress", completed: "completed", reverted: "reverted" } as const;
+
+const rolloutStatusSchema = z.object({ State: z.enum(ROLLOUT_STATES), Target: z.string() });
+
 /** Decodes a configuration. */
 export function decodeConfiguration(text: string): DecodedObject<ConfigurationContent> {
     const parsed = configurationSchema.safeParse(parseJson(text));
@@ -139,6 +147,23 @@
     };
 }
 
+/** Decodes a roll-out. The status of an earlier target version says nothing about this one. */
+export function decodeRollout({ value, status, version }: StoredObject): DecodedObject<Rollout> {
+    const parsed = rolloutSchema.safeParse(parseJson(value));
+    if (!parsed.success) return { kind: "invalid", message: z.prettifyError(parsed.error) };
+    const { Service, Target, DurationS } = parsed.data;
+    const reported = status === undefined ? undefined : rolloutStatusSchema.safeParse(parseJson(status)).data;
+    const states = Object.entries(ROLLOUT_STATES) as readonly [RolloutState, string][];
+    const state = states.find(([, name]) => reported?.Target === Target && reported.State === name)?.[0];
+    const durationMs = DurationS * 1_000;
+    return { kind: "decoded", value: { service: Service, version: Target, durationMs, state, revision: version } };
+}
+
+/** Encodes the status of a roll-out. */
+export function encodeRolloutStatus({ version }: Pick<Rollout, "version">, state: RolloutState): unknown {
+    return { State: ROLLOUT_STATES[state], Target: version };
+}
+
 function decodeRoute(route: z.infer<typeof routeSchema>): Route {
     const streaming = route.Kind === "streaming";
     const resumable = streaming && route.Resumable === true;
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -8,6 +8,8 @@
 import { formatSettingsErrors, gatewaySettingsSchema, loadSettings } from "../settings/index.js";
 import { CallCounter } from "../store/index.js";
 import { platformDialect } from "./dialect.js";
+import { encodeRolloutStatus } from "./configuration.js";
+import { KIND } from "./names.js";
 import { platformSource } from "./source.js";
 import { PlatformStore } from "./store.js";
 
@@ -30,10 +32,13 @@
 const { settings } = loaded;
 const log = DecisionLog.create(settings.name);
 const ledger = CallCounter.create();
+const store = PlatformStore.create({ ...settings.store, ledger });
 const running = await startGateway(settings, {
     dialect: platformDialect,
     source: platformSource,
-    store: PlatformStore.create({ ...settings.store, ledger }),
+    store,
+    writeRolloutState: (rollout, state) =>
+        store.writeStatus(`${KIND.rollouts}/${rollout.service}`, encodeRolloutStatus(rollout, state), rollout.revision),
     ledger,
     log,
 });
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -41,6 +41,8 @@
     targets: "servers",
     /** Zones whose targets get no requests, by name. */
     closedZones: "evacuations",
+    /** Requested changes of a service's version, by service. */
+    rollouts: "rollouts",
     /** The gateways' own registrations. */
     gateways: "parsleyrun-gateways",
 } as const;
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -31,6 +31,7 @@
 const objectSchema = z.object({
     Metadata: z.object({ Name: z.string(), Revision: z.int() }),
     Spec: z.unknown().optional(),
+    Status: z.unknown().optional(),
 });
 const listSchema = z.object({ Entries: z.array(z.unknown()), HasMore: z.boolean().optional(), At: z.int() });
 const watchSchema = z.object({
@@ -108,6 +109,13 @@
         return writeOutcome(await this.call("remove", { method: "DELETE", path }));
     }
 
+    /** Replaces the status of an object if its version is `expectedVersion`. */
+    async writeStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
+        const metadata = { Name: nameOf(key), Revision: expectedVersion };
+        const body = JSON.stringify({ Metadata: metadata, Status: status });
+        return writeOutcome(await this.call("write", { method: "PUT", path: `/objects/${key}/status`, body }));
+    }
+
     /** Closes all connections. */
     close(): void {
         this.agent.destroy();
@@ -132,8 +140,9 @@
     return key.slice(key.indexOf("/") + 1);
 }
 
-function decode(kind: string, { Metadata, Spec }: z.infer<typeof objectSchema>): StoredObject {
-    return { key: `${kind}/${Metadata.Name}`, version: Metadata.Revision, value: JSON.stringify(Spec ?? null) };
+function decode(kind: string, { Metadata, Spec, Status }: z.infer<typeof objectSchema>): StoredObject {
+    const object = { key: `${kind}/${Metadata.Name}`, version: Metadata.Revision, value: JSON.stringify(Spec ?? null) };
+    return Status === undefined ? object : { ...object, status: JSON.stringify(Status) };
 }
 
 function successBody(answer: StoreCallOutcome): unknown {
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -12,6 +12,8 @@
     readonly version: number;
     /** At most one megabyte. */
     readonly value: string;
+    /** What was last reported on the object, in stores that keep a status beside the value. */
+    readonly status?: string;
 }
 
 /** Outcome of a read. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -3,6 +3,7 @@
 import { expect, vi } from "vitest";
 import { type GatewayProcess, startGateway } from "../../src/daemon/gateway.js";
 import { DecisionLog, LineSink } from "../../src/observability/index.js";
+import { encodeRolloutStatus } from "../../src/platform/configuration.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { KIND } from "../../src/platform/names.js";
 import { platformSource } from "../../src/platform/source.js";
@@ -156,10 +157,17 @@
             }
             done(null);
         });
+        const store = PlatformStore.create({ ...settings.store, ledger });
         const gateway = await startGateway(settings, {
             dialect: platformDialect,
             source: platformSource,
-            store: PlatformStore.create({ ...settings.store, ledger }),
+            store,
+            writeRolloutState: (rollout, state) =>
+                store.writeStatus(
+                    `${KIND.rollouts}/${rollout.service}`,
+                    encodeRolloutStatus(rollout, state),
+                    rollout.revision,
+                ),
             ledger,
             log: DecisionLog.create(name, sink),
         });
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -18,6 +18,7 @@
 export type Behaviour =
     | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
     | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
+    | { readonly kind: "delayedStream"; readonly events: number; readonly delayMs: number }
     | { readonly kind: "full" }
     | { readonly kind: "inputsGone" }
     | { readonly kind: "reset" }
@@ -116,6 +117,9 @@
                 return;
             case "stream":
                 return this.stream(behaviour, arrival, response);
+            case "delayedStream":
+                await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
+                return this.stream({ kind: "stream", events: behaviour.events }, arrival, response);
             case "full":
                 response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
                 return;
@@ -206,6 +210,7 @@
 interface StoredEntry {
     readonly Metadata: { readonly Name: string; readonly Revision: number };
     readonly Spec: unknown;
+    readonly Status?: unknown;
 }
 
 interface Change {
@@ -263,9 +268,9 @@
         this.wake();
     }
 
-    put(kind: string, name: string, spec: unknown): StoredEntry {
+    put(kind: string, name: string, spec: unknown, status?: unknown): StoredEntry {
         this.revision += 1;
-        const object = { Metadata: { Name: name, Revision: this.revision }, Spec: spec };
+        const object = { Metadata: { Name: name, Revision: this.revision }, Spec: spec, Status: status };
         const objects = this.objects.get(kind) ?? new Map<string, StoredEntry>();
         this.objects.set(kind, objects);
         objects.set(name, object);
@@ -282,6 +287,10 @@
         return true;
     }
 
+    status(kind: string, name: string): unknown {
+        return this.objects.get(kind)?.get(name)?.Status;
+    }
+
     names(kind: string): readonly string[] {
         return [...(this.objects.get(kind)?.keys() ?? [])];
     }
@@ -306,7 +315,7 @@
             return;
         }
         const url = new URL(request.url ?? "/", "http://store");
-        const [, , kind = "", name] = url.pathname.split("/");
+        const [, , kind = "", name, part] = url.pathname.split("/");
         const answer = (status: number, content: unknown): void => {
             if (request.method !== "GET" && this.loseWriteAnswers) response.socket?.destroy();
             else response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(content));
@@ -328,7 +337,9 @@
             case "PUT":
                 if (existing === undefined) return answer(404, {});
                 if (revision !== 0 && revision !== existing.Metadata.Revision) return answer(409, existing);
-                return answer(200, this.put(kind, name ?? "", sent?.Spec));
+                return part === "status"
+                    ? answer(200, this.put(kind, name ?? "", existing.Spec, sent?.Status))
+                    : answer(200, this.put(kind, name ?? "", sent?.Spec, existing.Status));
             default:
                 if (existing !== undefined && revision !== 0 && revision !== existing.Metadata.Revision) {
                     return answer(409, existing);
