Close connections to targets that send without end

Callers would see: requests that wait until their deadline, and a gateway that is ended for its memory, while one target sends bytes that are no answer.

Cause: three kinds of bytes had no limit. Empty lines and provisional responses before a head are not counted by the parser; an event without an end was kept and searched again with each chunk; a stream without new events was passed on until the deadline. A buffered response could have 16 MB. Class: input that is bounded in time only.

Change: a head, with all before it, has at most 32 KB; a stream that brings 128 KB without a new event id is broken; a buffered response has at most 4 MB (the limit of requests). Signals that many attempts share do not warn of a leak any more.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -5,6 +5,7 @@
  * connection that the target closed or that died while idle. It is also known exactly whether anything was sent, which
  * decides whether a non-idempotent request may go to another target.
  */
+import { setMaxListeners } from "node:events";
 import {
     type Agent,
     type ClientRequest,
@@ -63,6 +64,12 @@
  */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/**
+ * Maximum number of bytes of a response until the end of its head, with provisional responses and empty lines, which the
+ * parser does not limit.
+ */
+const MAXIMUM_HEAD_BYTES = 32_768;
+
 /** Reason of an attempt whose response head did not come in time. */
 export const NO_ANSWER_IN_TIME = "no answer in time";
 
@@ -79,6 +86,8 @@
 
 /** Signal of attempts that are not aborted. */
 export const NEVER_ABORTED: AbortSignal = new AbortController().signal;
+// All attempts in progress that are not aborted listen to it.
+setMaxListeners(0, NEVER_ABORTED);
 
 /** Sends a request on a new connection and waits for the response head. */
 export async function sendAttempt(attemptRequest: AttemptRequest, limits: AttemptLimits): Promise<AttemptOutcome> {
@@ -152,6 +161,7 @@
             settled = true;
             cancelTimeout();
             limits.signal.removeEventListener("abort", onAbort);
+            outgoing.socket?.removeListener("data", countHeadBytes);
             if (outcome.kind !== "answered") outgoing.destroy();
             resolve(outcome);
         };
@@ -173,7 +183,13 @@
             headers: headersWithHost(attemptRequest),
             ...connection,
         });
+        let headBytes = 0;
+        const countHeadBytes = (chunk: Buffer): void => {
+            headBytes += chunk.length;
+            if (headBytes > MAXIMUM_HEAD_BYTES) finish({ kind: "broken", reason: "response head is too long" });
+        };
         outgoing.once("socket", socket => {
+            socket.on("data", countHeadBytes);
             if (!socket.connecting) return;
             const cancelConnectTimeout = startTimeout(
                 () => finish({ kind: "unreachable", reason: "connection timed out" }),
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -25,7 +25,10 @@
 const NO_TARGET_RETRY_MS = 500;
 
 /** Size limit in bytes of a response that is buffered until it is complete. */
-const MAXIMUM_RESPONSE_BYTES = 16_777_216;
+const MAXIMUM_RESPONSE_BYTES = 4_194_304;
+
+/** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
+const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
 
 /** Time in milliseconds that the stages leave the engine before the caller stops waiting. */
 const FIRST_EVENT_RESERVE_MS = 150;
@@ -343,6 +346,8 @@
     ): Promise<ExchangeResult | undefined> {
         const splitter = EventSplitter.create();
         let isFirst = true;
+        let lastEventId = writer.lastDeliveredEventId;
+        let bytesSinceEvent = 0;
         const { route } = request;
         const outcome = await body.read({
             deadline: request.deadline,
@@ -350,6 +355,13 @@
             stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
             onChunk: chunk => {
                 const events = splitter.push(chunk);
+                bytesSinceEvent += chunk.length;
+                for (const { id } of events) {
+                    if (id === undefined || id === lastEventId) continue;
+                    lastEventId = id;
+                    bytesSinceEvent = splitter.pendingBytes;
+                }
+                if (bytesSinceEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
                 if (events.length === 0) return undefined;
                 if (isFirst) onFirstEvent();
                 isFirst = false;
@@ -360,6 +372,9 @@
             writer.end(head);
             return undefined;
         }
+        if (bytesSinceEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
+            return { outcome: "failed", status: 502, reason: "stream without new events" };
+        }
         switch (outcome.kind) {
             case "cancelled":
                 return { outcome: "cancelled", status: 200, reason: "caller left" };
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -19,6 +19,8 @@
     | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
     | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
     | { readonly kind: "delayedStream"; readonly events: number; readonly delayMs: number }
+    /** Writes `first`, then `repeated` until the caller closes the connection. */
+    | { readonly kind: "endless"; readonly first: string; readonly repeated: string }
     | { readonly kind: "full" }
     | { readonly kind: "inputsGone" }
     | { readonly kind: "reset" }
@@ -30,6 +32,9 @@
     | { readonly kind: "unframedReset" }
     | { readonly kind: "unframed" };
 
+/** Size in bytes of the parts in which endless answers are written. */
+const ENDLESS_CHUNK_BYTES = 16_384;
+
 async function listen(server: Server): Promise<string> {
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
     return `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -53,6 +58,9 @@
     readonly abandoned: string[] = [];
     address = "";
     behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
+    /** Bytes of endless answers that were written, and the number of their connections that callers closed. */
+    endlessBytes = 0;
+    endlessClosed = 0;
     /** Duration of one call for pieces, in milliseconds. */
     callMs = 20;
     /** Reason to return instead of results, by number of the call from 1; undefined for results. */
@@ -120,6 +128,9 @@
             case "delayedStream":
                 await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
                 return this.stream({ kind: "stream", events: behaviour.events }, arrival, response);
+            case "endless":
+                socket?.write(behaviour.first);
+                return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
             case "full":
                 response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
                 return;
@@ -163,6 +174,16 @@
         }
     }
 
+    private writeEndlessly(socket: Socket, repeated: string): void {
+        const chunk = Buffer.from(repeated.repeat(Math.ceil(ENDLESS_CHUNK_BYTES / repeated.length)));
+        const write = (): void => {
+            while (!socket.destroyed && socket.write(chunk)) this.endlessBytes += chunk.length;
+        };
+        socket.on("drain", write);
+        socket.once("close", () => (this.endlessClosed += 1));
+        write();
+    }
+
     private async stream(
         behaviour: Extract<Behaviour, { kind: "stream" }>,
         arrival: Arrival,
