--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -5,6 +5,7 @@
  * because the entry gives it up. `TargetLink` drops messages for an attempt that has ended.
  */
 import type { Deadline, StageOutcome } from "../model/index.js";
+import { startTimeout } from "../model/timeout.js";
 
 /** How an attempt ended. */
 export type AttemptOutcome =
@@ -43,7 +44,7 @@
     private ended = false;
     private gaveUpWhileOpen = false;
     private lastAnswerAt = performance.now();
-    private inactivityTimer: NodeJS.Timeout | undefined;
+    private cancelInactivityTimeout = (): void => undefined;
     private readonly deadlineTimer: NodeJS.Timeout;
     private readonly onAbort = (): void => this.giveUp({ kind: "abandoned", cause: "cancelled" });
 
@@ -96,7 +97,7 @@
         if (outcome.kind === "completed") this.recordAnswer();
         this.ended = true;
         clearTimeout(this.deadlineTimer);
-        clearTimeout(this.inactivityTimer);
+        this.cancelInactivityTimeout();
         this.limits.signal?.removeEventListener("abort", this.onAbort);
         this.resolve(outcome);
     }
@@ -121,7 +122,7 @@
 
     /** Uses one timer that is rearmed for the remaining time when it fires, instead of resetting it at each message. */
     private watchInactivity(milliseconds: number): void {
-        this.inactivityTimer = setTimeout(() => {
+        this.cancelInactivityTimeout = startTimeout(() => {
             const left = this.inactivityEndsAt() - performance.now();
             if (left > 0) this.watchInactivity(left);
             else this.giveUp({ kind: "silent", message: `no answer for ${this.limits.inactivityMilliseconds} ms` });
--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -19,6 +19,7 @@
     type WithdrawSchema,
 } from "../link/index.js";
 import type { Target } from "../model/index.js";
+import { startTimeout } from "../model/timeout.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
 import type { Candidate } from "../routing/index.js";
 import { decodeOutcome } from "./answer.js";
@@ -187,12 +188,12 @@
         const answer = new Promise<Withdrawn | undefined>(resolve => {
             connection.pendingWithdrawals.set(query, resolve);
         });
-        const timer = setTimeout(() => connection.pendingWithdrawals.get(query)?.(undefined), milliseconds);
+        const cancelTimeout = startTimeout(() => connection.pendingWithdrawals.get(query)?.(undefined), milliseconds);
         if (!connection.link.send({ case: "withdraw", value: { ...request, query } })) {
             connection.pendingWithdrawals.get(query)?.(undefined);
         }
         const state = await answer;
-        clearTimeout(timer);
+        cancelTimeout();
         connection.pendingWithdrawals.delete(query);
         return state?.state === Withdrawn_State.UNSPECIFIED ? undefined : state;
     }
