--- a/test/stages/batch.test.ts
+++ b/test/stages/batch.test.ts
@@ -1,6 +1,6 @@
 /** Batching, ranking and admission of a stage service, in single cases and in replayed loads. */
 import fastCheck from "fast-check";
-import { describe, expect, it } from "vitest";
+import { afterAll, describe, expect, it, vi } from "vitest";
 import { Deadline } from "../../src/model/index.js";
 import {
     admit,
@@ -16,6 +16,13 @@
     waitsForCloserTarget,
 } from "../../src/stages/batch.js";
 
+// The tables take their times when the file is loaded, so the clock stands still from here on.
+vi.useFakeTimers();
+
+afterAll(() => {
+    vi.useRealTimers();
+});
+
 const CAPACITY: QueueCapacity = { targets: 4, batch: 7, callMs: 200, pieceMs: 24 };
 const CALL_MS = fullCallMs(CAPACITY);
 
