Load the targets on trial like old ones while the exposure allowance lasts

Callers would see: a version that is bad under load only is completed, and then serves alone.

Cause: with six old targets, 7% of the requests are 0.42 of the load of one old target, so such a version looked good.

Change: the new version gets as much as one old target as long as the allowance that operators set beyond the share lasts; both come from the settings. The share stays at 7% where there are many old targets.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -93,6 +93,7 @@
         zone: settings.zone,
         peers,
         retries: settings.retries,
+        rollouts: settings.rollouts,
         writeRolloutState,
         onDecision: (decision, fields) => {
             metrics.increment("decisions", 1, { decision });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,7 +19,7 @@
 import type { Dialect } from "./dialect.js";
 import { FirstEventTimes } from "./firstevent.js";
 import { RolloutController } from "./rolloutcontroller.js";
-import { type Rollout, Rollouts, type RolloutState, type SeenRollout } from "./rollouts.js";
+import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
 import type { WriteOutcome } from "../store/index.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
@@ -62,6 +62,8 @@
      * Retries allowed to all gateways together: a fraction of the requests, and an allowance beyond it in one window.
      */
     readonly retries: { readonly fractionOfRequests: number; readonly allowance: number };
+    /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
+    readonly rollouts: TrialLimits;
     /** Writes the state of a roll-out if the stored object has not changed. */
     readonly writeRolloutState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
     readonly onDecision: (decision: string, fields: LineFields) => void;
@@ -85,7 +87,7 @@
     readonly targets: TargetDirectory;
     readonly pieceRouter: PieceRouter;
     readonly rolloutController: RolloutController;
-    private readonly rollouts = Rollouts.create();
+    private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
     private currentConfiguration: GatewayConfiguration | undefined;
     private readonly firstEventTimes = FirstEventTimes.create();
@@ -95,6 +97,7 @@
 
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
+        this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
             () => this.currentConfiguration,
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -2,10 +2,11 @@
  * Roll-outs of new versions: which targets may get a request while a service has two versions.
  *
  * Until a roll-out is decided, the new version gets a small share of each gateway's requests, so its share of all
- * requests is bounded without agreement between gateways. The share goes to few targets of the new version, so that
- * they are loaded about as much as those of the old one; a version may be bad under load only.
+ * requests is bounded without agreement between gateways. The share goes to few targets of the new version. A version
+ * may be bad under load only, so these targets are to be loaded like old ones: while an allowance beyond the share lasts,
+ * the new version gets as much as one old target.
  */
-import { rendezvousWeight, VersionChooser } from "../routing/index.js";
+import { rendezvousWeight } from "../routing/index.js";
 import type { Target } from "./target.js";
 
 /** State of a roll-out. */
@@ -29,20 +30,45 @@
     readonly seenAt: number;
 }
 
-/** The new version's share of requests until the roll-out is decided. */
-export const TRIAL_SHARE = 0.07;
+/** Bound on what all gateways together send to a new version until its roll-out is decided. */
+export interface TrialLimits {
+    /** Fraction of the requests to the service. */
+    readonly share: number;
+    /** Requests beyond that. */
+    readonly allowance: number;
+}
+
+/** Fractions of the limits that are used; the rest is a margin for requests that arrive late or are counted elsewhere. */
+const SHARE_USE_RATIO = 0.7;
+const ALLOWANCE_USE_RATIO = 0.5;
 
-const OLD_VERSION = "old";
+/** Largest error of the sum of an attempt's fractions. */
+const ROUNDING_ERROR = 1e-9;
+
+/** Attempts of one gateway during a trial. */
+interface TrialAttempts {
+    readonly version: string;
+    all: number;
+    new: number;
+    /** Attempts that the new version may get now; at most one, so that they do not come in a burst. */
+    credit: number;
+}
 
 /** The roll-outs of all services. */
 export class Rollouts {
     private readonly rollouts = new Map<string, SeenRollout>();
-    private readonly chooser = VersionChooser.create();
-
-    private constructor() {}
-
-    static create(): Rollouts {
-        return new Rollouts();
+    private readonly attempts = new Map<string, TrialAttempts>();
+    /** Versions that were stopped before the stored state says so, by service. */
+    private readonly stopped = new Map<string, string>();
+
+    private constructor(
+        private readonly limits: TrialLimits,
+        private readonly gatewayCount: () => number,
+    ) {}
+
+    /** `gatewayCount` is the number of gateways that share the limits. */
+    static create(limits: TrialLimits, gatewayCount: () => number): Rollouts {
+        return new Rollouts(limits, gatewayCount);
     }
 
     /** Adds a roll-out or updates its state. */
@@ -67,7 +93,7 @@
 
     /** Sends nothing more to the new version, before the stored state says so. */
     stop({ service, version }: Rollout): void {
-        this.chooser.stop(service, version);
+        this.stopped.set(service, version);
     }
 
     /** Whether a target has the new version of a service whose roll-out is not decided. */
@@ -99,16 +125,41 @@
         if (rollout.state === "completed") return newTargets;
         const oldTargets = candidates.filter(target => !isNew(target));
         if (oldTargets.length === 0 && eligible(service).every(isNew)) return newTargets;
-        const versions = this.chooser.allowedVersions(service, splitOf(rollout)) ?? [];
-        return versions.includes(rollout.version) ? trialTargets(newTargets, oldTargets.length) : oldTargets;
+        const targetCount = Math.max(1, Math.round(oldTargets.length * this.share));
+        const pace = Math.max(this.share, targetCount / (targetCount + oldTargets.length));
+        return this.mayTry(rollout, pace) ? trialTargets(newTargets, targetCount) : oldTargets;
     }
 
     /** Records an attempt that is being sent. */
     recordSent({ registration }: Target): void {
         const rollout = this.rollouts.get(registration.service);
         if (rollout === undefined || !isUndecided(rollout)) return;
-        const version = registration.version === rollout.version ? rollout.version : OLD_VERSION;
-        this.chooser.recordSent(registration.service, splitOf(rollout), version);
+        const attempts = this.attemptsOf(rollout);
+        attempts.all += 1;
+        if (registration.version !== rollout.version) return;
+        attempts.new += 1;
+        attempts.credit -= 1;
+    }
+
+    private get share(): number {
+        return this.limits.share * SHARE_USE_RATIO;
+    }
+
+    /** Whether the next attempt may go to the new version, which gets a fraction `pace` of the attempts at most. */
+    private mayTry(rollout: SeenRollout, pace: number): boolean {
+        if (this.stopped.get(rollout.service) === rollout.version) return false;
+        const attempts = this.attemptsOf(rollout);
+        attempts.credit = Math.min(1, attempts.credit + pace);
+        const allowance = (this.limits.allowance * ALLOWANCE_USE_RATIO) / Math.max(1, this.gatewayCount());
+        return attempts.credit >= 1 - ROUNDING_ERROR && attempts.new + 1 <= (attempts.all + 1) * this.share + allowance;
+    }
+
+    private attemptsOf({ service, version }: SeenRollout): TrialAttempts {
+        const known = this.attempts.get(service);
+        if (known?.version === version) return known;
+        const created = { version, all: 0, new: 0, credit: 0 };
+        this.attempts.set(service, created);
+        return created;
     }
 }
 
@@ -116,13 +167,8 @@
     return state !== "completed" && state !== "reverted";
 }
 
-function splitOf({ service, version }: Rollout): Parameters<VersionChooser["recordSent"]>[1] {
-    return { service, stable: OLD_VERSION, candidate: { version, fraction: TRIAL_SHARE } };
-}
-
-/** The targets of the new version that get its share: so many that each has about the load of an old target. */
-function trialTargets(newTargets: readonly Target[], oldTargets: number): readonly Target[] {
-    const count = Math.max(1, Math.round(oldTargets * TRIAL_SHARE));
+/** The targets of the new version that get its share. */
+function trialTargets(newTargets: readonly Target[], count: number): readonly Target[] {
     const weightOf = ({ name }: Target): number => rendezvousWeight("trial", name);
     return [...newTargets].sort((left, right) => weightOf(right) - weightOf(left)).slice(0, count);
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -113,6 +113,15 @@
             allowance: z.number().min(0).default(50),
         })
         .prefault({}),
+    /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
+    rollouts: z
+        .strictObject({
+            /** Fraction of the requests to the service. */
+            share: z.number().min(0).max(1).default(0.1),
+            /** Requests beyond that. */
+            allowance: z.number().min(0).default(50),
+        })
+        .prefault({}),
 });
 
 /** Settings of a gateway. */
