--- a/src/stages/gatherers.ts
+++ b/src/gateway/coordinator.ts
@@ -1,18 +1,18 @@
 /**
- * Choice of the gateway that gathers the pieces of a stage service.
+ * Choice of the gateway that does a task for all: gathering the pieces of a stage service, or judging a roll-out.
  *
- * A gatherer handles the pieces of all gateways, so its load does not depend on how many callers it has itself. It is
- * chosen among the gateways with the most capacity; which of these it is depends on a hash of the service, so that all
- * gateways choose the same one and different services have different gatherers.
+ * The load of such a task does not depend on how many callers a gateway has itself. The coordinator is therefore chosen
+ * among the gateways with the most capacity; which of these it is depends on a hash of the task, so that all gateways
+ * choose the same one and different tasks have different coordinators.
  */
-import type { GatewayPeer } from "../gateway/peers.js";
 import { rendezvousWeight } from "../routing/index.js";
+import type { GatewayPeer } from "./peers.js";
 
-/** Smallest capacity of a gatherer, relative to the gateway with the most. */
+/** Smallest capacity of a coordinator, relative to the gateway with the most. */
 const MINIMUM_CAPACITY_SHARE = 0.5;
 
-/** The gateway among `candidates` that gathers a service; undefined if there are none. */
-export function chooseGatherer(service: string, candidates: readonly GatewayPeer[]): GatewayPeer | undefined {
+/** The gateway among `candidates` that does a task; undefined if there are none. */
+export function chooseCoordinator(task: string, candidates: readonly GatewayPeer[]): GatewayPeer | undefined {
     const mostProcessors = Math.max(0, ...candidates.map(({ capacity }) => capacity.processors));
     const mostMegabits = Math.max(0, ...candidates.map(({ capacity }) => capacity.linkMegabits));
     const shareOf = ({ capacity }: GatewayPeer): number =>
@@ -22,7 +22,7 @@
     let bestWeight = -1;
     for (const candidate of candidates) {
         if (shareOf(candidate) < largestShare * MINIMUM_CAPACITY_SHARE) continue;
-        const weight = rendezvousWeight(service, candidate.name);
+        const weight = rendezvousWeight(task, candidate.name);
         if (weight > bestWeight) [best, bestWeight] = [candidate, weight];
     }
     return best;
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -10,7 +10,7 @@
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
-import { chooseGatherer } from "../stages/gatherers.js";
+import { chooseCoordinator } from "./coordinator.js";
 import { PeerCalls } from "../stages/peercalls.js";
 import type { WriteOutcome } from "../store/index.js";
 import { NEVER_ABORTED } from "./attempt.js";
@@ -124,7 +124,7 @@
         const observations = this.waiting.get(service)?.splice(0) ?? [];
         const { peers } = this.environment;
         const others = peers.all.filter(({ name }) => name !== peers.self.name);
-        const chosen = chooseGatherer(`rollout ${service}`, [peers.self, ...others]) ?? peers.self;
+        const chosen = chooseCoordinator(`rollout ${service}`, [peers.self, ...others]) ?? peers.self;
         if (chosen !== peers.self) {
             void this.send(rollout, observations, chosen);
             return;
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -2,7 +2,7 @@
  * Routing of pieces to gatherers: for each stage service, one gateway, the gatherer, batches the pieces of all.
  *
  * If each gateway batched only its own pieces, targets would get many small calls. All gateways choose the gatherer from
- * the same registrations (`gatherers`), so no agreement is needed. A gatherer that cannot be reached is skipped; a gateway that reaches no other one gathers its pieces itself.
+ * the same registrations (`gateway/coordinator`), so no agreement is needed. A gatherer that cannot be reached is skipped; a gateway that reaches no other one gathers its pieces itself.
  *
  * A gateway that stops, or sees that another one is now the gatherer of a service, gives the waiting pieces back to
  * their senders. Two gatherers would each forecast from their own queue alone, admit too much work for the targets that
@@ -11,7 +11,7 @@
 import { NEVER_ABORTED } from "../gateway/attempt.js";
 import type { GatewayPeer } from "../gateway/peers.js";
 import { Deadline } from "../model/index.js";
-import { chooseGatherer } from "./gatherers.js";
+import { chooseCoordinator } from "../gateway/coordinator.js";
 import {
     decodeAnswer,
     encodeOrder,
@@ -197,7 +197,7 @@
                 !this.unreachable.has(name) &&
                 (this.skippedUntil.get(`${service} ${name}`) ?? 0) <= now,
         );
-        const chosen = chooseGatherer(service, isGathering() ? [self, ...others] : others);
+        const chosen = chooseCoordinator(service, isGathering() ? [self, ...others] : others);
         return chosen === self ? undefined : chosen;
     }
 
