--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -17,11 +17,18 @@
 /** Buffers the bytes of one stream until they form complete events. */
 export class EventSplitter {
     private buffered: Buffer = Buffer.alloc(0);
+    private bytesSince = 0;
 
-    private constructor() {}
+    private constructor(private lastId: string | undefined) {}
 
-    static create(): EventSplitter {
-        return new EventSplitter();
+    /** `lastId` is the id of the event after which the stream begins. */
+    static create(lastId?: string): EventSplitter {
+        return new EventSplitter(lastId);
+    }
+
+    /** Number of bytes since the last event with a new id. */
+    get bytesSinceNewEvent(): number {
+        return this.bytesSince;
     }
 
     /** Number of buffered bytes, which are not yet a complete event. */
@@ -44,6 +51,10 @@
             start = eventEndIndex;
         }
         this.buffered = this.buffered.subarray(start);
+        const newId = events.findLast(({ id }) => id !== undefined)?.id;
+        this.bytesSince =
+            newId === undefined || newId === this.lastId ? this.bytesSince + chunk.length : this.buffered.length;
+        this.lastId = newId ?? this.lastId;
         return events;
     }
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -344,10 +344,8 @@
         writer: StreamWriter,
         onFirstEvent: () => void,
     ): Promise<ExchangeResult | undefined> {
-        const splitter = EventSplitter.create();
+        const splitter = EventSplitter.create(writer.lastDeliveredEventId);
         let isFirst = true;
-        let lastEventId = writer.lastDeliveredEventId;
-        let bytesSinceEvent = 0;
         const { route } = request;
         const outcome = await body.read({
             deadline: request.deadline,
@@ -355,13 +353,7 @@
             stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
             onChunk: chunk => {
                 const events = splitter.push(chunk);
-                bytesSinceEvent += chunk.length;
-                for (const { id } of events) {
-                    if (id === undefined || id === lastEventId) continue;
-                    lastEventId = id;
-                    bytesSinceEvent = splitter.pendingBytes;
-                }
-                if (bytesSinceEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
+                if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
                 if (events.length === 0) return undefined;
                 if (isFirst) onFirstEvent();
                 isFirst = false;
@@ -372,7 +364,7 @@
             writer.end(head);
             return undefined;
         }
-        if (bytesSinceEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
+        if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
             return { outcome: "failed", status: 502, reason: "stream without new events" };
         }
         switch (outcome.kind) {
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -2,7 +2,8 @@
  * Routing of pieces to gatherers: for each stage service, one gateway, the gatherer, batches the pieces of all.
  *
  * If each gateway batched only its own pieces, targets would get many small calls. All gateways choose the gatherer from
- * the same registrations (`gateway/coordinator`), so no agreement is needed. A gatherer that cannot be reached is skipped; a gateway that reaches no other one gathers its pieces itself.
+ * the same registrations (`gateway/coordinator`), so no agreement is needed. A gatherer that cannot be reached is skipped;
+ * a gateway that reaches no other one gathers its pieces itself.
  *
  * A gateway that stops, or sees that another one is now the gatherer of a service, gives the waiting pieces back to
  * their senders. Two gatherers would each forecast from their own queue alone, admit too much work for the targets that
--- a/test/gateway/eventstream.test.ts
+++ b/test/gateway/eventstream.test.ts
@@ -17,6 +17,18 @@
         expect(splitter.pendingBytes).toBe(pending);
     });
 
+    it.each<[string, readonly string[], number]>([
+        ["an event without an end", ["id: 1\ndata: a\n\n", "id: 2\nda", "ta"], 10],
+        ["events with an id that was there before", ["id: 1\ndata: a\n\n", "id: 1\ndata: b\n\n"], 15],
+        ["events without an id", ["id: 1\ndata: a\n\n", "data: b\n\n"], 9],
+        ["the event after which the stream begins", ["id: 0\ndata: a\n\n"], 15],
+        ["new events", ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid"], 2],
+    ])("counts the bytes since the last new event: %s", (_, chunks, bytes) => {
+        const splitter = EventSplitter.create("0");
+        for (const chunk of chunks) splitter.push(Buffer.from(chunk));
+        expect(splitter.bytesSinceNewEvent).toBe(bytes);
+    });
+
     it("gives the same bytes for every way to cut them", () => {
         const line = fastCheck.stringMatching(/^[a-z]{1,8}: [ -~é]{0,12}$/);
         const events = fastCheck.array(fastCheck.array(line, { minLength: 1, maxLength: 4 }), { maxLength: 8 });
