Forget what was observed of a version when operators withdraw its roll-out

Cause: the same version, requested again after its roll-out had been removed, was reverted at once by the verdict of the first one. Found when reading the change; the table of shares covers it now.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -198,6 +198,7 @@
 
     removeRollout(service: string): void {
         this.rollouts.remove(service);
+        this.rolloutController.forget(service);
     }
 
     /** Returns this gateway's queue of a stage service; creates it if necessary. */
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -15,7 +15,7 @@
 import type { WriteOutcome } from "../store/index.js";
 import { NEVER_ABORTED } from "./attempt.js";
 import type { GatewayPeers } from "./peers.js";
-import type { Rollouts, RolloutState, SeenRollout } from "./rollouts.js";
+import { isUndecided, type Rollouts, type RolloutState, type SeenRollout } from "./rollouts.js";
 import type { Target } from "./target.js";
 import { VersionJudge, type VersionObservation } from "./versionjudge.js";
 
@@ -93,7 +93,7 @@
     observe(target: Target, route: string, failed: boolean, slowness: number | undefined): void {
         const { service, version } = target.registration;
         const rollout = this.environment.rollouts.find(service);
-        if (rollout === undefined || rollout.state === "completed" || rollout.state === "reverted") return;
+        if (rollout === undefined || !isUndecided(rollout)) return;
         const observations = this.waiting.get(service) ?? [];
         this.waiting.set(service, observations);
         if (observations.length >= MAXIMUM_WAITING) return;
@@ -113,6 +113,12 @@
         return JSON.stringify({ isBad: trial.fault !== undefined });
     }
 
+    /** Discards what was observed of a service's new version. */
+    forget(service: string): void {
+        this.waiting.delete(service);
+        this.trials.delete(service);
+    }
+
     stop(): void {
         this.stopped = true;
         clearTimeout(this.timer);
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -78,8 +78,11 @@
         this.rollouts.set(rollout.service, { ...rollout, seenAt });
     }
 
+    /** Forgets a roll-out; the same version may be tried again later. */
     remove(service: string): void {
         this.rollouts.delete(service);
+        this.attempts.delete(service);
+        this.stopped.delete(service);
     }
 
     find(service: string): SeenRollout | undefined {
@@ -88,7 +91,7 @@
 
     /** The roll-outs that are not decided. */
     undecided(): readonly SeenRollout[] {
-        return [...this.rollouts.values()].filter(({ state }) => state !== "completed" && state !== "reverted");
+        return [...this.rollouts.values()].filter(isUndecided);
     }
 
     /** Sends nothing more to the new version, before the stored state says so. */
@@ -163,7 +166,8 @@
     }
 }
 
-function isUndecided({ state }: Rollout): boolean {
+/** Whether a roll-out is neither completed nor reverted. */
+export function isUndecided({ state }: Rollout): boolean {
     return state !== "completed" && state !== "reverted";
 }
 
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -105,6 +105,15 @@
             expect(allowed).toEqual(oldTargets);
             rollouts.recordSent(oldTargets[0] ?? targetOf("none", "v1"));
         }
+        // Operators may request the same version again.
+        rollouts.remove("engines");
+        rollouts.put(rollout);
+        const tried = Array.from({ length: 100 }, () => {
+            const [target] = rollouts.allowed("engines", all, () => all);
+            if (target !== undefined) rollouts.recordSent(target);
+            return target?.registration.version;
+        });
+        expect(tried).toContain("v2");
     });
 });
 
