--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -37,6 +37,7 @@
     { fault: "nothing", record: {}, found: undefined },
     { fault: "a doubled booking", record: { targets: [run, { ...run, target: "bookings-1" }] }, found: /2 times/ },
     { fault: "a booking that was refused and ran", record: { callers: [{ ...book, status: 503 }] }, found: /has run/ },
+    { fault: "a request that nobody sent", record: { targets: [run, { ...run, id: "r9" }] }, found: /was not sent/ },
     {
         fault: "a crossed answer",
         record: { callers: [{ ...book, body: expectedBody("book", "r2") }] },
