Refuse requests until all is known that decides where they may go

Callers would see: requests at a version that was rolled back, through a gateway that has just started.

Cause: a gateway counted as ready, and served, before it had read the roll-outs; a request that reaches it before it is ready was served as soon as a configuration was known, also before closed zones were.

Change: readiness waits for roll-outs too, and until everything was read requests are refused as not run.

Result: the new test (a gateway that starts while roll-outs cannot be read) fails before, as the gateway is ready and serves, and passes after.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -112,12 +112,9 @@
         eventLoopDelayMs: () => eventLoop.recentDelayMs(),
     });
     let isStopping = false;
-    let isStoreRead = false;
-    const isReady = (): boolean =>
-        isStoreRead && gateway.phase === "serving" && gateway.configuration !== undefined && gateway.targets.size > 0;
     const callers = await listenForCallers(gateway, settings.callerAddress);
     const otherListeners = [
-        await listenForReadiness(settings.readinessAddress, isReady),
+        await listenForReadiness(settings.readinessAddress, () => gateway.isReady),
         await listenForPeers(gateway, settings.peerAddress),
     ];
     if (settings.metricsAddress !== undefined) {
@@ -137,7 +134,7 @@
     const feed = GatewayFeed.start({ store, source, gateway, peers, onChange });
     log.writeUnthrottled("started", { zone: settings.zone, callers: settings.callerAddress });
     void feed.ready.then(() => {
-        isStoreRead = true;
+        gateway.setInformed();
         log.writeUnthrottled("store followed", {
             afterMs: Math.round(performance.now() - startedAt),
             configuration: gateway.configuration?.version,
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -54,7 +54,7 @@
 
 /** Watches the store for one gateway. */
 export class GatewayFeed {
-    /** Resolves when configuration and targets are known. */
+    /** Resolves when all is known that decides where requests may go. */
     readonly ready: Promise<void>;
     private readonly views: readonly StoreView[];
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
@@ -88,7 +88,8 @@
         });
         const rollouts = watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event));
         this.views = [configuration, targets, closedZones, gateways, rollouts];
-        this.ready = Promise.all([configuration.ready, targets.ready, closedZones.ready]).then(() => undefined);
+        const required = [configuration, targets, closedZones, rollouts];
+        this.ready = Promise.all(required.map(view => view.ready)).then(() => undefined);
     }
 
     static start(options: FeedOptions): GatewayFeed {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,7 +30,7 @@
 export interface GatewayContext {
     readonly dialect: Dialect;
     readonly zone: string;
-    /** The current configuration; undefined until the first one is read. */
+    /** The current configuration; undefined while the gateway does not know enough to serve requests. */
     readonly configuration: () => GatewayConfiguration | undefined;
     readonly targets: TargetDirectory;
     readonly rollouts: Rollouts;
@@ -91,6 +91,7 @@
     private readonly peerCalls = PeerCalls.create();
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
+    private informed = false;
     private currentConfiguration: GatewayConfiguration | undefined;
     private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, RetryBudget>();
@@ -141,7 +142,7 @@
         this.context = {
             dialect,
             zone,
-            configuration: () => this.currentConfiguration,
+            configuration: () => (this.informed ? this.currentConfiguration : undefined),
             targets: this.targets,
             rollouts: this.rollouts,
             holderOf: handle => this.holderOf(handle),
@@ -176,6 +177,17 @@
         return this.currentPhase;
     }
 
+    /** Whether the gateway takes new requests. */
+    get isReady(): boolean {
+        const knowsEnough = this.informed && this.currentConfiguration !== undefined && this.targets.size > 0;
+        return knowsEnough && this.phase === "serving";
+    }
+
+    /** Called once all that decides where requests may go was read from the store; until then they are refused. */
+    setInformed(): void {
+        this.informed = true;
+    }
+
     /** Enters a later phase. */
     enterPhase(phase: GatewayPhase): void {
         this.currentPhase = phase;
--- a/test/gateway/rollouts.test.ts
+++ b/test/gateway/rollouts.test.ts
@@ -117,6 +117,27 @@
     });
 });
 
+describe("a gateway that starts", () => {
+    it("takes no requests before it knows which versions were rolled back", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        deployment.platform.put(
+            "rollouts",
+            "engines",
+            { Service: "engines", Target: "v1", DurationS: 1 },
+            { State: "reverted", Target: "v1" },
+        );
+        deployment.platform.refusedKinds.add("rollouts");
+        await deployment.addGateway("gateway-late");
+        await pause(500);
+        expect(await deployment.isReady(1)).toBe(false);
+        expect((await deployment.call({ path: "/draft/1", id: "early" }, 1)).status).toBe(503);
+        deployment.platform.refusedKinds.clear();
+        await vi.waitFor(async () => expect(await deployment?.isReady(1)).toBe(true), 5_000);
+        expect((await deployment.call({ path: "/draft/1" }, 1)).status).toBe(503);
+        expect(deployment.target("engines-0").arrivals).toEqual([]);
+    });
+});
+
 /** Sends requests in turn to the gateways until the stored state is decided. */
 async function rollOut(
     behaviourOfNew: (id: string) => number,
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -248,6 +248,8 @@
     down = false;
     /** Whether calls are accepted and never answered. */
     silent = false;
+    /** Kinds of objects whose lists are refused. */
+    readonly refusedKinds = new Set<string>();
     /** Whether writes are applied and their answers lost. */
     loseWriteAnswers = false;
     readonly calls: string[] = [];
@@ -331,7 +333,7 @@
         const body = await readAll(request);
         this.calls.push(`${request.method} ${request.url}`);
         if (this.silent) return;
-        if (this.down) {
+        if (this.down || [...this.refusedKinds].some(kind => request.url?.startsWith(`/objects/${kind}`))) {
             response.writeHead(503).end();
             return;
         }
