Test that a signal to reload does not end a gateway whose program is being loaded

Change: a hook of the module loader delays the gateway's modules and says when loading begins; the signal is sent then.

--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -77,11 +77,12 @@
         });
     }
 
-    static spawn(kind: ProcessKind, name: string, file: string): Daemon {
+    /** `nodeArguments` are arguments of the runtime. */
+    static spawn(kind: ProcessKind, name: string, file: string, nodeArguments: readonly string[] = []): Daemon {
         const main = resolve("dist", MAINS[kind], "main.js");
         const command = kind === "standins" ? [] : [kind];
         const operands = kind === "gateway" ? [file] : [...command, "--settings", file];
-        const child = spawn(process.execPath, [main, ...operands], {
+        const child = spawn(process.execPath, [...nodeArguments, main, ...operands], {
             stdio: ["ignore", kind === "gateway" ? "pipe" : "ignore", "pipe"],
         });
         return new Daemon(name, child);
@@ -132,11 +133,11 @@
     }
 
     /** Writes settings to a file of their own and starts a process on them. */
-    spawn(kind: ProcessKind, name: string, settings: object | string): Daemon {
+    spawn(kind: ProcessKind, name: string, settings: object | string, nodeArguments: readonly string[] = []): Daemon {
         this.files += 1;
         const file = join(this.directory, `${name}-${this.files}.yaml`);
         writeFileSync(file, typeof settings === "string" ? settings : stringify(settings));
-        const daemon = Daemon.spawn(kind, name, file);
+        const daemon = Daemon.spawn(kind, name, file, nodeArguments);
         this.started.push(daemon);
         return daemon;
     }
--- a/test/processes/gateway.test.ts
+++ b/test/processes/gateway.test.ts
@@ -11,18 +11,41 @@
 let callers: string;
 let readiness: string;
 
-async function start(settings: Readonly<Record<string, unknown>> = {}): Promise<void> {
+/** Delays the loading of the gateway's modules, and says when it begins. */
+const SLOW_LOADING = `import { register } from "node:module";
+register("data:text/javascript," + encodeURIComponent(\`
+    import { writeSync } from "node:fs";
+    export async function load(url, context, next) {
+        if (url.endsWith("/daemon/gateway.js")) {
+            writeSync(2, "loading\\\\n");
+            await new Promise(resolve => setTimeout(resolve, 1_000));
+        }
+        return next(url, context);
+    }
+\`));`;
+
+async function start(
+    settings: Readonly<Record<string, unknown>> = {},
+    nodeArguments: readonly string[] = [],
+    whileLoading: () => Promise<void> = () => Promise.resolve(),
+): Promise<void> {
     callers = await freeAddress();
     readiness = await freeAddress();
-    gateway = group.spawn("gateway", "gateway", {
-        name: "gateway-1",
-        zone: "east",
-        callerAddress: callers,
-        readinessAddress: readiness,
-        peerAddress: await freeAddress(),
-        store: { address: platform.address, timeoutMilliseconds: 300 },
-        ...settings,
-    });
+    gateway = group.spawn(
+        "gateway",
+        "gateway",
+        {
+            name: "gateway-1",
+            zone: "east",
+            callerAddress: callers,
+            readinessAddress: readiness,
+            peerAddress: await freeAddress(),
+            store: { address: platform.address, timeoutMilliseconds: 300 },
+            ...settings,
+        },
+        nodeArguments,
+    );
+    await whileLoading();
     await gateway.logged('"started"');
 }
 
@@ -56,6 +79,15 @@
 });
 
 describe("a gateway process", () => {
+    it("survives a signal to reload that comes while its program is loaded", async () => {
+        const slowLoading = `data:text/javascript,${encodeURIComponent(SLOW_LOADING)}`;
+        await start({}, ["--import", slowLoading], async () => {
+            await gateway.logged("loading");
+            gateway.signal("SIGHUP");
+        });
+        await until("the gateway is ready", async () => (await readinessStatus()) === 200);
+    });
+
     it("serves, survives a reload, and ends a planned stop within its time without cutting an answer", async () => {
         await start({ stopGraceSeconds: 6 });
         await until("ready", async () => (await readinessStatus()) === 200);
