Let a seed determine the series of faults of a soak, and keep the seeds that failed

Cause: callers and faults drew from one generator in the order of their timing, so two runs of a seed had different faults, and a failure could not be repeated. Seeds that had failed were not kept.

Change: each fault draws from a generator of its own.

--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -6,8 +6,20 @@
 const { SOAK_SEED, SOAK_MINUTES, SOAK_GATEWAYS } = process.env;
 const IS_LONG = SOAK_SEED !== undefined;
 
-/** Seeds of CI; one that ever fails stays here, with its cause. */
 const SEEDS = IS_LONG ? [Number(SOAK_SEED)] : [1, 2];
+
+/**
+ * Seeds that have failed, with the cause where it is known. They failed beside other runs, so they run together. At that
+ * time a seed did not yet determine the series of faults.
+ */
+const FAILED_SEEDS: readonly { readonly seed: number; readonly cause: string }[] = [
+    { seed: 9, cause: "another run had taken a port, and its targets had the same names" },
+    { seed: 11, cause: "a signal to reload ended a gateway that was being loaded" },
+    { seed: 12, cause: "another run had taken the port of a gateway that was restarted" },
+    { seed: 24, cause: "without a configuration change, callers asked for a route that did not exist" },
+    { seed: 25, cause: "unknown; the output was not kept" },
+    { seed: 202, cause: "the same as for seed 24" },
+];
 const OPTIONS: Omit<SoakOptions, "seed"> = {
     milliseconds: IS_LONG ? Number(SOAK_MINUTES ?? 1) * 60_000 : 15_000,
     gateways: Number(SOAK_GATEWAYS ?? 3),
@@ -88,15 +100,25 @@
     });
 });
 
+async function expectAllKept(options: SoakOptions): Promise<void> {
+    const result = await Soak.run(options);
+    console.log(`soak seed ${options.seed}: ${JSON.stringify(result)}`);
+    expect(result.broken).toEqual([]);
+    expect(result.servedAfter).toBeGreaterThanOrEqual(0.9);
+}
+
 describe("a soak", () => {
     it.each(SEEDS)(
         "keeps all promises with seed %i",
-        async seed => {
-            const result = await Soak.run({ ...OPTIONS, seed });
-            console.log(`soak seed ${seed}: ${JSON.stringify(result)}`);
-            expect(result.broken).toEqual([]);
-            expect(result.servedAfter).toBeGreaterThanOrEqual(0.9);
-        },
+        seed => expectAllKept({ ...OPTIONS, seed }),
+        OPTIONS.milliseconds + 120_000,
+    );
+});
+
+describe.skipIf(IS_LONG)("soaks beside each other", () => {
+    it.concurrent.each(FAILED_SEEDS)(
+        "keep all promises with seed $seed, which failed: $cause",
+        ({ seed }) => expectAllKept({ ...OPTIONS, seed }),
         OPTIONS.milliseconds + 120_000,
     );
 });
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -35,12 +35,12 @@
 }
 
 const KINDS: readonly RequestKind[] = ["book", "check", "draft", "chat", "staged", "extra"];
-/** Prefix of the names of this run's requests and targets, so that none is taken for one of another run. */
-const RUN = `p${process.pid}`;
-
 const SERVICES: Readonly<Record<string, number>> = { bookings: 3, engines: 3, encode: 2, rank: 2 };
 const STOP_GRACE_SECONDS = 5;
 
+/** Largest number of faults of a run, which separates the generators of different seeds. */
+const FAULTS_PER_SEED = 100_000;
+
 /** Time in milliseconds after the last fault in which everything recovers, and number of requests that show it. */
 const RECOVERY_MS = 8_000;
 const REQUESTS_AFTER = 40;
@@ -56,7 +56,10 @@
 
 /** One run of the soak. */
 export class Soak {
-    private readonly random: () => number;
+    /** Draws for callers. Faults draw from generators of their own, so that a seed determines their series. */
+    private readonly callerRandom: () => number;
+    /** Prefix of the names of requests and targets, so that none is taken for one of another run. */
+    private readonly prefix: string;
     private readonly group = ProcessGroup.create();
     private readonly gateways: RunningGateway[] = [];
     private readonly targets = new Map<string, StandInTarget>();
@@ -68,13 +71,13 @@
     private readonly faults: Record<string, number> = {};
     private version = 1;
     private requests = 0;
-    private isEnding = false;
 
     private constructor(
         private readonly options: SoakOptions,
         private readonly platform: StandInPlatform,
     ) {
-        this.random = createRandom(options.seed);
+        this.callerRandom = createRandom(options.seed);
+        this.prefix = `p${process.pid}s${options.seed}`;
     }
 
     static async run(options: SoakOptions): Promise<SoakResult> {
@@ -90,7 +93,9 @@
     private async start(): Promise<void> {
         this.writeConfiguration();
         for (const [service, count] of Object.entries(SERVICES)) {
-            for (let index = 0; index < count; index += 1) await this.addTarget(service, `${RUN}-${service}-${index}`);
+            for (let index = 0; index < count; index += 1) {
+                await this.addTarget(service, `${this.prefix}-${service}-${index}`);
+            }
         }
         for (let index = 0; index < this.options.gateways; index += 1) await this.addGateway(`gateway-${index}`);
         await Promise.all(this.gateways.map(gateway => this.untilReady(gateway)));
@@ -102,12 +107,12 @@
             this.callUntil(() => performance.now() > end),
         );
         const pending: Promise<void>[] = [];
-        while (performance.now() < end) {
-            await pause(150 + this.random() * 900);
-            pending.push(this.causeFault());
+        for (let fault = 1; performance.now() < end; fault += 1) {
+            const random = createRandom(this.options.seed * FAULTS_PER_SEED + fault);
+            await pause(150 + random() * 900);
+            pending.push(this.causeFault(random));
         }
         await Promise.all([...callers, ...pending]);
-        this.isEnding = true;
         await pause(RECOVERY_MS);
         await Promise.all(this.gateways.map(gateway => this.untilReady(gateway)));
         const before = this.observations.length;
@@ -130,12 +135,6 @@
         for (const target of this.targets.values()) target.close();
     }
 
-    private pick<Item>(items: readonly Item[]): Item {
-        const item = items[Math.floor(this.random() * items.length)];
-        if (item === undefined) throw new Error("nothing to pick from");
-        return item;
-    }
-
     /** Writes a configuration whose version adds a route; earlier added routes stay. */
     private writeConfiguration(): void {
         const common = { Host: "desk.example", TimeoutMs: 4_000, TargetLatencyMs: 500, Priority: 1, Public: false };
@@ -204,18 +203,18 @@
         const agent = new Agent({ keepAlive: true });
         while (!isOver()) {
             await this.callOnce(agent);
-            await pause(5 + this.random() * 40);
+            await pause(5 + this.callerRandom() * 40);
         }
         agent.destroy();
     }
 
     private callOnce(agent: Agent): Promise<void> {
-        const gateway = this.pick(this.gateways);
+        const gateway = pick(this.callerRandom, this.gateways);
         // Until a configuration has added a route, there is none to ask for.
-        const kind = this.pick(this.version === 1 ? KINDS.filter(each => each !== "extra") : KINDS);
+        const kind = pick(this.callerRandom, this.version === 1 ? KINDS.filter(each => each !== "extra") : KINDS);
         this.requests += 1;
-        const id = `${RUN}-${this.requests}`;
-        const addedIn = kind === "extra" ? 2 + Math.floor(this.random() * (this.version - 1)) : undefined;
+        const id = `${this.prefix}-${this.requests}`;
+        const addedIn = kind === "extra" ? 2 + Math.floor(this.callerRandom() * (this.version - 1)) : undefined;
         const path = `/${kind === "extra" ? `extra-${addedIn}` : kind}/1`;
         const [host = "", port = ""] = String(gateway.settings.callerAddress).split(":");
         const startedAt = performance.now();
@@ -247,21 +246,21 @@
     }
 
     /** Causes one fault and resolves when it is over; others may begin meanwhile. */
-    private async causeFault(): Promise<void> {
+    private async causeFault(random: () => number): Promise<void> {
         const kinds: Readonly<Record<string, () => Promise<void>>> = {
-            pause: () => this.withGateway(gateway => this.pauseProcess(gateway)),
-            kill: () => this.withGateway(gateway => this.restart(gateway, "SIGKILL")),
-            stop: () => this.withGateway(gateway => this.restart(gateway, "SIGTERM")),
-            reload: () => Promise.resolve(this.pick(this.gateways).daemon.signal("SIGHUP")),
-            store: () => this.disturb(() => this.troubleProxy(this.pick(this.gateways).storeProxy)),
-            storeForAll: () => this.disturb(() => this.troubleStore()),
-            target: () => this.troubleProxy(this.pick(this.targetProxies)),
-            reset: () => Promise.resolve(this.pick(this.targetProxies).reset()),
+            pause: () => this.withGateway(random, gateway => this.pauseProcess(random, gateway)),
+            kill: () => this.withGateway(random, gateway => this.restart(random, gateway, "SIGKILL")),
+            stop: () => this.withGateway(random, gateway => this.restart(random, gateway, "SIGTERM")),
+            reload: () => Promise.resolve(pick(random, this.gateways).daemon.signal("SIGHUP")),
+            store: () => this.disturb(() => this.troubleProxy(random, pick(random, this.gateways).storeProxy)),
+            storeForAll: () => this.disturb(() => this.troubleStore(random)),
+            target: () => this.troubleProxy(random, pick(random, this.targetProxies)),
+            reset: () => Promise.resolve(pick(random, this.targetProxies).reset()),
             configuration: () => Promise.resolve(this.changeConfiguration()),
             drain: () => this.replaceTarget(),
             history: () => Promise.resolve(this.platform.compact()),
         };
-        const kind = this.pick(Object.keys(kinds));
+        const kind = pick(random, Object.keys(kinds));
         this.faults[kind] = (this.faults[kind] ?? 0) + 1;
         await kinds[kind]?.();
     }
@@ -272,8 +271,8 @@
     }
 
     /** Runs a fault on a gateway that no other fault restarts or pauses at the moment. */
-    private async withGateway(fault: (gateway: RunningGateway) => Promise<void>): Promise<void> {
-        const gateway = this.pick(this.gateways);
+    private async withGateway(random: () => number, fault: (gateway: RunningGateway) => Promise<void>): Promise<void> {
+        const gateway = pick(random, this.gateways);
         if (gateway.isChanging) return;
         gateway.isChanging = true;
         await this.disturb(() => fault(gateway));
@@ -287,16 +286,16 @@
         disturbance.until = performance.now();
     }
 
-    private async pauseProcess({ daemon }: RunningGateway): Promise<void> {
+    private async pauseProcess(random: () => number, { daemon }: RunningGateway): Promise<void> {
         daemon.signal("SIGSTOP");
-        await pause(200 + this.random() * 2_800);
+        await pause(200 + random() * 2_800);
         daemon.signal("SIGCONT");
     }
 
-    private async restart(gateway: RunningGateway, signal: NodeJS.Signals): Promise<void> {
+    private async restart(random: () => number, gateway: RunningGateway, signal: NodeJS.Signals): Promise<void> {
         gateway.daemon.signal(signal);
         await gateway.daemon.ended;
-        await pause(this.random() * 500);
+        await pause(random() * 500);
         for (;;) {
             gateway.starts += 1;
             const daemon = this.group.spawn("gateway", gateway.name, gateway.settings);
@@ -313,20 +312,20 @@
         }
     }
 
-    private async troubleProxy(proxy: FaultProxy): Promise<void> {
+    private async troubleProxy(random: () => number, proxy: FaultProxy): Promise<void> {
         const modes: readonly ProxyMode[] = ["slow", "silent", "oneWay", "refuse"];
-        proxy.mode = this.pick(modes);
+        proxy.mode = pick(random, modes);
         if (proxy.mode === "refuse") proxy.reset();
-        await pause(300 + this.random() * 2_500);
+        await pause(300 + random() * 2_500);
         proxy.mode = "pass";
         // Connections that lost bytes are of no use to either end.
         proxy.reset();
     }
 
-    private async troubleStore(): Promise<void> {
-        const fault = this.pick(["down", "silent", "loseWriteAnswers"] as const);
+    private async troubleStore(random: () => number): Promise<void> {
+        const fault = pick(random, ["down", "silent", "loseWriteAnswers"] as const);
         this.platform[fault] = true;
-        await pause(300 + this.random() * 2_500);
+        await pause(300 + random() * 2_500);
         this.platform[fault] = false;
         this.platform.cutConnections();
     }
@@ -335,14 +334,20 @@
     private async replaceTarget(): Promise<void> {
         const [id] = [...this.targets.keys()].filter(name => name.includes("-bookings-"));
         const target = id === undefined ? undefined : this.targets.get(id);
-        if (id === undefined || target === undefined || this.isEnding) return;
+        if (id === undefined || target === undefined) return;
         this.targets.delete(id);
         this.register("bookings", id, target.address, "draining");
         this.drained.push({ target: id, at: performance.now() });
-        await this.addTarget("bookings", `${RUN}-bookings-${this.drained.length + 10}`);
+        await this.addTarget("bookings", `${this.prefix}-bookings-${this.drained.length + 10}`);
         await pause(4_000);
         this.platform.remove("servers", id);
         await pause(1_000);
         target.close();
     }
 }
+
+function pick<Item>(random: () => number, items: readonly Item[]): Item {
+    const item = items[Math.floor(random() * items.length)];
+    if (item === undefined) throw new Error("nothing to pick from");
+    return item;
+}
