--- a/src/stages/openorders.ts
+++ b/src/stages/openorders.ts
@@ -10,6 +10,9 @@
 /** Time in milliseconds after its last connection closed for which an order may arrive again. */
 const REJOIN_MS = 100;
 
+/** Makes the pieces of an order. */
+type MakeOrder = (order: PeerOrder, signal: AbortSignal) => Promise<readonly PieceResult[]>;
+
 interface OpenOrder {
     readonly abort: AbortController;
     readonly results: Promise<readonly PieceResult[]>;
@@ -30,11 +33,7 @@
      * Returns the results of an order and runs it with `make` unless it is in progress. `connection` aborts when the
      * connection on which the order arrived closes; the order is cancelled when all its connections are closed.
      */
-    serve(
-        order: PeerOrder,
-        connection: AbortSignal,
-        make: (order: PeerOrder, signal: AbortSignal) => Promise<readonly PieceResult[]>,
-    ): Promise<readonly PieceResult[]> {
+    serve(order: PeerOrder, connection: AbortSignal, make: MakeOrder): Promise<readonly PieceResult[]> {
         const key = keyOf(order);
         const open = this.orders.get(key) ?? this.start(key, order, make);
         open.connections += 1;
@@ -47,11 +46,7 @@
         return open.results;
     }
 
-    private start(
-        key: string,
-        order: PeerOrder,
-        make: (order: PeerOrder, signal: AbortSignal) => Promise<readonly PieceResult[]>,
-    ): OpenOrder {
+    private start(key: string, order: PeerOrder, make: MakeOrder): OpenOrder {
         const abort = new AbortController();
         const results = make(order, abort.signal).finally(() => this.orders.delete(key));
         const open = { abort, results, connections: 0 };
