Log the prompt parts of attempts and streams that break

The lines named target and reason of a broken attempt, but not what the broken requests have in common, so they did not tell a request that crashes targets from load.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -21,6 +21,9 @@
 /** Number of targets that may decline a request before it is refused. */
 const MAXIMUM_DECLINES = 2;
 
+/** Maximum number of prompt parts in one log line. */
+const MAXIMUM_LOGGED_PARTS = 8;
+
 /** Options of one attempt. */
 export interface AttemptOptions {
     readonly inputs: readonly StageResult[];
@@ -132,7 +135,7 @@
                 return "again";
             case "broken":
                 targets.recordFailure(target, this.request.route.name);
-                this.logDecision("attempt broken", target, { reason: outcome.reason });
+                this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
                 return { outcome: "failed", status: 502, reason: outcome.reason };
             case "expired":
                 if (outcome.sent) targets.recordExpired(target, this.request.route.name);
@@ -168,6 +171,14 @@
         return this.takeRetry();
     }
 
+    /** Ids of the prompt parts that other requests may share, as far as they fit into a log line. */
+    get loggedParts(): readonly string[] {
+        return this.request.metadata.promptParts
+            .slice(0, -1)
+            .slice(0, MAXIMUM_LOGGED_PARTS)
+            .map(({ id }) => id);
+    }
+
     private takeRetry(): boolean {
         const { service, metadata } = this.request;
         const budget = this.context.retryBudgetOf(service);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -328,6 +328,7 @@
                 target: target.name,
                 reason: streamFailure.reason,
                 delivered: writer.lastDeliveredEventId,
+                parts: attempts.loggedParts,
             });
             failure = streamFailure;
         }
