--- /dev/null
+++ b/test/gateway/crashingpart.test.ts
@@ -0,0 +1,90 @@
+/**
+ * Requests whose prompts share one part crash each engine that begins to answer them. The gateways must recognise the
+ * part from few crashes and refuse such requests at once; requests that share only the other parts keep being served.
+ */
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { Deployment, type CallAnswer } from "./harness.js";
+
+/** Number of crashes after which the part is known, and of requests that may still reach targets then. */
+const CRASHES_TO_RECOGNISE = 5;
+const REQUESTS_AFTER_RECOGNITION = 3;
+
+const DOWN_MS = 120;
+const ROUNDS = 30;
+
+let deployment: Deployment;
+
+afterEach(() => deployment.close());
+
+function crashOn(part: string): void {
+    for (const target of deployment.targets.values()) {
+        target.behaviour = ({ headers }) =>
+            String(headers["x-parsleyrun-prefix-hash"]).includes(`${part}:`)
+                ? { kind: "crash", downMs: DOWN_MS }
+                : { kind: "stream", events: 3 };
+    }
+}
+
+function crashes(): number {
+    return [...deployment.targets.values()].reduce((sum, { crashCount }) => sum + crashCount, 0);
+}
+
+function ask(id: string, path: string, parts: readonly string[], gateway: number): Promise<CallAnswer> {
+    const prompt = [...parts, `own-${id}`].map(part => `${part}:100`).join(",");
+    const headers = { "x-parsleyrun-prefix-hash": prompt, "x-parsleyrun-token-count": "400,10" };
+    return deployment.call({ id, path, body: `body of ${id}`, headers }, gateway);
+}
+
+describe("a prompt part that crashes targets", () => {
+    it.each([
+        { where: "before a part that sound requests share", deadly: ["first", "deadly", "shared"] },
+        { where: "after the parts that sound requests share", deadly: ["first", "shared", "deadly"] },
+    ])("is recognised by all gateways when it is $where", async ({ deadly }) => {
+        deployment = await Deployment.start({ engines: 6 }, 3);
+        crashOn("deadly");
+        const sound: CallAnswer[] = [];
+        for (let round = 0; round < ROUNDS; round += 1) {
+            const [deadlyAnswer, soundAnswer] = await Promise.all([
+                ask(`deadly-${round}`, "/chat/1", deadly, round % 3),
+                ask(`sound-${round}`, "/chat/1", ["first", "shared"], (round + 1) % 3),
+            ]);
+            expect(deadlyAnswer.status).not.toBe(200);
+            sound.push(soundAnswer);
+        }
+        expect(crashes()).toBeLessThanOrEqual(CRASHES_TO_RECOGNISE + REQUESTS_AFTER_RECOGNITION);
+        const later = sound.slice(ROUNDS / 2);
+        expect(later.filter(({ status, complete }) => status === 200 && complete)).toHaveLength(later.length);
+    });
+
+    it("is refused before any stage is run, with the time to come back", async () => {
+        deployment = await Deployment.start({ engines: 4, encode: 1, rank: 1 });
+        crashOn("deadly");
+        const pieces = { "x-parsleyrun-pieces": "1,1", "x-parsleyrun-piece-key": "key" };
+        const staged = (id: string): Promise<CallAnswer> =>
+            deployment.call({
+                id,
+                path: "/staged/1",
+                body: id,
+                headers: { ...pieces, "x-parsleyrun-prefix-hash": `deadly:100,own-${id}:100` },
+            });
+        for (let round = 0; round < CRASHES_TO_RECOGNISE; round += 1) await staged(`staged-${round}`);
+        const callsBefore = deployment.target("encode-0").pieceCalls.length;
+        const answer = await staged("last");
+        expect(answer.status).toBe(503);
+        expect(Number(answer.headers["retry-after"])).toBeGreaterThan(0);
+        expect(deployment.target("encode-0").pieceCalls).toHaveLength(callsBefore);
+    });
+
+    it("is known to a gateway that starts later", async () => {
+        deployment = await Deployment.start({ engines: 6 }, 2);
+        crashOn("deadly");
+        for (let round = 0; round < CRASHES_TO_RECOGNISE; round += 1) {
+            await ask(`deadly-${round}`, "/draft/1", ["deadly"], round % 2);
+        }
+        await deployment.addGateway("gateway-2");
+        await vi.waitFor(async () => expect(await deployment.isReady(2)).toBe(true), 3_000);
+        const before = crashes();
+        expect((await ask("later", "/draft/1", ["deadly"], 2)).status).toBe(503);
+        expect(crashes()).toBe(before);
+    });
+});
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -23,6 +23,8 @@
     | { readonly kind: "endless"; readonly first: string; readonly repeated: string }
     | { readonly kind: "full" }
     | { readonly kind: "inputsGone" }
+    /** Writes the head of a response; then the target is down for `downMs`, and listens again at its address. */
+    | { readonly kind: "crash"; readonly downMs: number }
     | { readonly kind: "reset" }
     | { readonly kind: "silent" }
     | { readonly kind: "truncate" }
@@ -32,6 +34,9 @@
     | { readonly kind: "unframedReset" }
     | { readonly kind: "unframed" };
 
+/** Time in milliseconds in which the head of a response arrives before its target crashes. */
+const HEAD_TRANSIT_MS = 5;
+
 /** Size in bytes of the parts in which endless answers are written. */
 const ENDLESS_CHUNK_BYTES = 16_384;
 
@@ -57,6 +62,8 @@
     /** Ids of requests whose connection was closed before the response had ended. */
     readonly abandoned: string[] = [];
     address = "";
+    /** Number of times that the target has crashed. */
+    crashCount = 0;
     behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
     /** Bytes of endless answers that were written, and the number of their connections that callers closed. */
     endlessBytes = 0;
@@ -93,6 +100,16 @@
         for (const socket of this.sockets) socket.destroy();
     }
 
+    /** Closes the listener and resets all connections; listens again after a time. */
+    private crash(downMs: number): void {
+        if (!this.server.listening) return;
+        this.crashCount += 1;
+        this.server.close();
+        for (const socket of this.sockets) socket.resetAndDestroy();
+        const [host = "", port = ""] = this.address.split(":");
+        setTimeout(() => this.server.listen(Number(port), host), downMs);
+    }
+
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readAll(request);
         const expected = request.headers["x-parsleyrun-expect-instance"];
@@ -137,6 +154,11 @@
             case "inputsGone":
                 response.writeHead(409, { "x-parsleyrun-not-executed": "1" }).end();
                 return;
+            case "crash":
+                response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
+                response.flushHeaders();
+                setTimeout(() => this.crash(behaviour.downMs), HEAD_TRANSIT_MS);
+                return;
             case "reset":
                 socket?.resetAndDestroy();
                 return;
