Recognise requests that crash targets, and refuse them at once

Each crash cut the streams of others; in the seconds after the fifth crash no engine was left.

Cause: nothing related a crash to what the requests at the target had in common. Gateways that had seen nine and thirteen crashes with the same parts sent the next such request like any other; the two that had seen none of the first five could not know at all. Ruled out: load (each crash has a stream with a response head and no event, always with the same three parts; no other part is in more than 5 of 24 crashes).

Change: a crash (broken connection before the request was served, and connections refused) is held against the prompt parts and the content hash of the requests at the target. Gateways spread crashes and served requests by gossip and judge them alike. Two crashes without a served request in between lead to trials, one at a time; a failed trial blocks the trait for 60 s, then 600 s. Requests with all traits of a crash wait until others have cleared the harmless ones. They are refused before their stages.

Why it works: a part that crashes every target is never served, so nothing clears it; what it shares with sound requests is cleared by the first one that is served.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -56,6 +56,9 @@
 /** Time for removing the registration and writing the last log lines. */
 const LAST_WRITES_MS = 200;
 
+/** Time for a gateway that starts to learn what the others have observed. */
+const LEARN_TIMEOUT_MS = 300;
+
 /** Starts a gateway. It listens at once, and becomes ready when configuration and targets are known. */
 export async function startGateway(
     initialSettings: GatewaySettings,
@@ -133,7 +136,9 @@
     }
     const feed = GatewayFeed.start({ store, source, gateway, peers, onChange });
     log.writeUnthrottled("started", { zone: settings.zone, callers: settings.callerAddress });
-    void feed.ready.then(() => {
+    const isInformed = feed.ready.then(async () => {
+        // Not required: a gateway serves without the others, but may then repeat what they have learned.
+        await Promise.race([feed.peersReady.then(() => gateway.gossip.learn()), pause(LEARN_TIMEOUT_MS)]);
         gateway.setInformed();
         log.writeUnthrottled("store followed", {
             afterMs: Math.round(performance.now() - startedAt),
@@ -142,7 +147,7 @@
         });
     });
     // Other gateways send pieces to a registered gateway, so it registers only once it knows the targets.
-    void feed.ready.then(() => peers.register(store, () => isStopping));
+    void isInformed.then(() => peers.register(store, () => isStopping));
 
     const kill = async (): Promise<void> => {
         isStopping = true;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,7 +15,7 @@
     type RequestOptions,
 } from "node:http";
 import { connect, type Socket } from "node:net";
-import type { Deadline } from "../model/index.js";
+import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 
 /** The request to send. */
@@ -64,6 +64,9 @@
  */
 export const CONNECT_TIMEOUT_MS = 300;
 
+/** Time in milliseconds in which a machine refuses a connection for which no process listens. */
+const REFUSAL_TIMEOUT_MS = 100;
+
 /**
  * Maximum number of bytes of a response until the end of its head, with provisional responses and empty lines, which the
  * parser does not limit.
@@ -73,6 +76,9 @@
 /** Reason of an attempt whose response head did not come in time. */
 export const NO_ANSWER_IN_TIME = "no answer in time";
 
+/** Reason of an attempt whose response head exceeds the limit. */
+export const HEAD_TOO_LONG = "response head is too long";
+
 /** Time limits and callbacks of one attempt. */
 export interface AttemptLimits {
     readonly deadline: Deadline;
@@ -149,6 +155,16 @@
     });
 }
 
+/** Whether connections to an address are refused at once, as they are when no process listens there. */
+export async function refusesConnections(address: string): Promise<boolean> {
+    const outcome = await openConnection(address, {
+        deadline: Deadline.after(REFUSAL_TIMEOUT_MS),
+        signal: NEVER_ABORTED,
+    });
+    if (outcome.kind === "connected") outcome.socket.destroy();
+    return outcome.kind === "unreachable";
+}
+
 function sendOnConnection(
     connection: Pick<RequestOptions, "agent" | "createConnection" | "host" | "port">,
     attemptRequest: AttemptRequest,
@@ -186,7 +202,7 @@
         let headBytes = 0;
         const countHeadBytes = (chunk: Buffer): void => {
             headBytes += chunk.length;
-            if (headBytes > MAXIMUM_HEAD_BYTES) finish({ kind: "broken", reason: "response head is too long" });
+            if (headBytes > MAXIMUM_HEAD_BYTES) finish({ kind: "broken", reason: HEAD_TOO_LONG });
         };
         outgoing.once("socket", socket => {
             socket.on("data", countHeadBytes);
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -4,9 +4,10 @@
  */
 import { pause } from "../model/pause.js";
 import type { StageResult } from "../stages/index.js";
-import { type AttemptOutcome, sendAttempt } from "./attempt.js";
+import { type AttemptOutcome, HEAD_TOO_LONG, NO_ANSWER_IN_TIME, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
+import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
 import type { Target } from "./target.js";
 
@@ -21,6 +22,9 @@
 /** Number of targets that may decline a request before it is refused. */
 const MAXIMUM_DECLINES = 2;
 
+/** Time in milliseconds after which a request may come back that waited for another one's trial. */
+const TRIAL_RETRY_MS = 500;
+
 /** Maximum number of prompt parts in one log line. */
 const MAXIMUM_LOGGED_PARTS = 8;
 
@@ -39,6 +43,9 @@
     count = 0;
     private readonly triedNames = new Set<string>();
     private declinedCount = 0;
+    private trial: Extract<Admission, { kind: "trial" }> | undefined;
+    private hasBeenServed = false;
+    private holdBack: { readonly retryAfterMs: number } | undefined;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -54,6 +61,68 @@
         return [...this.triedNames];
     }
 
+    /** Time in milliseconds after which a request may come back that was not admitted; undefined for others. */
+    get admissionRetryMs(): number | undefined {
+        return this.holdBack?.retryAfterMs;
+    }
+
+    /** Whether the request may be sent, as it is not suspected of crashing targets. Waits a limited time for a trial. */
+    async waitForAdmission(): Promise<boolean> {
+        const { suspects, onDecision } = this.context;
+        const { traits, deadline, signal, metadata } = this.request;
+        const waitUntil = performance.now() + deadline.remainingMs() * TARGET_WAIT_SHARE;
+        for (;;) {
+            const admission = suspects.admission(traits);
+            if (admission.kind === "admitted" || this.trial !== undefined) return true;
+            if (admission.kind === "trial" && suspects.startTrial(admission.traits)) {
+                this.trial = admission;
+                onDecision("trial started", { id: metadata.requestId, traits: admission.traits });
+                return true;
+            }
+            const isOver = signal.aborted || performance.now() >= waitUntil;
+            if (admission.kind === "trial" && !isOver) {
+                await pause(TARGET_RECHECK_MS);
+                continue;
+            }
+            const retryAfterMs = admission.kind === "refused" ? admission.retryAfterMs : TRIAL_RETRY_MS;
+            this.holdBack = { retryAfterMs };
+            onDecision("request held back", { id: metadata.requestId, ...admission });
+            return false;
+        }
+    }
+
+    /** Ends the request's trial, if it has one. */
+    endTrial(): void {
+        if (this.trial !== undefined) this.context.suspects.endTrial(this.trial.traits);
+        this.trial = undefined;
+    }
+
+    /** Records that a target has served the request: it responded completely, or with the first event. */
+    recordServed(): void {
+        this.hasBeenServed = true;
+        this.context.suspects.recordServed(this.request.traits);
+        this.endTrial();
+    }
+
+    /**
+     * Finds out whether the target of a broken attempt has crashed, and records it. A request that another target has
+     * served does not crash targets.
+     */
+    async checkForCrash(target: Target, isResponding: boolean): Promise<void> {
+        if (this.hasBeenServed || target.registration.state !== "available") return;
+        if (!(await refusesConnections(target.registration.address))) return;
+        const { traits } = this.request;
+        const tried = this.trial?.isConclusive === true ? this.trial.traits : [];
+        this.logDecision("target crashed", target, {
+            isResponding,
+            traits: traits.slice(0, MAXIMUM_LOGGED_PARTS),
+            tried,
+        });
+        this.context.targets.recordUnreachable(target);
+        this.context.suspects.recordCrash(target, { traits, isResponding, tried });
+        this.endTrial();
+    }
+
     /** Chooses a usable target, preferably an untried one. Waits a limited time when there is none. */
     async chooseTarget(inputs: readonly StageResult[]): Promise<Target | undefined> {
         const { request, context } = this;
@@ -124,7 +193,10 @@
      * Records an attempt without a response. Returns the request's result in case it is not retried, or `again` when
      * nothing was sent.
      */
-    handleUnanswered(target: Target, outcome: Exclude<AttemptOutcome, { kind: "answered" }>): ExchangeResult | "again" {
+    async handleUnanswered(
+        target: Target,
+        outcome: Exclude<AttemptOutcome, { kind: "answered" }>,
+    ): Promise<ExchangeResult | "again"> {
         const { targets } = this.context;
         targets.recordEnded(target);
         switch (outcome.kind) {
@@ -136,6 +208,9 @@
             case "broken":
                 targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
+                if (outcome.reason !== NO_ANSWER_IN_TIME && outcome.reason !== HEAD_TOO_LONG) {
+                    await this.checkForCrash(target, false);
+                }
                 return { outcome: "failed", status: 502, reason: outcome.reason };
             case "expired":
                 if (outcome.sent) targets.recordExpired(target, this.request.route.name);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,11 +19,15 @@
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { callerWaitLimitMs, firstEventTimeoutMs, eventGapTimeoutMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
+import { traitsOf } from "./suspects.js";
 import type { Target } from "./target.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
 const NO_TARGET_RETRY_MS = 500;
 
+/** Reason of refusals of requests that may crash targets. */
+const HELD_BACK = "request may crash targets";
+
 /** Size limit in bytes of a response that is buffered until it is complete. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
@@ -100,17 +104,27 @@
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
         const service = chooseService(route.services, Math.random);
         if (service === undefined) return this.refuse("route has no service", NO_TARGET_RETRY_MS);
+        const content = {
+            method: this.incoming.method ?? "GET",
+            path: this.incoming.url ?? "/",
+            accountName: account?.name,
+            body: body.length > 0 || this.incoming.headers["content-length"] !== undefined ? body : undefined,
+        };
+        const traits = traitsOf({ ...content, promptParts: metadata.promptParts });
+        const admission = this.context.suspects.admission(traits);
+        if (admission.kind === "refused") {
+            this.context.onDecision("request held back", { id: metadata.requestId, ...admission });
+            return this.refuse(HELD_BACK, admission.retryAfterMs);
+        }
         this.context.retryBudgetOf(service).deposit();
         return this.serveRouted({
             route,
             service,
-            metadata: metadata,
-            accountName: account?.name,
+            metadata,
+            ...content,
             priority: account?.priority ?? route.priority,
-            method: this.incoming.method ?? "GET",
-            path: this.incoming.url ?? "/",
             rawHeaders: this.incoming.rawHeaders,
-            body: body.length > 0 || this.incoming.headers["content-length"] !== undefined ? body : undefined,
+            traits,
             deadline,
             receivedAt: this.receivedAt,
             signal: this.abortController.signal,
@@ -134,6 +148,7 @@
                 ? await this.serveStream(request, attempts, inputs, release)
                 : await this.serveCall(request, attempts, inputs);
         } finally {
+            attempts.endTrial();
             release();
         }
     }
@@ -192,12 +207,13 @@
         let failure: ExchangeResult | undefined;
         let errorResponse: { readonly head: ResponseHead; readonly bytes: Buffer } | undefined;
         while (failure === undefined || attempts.mayRetry()) {
+            if (!(await attempts.waitForAdmission())) break;
             const target = await attempts.chooseTarget(inputs);
             if (target === undefined) break;
             const startedAt = performance.now();
             const attempt = await attempts.send(target, { inputs });
             if (attempt.kind !== "answered") {
-                const unanswered = attempts.handleUnanswered(target, attempt);
+                const unanswered = await attempts.handleUnanswered(target, attempt);
                 if (unanswered === "again") continue;
                 if (isFinal(unanswered)) {
                     return this.respondUnlessCancelled(
@@ -222,6 +238,7 @@
                 responseMetadata.requestId === undefined || responseMetadata.requestId === request.metadata.requestId;
             if (outcome.kind !== "complete" || !isOwnResponse) {
                 this.context.targets.recordFailure(target, request.route.name);
+                if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
                 failure = {
                     outcome: "failed",
                     status: 502,
@@ -230,6 +247,7 @@
                 if (outcome.kind === "expired") return this.respond("expired", 504, "answer took too long");
                 continue;
             }
+            attempts.recordServed();
             if (attempt.head.status >= 500) {
                 this.context.targets.recordFailure(target, request.route.name);
                 errorResponse = { head: attempt.head, bytes };
@@ -245,7 +263,7 @@
         }
         if (errorResponse !== undefined) return this.respondWith(errorResponse.head, errorResponse.bytes);
         if (failure !== undefined) return this.respondUnlessCancelled(failure);
-        return this.endWithoutTarget(request);
+        return this.endUnsent(request, attempts);
     }
 
     /**
@@ -262,6 +280,7 @@
         );
         let failure: ExchangeResult | undefined;
         while (failure === undefined || attempts.mayRetry()) {
+            if (!(await attempts.waitForAdmission())) break;
             const target = await attempts.chooseTarget(inputs);
             if (target === undefined) break;
             const promptTokens = attempts.uncachedTokens(target);
@@ -274,7 +293,7 @@
             });
             if (attempt.kind !== "answered") {
                 this.context.targets.recordPromptRead(target, promptTokens);
-                const unanswered = attempts.handleUnanswered(target, attempt);
+                const unanswered = await attempts.handleUnanswered(target, attempt);
                 if (unanswered === "again") continue;
                 if (isFinal(unanswered)) {
                     return this.endBrokenStream(
@@ -305,7 +324,10 @@
                 }
                 continue;
             }
+            let hasEvent = false;
             const streamFailure = await this.forwardStream(request, target, attempt.head, attempt.body, writer, () => {
+                hasEvent = true;
+                attempts.recordServed();
                 this.firstEventMs ??= performance.now() - this.receivedAt;
                 this.context.firstEventTimes.record(request.route.name, performance.now() - startedAt);
                 this.context.targets.recordPromptRead(target, promptTokens);
@@ -330,10 +352,11 @@
                 delivered: writer.lastDeliveredEventId,
                 parts: attempts.loggedParts,
             });
+            if (!hasEvent) await attempts.checkForCrash(target, true);
             failure = streamFailure;
         }
         if (failure !== undefined) return this.endBrokenStream(writer, failure);
-        return this.endWithoutTarget(request);
+        return this.endUnsent(request, attempts);
     }
 
     /** Forwards a stream to its end. Returns undefined when the stream is complete, otherwise why it is not. */
@@ -380,8 +403,10 @@
         }
     }
 
-    private endWithoutTarget(request: RoutedRequest): ExchangeResult {
+    /** Refuses a request that no target has run. */
+    private endUnsent(request: RoutedRequest, attempts: Attempts): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
+        if (attempts.admissionRetryMs !== undefined) return this.refuse(HELD_BACK, attempts.admissionRetryMs);
         return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -56,6 +56,8 @@
 export class GatewayFeed {
     /** Resolves when all is known that decides where requests may go. */
     readonly ready: Promise<void>;
+    /** Resolves when the other gateways are known. */
+    readonly peersReady: Promise<void>;
     private readonly views: readonly StoreView[];
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
 
@@ -88,6 +90,7 @@
         });
         const rollouts = watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event));
         this.views = [configuration, targets, closedZones, gateways, rollouts];
+        this.peersReady = gateways.ready;
         const required = [configuration, targets, closedZones, rollouts];
         this.ready = Promise.all(required.map(view => view.ready)).then(() => undefined);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,8 @@
 import { Deadline } from "../model/index.js";
 import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
+import { Gossip } from "./gossip.js";
+import { Suspects } from "./suspects.js";
 import { FirstEventTimes } from "./firstevent.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
@@ -34,6 +36,8 @@
     readonly configuration: () => GatewayConfiguration | undefined;
     readonly targets: TargetDirectory;
     readonly rollouts: Rollouts;
+    /** Requests that may crash targets. */
+    readonly suspects: Suspects;
     /** The target that holds a stage result; undefined if it is not registered. */
     readonly holderOf: (handle: string) => Target | undefined;
     readonly prefixCaches: PrefixCacheTracker;
@@ -88,6 +92,8 @@
     readonly targets: TargetDirectory;
     readonly pieceRouter: PieceRouter;
     readonly rolloutController: RolloutController;
+    readonly gossip: Gossip;
+    private readonly suspects: Suspects;
     private readonly peerCalls = PeerCalls.create();
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
@@ -135,6 +141,8 @@
             onPeerCall: options.onPeerCall,
             eventLoopDelayMs: options.eventLoopDelayMs,
         });
+        this.suspects = Suspects.create(() => this.gossip.spread(), onChange);
+        this.gossip = Gossip.start({ peers, peerCalls: this.peerCalls, knowledge: this.suspects, onChange });
         this.schedule = StageSchedule.create({
             capacity: service => this.currentConfiguration?.service(service)?.stage,
             waitMs: service => this.pieceRouter.recentWaitMs(service),
@@ -145,6 +153,7 @@
             configuration: () => (this.informed ? this.currentConfiguration : undefined),
             targets: this.targets,
             rollouts: this.rollouts,
+            suspects: this.suspects,
             holderOf: handle => this.holderOf(handle),
             prefixCaches: prefixMemory,
             firstEventTimes: this.firstEventTimes,
@@ -198,6 +207,7 @@
     stop(): void {
         this.pieceRouter.stop();
         this.rolloutController.stop();
+        this.gossip.stop();
         this.peerCalls.close();
     }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import type { ConnectionLimits } from "./configuration.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
+import { NEWS_PATH } from "./gossip.js";
 import { OBSERVATIONS_PATH } from "./rolloutcontroller.js";
 import { readRequestBody } from "./requestbody.js";
 
@@ -131,8 +132,9 @@
     }
     const body = read.toString();
     if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, body, response);
-    if (request.url === OBSERVATIONS_PATH) {
-        const answer = gateway.rolloutController.receive(body);
+    if (request.url === OBSERVATIONS_PATH || request.url === NEWS_PATH) {
+        const receiver = request.url === NEWS_PATH ? gateway.gossip : gateway.rolloutController;
+        const answer = receiver.receive(body);
         response.writeHead(answer === undefined ? 400 : 200, { "content-type": "application/json" });
         response.end(answer ?? "");
         return;
--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -18,6 +18,7 @@
 
 function crashOn(part: string): void {
     for (const target of deployment.targets.values()) {
+        target.onRestart = () => deployment.register("engines", target.id, { born: 1_000 + target.crashCount });
         target.behaviour = ({ headers }) =>
             String(headers["x-parsleyrun-prefix-hash"]).includes(`${part}:`)
                 ? { kind: "crash", downMs: DOWN_MS }
--- /dev/null
+++ b/test/gateway/suspects.test.ts
@@ -0,0 +1,133 @@
+/**
+ * Which requests are held back after crashes, for how long, and whether gateways that exchange what they know agree.
+ */
+import fc from "fast-check";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { Suspects } from "../../src/gateway/suspects.js";
+import type { Target } from "../../src/gateway/target.js";
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+function target(id: string, incarnation = 1): Target {
+    return { name: id, registration: { id, incarnation } } as Target;
+}
+
+function crash(suspects: Suspects, id: string, traits: readonly string[], tried: readonly string[] = []): void {
+    suspects.recordCrash(target(id), { traits, isResponding: true, tried });
+}
+
+describe("Suspects", () => {
+    it("admits requests after one crash, and tries them after two", () => {
+        const suspects = Suspects.create();
+        crash(suspects, "t1", ["a"]);
+        expect(suspects.admission(["a"])).toEqual({ kind: "admitted" });
+        vi.advanceTimersByTime(200);
+        crash(suspects, "t2", ["a"]);
+        expect(suspects.admission(["a"])).toEqual({ kind: "trial", traits: ["a"], isConclusive: true });
+        expect(suspects.admission(["b"])).toEqual({ kind: "admitted" });
+    });
+
+    it("counts one crash that several requests and gateways report once", () => {
+        const [first, second] = [Suspects.create(), Suspects.create()];
+        crash(first, "t1", ["a"]);
+        crash(first, "t1", ["a"]);
+        crash(second, "t1", ["a"]);
+        vi.advanceTimersByTime(30);
+        first.merge(second.news());
+        expect(first.admission(["a"])).toEqual({ kind: "admitted" });
+    });
+
+    it("has one trial at a time", () => {
+        const suspects = Suspects.create();
+        expect(suspects.startTrial(["a", "b"])).toBe(true);
+        expect(suspects.startTrial(["b"])).toBe(false);
+        suspects.endTrial(["a", "b"]);
+        expect(suspects.startTrial(["b"])).toBe(true);
+    });
+
+    it.each([
+        { failedTrials: 1, refusedMs: 59_000, triedMs: 61_000 },
+        { failedTrials: 2, refusedMs: 599_000, triedMs: 601_000 },
+    ])("refuses a trait after $failedTrials failed trials for a time", ({ failedTrials, refusedMs, triedMs }) => {
+        const suspects = Suspects.create();
+        for (let index = 0; index < 2 + failedTrials; index += 1) {
+            crash(suspects, `t${index}`, ["a"], index < 2 ? [] : ["a"]);
+            vi.advanceTimersByTime(200);
+        }
+        vi.advanceTimersByTime(refusedMs - 200);
+        expect(suspects.admission(["a", "b"])).toMatchObject({ kind: "refused", trait: "a" });
+        vi.advanceTimersByTime(triedMs - refusedMs);
+        expect(suspects.admission(["a", "b"]).kind).toBe("trial");
+    });
+
+    it("lets requests with some of the traits of a crash show which are harmless", () => {
+        const suspects = Suspects.create();
+        for (const id of ["t1", "t2"]) crash(suspects, id, ["first", "deadly"]);
+        expect(suspects.admission(["first", "deadly"])).toMatchObject({ kind: "refused" });
+        expect(suspects.admission(["first", "other"])).toMatchObject({ kind: "trial", traits: ["first"] });
+        vi.advanceTimersByTime(10);
+        suspects.recordServed(["first", "other"]);
+        expect(suspects.admission(["first", "other"])).toEqual({ kind: "admitted" });
+        expect(suspects.admission(["first", "deadly"])).toMatchObject({ kind: "trial", traits: ["deadly"] });
+    });
+
+    it("tries traits together when no other request tells them apart", () => {
+        const suspects = Suspects.create();
+        for (const id of ["t1", "t2"]) crash(suspects, id, ["a", "b"]);
+        vi.advanceTimersByTime(10_100);
+        expect(suspects.admission(["a", "b"])).toEqual({ kind: "trial", traits: ["a", "b"], isConclusive: true });
+    });
+
+    it("forgets crashes", () => {
+        const suspects = Suspects.create();
+        for (const id of ["t1", "t2"]) crash(suspects, id, ["a"]);
+        vi.advanceTimersByTime(901_000);
+        expect(suspects.admission(["a"])).toEqual({ kind: "admitted" });
+        expect(suspects.isEmpty).toBe(true);
+    });
+
+    it.each([
+        { text: "" },
+        { text: "{}" },
+        { text: '{"crashes":[{"target":1}],"served":[]}' },
+        { text: '{"crashes":[],"served":[{"trait":"a"}]}' },
+    ])("does not take over malformed news: $text", ({ text }) => {
+        expect(Suspects.create().merge(text)).toBe(false);
+    });
+
+    it("reaches the same judgement at all gateways, in whatever order news arrives", () => {
+        const trait = fc.constantFrom("a", "b", "c");
+        const step = fc.record({
+            gateway: fc.nat(2),
+            crashes: fc.boolean(),
+            target: fc.nat(5),
+            traits: fc.uniqueArray(trait, { minLength: 1 }),
+            exchangeWith: fc.nat(2),
+        });
+        fc.assert(
+            fc.property(fc.array(step, { maxLength: 12 }), steps => {
+                const gateways = [Suspects.create(), Suspects.create(), Suspects.create()];
+                for (const { gateway, crashes, target: number, traits, exchangeWith } of steps) {
+                    const suspects = gateways[gateway] as Suspects;
+                    if (crashes) crash(suspects, `t${number}`, traits);
+                    else suspects.recordServed(traits);
+                    (gateways[exchangeWith] as Suspects).merge(suspects.news());
+                    vi.advanceTimersByTime(5_000);
+                }
+                for (let round = 0; round < 3; round += 1) {
+                    for (const from of gateways) for (const to of gateways) to.merge(from.news());
+                }
+                for (const traits of [["a"], ["b"], ["c"]]) {
+                    const [kind, ...others] = gateways.map(suspects => suspects.admission(traits).kind);
+                    for (const other of others) expect(other).toBe(kind);
+                }
+            }),
+            { seed: 22, numRuns: 200 },
+        );
+    });
+});
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -64,6 +64,8 @@
     address = "";
     /** Number of times that the target has crashed. */
     crashCount = 0;
+    /** Called when the target is back after a crash. */
+    onRestart: () => void = () => undefined;
     behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
     /** Bytes of endless answers that were written, and the number of their connections that callers closed. */
     endlessBytes = 0;
@@ -107,7 +109,7 @@
         this.server.close();
         for (const socket of this.sockets) socket.resetAndDestroy();
         const [host = "", port = ""] = this.address.split(":");
-        setTimeout(() => this.server.listen(Number(port), host), downMs);
+        setTimeout(() => this.server.listen(Number(port), host, () => this.onRestart()), downMs);
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
