--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -58,6 +58,8 @@
     /** Whether another target has the address now. */
     readonly wrongTarget: boolean;
     readonly load: TargetLoad | undefined;
+    /** Requests a second that the target takes from all gateways together; undefined if it names no limit. */
+    readonly limitPerSecond: number | undefined;
 }
 
 /** Request to a target for one piece of a stage. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -224,6 +224,7 @@
                 continue;
             }
             const responseMetadata = this.context.dialect.readResponse(attempt.head.status, attempt.head.headers);
+            this.context.targets.recordReport(target, responseMetadata);
             const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
             this.context.targets.recordEnded(target);
             if (responseMetadata.notExecuted) {
@@ -305,7 +306,7 @@
                 continue;
             }
             const responseMetadata = this.context.dialect.readResponse(attempt.head.status, attempt.head.headers);
-            this.context.targets.recordLoad(target, responseMetadata.load);
+            this.context.targets.recordReport(target, responseMetadata);
             if (attempt.head.status !== 200) {
                 const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
                 this.context.targets.recordPromptRead(target, promptTokens);
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -7,7 +7,7 @@
 import { halfLifeWeight } from "../model/decay.js";
 import { Health, TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
-import type { TargetLoad } from "./dialect.js";
+import type { ResponseMetadata, TargetLoad } from "./dialect.js";
 
 /** A target's registration. */
 export interface TargetRegistration {
@@ -74,6 +74,8 @@
     coldBucket: TokenBucket | undefined;
     unreachableUntil: number;
     unreachableCount: number;
+    /** Requests a second that the target takes from all gateways together, as its last response said. */
+    limitPerSecond: number | undefined;
 }
 
 /** Receives changes of targets, for the log. */
@@ -210,9 +212,16 @@
         known.outstanding = Math.max(0, known.outstanding - 1);
     }
 
-    recordLoad(target: Target, load: TargetLoad | undefined): void {
-        if (load === undefined) return;
+    /** Records what a response says about its target's load and limit. */
+    recordReport(target: Target, { load, limitPerSecond }: Pick<ResponseMetadata, "load" | "limitPerSecond">): void {
         const known = target as MutableTarget;
+        if (known.limitPerSecond !== limitPerSecond) {
+            known.limitPerSecond = limitPerSecond;
+            this.onChange(limitPerSecond === undefined ? "unlimited" : "limited", known.name, {
+                perSecond: limitPerSecond,
+            });
+        }
+        if (load === undefined) return;
         known.load = load;
         known.loadReportedAt = performance.now();
     }
@@ -275,6 +284,7 @@
             coldBucket: undefined,
             unreachableUntil: 0,
             unreachableCount: 0,
+            limitPerSecond: undefined,
         };
         this.targets.set(registration.id, target);
         this.byAddress.set(registration.address, target);
--- a/src/platform/dialect.ts
+++ b/src/platform/dialect.ts
@@ -95,6 +95,7 @@
             notExecuted: status === 421 || headers[HEADER.notExecuted] !== undefined,
             wrongTarget: status === 421,
             load: readLoad(firstValue(headers[HEADER.targetLoad])),
+            limitPerSecond: readNumber(firstValue(headers[HEADER.targetLimit])),
         };
     },
 
@@ -150,6 +151,12 @@
     return Array.isArray(value) ? value[0] : value;
 }
 
+/** A number that is not negative; undefined for anything else. */
+function readNumber(value: string | undefined): number | undefined {
+    const number = Number(value?.trim() || undefined);
+    return Number.isFinite(number) && number >= 0 ? number : undefined;
+}
+
 function readNumbers(value: string | string[] | undefined): readonly number[] {
     const text = firstValue(value);
     if (text === undefined || text === "") return [];
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -12,6 +12,8 @@
     expectedTarget: "x-parsleyrun-expect-instance",
     /** Running requests, waiting requests and slots of a target, comma-separated. */
     targetLoad: "x-parsleyrun-server-load",
+    /** Requests a second that a target takes from all gateways together. */
+    targetLimit: "server-limit",
     notExecuted: "x-parsleyrun-not-executed",
     model: "x-parsleyrun-model",
     /** Number of prompt tokens and maximum number of output tokens, comma-separated. */
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -43,7 +43,7 @@
     if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
     if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
     const facts = dialect.readResponse(sent.head.status, sent.head.headers);
-    targets.recordLoad(target, facts.load);
+    targets.recordReport(target, facts);
     const { outcome, bytes } = await readBody(sent.body, limits, MAXIMUM_ANSWER_BYTES);
     if (facts.wrongTarget) return { kind: "notSent", reason: "another target has the address" };
     if (facts.notExecuted) return { kind: "full", reason: "target is full" };
