--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -12,6 +12,8 @@
     readonly method: string;
     readonly headers: IncomingMessage["headers"];
     readonly body: string;
+    /** Monotonic time in milliseconds. */
+    readonly at: number;
 }
 
 /** How a target handles a request. */
@@ -62,6 +64,8 @@
     /** Ids of requests whose connection was closed before the response had ended. */
     readonly abandoned: string[] = [];
     address = "";
+    /** Requests a second that the target names as its limit; undefined for none. */
+    limitPerSecond: number | undefined;
     /** Number of times that the target has crashed. */
     crashCount = 0;
     /** Called when the target is back after a crash. */
@@ -102,6 +106,10 @@
         for (const socket of this.sockets) socket.destroy();
     }
 
+    private limitHeader(): Readonly<Record<string, string>> {
+        return this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) };
+    }
+
     /** Closes the listener and resets all connections; listens again after a time. */
     private crash(downMs: number): void {
         if (!this.server.listening) return;
@@ -126,7 +134,8 @@
             return;
         }
         const id = String(request.headers["x-parsleyrun-request-id"] ?? "");
-        const arrival = { id, path: request.url ?? "", method: request.method ?? "", headers: request.headers, body };
+        const { url: path = "", method = "", headers } = request;
+        const arrival = { id, path, method, headers, body, at: performance.now() };
         this.arrivals.push(arrival);
         response.once("close", () => {
             if (!response.writableFinished) this.abandoned.push(id);
@@ -135,7 +144,11 @@
     }
 
     private async behave(behaviour: Behaviour, arrival: Arrival, response: ServerResponse): Promise<void> {
-        const headers = { "x-parsleyrun-request-id": arrival.id, "x-parsleyrun-server-stamp": `stamp-${this.id}` };
+        const headers = {
+            "x-parsleyrun-request-id": arrival.id,
+            "x-parsleyrun-server-stamp": `stamp-${this.id}`,
+            ...this.limitHeader(),
+        };
         const socket = response.socket;
         switch (behaviour.kind) {
             case "answer":
@@ -217,6 +230,7 @@
             "content-type": "text/event-stream",
             "x-parsleyrun-request-id": arrival.id,
             "x-parsleyrun-server-stamp": `stamp-${this.id}`,
+            ...this.limitHeader(),
         });
         const first = Number(arrival.headers["last-event-id"] ?? 0) + 1;
         let bytesLeft = behaviour.cutAfterBytes ?? Number.POSITIVE_INFINITY;
@@ -247,7 +261,8 @@
             this.madeCount += 1;
             return reason === undefined ? { Handle: `${this.address}/${this.madeCount}` } : { Reason: reason };
         });
-        response.writeHead(200, { "content-type": "application/json", "x-parsleyrun-server-load": "1,0,1" });
+        const headers = { "content-type": "application/json", "x-parsleyrun-server-load": "1,0,1" };
+        response.writeHead(200, { ...headers, ...this.limitHeader() });
         response.end(JSON.stringify({ Entries: entries }));
     }
 }
