Keep the limits that targets name, by all gateways together

Ruled out: that it was lost when gateways stop and start (first exceeded before the stop), and that placement prefers limited engines (13.3 requests in 4 s, others 14.3).

Change: a limit holds from the response that names it until one that does not, and gateways tell each other of changes. It is divided among gateways by their registered names; a small limit goes to a few of them, chosen by a hash for each target, as 29 bursts of one request exceed a limit of one a second. Every request to the target takes from the part, calls for pieces and releases of results too. Where all targets of a service name limits, requests that cannot be sent in time are refused before their stages, with times to come back that follow one another at the rate of the limits.

Why it works: the parts add up to the limit whatever the number of gateways, and no gateway needs another one's answer.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -25,6 +25,15 @@
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
+/** Reason of refusals of requests that may crash targets. */
+export const HELD_BACK = "request may crash targets";
+
+/** Why a request is not sent, and when it may come back. */
+export interface HoldBack {
+    readonly reason: string;
+    readonly retryAfterMs: number;
+}
+
 /** Maximum number of prompt parts in one log line. */
 const MAXIMUM_LOGGED_PARTS = 8;
 
@@ -45,12 +54,15 @@
     private declinedCount = 0;
     private trial: Extract<Admission, { kind: "trial" }> | undefined;
     private hasBeenServed = false;
-    private holdBack: { readonly retryAfterMs: number } | undefined;
+    private holdBack: HoldBack | undefined;
+    private readonly markSent: () => void;
 
     private constructor(
         private readonly context: GatewayContext,
         private readonly request: RoutedRequest,
-    ) {}
+    ) {
+        this.markSent = context.targets.addUnsent(request.service);
+    }
 
     static create(context: GatewayContext, request: RoutedRequest): Attempts {
         return new Attempts(context, request);
@@ -61,9 +73,39 @@
         return [...this.triedNames];
     }
 
-    /** Time in milliseconds after which a request may come back that was not admitted; undefined for others. */
-    get admissionRetryMs(): number | undefined {
-        return this.holdBack?.retryAfterMs;
+    /** Why the request was not sent although there are targets; undefined if it was. */
+    get heldBack(): HoldBack | undefined {
+        return this.holdBack;
+    }
+
+    /** Ends the attempts, whatever has come of them. */
+    end(): void {
+        this.markSent();
+        this.endTrial();
+    }
+
+    /**
+     * Why the request could not be sent in time, since all targets of its service name limits; undefined if it may be
+     * possible. `preparationMs` is the time until it is to be sent.
+     */
+    findLimitExcess(preparationMs: number): HoldBack | undefined {
+        const { context, request } = this;
+        const ahead = context.targets.unsentRequests(request.service) - 1;
+        const waitMs = context.targets.limitWaitMs(request.service, ahead);
+        const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
+        return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitExcess(waitMs);
+    }
+
+    private limitExcess(waitMs: number): HoldBack {
+        const { request, context } = this;
+        const retryAfterMs = context.targets.limitReturnMs(request.service, waitMs);
+        context.onDecision("limit of targets reached", {
+            id: request.metadata.requestId,
+            service: request.service,
+            waitMs,
+            retryAfterMs,
+        });
+        return { reason: "limit of targets", retryAfterMs };
     }
 
     /** Whether the request may be sent, as it is not suspected of crashing targets. Waits a limited time for a trial. */
@@ -85,14 +127,14 @@
                 continue;
             }
             const retryAfterMs = admission.kind === "refused" ? admission.retryAfterMs : TRIAL_RETRY_MS;
-            this.holdBack = { retryAfterMs };
+            this.holdBack = { reason: HELD_BACK, retryAfterMs };
             onDecision("request held back", { id: metadata.requestId, ...admission });
             return false;
         }
     }
 
     /** Ends the request's trial, if it has one. */
-    endTrial(): void {
+    private endTrial(): void {
         if (this.trial !== undefined) this.context.suspects.endTrial(this.trial.traits);
         this.trial = undefined;
     }
@@ -136,6 +178,11 @@
                 untried.length > 0 ? untried : usable,
                 service => context.targets.eligible(service),
             );
+            const limitWaitMs = usable.length === 0 ? context.targets.limitWaitMs(request.service, 0) : undefined;
+            if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
+                this.holdBack = this.limitExcess(limitWaitMs);
+                return undefined;
+            }
             const chosen = request.route.streaming
                 ? cheapestEngine(candidates, this.placementInput(inputs), context.prefixCaches)
                 : leastLoadedTarget(candidates, context.zone, Math.random);
@@ -166,6 +213,7 @@
         });
         if (body !== undefined) headers.push("content-length", String(body.length));
         this.count += 1;
+        this.markSent();
         this.triedNames.add(target.name);
         context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type ResponseBody, type ResponseHead, readBody } from "./attempt.js";
-import { Attempts } from "./attempts.js";
+import { Attempts, HELD_BACK } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata } from "./dialect.js";
 import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
@@ -25,9 +25,6 @@
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
 const NO_TARGET_RETRY_MS = 500;
 
-/** Reason of refusals of requests that may crash targets. */
-const HELD_BACK = "request may crash targets";
-
 /** Size limit in bytes of a response that is buffered until it is complete. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
@@ -140,6 +137,16 @@
     private async serveRouted(request: RoutedRequest): Promise<ExchangeResult> {
         const attempts = Attempts.create(this.context, request);
         this.attempts = attempts;
+        try {
+            return await this.prepareAndSend(request, attempts);
+        } finally {
+            attempts.end();
+        }
+    }
+
+    private async prepareAndSend(request: RoutedRequest, attempts: Attempts): Promise<ExchangeResult> {
+        const excess = attempts.findLimitExcess(this.expectedStagesMs(request));
+        if (excess !== undefined) return this.refuse(excess.reason, excess.retryAfterMs);
         const prepared = await this.runRequestStages(request, attempts);
         if (prepared.kind === "ended") return prepared.result;
         const { inputs, release } = prepared;
@@ -148,11 +155,17 @@
                 ? await this.serveStream(request, attempts, inputs, release)
                 : await this.serveCall(request, attempts, inputs);
         } finally {
-            attempts.endTrial();
             release();
         }
     }
 
+    private expectedStagesMs({ route, metadata }: RoutedRequest): number {
+        return route.stages.reduce((sum, _, index) => {
+            const hasPieces = (metadata.pieces[index] ?? 0) > 0;
+            return hasPieces ? sum + this.context.expectedStageMs(route, index) : sum;
+        }, 0);
+    }
+
     /** Runs the stages of a request, if it has any. */
     private async runRequestStages(
         request: RoutedRequest,
@@ -407,7 +420,8 @@
     /** Refuses a request that no target has run. */
     private endUnsent(request: RoutedRequest, attempts: Attempts): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
-        if (attempts.admissionRetryMs !== undefined) return this.refuse(HELD_BACK, attempts.admissionRetryMs);
+        const { heldBack } = attempts;
+        if (heldBack !== undefined) return this.refuse(heldBack.reason, heldBack.retryAfterMs);
         return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import type { Dialect } from "./dialect.js";
 import { Gossip } from "./gossip.js";
 import { Suspects } from "./suspects.js";
+import { partOfLimit, TargetLimits } from "./targetlimits.js";
 import { FirstEventTimes } from "./firstevent.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
@@ -94,6 +95,7 @@
     readonly rolloutController: RolloutController;
     readonly gossip: Gossip;
     private readonly suspects: Suspects;
+    private readonly limits: TargetLimits;
     private readonly peerCalls = PeerCalls.create();
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
@@ -121,6 +123,8 @@
                     (this.rollouts.isOnTrial(target) && this.isStageTarget(target)),
                 onOutcome: (target, route, failed, slowness) =>
                     this.rolloutController.observe(target, route, failed, slowness),
+                onLimit: (target, perSecond) => this.limits.observe(target.registration, perSecond),
+                limitPartOf: target => this.limitPartOf(target),
             },
         );
         this.rolloutController = RolloutController.create({
@@ -142,7 +146,17 @@
             eventLoopDelayMs: options.eventLoopDelayMs,
         });
         this.suspects = Suspects.create(() => this.gossip.spread(), onChange);
-        this.gossip = Gossip.start({ peers, peerCalls: this.peerCalls, knowledge: this.suspects, onChange });
+        this.limits = TargetLimits.create(
+            () => this.gossip.spread(),
+            (target, perSecond) =>
+                onChange(perSecond === undefined ? "target unlimited" : "target limited", { target, perSecond }),
+        );
+        this.gossip = Gossip.start({
+            peers,
+            peerCalls: this.peerCalls,
+            topics: { crashes: this.suspects, limits: this.limits },
+            onChange,
+        });
         this.schedule = StageSchedule.create({
             capacity: service => this.currentConfiguration?.service(service)?.stage,
             waitMs: service => this.pieceRouter.recentWaitMs(service),
@@ -242,7 +256,10 @@
         const created = StageQueue.create(service, {
             targets: this.targets,
             callForPieces: (...call) => callForPieces({ dialect, targets: this.targets }, ...call),
-            releaseResults: (target, handles) => releaseResults(dialect, target, handles),
+            releaseResults: (target, handles) => {
+                this.targets.takeFromLimit(target);
+                return releaseResults(dialect, target, handles);
+            },
             holderOf: handle => this.holderOf(handle),
             capacity: () => this.currentConfiguration?.service(service)?.stage,
             onInputsRead: handles => this.releaseEarly(handles),
@@ -263,6 +280,16 @@
         for (const [service, serviceHandles] of byService) this.pieceRouter.releaseEarly(service, serviceHandles);
     }
 
+    /** This gateway's part of the limit that a target names, in requests a second; undefined without a limit. */
+    private limitPartOf(target: Target): number | undefined {
+        const perSecond = this.limits.perSecond(target.registration);
+        // Stage targets are called by one gateway, the gatherer of their service.
+        if (perSecond === undefined || this.isStageTarget(target)) return perSecond;
+        const { self, others } = this.options.peers;
+        const otherNames = others.map(({ name }) => name);
+        return partOfLimit(target.name, perSecond, self.name, otherNames);
+    }
+
     private isStageTarget({ registration }: Target): boolean {
         return this.currentConfiguration?.service(registration.service)?.stage !== undefined;
     }
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -6,7 +6,9 @@
  * there is anything to know, a gateway also exchanges it with one other now and then, which reaches those that were cut
  * off. One that has just started asks a few others.
  */
+import { z } from "zod";
 import { Deadline } from "../model/index.js";
+import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
 import type { PeerCalls } from "../stages/index.js";
 import { NEVER_ABORTED } from "./attempt.js";
@@ -27,19 +29,23 @@
 /** Time in milliseconds for an answer. */
 const ANSWER_TIMEOUT_MS = 500;
 
+const messageSchema = z.record(z.string(), z.unknown());
+
 /** The knowledge that is spread. */
 export interface SharedKnowledge {
     readonly isEmpty: boolean;
-    news(): string;
-    /** Returns false if the text is malformed. */
-    merge(text: string): boolean;
+    /** What is known, as a value that can be encoded as JSON. */
+    news(): unknown;
+    /** Takes over what another gateway knows. Returns false if it is malformed. */
+    merge(news: unknown): boolean;
 }
 
 /** What gossip depends on. */
 export interface GossipEnvironment {
     readonly peers: GatewayPeers;
     readonly peerCalls: PeerCalls;
-    readonly knowledge: SharedKnowledge;
+    /** Knowledge by topic. Gateways of other versions may have other topics. */
+    readonly topics: Readonly<Record<string, SharedKnowledge>>;
     readonly onChange: (change: string, fields: LineFields) => void;
 }
 
@@ -50,7 +56,7 @@
 
     private constructor(private readonly environment: GossipEnvironment) {
         this.exchangeTimer = setInterval(() => {
-            if (!environment.knowledge.isEmpty) this.exchangeWithSome(1);
+            if (Object.values(environment.topics).some(topic => !topic.isEmpty)) this.exchangeWithSome(1);
         }, EXCHANGE_INTERVAL_MS);
         this.exchangeTimer.unref();
     }
@@ -69,8 +75,7 @@
 
     /** Takes what another gateway knows; returns what this one knows, or undefined if the text is malformed. */
     receive(text: string): string | undefined {
-        const { knowledge } = this.environment;
-        return knowledge.merge(text) ? knowledge.news() : undefined;
+        return this.merge(text) ? this.news() : undefined;
     }
 
     /** Asks a few gateways for what they know. */
@@ -97,10 +102,22 @@
     }
 
     private async exchange(peer: GatewayPeer): Promise<void> {
-        const { peerCalls, knowledge, onChange } = this.environment;
+        const { peerCalls, onChange } = this.environment;
         const limits = { deadline: Deadline.after(ANSWER_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const answer = await peerCalls.call(peer, NEWS_PATH, knowledge.news(), limits);
+        const answer = await peerCalls.call(peer, NEWS_PATH, this.news(), limits);
         if (answer.kind === "failed") onChange("news not exchanged", { peer: peer.name, reason: answer.reason });
-        else if (!knowledge.merge(answer.text)) onChange("news malformed", { peer: peer.name });
+        else if (!this.merge(answer.text)) onChange("news malformed", { peer: peer.name });
+    }
+
+    private news(): string {
+        const topics = Object.entries(this.environment.topics);
+        return JSON.stringify(Object.fromEntries(topics.map(([name, topic]) => [name, topic.news()])));
+    }
+
+    private merge(text: string): boolean {
+        const parsed = messageSchema.safeParse(parseJson(text));
+        if (!parsed.success) return false;
+        const known = Object.entries(this.environment.topics).filter(([name]) => name in parsed.data);
+        return known.map(([name, topic]) => topic.merge(parsed.data[name])).every(Boolean);
     }
 }
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -10,10 +10,10 @@
  */
 import { createHash } from "node:crypto";
 import { z } from "zod";
-import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
 import { type Crash, judgeCrashes, type Suspicion, type Verdict } from "./crashjudge.js";
 import type { PromptPart } from "./dialect.js";
+import type { SharedKnowledge } from "./gossip.js";
 import type { Target } from "./target.js";
 
 /** Crashes that make a trait suspect. */
@@ -104,7 +104,7 @@
 }
 
 /** The crashes that are known, and what they say about requests. */
-export class Suspects {
+export class Suspects implements SharedKnowledge {
     private crashes: readonly MutableCrash[] = [];
     private readonly servedAt = new Map<string, number>();
     private readonly trials = new Set<string>();
@@ -189,11 +189,11 @@
         this.onNews();
     }
 
-    /** What is known, as text for other gateways. */
-    news(): string {
+    /** What is known, for other gateways. */
+    news(): unknown {
         this.forgetOld();
         const now = performance.now();
-        return JSON.stringify({
+        return {
             crashes: this.crashes.map(({ target, at, responding, waiting, tried }) => ({
                 target,
                 ageMs: Math.round(now - at),
@@ -202,12 +202,12 @@
                 tried: [...tried],
             })),
             served: [...this.servedAt].map(([trait, at]) => ({ trait, ageMs: Math.round(now - at) })),
-        });
+        };
     }
 
-    /** Takes over what another gateway knows. Returns false if the text is malformed. */
-    merge(text: string): boolean {
-        const parsed = newsSchema.safeParse(parseJson(text));
+    /** Takes over what another gateway knows. Returns false if it is malformed. */
+    merge(news: unknown): boolean {
+        const parsed = newsSchema.safeParse(news);
         if (!parsed.success) return false;
         const now = performance.now();
         let hasChanged = false;
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -1,11 +1,11 @@
 /**
  * The targets known to the gateway: their registrations and what the gateway's own requests show about them.
  *
- * A target is usable if it is registered and available, its zone is not closed, it is not ejected, and, while it is
- * cold, this gateway's part of its request rate is not used up.
+ * A target is usable if it is registered and available, its zone is not closed, it is not ejected, and this gateway's part
+ * of its request rate, while it is cold or names a limit, is not used up.
  */
 import { halfLifeWeight } from "../model/decay.js";
-import { Health, TokenBucket } from "../routing/index.js";
+import { Health, TokenBucket, waitForTokensMs } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
 import type { ResponseMetadata, TargetLoad } from "./dialect.js";
 
@@ -44,6 +44,12 @@
 /** Maximum burst of requests from one gateway to a cold target. */
 const COLD_BURST = 2;
 
+/** Maximum burst of requests from one gateway to a target that names a limit. */
+const LIMIT_BURST = 1;
+
+/** Shortest time after which a request may come back that only other gateways may send. */
+const NO_PART_RETURN_MS = 1_000;
+
 /** Time in milliseconds for which an unreachable target gets no requests; doubles with each failure. */
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
@@ -74,8 +80,8 @@
     coldBucket: TokenBucket | undefined;
     unreachableUntil: number;
     unreachableCount: number;
-    /** Requests a second that the target takes from all gateways together, as its last response said. */
-    limitPerSecond: number | undefined;
+    /** Requests that this gateway may send to the target while it names a limit. */
+    limitBucket: TokenBucket | undefined;
 }
 
 /** Receives changes of targets, for the log. */
@@ -89,6 +95,10 @@
     /** Whether a target may get nothing, whatever its state. */
     readonly isExcluded?: (target: Target) => boolean;
     readonly onOutcome?: OutcomeListener;
+    /** Called with the limit that a response named, or undefined. */
+    readonly onLimit?: (target: Target, perSecond: number | undefined) => void;
+    /** This gateway's part of a target's limit in requests a second; undefined if the target names none. */
+    readonly limitPartOf?: (target: Target) => number | undefined;
 }
 
 /** The targets of all services. */
@@ -96,6 +106,10 @@
     private readonly targets = new Map<string, MutableTarget>();
     private readonly byService = new Map<string, Set<MutableTarget>>();
     private readonly byAddress = new Map<string, MutableTarget>();
+    /** Number of requests by service that are to be sent and were not yet. */
+    private readonly unsent = new Map<string, number>();
+    /** Monotonic time in milliseconds by service for which the next refused request is told to come back. */
+    private readonly nextReturnAt = new Map<string, number>();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -179,14 +193,62 @@
         );
     }
 
-    /** The eligible targets that may get a request now: healthy, reachable and within the cold rate. */
+    /** The eligible targets that may get a request now: working and within their limits. */
     usable(service: string): readonly Target[] {
+        return this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
+    }
+
+    /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
+    working(service: string): readonly Target[] {
         const now = performance.now();
         const admitted = this.health.withoutEjected(this.eligible(service)) as readonly MutableTarget[];
         const reachable = admitted.filter(target => target.unreachableUntil <= now);
         return reachable.filter(target => !this.isCold(target) || (target.coldBucket?.available() ?? true));
     }
 
+    /** This gateway's part of the limit that a target names, in requests a second; infinite without a limit. */
+    limitPartOf(target: Target): number {
+        return this.options.limitPartOf?.(target) ?? Number.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Milliseconds until this gateway may send a further request for a service, behind `ahead` others. Undefined unless
+     * all working targets of the service name limits, and infinite if this gateway has no part of any of them.
+     */
+    limitWaitMs(service: string, ahead: number): number | undefined {
+        const buckets = this.working(service).map(target => this.limitBucketOf(target));
+        if (buckets.length === 0 || buckets.includes(undefined)) return undefined;
+        return waitForTokensMs(buckets as readonly TokenBucket[], ahead + 1);
+    }
+
+    /**
+     * Milliseconds after which a request for a service may come back that is refused because of limits. The times of
+     * several requests follow one another at the rate at which they can be sent.
+     */
+    limitReturnMs(service: string, waitMs: number): number {
+        const perSecond = this.working(service).reduce((sum, target) => sum + this.limitPartOf(target), 0);
+        if (perSecond === 0) return NO_PART_RETURN_MS * (1 + Math.random());
+        const now = performance.now();
+        const returnAt = Math.max(now + waitMs, this.nextReturnAt.get(service) ?? 0);
+        this.nextReturnAt.set(service, returnAt + 1_000 / perSecond);
+        return returnAt - now;
+    }
+
+    /** Number of requests for a service that are to be sent and were not yet. */
+    unsentRequests(service: string): number {
+        return this.unsent.get(service) ?? 0;
+    }
+
+    /** Counts a request that is to be sent; call the returned function once it is sent or given up. */
+    addUnsent(service: string): () => void {
+        this.unsent.set(service, this.unsentRequests(service) + 1);
+        let isCounted = true;
+        return () => {
+            if (isCounted) this.unsent.set(service, this.unsentRequests(service) - 1);
+            isCounted = false;
+        };
+    }
+
     isCold(target: Target): boolean {
         return (this.targets.get(target.name)?.coldUntil ?? 0) > performance.now();
     }
@@ -197,9 +259,15 @@
         known.outstanding += 1;
         known.pendingPromptTokens += promptTokens;
         if (this.isCold(known)) known.coldBucket?.take();
+        this.takeFromLimit(known);
         this.health.recordSent(known.name);
     }
 
+    /** Counts a call to a target against its limit. */
+    takeFromLimit(target: Target): void {
+        this.limitBucketOf(target)?.take();
+    }
+
     /** Records that a prompt no longer waits at the target: its first event came, or the attempt ended. */
     recordPromptRead(target: Target, promptTokens: number): void {
         const known = target as MutableTarget;
@@ -215,12 +283,7 @@
     /** Records what a response says about its target's load and limit. */
     recordReport(target: Target, { load, limitPerSecond }: Pick<ResponseMetadata, "load" | "limitPerSecond">): void {
         const known = target as MutableTarget;
-        if (known.limitPerSecond !== limitPerSecond) {
-            known.limitPerSecond = limitPerSecond;
-            this.onChange(limitPerSecond === undefined ? "unlimited" : "limited", known.name, {
-                perSecond: limitPerSecond,
-            });
-        }
+        this.options.onLimit?.(known, limitPerSecond);
         if (load === undefined) return;
         known.load = load;
         known.loadReportedAt = performance.now();
@@ -262,6 +325,23 @@
         this.onChange("unreachable", known.name, { pauseMs: Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause) });
     }
 
+    /** The bucket of a target that names a limit, at the rate of this gateway's present part of it. */
+    private limitBucketOf(target: Target): TokenBucket | undefined {
+        const known = target as MutableTarget;
+        const perSecond = this.options.limitPartOf?.(known);
+        if (perSecond === undefined) {
+            known.limitBucket = undefined;
+            return undefined;
+        }
+        if (known.limitBucket === undefined) {
+            known.limitBucket = TokenBucket.create({ perSecond, capacity: LIMIT_BURST });
+            // Requests that were sent before the limit was known have used it up.
+            known.limitBucket.take();
+        }
+        known.limitBucket.changeRate(perSecond);
+        return known.limitBucket;
+    }
+
     private forgetAddress(target: MutableTarget): void {
         if (this.byAddress.get(target.registration.address) === target) {
             this.byAddress.delete(target.registration.address);
@@ -284,7 +364,7 @@
             coldBucket: undefined,
             unreachableUntil: 0,
             unreachableCount: 0,
-            limitPerSecond: undefined,
+            limitBucket: undefined,
         };
         this.targets.set(registration.id, target);
         this.byAddress.set(registration.address, target);
--- a/src/routing/tokenbucket.ts
+++ b/src/routing/tokenbucket.ts
@@ -12,7 +12,7 @@
     private tokens: number;
     private updatedAt = performance.now();
 
-    private constructor(private readonly options: BucketOptions) {
+    private constructor(private options: BucketOptions) {
         this.tokens = options.capacity;
     }
 
@@ -40,6 +40,20 @@
         return true;
     }
 
+    /** Milliseconds until there are `count` tokens, whether or not they fit into the bucket. */
+    waitMs(count: number): number {
+        this.refill();
+        const missing = Math.max(0, count - this.tokens);
+        return missing === 0 ? 0 : (missing / this.options.perSecond) * 1_000;
+    }
+
+    /** Changes the rate from now on; the tokens stay. */
+    changeRate(perSecond: number): void {
+        if (perSecond === this.options.perSecond) return;
+        this.refill();
+        this.options = { ...this.options, perSecond };
+    }
+
     /** Adds tokens, up to the capacity. */
     add(tokens: number): void {
         this.refill();
@@ -53,3 +67,16 @@
         this.updatedAt = now;
     }
 }
+
+/** Milliseconds until `count` whole tokens can have been taken from buckets together. */
+export function waitForTokensMs(buckets: readonly TokenBucket[], count: number): number {
+    const takenFrom = buckets.map(() => 0);
+    let waitMs = 0;
+    for (let taken = 0; taken < count && Number.isFinite(waitMs); taken += 1) {
+        const waits = buckets.map((bucket, index) => bucket.waitMs((takenFrom[index] ?? 0) + 1));
+        waitMs = Math.min(...waits);
+        const earliest = waits.indexOf(waitMs);
+        takenFrom[earliest] = (takenFrom[earliest] ?? 0) + 1;
+    }
+    return waitMs;
+}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -167,8 +167,12 @@
     private usableCapacity(): QueueCapacity | undefined {
         const capacity = this.environment.capacity();
         if (capacity === undefined) return undefined;
-        const usable = this.environment.targets.usable(this.service);
-        const speeds = usable.map(target => 1 / this.slownessOf(target));
+        const { targets: directory } = this.environment;
+        const callsPerSecond = 1_000 / fullCallMs(capacity);
+        const speeds = directory.working(this.service).map(target => {
+            const limitedSpeed = directory.limitPartOf(target) / capacity.slots / callsPerSecond;
+            return Math.min(1 / this.slownessOf(target), limitedSpeed);
+        });
         const targets = speeds.reduce((sum, speed) => sum + speed, 0) * capacity.slots;
         return { targets, batch: capacity.batch, callMs: capacity.callMs, pieceMs: capacity.pieceMs };
     }
--- a/test/gateway/suspects.test.ts
+++ b/test/gateway/suspects.test.ts
@@ -92,12 +92,12 @@
     });
 
     it.each([
-        { text: "" },
-        { text: "{}" },
-        { text: '{"crashes":[{"target":1}],"served":[]}' },
-        { text: '{"crashes":[],"served":[{"trait":"a"}]}' },
-    ])("does not take over malformed news: $text", ({ text }) => {
-        expect(Suspects.create().merge(text)).toBe(false);
+        { news: undefined },
+        { news: {} },
+        { news: { crashes: [{ target: 1 }], served: [] } },
+        { news: { crashes: [], served: [{ trait: "a" }] } },
+    ])("does not take over malformed news: $news", ({ news }) => {
+        expect(Suspects.create().merge(news)).toBe(false);
     });
 
     it("reaches the same judgement at all gateways, in whatever order news arrives", () => {
