Take only a request's own refusal as a sign that it was not run

What callers could see: 503 or 429 for a call or a stream that its target had run or was running, or such a request at a second target.

Cause: a refusal was accepted before the request id in it was compared, and the id in responses to streams was not compared at all. A target that writes a refusal of an earlier request was believed. Connections to targets are not kept, so it takes a target that confuses connections.

Change: a response with another request's id is no response; the request may have run, so a non-idempotent one ends with 502.

Before, the test got 503 for all four refusals and the other request's events for the stream. A connection that is closed within a head, at any of five places, was no response before either (502); tests added.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -12,7 +12,7 @@
 import { type ResponseBody, type ResponseHead, readBody } from "./attempt.js";
 import { Attempts, HELD_BACK } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
-import type { RequestMetadata } from "./dialect.js";
+import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
 import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
@@ -240,7 +240,8 @@
             this.context.targets.recordReport(target, responseMetadata);
             const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
             this.context.targets.recordEnded(target);
-            if (responseMetadata.notExecuted) {
+            const isOwnResponse = isResponseTo(request, responseMetadata);
+            if (isOwnResponse && responseMetadata.notExecuted) {
                 attempts.handleDeclined(target, responseMetadata.wrongTarget);
                 if (failure === undefined && !attempts.mayTryAnotherTarget()) {
                     return this.refuse("targets are full", NO_TARGET_RETRY_MS);
@@ -248,8 +249,6 @@
                 continue;
             }
             if (outcome.kind === "cancelled") return { outcome: "cancelled", status: 0, reason: "caller left" };
-            const isOwnResponse =
-                responseMetadata.requestId === undefined || responseMetadata.requestId === request.metadata.requestId;
             if (outcome.kind !== "complete" || !isOwnResponse) {
                 this.context.targets.recordFailure(target, request.route.name);
                 if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
@@ -320,6 +319,14 @@
             }
             const responseMetadata = this.context.dialect.readResponse(attempt.head.status, attempt.head.headers);
             this.context.targets.recordReport(target, responseMetadata);
+            if (!isResponseTo(request, responseMetadata)) {
+                attempt.body.discard();
+                this.context.targets.recordPromptRead(target, promptTokens);
+                this.context.targets.recordEnded(target);
+                this.context.targets.recordFailure(target, request.route.name);
+                failure = { outcome: "failed", status: 502, reason: "answer of another" };
+                continue;
+            }
             if (attempt.head.status !== 200) {
                 const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
                 this.context.targets.recordPromptRead(target, promptTokens);
@@ -463,6 +470,14 @@
     }
 }
 
+/**
+ * Whether a response belongs to a request. A faulty target may write a response to another request, and a refusal among
+ * them says nothing about this one.
+ */
+function isResponseTo({ metadata }: RoutedRequest, { requestId }: ResponseMetadata): boolean {
+    return requestId === undefined || requestId === metadata.requestId;
+}
+
 function isFinal({ outcome }: ExchangeResult): boolean {
     return outcome === "cancelled" || outcome === "expired";
 }
--- /dev/null
+++ b/test/gateway/faultyresponses.test.ts
@@ -0,0 +1,87 @@
+/**
+ * Responses that faulty targets write: a refusal of another request, or half a head.
+ * Callers must not be told that a request was not run, nor get bytes that are not the response to it.
+ */
+import { afterEach, describe, expect, it } from "vitest";
+import type { Behaviour } from "../platform/standin.js";
+import { Deployment } from "./harness.js";
+
+let deployment: Deployment;
+
+afterEach(() => deployment.close());
+
+function scriptBehaviours(service: string, behaviours: readonly Behaviour[]): void {
+    let count = 0;
+    for (const target of deployment.targets.values()) {
+        if (!target.id.startsWith(service)) continue;
+        target.behaviour = () => behaviours[count++] ?? (behaviours.at(-1) as Behaviour);
+    }
+}
+
+function arrivalCount(): number {
+    return [...deployment.targets.values()].reduce((sum, { arrivals }) => sum + arrivals.length, 0);
+}
+
+function response(status: string, headers: Readonly<Record<string, string>>, body = ""): string {
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    return `HTTP/1.1 ${status}\r\n${lines.join("")}\r\n${body}`;
+}
+
+const OWN = { "x-parsleyrun-request-id": "request-1", "x-parsleyrun-server-stamp": "stamp" };
+const EVENTS = { ...OWN, "content-type": "text/event-stream" };
+
+describe("a refusal of another request", () => {
+    const refusal = (status: string): Behaviour => ({
+        kind: "raw",
+        text: response(status, {
+            "x-parsleyrun-request-id": "earlier",
+            "x-parsleyrun-not-executed": "1",
+            "content-length": "0",
+        }),
+    });
+
+    it.each([
+        { path: "/book/1", service: "bookings", status: "503 Service Unavailable" },
+        { path: "/book/1", service: "bookings", status: "429 Too Many Requests" },
+        { path: "/draft/1", service: "engines", status: "503 Service Unavailable" },
+        { path: "/draft/1", service: "engines", status: "409 Conflict" },
+    ])("($status) does not show that $path was not run", async ({ path, service, status }) => {
+        deployment = await Deployment.start({ bookings: 2, engines: 2 });
+        scriptBehaviours(service, [refusal(status)]);
+        const answer = await deployment.call({ path, body: "b" });
+        expect(answer.status).toBe(502);
+        expect(arrivalCount()).toBe(1);
+    });
+
+    it("does not become the response to a stream", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const text = response("200 OK", { ...EVENTS, "x-parsleyrun-request-id": "earlier" }, "id: 1\ndata: other\n\n");
+        scriptBehaviours("engines", [{ kind: "raw", text }]);
+        const answer = await deployment.call({ path: "/draft/1", body: "b" });
+        expect(answer.status).toBe(502);
+        expect(answer.body).not.toContain("data: other");
+    });
+});
+
+describe("a connection that is closed in the middle of a head", () => {
+    const whole = response("200 OK", { ...EVENTS, "content-length": "100" });
+    const cuts = [
+        { where: "the status line", bytes: 11 },
+        { where: "the first header's name", bytes: 25 },
+        { where: "the last header's value", bytes: whole.length - 6 },
+        { where: "the last header's line end", bytes: whole.length - 3 },
+        { where: "the last line end", bytes: whole.length - 1 },
+    ];
+    it.each(
+        cuts.flatMap(cut => [
+            { ...cut, path: "/book/1", service: "bookings" },
+            { ...cut, path: "/draft/1", service: "engines" },
+        ]),
+    )("in $where is no response to $path", async ({ path, service, bytes }) => {
+        deployment = await Deployment.start({ bookings: 2, engines: 2 });
+        scriptBehaviours(service, [{ kind: "raw", text: whole.slice(0, bytes) }]);
+        const answer = await deployment.call({ path, body: "b" });
+        expect(answer.status).toBe(502);
+        expect(arrivalCount()).toBe(1);
+    });
+});
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -27,6 +27,8 @@
     | { readonly kind: "inputsGone" }
     /** Writes the head of a response; then the target is down for `downMs`, and listens again at its address. */
     | { readonly kind: "crash"; readonly downMs: number }
+    /** Writes bytes to the connection and closes it. */
+    | { readonly kind: "raw"; readonly text: string }
     | { readonly kind: "reset" }
     | { readonly kind: "silent" }
     | { readonly kind: "truncate" }
@@ -174,6 +176,9 @@
                 response.flushHeaders();
                 setTimeout(() => this.crash(behaviour.downMs), HEAD_TRANSIT_MS);
                 return;
+            case "raw":
+                socket?.end(behaviour.text);
+                return;
             case "reset":
                 socket?.resetAndDestroy();
                 return;
