End a stream at bytes that are not its next event

What callers could see: the text of an error, or its whole head, in the middle of their stream, events a second time, or a stream that ended as if it were complete after such bytes.

Cause: whatever ended with a blank line was taken for an event. An error that a target answers with status 200, or writes into a body without a length, was passed on, and the end of that response ended the stream.

Change: in a stream with ids each event has one, and ids increase; before the first id only fields and comments are taken. At anything else the attempt is broken and the stream is resumed after its last event, or its connection is closed. An error with a status of its own was handled before.

--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -1,6 +1,7 @@
 /**
  * Splits an event stream into events, so that callers get only complete events and a broken stream can be resumed after
- * the last one.
+ * the last one. In a stream with ids each event has one, and ids increase. Anything else is not part of the stream, such as
+ * an error that a target writes in place of the rest, or the events of a run that has begun anew.
  */
 
 /** A complete event with its terminating blank line. */
@@ -13,11 +14,16 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /^id: ?(.*)$/m;
+/** Lines that have no meaning; servers send them to keep a connection open. */
+const COMMENT = /^(:.*\r?\n)+\r?\n$/;
+/** Lines with a name and a value each. */
+const FIELDS = /^([\w-]*:.*\r?\n)+\r?\n$/;
 
 /** Buffers the bytes of one stream until they form complete events. */
 export class EventSplitter {
     private buffered: Buffer = Buffer.alloc(0);
     private bytesSince = 0;
+    private malformed = false;
 
     private constructor(private lastId: string | undefined) {}
 
@@ -36,27 +42,43 @@
         return this.buffered.length;
     }
 
+    /** Whether the stream has had bytes that are not its next event; nothing after them is returned. */
+    get isMalformed(): boolean {
+        return this.malformed;
+    }
+
     /** Adds bytes and returns the events that are now complete. */
     push(chunk: Buffer): readonly StreamEvent[] {
+        if (this.malformed) return [];
         this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
+        const idBefore = this.lastId;
         const events: StreamEvent[] = [];
         let start = 0;
-        for (
-            let eventEndIndex = findEventEnd(this.buffered, start);
-            eventEndIndex > 0;
-            eventEndIndex = findEventEnd(this.buffered, start)
-        ) {
-            const bytes = this.buffered.subarray(start, eventEndIndex);
-            events.push({ bytes, id: ID_FIELD.exec(bytes.toString("latin1"))?.[1]?.trimEnd() });
-            start = eventEndIndex;
+        for (let end = findEventEnd(this.buffered, start); end > 0; end = findEventEnd(this.buffered, start)) {
+            const bytes = this.buffered.subarray(start, end);
+            const text = bytes.toString("latin1");
+            const id = ID_FIELD.exec(text)?.[1]?.trimEnd();
+            this.malformed = id === undefined ? !this.mayLackId(text) : !isAfter(id, this.lastId);
+            if (this.malformed) break;
+            this.lastId = id ?? this.lastId;
+            events.push({ bytes, id });
+            start = end;
         }
         this.buffered = this.buffered.subarray(start);
-        const newId = events.findLast(({ id }) => id !== undefined)?.id;
-        this.bytesSince =
-            newId === undefined || newId === this.lastId ? this.bytesSince + chunk.length : this.buffered.length;
-        this.lastId = newId ?? this.lastId;
+        this.bytesSince = this.lastId === idBefore ? this.bytesSince + chunk.length : this.buffered.length;
         return events;
     }
+
+    private mayLackId(text: string): boolean {
+        return COMMENT.test(text) || (this.lastId === undefined && FIELDS.test(text));
+    }
+}
+
+/** Whether an event may follow another one. Ids increase; those that are no numbers differ. */
+function isAfter(id: string, previousId: string | undefined): boolean {
+    if (previousId === undefined) return true;
+    const difference = Number(id) - Number(previousId);
+    return Number.isNaN(difference) ? id !== previousId : difference > 0;
 }
 
 /** Index after the blank line that ends the event starting at `start`; 0 if the event is incomplete. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -389,7 +389,7 @@
         writer: StreamWriter,
         onFirstEvent: () => void,
     ): Promise<ExchangeResult | undefined> {
-        const splitter = EventSplitter.create(writer.lastDeliveredEventId);
+        const splitter = EventSplitter.create(writer.lastDeliveredEventId ?? request.metadata.lastEventId);
         let isFirst = true;
         const { route } = request;
         const outcome = await body.read({
@@ -398,13 +398,16 @@
             stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
             onChunk: chunk => {
                 const events = splitter.push(chunk);
-                if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
+                if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
                 if (events.length === 0) return undefined;
                 if (isFirst) onFirstEvent();
                 isFirst = false;
                 return writer.write(head, events);
             },
         });
+        if (splitter.isMalformed) {
+            return { outcome: "failed", status: 502, reason: "stream has bytes that are no event" };
+        }
         if (outcome.kind === "complete" && splitter.pendingBytes === 0) {
             writer.end(head);
             return undefined;
--- a/test/gateway/eventstream.test.ts
+++ b/test/gateway/eventstream.test.ts
@@ -17,6 +17,26 @@
         expect(splitter.pendingBytes).toBe(pending);
     });
 
+    it.each<[string, string, readonly (string | undefined)[], boolean]>([
+        [
+            "a comment between events",
+            "id: 1\ndata: a\n\n: still here\n\nid: 2\ndata: b\n\n",
+            ["1", undefined, "2"],
+            false,
+        ],
+        ["an event without an id after one with an id", "id: 1\ndata: a\n\ndata: b\n\n", ["1"], true],
+        ["an id that was there before", "id: 2\ndata: a\n\nid: 1\ndata: b\n\n", ["2"], true],
+        ["the same id twice", "id: 1\ndata: a\n\nid: 1\ndata: b\n\n", ["1"], true],
+        ["the same id twice, no number", "id: a\ndata: a\n\nid: a\ndata: b\n\n", ["a"], true],
+        ["text", "the target has failed\n\n", [], true],
+        ["a head", "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n", [], true],
+        ["events after a head", "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: a\n\n", [], true],
+    ])("stops at what is no event: %s", (_, text, ids, isMalformed) => {
+        const splitter = EventSplitter.create();
+        expect(splitter.push(Buffer.from(text)).map(({ id }) => id)).toEqual(ids);
+        expect(splitter.isMalformed).toBe(isMalformed);
+    });
+
     it.each<[string, readonly string[], number]>([
         ["an event without an end", ["id: 1\ndata: a\n\n", "id: 2\nda", "ta"], 10],
         ["events with an id that was there before", ["id: 1\ndata: a\n\n", "id: 1\ndata: b\n\n"], 15],
--- a/test/gateway/faultyresponses.test.ts
+++ b/test/gateway/faultyresponses.test.ts
@@ -1,5 +1,5 @@
 /**
- * Responses that faulty targets write: a refusal of another request, or half a head.
+ * Responses that faulty targets write: a refusal of another request, an error in place of the rest of a stream, half a head.
  * Callers must not be told that a request was not run, nor get bytes that are not the response to it.
  */
 import { afterEach, describe, expect, it } from "vitest";
@@ -63,6 +63,50 @@
     });
 });
 
+describe("an error in place of the rest of a stream", () => {
+    const error = "the target has failed";
+    it.each<{ name: string; text: string }>([
+        {
+            name: "with a status of its own",
+            text: response("500 Internal Server Error", { ...OWN, "content-length": "23" }, `${error}\n\n`),
+        },
+        {
+            name: "as text with status 200",
+            text: response("200 OK", { ...OWN, "content-length": "23" }, `${error}\n\n`),
+        },
+        { name: "as an event stream", text: response("200 OK", { ...EVENTS, "content-length": "23" }, `${error}\n\n`) },
+        {
+            name: "with its whole head, within the body",
+            text: response("200 OK", EVENTS, response("500 Internal Server Error", OWN, `${error}\n\n`)),
+        },
+        { name: "that repeats events", text: response("200 OK", EVENTS, `id: 1\ndata: ${error}\n\n`) },
+    ])("$name does not reach the caller", async ({ text }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptBehaviours("engines", [
+            { kind: "stream", events: 6, cutAfterBytes: 100 },
+            { kind: "raw", text },
+        ]);
+        const answer = await deployment.call({ path: "/chat/1", body: "hello" });
+        expect(answer).toMatchObject({ status: 200, complete: false });
+        expect(answer.body).not.toContain(error);
+        expect(answer.body).not.toContain("HTTP/");
+        expect(answer.body).toMatch(/^(id: \d+\ndata: event \d+ of request-1\n\n)+$/);
+    });
+
+    it("after some of its events does not reach the caller, and the stream is resumed", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const first = `id: 1\ndata: event 1 of request-1\n\n${response("500 Internal Server Error", OWN, `${error}\n\n`)}`;
+        scriptBehaviours("engines", [
+            { kind: "raw", text: response("200 OK", EVENTS, first) },
+            { kind: "stream", events: 3 },
+        ]);
+        const answer = await deployment.call({ path: "/chat/1", body: "hello" });
+        expect(answer).toMatchObject({ status: 200, complete: true });
+        expect([...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => match[1])).toEqual(["1", "2", "3"]);
+        expect(answer.body).not.toContain("HTTP/");
+    });
+});
+
 describe("a connection that is closed in the middle of a head", () => {
     const whole = response("200 OK", { ...EVENTS, "content-length": "100" });
     const cuts = [
