Take a stream without a length that ends before its first event for broken

What callers could see: 200 with an empty stream that ends as if it were complete.

Cause: a body without a length ends with its connection. A target that crashes after the head may close the connection in the same way, and a stream that ends between events counted as complete, also before the first one.

Change: such a stream is broken off, so it is sent to another target or ends with 502.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -273,6 +273,11 @@
         return new ResponseBody(message, outgoing, isPooled);
     }
 
+    /** Whether the head says where the body ends; otherwise it ends with the connection. */
+    get isDelimited(): boolean {
+        return isDelimited(this.message);
+    }
+
     /** Closes the connection without reading further. */
     discard(): void {
         this.outgoing.destroy();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -408,6 +408,10 @@
         if (splitter.isMalformed) {
             return { outcome: "failed", status: 502, reason: "stream has bytes that are no event" };
         }
+        // A target that crashes before the first event may close the connection like one that has finished.
+        if (outcome.kind === "complete" && isFirst && !body.isDelimited) {
+            return { outcome: "failed", status: 502, reason: "stream ended before its first event" };
+        }
         if (outcome.kind === "complete" && splitter.pendingBytes === 0) {
             writer.end(head);
             return undefined;
--- a/test/gateway/faultyresponses.test.ts
+++ b/test/gateway/faultyresponses.test.ts
@@ -128,4 +128,16 @@
         expect(answer.status).toBe(502);
         expect(arrivalCount()).toBe(1);
     });
+
+    it.each([
+        { path: "/book/1", service: "bookings" },
+        { path: "/draft/1", service: "engines" },
+    ])("and before any content, without a length, is no response to $path", async ({ path, service }) => {
+        deployment = await Deployment.start({ bookings: 2, engines: 2 });
+        const headers = path === "/draft/1" ? EVENTS : OWN;
+        scriptBehaviours(service, [{ kind: "raw", text: response("200 OK", headers) }]);
+        const answer = await deployment.call({ path, body: "b" });
+        expect(answer.status === 200 && answer.headers["content-length"] !== undefined).toBe(false);
+        if (path === "/draft/1") expect(answer.status).toBe(502);
+    });
 });
