Compare a target's slowness only with others that take as much load

Cause: a target is ejected if it is three times as slow as the median of its service. One without a limit takes the load that the others may not get, so it is slower than they are, and without it nothing is left but the limits.

Change: a target without a limit is compared with others without one.

The test ejects the target before.

--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -295,7 +295,7 @@
     recordSuccess(target: Target, slowness: number, route = ""): void {
         this.options.onOutcome?.(target, route, false, this.isCold(target) ? undefined : slowness);
         (target as MutableTarget).unreachableCount = 0;
-        this.health.recordSuccess(target.name, slowness, this.eligibleNames(target));
+        this.health.recordSuccess(target.name, slowness, this.comparableNames(target));
     }
 
     /** Records an attempt that failed because of the target. */
@@ -352,6 +352,18 @@
         return this.eligible(target.registration.service).map(({ name }) => name);
     }
 
+    /**
+     * The targets with which a target is compared to find out whether it is slow. One without a limit takes the load that
+     * others may not get, and is not slow for being slower than those.
+     */
+    private comparableNames(target: Target): readonly string[] {
+        if (this.options.limitPartOf?.(target) !== undefined) return this.eligibleNames(target);
+        const unlimited = this.eligible(target.registration.service).filter(
+            other => this.options.limitPartOf?.(other) === undefined,
+        );
+        return unlimited.map(({ name }) => name);
+    }
+
     private add(registration: TargetRegistration): void {
         const target: MutableTarget = {
             name: registration.id,
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -5,7 +5,7 @@
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { partOfLimit, TargetLimits } from "../../src/gateway/targetlimits.js";
-import type { TargetRegistration } from "../../src/gateway/target.js";
+import { type Target, TargetDirectory, type TargetRegistration } from "../../src/gateway/target.js";
 import { TokenBucket, waitForTokensMs } from "../../src/routing/index.js";
 
 beforeEach(() => {
@@ -119,6 +119,49 @@
     );
 });
 
+/** A directory of targets; the first ones name limits. */
+function directoryWith(targetCount: number, limitedCount: number): TargetDirectory {
+    const limited = new Set(Array.from({ length: limitedCount }, (_, index) => `t${index}`));
+    const limitPartOf = ({ name }: Target): number | undefined => (limited.has(name) ? 1 : undefined);
+    const directory = TargetDirectory.create(
+        () => undefined,
+        () => 1,
+        () => undefined,
+        { limitPartOf },
+    );
+    for (let index = 0; index < targetCount; index += 1) {
+        directory.put({
+            id: `t${index}`,
+            incarnation: 1,
+            service: "engines",
+            address: `127.0.0.1:${1_000 + index}`,
+            zone: "east",
+            version: "v1",
+            slots: 8,
+            state: "available",
+            coldRemainingMs: 0,
+        });
+    }
+    return directory;
+}
+
+describe("a target without a limit", () => {
+    // It takes the load that the others may not get, so it is slower than they are.
+    it.each([
+        { others: "all others name limits", limitedCount: 2, slow: "t2", isEjected: false },
+        { others: "another one names none and is fast", limitedCount: 1, slow: "t2", isEjected: true },
+    ])("is compared with others without a limit: $others", ({ limitedCount, slow, isEjected }) => {
+        const directory = directoryWith(3, limitedCount);
+        for (let answer = 0; answer < 30; answer += 1) {
+            for (const target of directory.working("engines")) {
+                directory.recordSuccess(target, target.name === slow ? 2 : 0.2);
+            }
+        }
+        const names = directory.working("engines").map(({ name }) => name);
+        expect(names.includes(slow)).toBe(!isEjected);
+    });
+});
+
 describe("waitForTokensMs", () => {
     it.each([
         { rates: [1], taken: [1], count: 1, expected: 1_000 },
