Compute traits and parts of limits only when they are needed

Each request was hashed with its body although traits matter only while a crash is remembered, and each choice of a target computed this gateway's part of each limit anew: at hundreds of gateways, a hash for every one of them. Traits are computed on demand, parts when the limit or the gateways change. No change of behaviour.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -153,7 +153,7 @@
     async checkForCrash(target: Target, isResponding: boolean): Promise<void> {
         if (this.hasBeenServed || target.registration.state !== "available") return;
         if (!(await refusesConnections(target.registration.address))) return;
-        const { traits } = this.request;
+        const traits = this.request.traits();
         const tried = this.trial?.isConclusive === true ? this.trial.traits : [];
         this.logDecision("target crashed", target, {
             isResponding,
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,7 +19,7 @@
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { callerWaitLimitMs, firstEventTimeoutMs, eventGapTimeoutMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
-import { traitsOf } from "./suspects.js";
+import { lazyTraitsOf } from "./suspects.js";
 import type { Target } from "./target.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
@@ -107,7 +107,7 @@
             accountName: account?.name,
             body: body.length > 0 || this.incoming.headers["content-length"] !== undefined ? body : undefined,
         };
-        const traits = traitsOf({ ...content, promptParts: metadata.promptParts });
+        const traits = lazyTraitsOf({ ...content, promptParts: metadata.promptParts });
         const admission = this.context.suspects.admission(traits);
         if (admission.kind === "refused") {
             this.context.onDecision("request held back", { id: metadata.requestId, ...admission });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -84,6 +84,13 @@
 /** Lifecycle phases of a gateway, in order. */
 export type GatewayPhase = "serving" | "draining" | "stopping";
 
+/** This gateway's part of a limit, and what it was computed from. */
+interface LimitPart {
+    readonly perSecond: number;
+    readonly revision: number;
+    readonly part: number;
+}
+
 /** Fraction of the allowed retries that is used; the rest is a margin for an outdated number of gateways. */
 const RETRY_USE_RATIO = 0.6;
 
@@ -96,6 +103,8 @@
     readonly gossip: Gossip;
     private readonly suspects: Suspects;
     private readonly limits: TargetLimits;
+    /** This gateway's parts of limits, by target; computed again when a limit or the gateways change. */
+    private readonly limitParts = new Map<string, LimitPart>();
     private readonly peerCalls = PeerCalls.create();
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
@@ -114,7 +123,10 @@
             () => this.currentConfiguration,
             () => peers.count,
             (change, target, detail) => {
-                if (change === "removed" || change === "restarted") prefixMemory.forget(target);
+                if (change === "removed" || change === "restarted") {
+                    prefixMemory.forget(target);
+                    this.limitParts.delete(target);
+                }
                 onChange(`target ${change}`, { target, ...detail });
             },
             {
@@ -285,9 +297,13 @@
         const perSecond = this.limits.perSecond(target.registration);
         // Stage targets are called by one gateway, the gatherer of their service.
         if (perSecond === undefined || this.isStageTarget(target)) return perSecond;
-        const { self, others } = this.options.peers;
+        const { self, others, revision } = this.options.peers;
+        const known = this.limitParts.get(target.name);
+        if (known?.perSecond === perSecond && known.revision === revision) return known.part;
         const otherNames = others.map(({ name }) => name);
-        return partOfLimit(target.name, perSecond, self.name, otherNames);
+        const part = partOfLimit(target.name, perSecond, self.name, otherNames);
+        this.limitParts.set(target.name, { perSecond, revision, part });
+        return part;
     }
 
     private isStageTarget({ registration }: Target): boolean {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -46,6 +46,7 @@
 export class GatewayPeers {
     private readonly peers = new Map<string, GatewayPeer>();
     private hasBeenRegistered = false;
+    private changes = 0;
 
     private constructor(
         readonly self: GatewayPeer,
@@ -67,6 +68,11 @@
         return this.all.filter(({ name }) => name !== this.self.name);
     }
 
+    /** Increases with each change of a registration. */
+    get revision(): number {
+        return this.changes;
+    }
+
     /** Number of gateways by which a limit is divided. */
     get count(): number {
         return this.hasBeenRegistered ? Math.max(1, this.peers.size) : Math.max(ASSUMED_GATEWAYS, this.peers.size);
@@ -74,6 +80,7 @@
 
     /** Applies a change of a registration. */
     apply(event: StoreEvent): void {
+        this.changes += 1;
         const name = event.key.slice(this.prefix.length);
         const parsed = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value));
         if (parsed?.success === true && parsed.data.name === name) this.peers.set(name, parsed.data);
--- a/src/gateway/routedrequest.ts
+++ b/src/gateway/routedrequest.ts
@@ -22,8 +22,8 @@
     readonly deadline: Deadline;
     /** Monotonic time in milliseconds at which the request's head was read. */
     readonly receivedAt: number;
-    /** What it has in common with other requests, for recognising requests that crash targets. */
-    readonly traits: readonly string[];
+    /** What it has in common with other requests, for recognising requests that crash targets; computed when needed. */
+    readonly traits: () => readonly string[];
     /** Aborted when the caller closes its connection. */
     readonly signal: AbortSignal;
 }
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -103,6 +103,12 @@
     return [...promptParts.slice(0, -1).map(({ id }) => `part ${id}`), `content ${content.slice(0, 22)}`];
 }
 
+/** The traits of a request, computed once and only if they are needed: a crash is rare, and a body may be long. */
+export function lazyTraitsOf(content: RequestContent): () => readonly string[] {
+    let traits: readonly string[] | undefined;
+    return () => (traits ??= traitsOf(content));
+}
+
 /** The crashes that are known, and what they say about requests. */
 export class Suspects implements SharedKnowledge {
     private crashes: readonly MutableCrash[] = [];
@@ -129,12 +135,12 @@
     }
 
     /** Whether a request with these traits may be sent now. */
-    admission(traits: readonly string[]): Admission {
+    admission(traits: () => readonly string[]): Admission {
         const [oldest] = this.crashes;
         if (oldest === undefined) return { kind: "admitted" };
         const now = performance.now();
         if (oldest.at < now - CRASH_MEMORY_MS) this.judge();
-        const suspects = traits.flatMap(trait => {
+        const suspects = traits().flatMap(trait => {
             const suspicion = this.verdict.suspicions.get(trait);
             return isSuspect(suspicion) ? [{ trait, suspicion }] : [];
         });
@@ -179,10 +185,10 @@
     }
 
     /** Records that a request was served: the first event of its stream, or its whole response. */
-    recordServed(traits: readonly string[]): void {
+    recordServed(traits: () => readonly string[]): void {
         if (this.isEmpty) return;
         const now = performance.now();
-        const cleared = traits.filter(trait => this.isHeldAgainst(trait, now));
+        const cleared = traits().filter(trait => this.isHeldAgainst(trait, now));
         if (cleared.length === 0) return;
         for (const trait of cleared) this.servedAt.set(trait, now);
         this.judge();
--- a/test/gateway/suspects.test.ts
+++ b/test/gateway/suspects.test.ts
@@ -25,11 +25,11 @@
     it("admits requests after one crash, and tries them after two", () => {
         const suspects = Suspects.create();
         crash(suspects, "t1", ["a"]);
-        expect(suspects.admission(["a"])).toEqual({ kind: "admitted" });
+        expect(suspects.admission(() => ["a"])).toEqual({ kind: "admitted" });
         vi.advanceTimersByTime(200);
         crash(suspects, "t2", ["a"]);
-        expect(suspects.admission(["a"])).toEqual({ kind: "trial", traits: ["a"], isConclusive: true });
-        expect(suspects.admission(["b"])).toEqual({ kind: "admitted" });
+        expect(suspects.admission(() => ["a"])).toEqual({ kind: "trial", traits: ["a"], isConclusive: true });
+        expect(suspects.admission(() => ["b"])).toEqual({ kind: "admitted" });
     });
 
     it("counts one crash that several requests and gateways report once", () => {
@@ -39,7 +39,7 @@
         crash(second, "t1", ["a"]);
         vi.advanceTimersByTime(30);
         first.merge(second.news());
-        expect(first.admission(["a"])).toEqual({ kind: "admitted" });
+        expect(first.admission(() => ["a"])).toEqual({ kind: "admitted" });
     });
 
     it("has one trial at a time", () => {
@@ -60,34 +60,34 @@
             vi.advanceTimersByTime(200);
         }
         vi.advanceTimersByTime(refusedMs - 200);
-        expect(suspects.admission(["a", "b"])).toMatchObject({ kind: "refused", trait: "a" });
+        expect(suspects.admission(() => ["a", "b"])).toMatchObject({ kind: "refused", trait: "a" });
         vi.advanceTimersByTime(triedMs - refusedMs);
-        expect(suspects.admission(["a", "b"]).kind).toBe("trial");
+        expect(suspects.admission(() => ["a", "b"]).kind).toBe("trial");
     });
 
     it("lets requests with some of the traits of a crash show which are harmless", () => {
         const suspects = Suspects.create();
         for (const id of ["t1", "t2"]) crash(suspects, id, ["first", "deadly"]);
-        expect(suspects.admission(["first", "deadly"])).toMatchObject({ kind: "refused" });
-        expect(suspects.admission(["first", "other"])).toMatchObject({ kind: "trial", traits: ["first"] });
+        expect(suspects.admission(() => ["first", "deadly"])).toMatchObject({ kind: "refused" });
+        expect(suspects.admission(() => ["first", "other"])).toMatchObject({ kind: "trial", traits: ["first"] });
         vi.advanceTimersByTime(10);
-        suspects.recordServed(["first", "other"]);
-        expect(suspects.admission(["first", "other"])).toEqual({ kind: "admitted" });
-        expect(suspects.admission(["first", "deadly"])).toMatchObject({ kind: "trial", traits: ["deadly"] });
+        suspects.recordServed(() => ["first", "other"]);
+        expect(suspects.admission(() => ["first", "other"])).toEqual({ kind: "admitted" });
+        expect(suspects.admission(() => ["first", "deadly"])).toMatchObject({ kind: "trial", traits: ["deadly"] });
     });
 
     it("tries traits together when no other request tells them apart", () => {
         const suspects = Suspects.create();
         for (const id of ["t1", "t2"]) crash(suspects, id, ["a", "b"]);
         vi.advanceTimersByTime(10_100);
-        expect(suspects.admission(["a", "b"])).toEqual({ kind: "trial", traits: ["a", "b"], isConclusive: true });
+        expect(suspects.admission(() => ["a", "b"])).toEqual({ kind: "trial", traits: ["a", "b"], isConclusive: true });
     });
 
     it("forgets crashes", () => {
         const suspects = Suspects.create();
         for (const id of ["t1", "t2"]) crash(suspects, id, ["a"]);
         vi.advanceTimersByTime(901_000);
-        expect(suspects.admission(["a"])).toEqual({ kind: "admitted" });
+        expect(suspects.admission(() => ["a"])).toEqual({ kind: "admitted" });
         expect(suspects.isEmpty).toBe(true);
     });
 
@@ -115,7 +115,7 @@
                 for (const { gateway, crashes, target: number, traits, exchangeWith } of steps) {
                     const suspects = gateways[gateway] as Suspects;
                     if (crashes) crash(suspects, `t${number}`, traits);
-                    else suspects.recordServed(traits);
+                    else suspects.recordServed(() => traits);
                     (gateways[exchangeWith] as Suspects).merge(suspects.news());
                     vi.advanceTimersByTime(5_000);
                 }
@@ -123,7 +123,7 @@
                     for (const from of gateways) for (const to of gateways) to.merge(from.news());
                 }
                 for (const traits of [["a"], ["b"], ["c"]]) {
-                    const [kind, ...others] = gateways.map(suspects => suspects.admission(traits).kind);
+                    const [kind, ...others] = gateways.map(suspects => suspects.admission(() => traits).kind);
                     for (const other of others) expect(other).toBe(kind);
                 }
             }),
