Test requests that crash targets and come again, targets that crash for another reason, and news among nine gateways

Six targets that crash at once, three times, hold none of the requests back that waited at all of them.

--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -2,6 +2,8 @@
  * Requests whose prompts share one part crash each engine that begins to answer them. The gateways must recognise the
  * part from few crashes and refuse such requests at once; requests that share only the other parts keep being served.
  */
+import { pause } from "../../src/model/pause.js";
+import type { Behaviour } from "../platform/standin.js";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { Deployment, type CallAnswer } from "./harness.js";
 
@@ -36,6 +38,58 @@
     return deployment.call({ id, path, body: `body of ${id}`, headers }, gateway);
 }
 
+describe("a request that crashes targets and comes again", () => {
+    // The same path, caller and body: it has no parts, so it is recognised by its content.
+    it.each([
+        { kind: "an idempotent call", path: "/check/1" },
+        { kind: "a call that runs at most once", path: "/book/1" },
+    ])("is refused when it is $kind", async ({ path }) => {
+        deployment = await Deployment.start({ bookings: 6 }, 3);
+        for (const target of deployment.targets.values()) {
+            target.onRestart = () => deployment.register("bookings", target.id, { born: 1_000 + target.crashCount });
+            target.behaviour = ({ body }) =>
+                body === "deadly" ? { kind: "crash", downMs: DOWN_MS } : { kind: "answer" };
+        }
+        for (let round = 0; round < ROUNDS; round += 1) {
+            const calls = ["deadly", "sound"].map((body, index) =>
+                deployment.call({ id: `${body}-${round}`, path, body }, (round + index) % 3),
+            );
+            const [deadly, sound] = await Promise.all(calls);
+            expect(deadly?.status).toBeGreaterThanOrEqual(502);
+            if (round > ROUNDS / 2) expect(sound?.status).toBe(200);
+        }
+        expect(crashes()).toBeLessThanOrEqual(CRASHES_TO_RECOGNISE + REQUESTS_AFTER_RECOGNITION);
+        expect((await deployment.call({ id: "last", path, body: "deadly" })).status).toBe(503);
+    });
+});
+
+describe("targets that crash for another reason", () => {
+    // Harmless requests with the same parts wait at all of them, and come again when the targets are back.
+    it.each([{ times: 1 }, { times: 3 }])("all at once, $times times, hold no request back", async ({ times }) => {
+        deployment = await Deployment.start({ engines: 6 }, 3);
+        const slow: Behaviour = { kind: "delayedStream", events: 3, delayMs: 150 };
+        for (const target of deployment.targets.values()) {
+            target.onRestart = () => deployment.register("engines", target.id, { born: 1_000 + target.crashCount });
+            target.behaviour = () => slow;
+        }
+        for (let time = 0; time < times; time += 1) {
+            const waiting = Array.from({ length: 12 }, (_, index) =>
+                ask(`waiting-${time}-${index}`, "/draft/1", ["first", `second-${index % 3}`], index % 3),
+            );
+            await pause(100);
+            for (const target of deployment.targets.values()) target.crash(DOWN_MS);
+            await Promise.all(waiting);
+            await pause(1_100);
+            const answers = await Promise.all(
+                Array.from({ length: 9 }, (_, index) =>
+                    ask(`later-${time}-${index}`, "/draft/1", ["first", `second-${index % 3}`], index % 3),
+                ),
+            );
+            expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+        }
+    });
+});
+
 describe("a prompt part that crashes targets", () => {
     it.each([
         { where: "before a part that sound requests share", deadly: ["first", "deadly", "shared"] },
@@ -76,6 +130,19 @@
         expect(deployment.target("encode-0").pieceCalls).toHaveLength(callsBefore);
     });
 
+    it("becomes known to more gateways than one tells directly", async () => {
+        deployment = await Deployment.start({ engines: 6 }, 9);
+        crashOn("deadly");
+        for (let round = 0; round < CRASHES_TO_RECOGNISE; round += 1)
+            await ask(`deadly-${round}`, "/draft/1", ["deadly"], 0);
+        const before = crashes();
+        await pause(300);
+        for (let gateway = 0; gateway < 9; gateway += 1) {
+            expect((await ask(`later-${gateway}`, "/draft/1", ["deadly"], gateway)).status).toBe(503);
+        }
+        expect(crashes()).toBe(before);
+    });
+
     it("is known to a gateway that starts later", async () => {
         deployment = await Deployment.start({ engines: 6 }, 2);
         crashOn("deadly");
--- a/test/platform/standin.ts
+++ b/test/platform/standin.ts
@@ -113,7 +113,7 @@
     }
 
     /** Closes the listener and resets all connections; listens again after a time. */
-    private crash(downMs: number): void {
+    crash(downMs: number): void {
         if (!this.server.listening) return;
         this.crashCount += 1;
         this.server.close();
