--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -133,8 +133,9 @@
     it("becomes known to more gateways than one tells directly", async () => {
         deployment = await Deployment.start({ engines: 6 }, 9);
         crashOn("deadly");
-        for (let round = 0; round < CRASHES_TO_RECOGNISE; round += 1)
+        for (let round = 0; round < CRASHES_TO_RECOGNISE; round += 1) {
             await ask(`deadly-${round}`, "/draft/1", ["deadly"], 0);
+        }
         const before = crashes();
         await pause(300);
         for (let gateway = 0; gateway < 9; gateway += 1) {
