Judge a request again after it has waited for a target

What callers would have seen: while all engines are down, requests wait for a target; when the first one is back, all that wait are sent, those with a part that became suspect meanwhile among them.

Cause: a request was judged before it waited for a target, not when it was sent. Found by reading the code; the test gets up to five requests at the target where two are allowed (the first one, and one on trial).

Change: the judgement is repeated when a target is found, without a pause before the request is sent. The test of news among nine gateways waits for the time in which all have to learn of crashes, instead of 0.3 s in which they may not; targets of an earlier test no longer register in the next one.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -108,8 +108,19 @@
         return { reason: "limit of targets", retryAfterMs };
     }
 
+    /** The target to which the request may be sent now; undefined if there is none, or the request is held back. */
+    async nextTarget(inputs: readonly StageResult[]): Promise<Target | undefined> {
+        for (;;) {
+            if (!(await this.waitForAdmission())) return undefined;
+            const target = await this.chooseTarget(inputs);
+            // What is known of the request may have changed while it waited for a target.
+            const { kind } = this.context.suspects.admission(this.request.traits);
+            if (target === undefined || this.trial !== undefined || kind === "admitted") return target;
+        }
+    }
+
     /** Whether the request may be sent, as it is not suspected of crashing targets. Waits a limited time for a trial. */
-    async waitForAdmission(): Promise<boolean> {
+    private async waitForAdmission(): Promise<boolean> {
         const { suspects, onDecision } = this.context;
         const { traits, deadline, signal, metadata } = this.request;
         const waitUntil = performance.now() + deadline.remainingMs() * TARGET_WAIT_SHARE;
@@ -166,7 +177,7 @@
     }
 
     /** Chooses a usable target, preferably an untried one. Waits a limited time when there is none. */
-    async chooseTarget(inputs: readonly StageResult[]): Promise<Target | undefined> {
+    private async chooseTarget(inputs: readonly StageResult[]): Promise<Target | undefined> {
         const { request, context } = this;
         const waitUntil = performance.now() + request.deadline.remainingMs() * TARGET_WAIT_SHARE;
         for (;;) {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -220,8 +220,7 @@
         let failure: ExchangeResult | undefined;
         let errorResponse: { readonly head: ResponseHead; readonly bytes: Buffer } | undefined;
         while (failure === undefined || attempts.mayRetry()) {
-            if (!(await attempts.waitForAdmission())) break;
-            const target = await attempts.chooseTarget(inputs);
+            const target = await attempts.nextTarget(inputs);
             if (target === undefined) break;
             const startedAt = performance.now();
             const attempt = await attempts.send(target, { inputs });
@@ -293,8 +292,7 @@
         );
         let failure: ExchangeResult | undefined;
         while (failure === undefined || attempts.mayRetry()) {
-            if (!(await attempts.waitForAdmission())) break;
-            const target = await attempts.chooseTarget(inputs);
+            const target = await attempts.nextTarget(inputs);
             if (target === undefined) break;
             const promptTokens = attempts.uncachedTokens(target);
             const headTimeoutMs = request.route.idempotent ? firstEventTimeoutMs(request.route) : undefined;
--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -11,6 +11,9 @@
 const CRASHES_TO_RECOGNISE = 5;
 const REQUESTS_AFTER_RECOGNITION = 3;
 
+/** Time in milliseconds in which all gateways learn of crashes. */
+const CONTACT_MS = 3_000;
+
 const DOWN_MS = 120;
 const ROUNDS = 30;
 
@@ -18,9 +21,18 @@
 
 afterEach(() => deployment.close());
 
+/** Registers targets again when they are back after a crash, with a later start. */
+function registerAfterCrashes(service: string): void {
+    const { targets } = deployment;
+    const register = deployment.register.bind(deployment);
+    for (const target of targets.values()) {
+        target.onRestart = () => register(service, target.id, { born: 1_000 + target.crashCount });
+    }
+}
+
 function crashOn(part: string): void {
+    registerAfterCrashes("engines");
     for (const target of deployment.targets.values()) {
-        target.onRestart = () => deployment.register("engines", target.id, { born: 1_000 + target.crashCount });
         target.behaviour = ({ headers }) =>
             String(headers["x-parsleyrun-prefix-hash"]).includes(`${part}:`)
                 ? { kind: "crash", downMs: DOWN_MS }
@@ -45,8 +57,8 @@
         { kind: "a call that runs at most once", path: "/book/1" },
     ])("is refused when it is $kind", async ({ path }) => {
         deployment = await Deployment.start({ bookings: 6 }, 3);
+        registerAfterCrashes("bookings");
         for (const target of deployment.targets.values()) {
-            target.onRestart = () => deployment.register("bookings", target.id, { born: 1_000 + target.crashCount });
             target.behaviour = ({ body }) =>
                 body === "deadly" ? { kind: "crash", downMs: DOWN_MS } : { kind: "answer" };
         }
@@ -67,9 +79,9 @@
     // Harmless requests with the same parts wait at all of them, and come again when the targets are back.
     it.each([{ times: 1 }, { times: 3 }])("all at once, $times times, hold no request back", async ({ times }) => {
         deployment = await Deployment.start({ engines: 6 }, 3);
+        registerAfterCrashes("engines");
         const slow: Behaviour = { kind: "delayedStream", events: 3, delayMs: 150 };
         for (const target of deployment.targets.values()) {
-            target.onRestart = () => deployment.register("engines", target.id, { born: 1_000 + target.crashCount });
             target.behaviour = () => slow;
         }
         for (let time = 0; time < times; time += 1) {
@@ -137,13 +149,29 @@
             await ask(`deadly-${round}`, "/draft/1", ["deadly"], 0);
         }
         const before = crashes();
-        await pause(300);
+        await vi.waitFor(() => {
+            const news = deployment.gateways.map(({ gateway }) => gateway.gossip.receive("{}"));
+            expect(news.every(text => text?.includes("part deadly"))).toBe(true);
+        }, CONTACT_MS);
         for (let gateway = 0; gateway < 9; gateway += 1) {
             expect((await ask(`later-${gateway}`, "/draft/1", ["deadly"], gateway)).status).toBe(503);
         }
         expect(crashes()).toBe(before);
     });
 
+    it("is recognised for requests that have been admitted and wait for a target", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        crashOn("deadly");
+        await ask("first", "/draft/1", ["deadly"], 0);
+        const waiting = Array.from({ length: 4 }, (_, index) => ask(`waiting-${index}`, "/draft/1", ["deadly"], 0));
+        await pause(30);
+        const crash = { target: "other 1", ageMs: 0, responding: ["part deadly"], waiting: [], tried: [] };
+        deployment.gateways[0]?.gateway.gossip.receive(JSON.stringify({ crashes: { crashes: [crash], served: [] } }));
+        await Promise.all(waiting);
+        // The first request, and one on trial.
+        expect(deployment.target("engines-0").arrivals.length).toBeLessThanOrEqual(2);
+    });
+
     it("is known to a gateway that starts later", async () => {
         deployment = await Deployment.start({ engines: 6 }, 2);
         crashOn("deadly");
