--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,18 +9,17 @@
 import { Deadline } from "../model/index.js";
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
-import { type ResponseBody, type ResponseHead, readBody } from "./attempt.js";
+import { type ResponseHead, readBody } from "./attempt.js";
 import { Attempts, HELD_BACK } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
 import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
-import { EventSplitter } from "./eventstream.js";
 import type { GatewayContext } from "./gateway.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
-import { callerWaitLimitMs, firstEventTimeoutMs, eventGapTimeoutMs } from "./streamtimeouts.js";
+import { forwardStream } from "./streamforwarding.js";
+import { callerWaitLimitMs, firstEventTimeoutMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
 import { lazyTraitsOf } from "./suspects.js";
-import type { Target } from "./target.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
 const NO_TARGET_RETRY_MS = 500;
@@ -28,9 +27,6 @@
 /** Size limit in bytes of a response that is buffered until it is complete. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
-/** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
-const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
-
 /** Time in milliseconds that the stages leave the engine before the caller stops waiting. */
 const FIRST_EVENT_RESERVE_MS = 150;
 
@@ -344,7 +340,7 @@
                 continue;
             }
             let hasEvent = false;
-            const streamFailure = await this.forwardStream(request, target, attempt.head, attempt.body, writer, () => {
+            const streamFailure = await forwardStream(request, target, attempt.head, attempt.body, writer, () => {
                 hasEvent = true;
                 attempts.recordServed();
                 this.firstEventMs ??= performance.now() - this.receivedAt;
@@ -378,57 +374,6 @@
         return this.endUnsent(request, attempts);
     }
 
-    /** Forwards a stream to its end. Returns undefined when the stream is complete, otherwise why it is not. */
-    private async forwardStream(
-        request: RoutedRequest,
-        target: Target,
-        head: ResponseHead,
-        body: ResponseBody,
-        writer: StreamWriter,
-        onFirstEvent: () => void,
-    ): Promise<ExchangeResult | undefined> {
-        const splitter = EventSplitter.create(writer.lastDeliveredEventId ?? request.metadata.lastEventId);
-        let isFirst = true;
-        const { route } = request;
-        const outcome = await body.read({
-            deadline: request.deadline,
-            signal: request.signal,
-            stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
-            onChunk: chunk => {
-                const events = splitter.push(chunk);
-                if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
-                if (events.length === 0) return undefined;
-                if (isFirst) onFirstEvent();
-                isFirst = false;
-                return writer.write(head, events);
-            },
-        });
-        if (splitter.isMalformed) {
-            return { outcome: "failed", status: 502, reason: "stream has bytes that are no event" };
-        }
-        // A target that crashes before the first event may close the connection like one that has finished.
-        if (outcome.kind === "complete" && isFirst && !body.isDelimited) {
-            return { outcome: "failed", status: 502, reason: "stream ended before its first event" };
-        }
-        if (outcome.kind === "complete" && splitter.pendingBytes === 0) {
-            writer.end(head);
-            return undefined;
-        }
-        if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
-            return { outcome: "failed", status: 502, reason: "stream without new events" };
-        }
-        switch (outcome.kind) {
-            case "cancelled":
-                return { outcome: "cancelled", status: 200, reason: "caller left" };
-            case "expired":
-                return { outcome: "expired", status: 504, reason: "stream took too long" };
-            case "complete":
-                return { outcome: "failed", status: 502, reason: "stream ended within an event" };
-            default:
-                return { outcome: "failed", status: 502, reason: `stream ${outcome.kind} at ${target.name}` };
-        }
-    }
-
     /** Refuses a request that no target has run. */
     private endUnsent(request: RoutedRequest, attempts: Attempts): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
