Log limits under the id of their target

Cause: the key under which limits are kept, id and start of the target in one string, was passed to the log, so that a search for the id of `target limited` did not find the other lines of that target.

Ruled out: that anything decides by that text; only the log used it.

Change: the two are fields of their own, also between gateways. A method that nothing called is gone.

Result: the new test had "t 1" instead of "t" before; passes.

--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -29,10 +29,22 @@
     readonly perSecond: number | undefined;
     /** Monotonic time in milliseconds of the response. */
     readonly at: number;
+    /** The target that named it; one that has started again names its limit anew. */
+    readonly target: TargetStart;
 }
 
+/** A target and its start. */
+type TargetStart = Pick<TargetRegistration, "id" | "incarnation">;
+
 const newsSchema = z
-    .array(z.object({ target: z.string(), perSecond: z.number().nonnegative().optional(), ageMs: z.number() }))
+    .array(
+        z.object({
+            id: z.string(),
+            incarnation: z.number(),
+            perSecond: z.number().nonnegative().optional(),
+            ageMs: z.number(),
+        }),
+    )
     .max(MAXIMUM_TARGETS);
 
 /** The part of a limit in requests a second that a gateway may use; 0 if others share it. */
@@ -65,32 +77,29 @@
     }
 
     /** Requests a second that a target takes from all gateways together; undefined if it names no limit. */
-    perSecond(target: TargetRegistration): number | undefined {
+    perSecond(target: TargetStart): number | undefined {
         const known = this.limits.get(keyOf(target));
         if (known === undefined || performance.now() - known.at > UNCONFIRMED_MS) return undefined;
         return known.perSecond;
     }
 
     /** Records the limit of a response, or that it names none. */
-    observe(target: TargetRegistration, perSecond: number | undefined): void {
+    observe(target: TargetStart, perSecond: number | undefined): void {
         const now = performance.now();
         const known = this.limits.get(keyOf(target));
         if (known === undefined && perSecond === undefined) return;
         const isConfirmed = known !== undefined && now - known.at < CONFIRMATION_INTERVAL_MS;
         if (known?.perSecond === perSecond && isConfirmed) return;
-        this.put(keyOf(target), { perSecond, at: now });
+        this.put({ target, perSecond, at: now });
         this.onNews();
     }
 
-    forget(target: TargetRegistration): void {
-        this.limits.delete(keyOf(target));
-    }
-
     news(): unknown {
         const now = performance.now();
-        for (const [target, { at }] of this.limits) if (now - at > UNCONFIRMED_MS) this.limits.delete(target);
-        return [...this.limits].map(([target, { perSecond, at }]) => ({
-            target,
+        for (const [key, { at }] of this.limits) if (now - at > UNCONFIRMED_MS) this.limits.delete(key);
+        return [...this.limits.values()].map(({ target: { id, incarnation }, perSecond, at }) => ({
+            id,
+            incarnation,
             perSecond,
             ageMs: Math.round(now - at),
         }));
@@ -101,28 +110,29 @@
         if (!parsed.success) return false;
         const now = performance.now();
         let hasChanged = false;
-        for (const { target, perSecond, ageMs } of parsed.data) {
-            const known = this.limits.get(target);
+        for (const { id, incarnation, perSecond, ageMs } of parsed.data) {
+            const target = { id, incarnation };
+            const known = this.limits.get(keyOf(target));
             const at = now - ageMs;
             if (ageMs > UNCONFIRMED_MS || (known !== undefined && known.at >= at)) continue;
             const isSame = known !== undefined && known.perSecond === perSecond;
             if (isSame && at - known.at < CONFIRMATION_INTERVAL_MS / 2) continue;
-            this.put(target, { perSecond, at });
+            this.put({ target, perSecond, at });
             hasChanged = true;
         }
         if (hasChanged) this.onNews();
         return true;
     }
 
-    private put(target: string, limit: NamedLimit): void {
-        const before = this.limits.get(target)?.perSecond;
-        if (!this.limits.has(target) && this.limits.size >= MAXIMUM_TARGETS) return;
-        this.limits.set(target, limit);
-        if (before !== limit.perSecond) this.onChange(target, limit.perSecond);
+    private put(limit: NamedLimit): void {
+        const key = keyOf(limit.target);
+        const before = this.limits.get(key)?.perSecond;
+        if (!this.limits.has(key) && this.limits.size >= MAXIMUM_TARGETS) return;
+        this.limits.set(key, limit);
+        if (before !== limit.perSecond) this.onChange(limit.target.id, limit.perSecond);
     }
 }
 
-/** Identifies a target and its start; a target that has started again names its limit anew. */
-function keyOf({ id, incarnation }: TargetRegistration): string {
+function keyOf({ id, incarnation }: TargetStart): string {
     return `${id} ${incarnation}`;
 }
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -71,6 +71,17 @@
         expect(limits.perSecond(target("t"))).toBeUndefined();
     });
 
+    it("is logged under the id of its target", () => {
+        const changes: (readonly [string, number | undefined])[] = [];
+        const limits = TargetLimits.create(undefined, (...change) => changes.push(change));
+        limits.observe(target("t"), 2);
+        limits.observe(target("t"), undefined);
+        expect(changes).toEqual([
+            ["t", 2],
+            ["t", undefined],
+        ]);
+    });
+
     it("does not hold the limit of an earlier start of a target", () => {
         const limits = TargetLimits.create();
         limits.observe(target("t"), 2);
@@ -111,7 +122,7 @@
         expect(second.perSecond(target("t"))).toBe(2);
     });
 
-    it.each([{ news: undefined }, { news: {} }, { news: [{ target: "t", perSecond: -1, ageMs: 0 }] }])(
+    it.each([{ news: undefined }, { news: {} }, { news: [{ id: "t", incarnation: 1, perSecond: -1, ageMs: 0 }] }])(
         "does not take over malformed news: $news",
         ({ news }) => {
             expect(TargetLimits.create().merge(news)).toBe(false);
@@ -120,14 +131,18 @@
 });
 
 /** A directory of targets; the first ones name limits. */
-function directoryWith(targetCount: number, limitedCount: number): TargetDirectory {
+function directoryWith(
+    targetCount: number,
+    limitedCount: number,
+    onLimit: (target: Target, perSecond: number | undefined) => void = () => undefined,
+): TargetDirectory {
     const limited = new Set(Array.from({ length: limitedCount }, (_, index) => `t${index}`));
     const limitPartOf = ({ name }: Target): number | undefined => (limited.has(name) ? 1 : undefined);
     const directory = TargetDirectory.create(
         () => undefined,
         () => 1,
         () => undefined,
-        { limitPartOf },
+        { limitPartOf, onLimit },
     );
     for (let index = 0; index < targetCount; index += 1) {
         directory.put({
