Do not take the limit of one target from the response of another

What callers could see: nothing; a target whose address another one has now would have lost its limit, or got the other one's.

Cause: the report of a response was recorded before it was known who had sent it. 421 says that another target has the address.

Ruled out: harm to the load of a target, which was taken over in the same way; such a target gets no requests for a time.

Change: a response with 421 says nothing about the target that was asked.

Result: the new test recorded the limit before; passes.

--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -84,6 +84,9 @@
     limitBucket: TokenBucket | undefined;
 }
 
+/** What a response says about its target. */
+export type TargetReport = Pick<ResponseMetadata, "load" | "limitPerSecond" | "wrongTarget">;
+
 /** Receives changes of targets, for the log. */
 export type TargetChangeListener = (change: string, target: string, detail: Readonly<Record<string, unknown>>) => void;
 
@@ -280,8 +283,9 @@
         known.outstanding = Math.max(0, known.outstanding - 1);
     }
 
-    /** Records what a response says about its target's load and limit. */
-    recordReport(target: Target, { load, limitPerSecond }: Pick<ResponseMetadata, "load" | "limitPerSecond">): void {
+    /** Records what a response says about its target's load and limit, unless another target has sent it. */
+    recordReport(target: Target, { load, limitPerSecond, wrongTarget }: TargetReport): void {
+        if (wrongTarget) return;
         const known = target as MutableTarget;
         this.options.onLimit?.(known, limitPerSecond);
         if (load === undefined) return;
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -177,6 +177,19 @@
     });
 });
 
+describe("a response", () => {
+    it.each([
+        { from: "the target", wrongTarget: false, limits: [3] },
+        { from: "another target that has its address now", wrongTarget: true, limits: [] },
+    ])("of $from speaks for the target's limit or not", ({ wrongTarget, limits }) => {
+        const seen: (number | undefined)[] = [];
+        const directory = directoryWith(1, 0, (_, perSecond) => seen.push(perSecond));
+        const [target] = directory.working("engines");
+        if (target !== undefined) directory.recordReport(target, { load: undefined, limitPerSecond: 3, wrongTarget });
+        expect(seen).toEqual(limits);
+    });
+});
+
 describe("waitForTokensMs", () => {
     it.each([
         { rates: [1], taken: [1], count: 1, expected: 1_000 },
