Decide in one place whether a request is held back before its stages

Cause: a request that may crash targets was refused in the exchange, with a log line and a reason of its own, one that exceeds limits in the attempts, and both once more before sending.

Ruled out: that the two checks have to be apart; nothing between them depends on the first but the deposit for repeats, which is owed for each request on a route to the service, whether it is sent or not.

Change: Attempts.findHoldBack has both; one function writes each line. No request is decided differently.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -25,9 +25,6 @@
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
-/** Reason of refusals of requests that may crash targets. */
-export const HELD_BACK = "request may crash targets";
-
 /** Why a request is not sent, and when it may come back. */
 export interface HoldBack {
     readonly reason: string;
@@ -54,7 +51,7 @@
     private declinedCount = 0;
     private trial: Extract<Admission, { kind: "trial" }> | undefined;
     private hasBeenServed = false;
-    private holdBack: HoldBack | undefined;
+    private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
 
     private constructor(
@@ -74,8 +71,8 @@
     }
 
     /** Why the request was not sent although there are targets; undefined if it was. */
-    get heldBack(): HoldBack | undefined {
-        return this.holdBack;
+    get holdBack(): HoldBack | undefined {
+        return this.lastHoldBack;
     }
 
     /** Ends the attempts, whatever has come of them. */
@@ -85,18 +82,29 @@
     }
 
     /**
-     * Why the request could not be sent in time, since all targets of its service name limits; undefined if it may be
-     * possible. `preparationMs` is the time until it is to be sent.
+     * Why the request could not be sent, as far as it is known before its stages run; undefined if it may be possible.
+     * `preparationMs` is the time until it is to be sent.
      */
-    findLimitExcess(preparationMs: number): HoldBack | undefined {
+    findHoldBack(preparationMs: number): HoldBack | undefined {
         const { context, request } = this;
+        const admission = context.suspects.admission(request.traits);
+        if (admission.kind === "refused") return this.suspectHoldBack(admission, admission.retryAfterMs);
         const ahead = context.targets.unsentRequests(request.service) - 1;
         const waitMs = context.targets.limitWaitMs(request.service, ahead);
         const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
-        return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitExcess(waitMs);
+        return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitHoldBack(waitMs);
+    }
+
+    private suspectHoldBack(admission: Admission, retryAfterMs: number): HoldBack {
+        this.context.onDecision("request held back", {
+            id: this.request.metadata.requestId,
+            ...admission,
+            retryAfterMs: Math.round(retryAfterMs),
+        });
+        return { reason: "request may crash targets", retryAfterMs };
     }
 
-    private limitExcess(waitMs: number): HoldBack {
+    private limitHoldBack(waitMs: number): HoldBack {
         const { request, context } = this;
         const retryAfterMs = context.targets.limitReturnMs(request.service, waitMs);
         context.onDecision("limit of targets reached", {
@@ -138,8 +146,7 @@
                 continue;
             }
             const retryAfterMs = admission.kind === "refused" ? admission.retryAfterMs : TRIAL_RETRY_MS;
-            this.holdBack = { reason: HELD_BACK, retryAfterMs };
-            onDecision("request held back", { id: metadata.requestId, ...admission });
+            this.lastHoldBack = this.suspectHoldBack(admission, retryAfterMs);
             return false;
         }
     }
@@ -191,7 +198,7 @@
             );
             const limitWaitMs = usable.length === 0 ? context.targets.limitWaitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
-                this.holdBack = this.limitExcess(limitWaitMs);
+                this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
             const chosen = request.route.streaming
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,7 +10,7 @@
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type ResponseHead, readBody } from "./attempt.js";
-import { Attempts, HELD_BACK } from "./attempts.js";
+import { Attempts } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
 import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
@@ -104,11 +104,6 @@
             body: body.length > 0 || this.incoming.headers["content-length"] !== undefined ? body : undefined,
         };
         const traits = lazyTraitsOf({ ...content, promptParts: metadata.promptParts });
-        const admission = this.context.suspects.admission(traits);
-        if (admission.kind === "refused") {
-            this.context.onDecision("request held back", { id: metadata.requestId, ...admission });
-            return this.refuse(HELD_BACK, admission.retryAfterMs);
-        }
         this.context.retryBudgetOf(service).deposit();
         return this.serveRouted({
             route,
@@ -141,8 +136,8 @@
     }
 
     private async prepareAndSend(request: RoutedRequest, attempts: Attempts): Promise<ExchangeResult> {
-        const excess = attempts.findLimitExcess(this.expectedStagesMs(request));
-        if (excess !== undefined) return this.refuse(excess.reason, excess.retryAfterMs);
+        const holdBack = attempts.findHoldBack(this.expectedStagesMs(request));
+        if (holdBack !== undefined) return this.refuse(holdBack.reason, holdBack.retryAfterMs);
         const prepared = await this.runRequestStages(request, attempts);
         if (prepared.kind === "ended") return prepared.result;
         const { inputs, release } = prepared;
@@ -377,8 +372,8 @@
     /** Refuses a request that no target has run. */
     private endUnsent(request: RoutedRequest, attempts: Attempts): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
-        const { heldBack } = attempts;
-        if (heldBack !== undefined) return this.refuse(heldBack.reason, heldBack.retryAfterMs);
+        const { holdBack } = attempts;
+        if (holdBack !== undefined) return this.refuse(holdBack.reason, holdBack.retryAfterMs);
         return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
