Move the requests that wait for limits out of the directory of targets

Ruled out: a place in targetlimits, which holds what targets name and knows neither buckets nor requests.

Change: gateway/limitqueue has them and asks the directory for the buckets of a service.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -58,7 +58,7 @@
         private readonly context: GatewayContext,
         private readonly request: RoutedRequest,
     ) {
-        this.markSent = context.targets.addUnsent(request.service);
+        this.markSent = context.limitQueue.add(request.service);
     }
 
     static create(context: GatewayContext, request: RoutedRequest): Attempts {
@@ -89,8 +89,8 @@
         const { context, request } = this;
         const admission = context.suspects.admission(request.traits);
         if (admission.kind === "refused") return this.suspectHoldBack(admission, admission.retryAfterMs);
-        const ahead = context.targets.unsentRequests(request.service) - 1;
-        const waitMs = context.targets.limitWaitMs(request.service, ahead);
+        const ahead = context.limitQueue.unsentRequests(request.service) - 1;
+        const waitMs = context.limitQueue.waitMs(request.service, ahead);
         const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
         return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitHoldBack(waitMs);
     }
@@ -106,7 +106,7 @@
 
     private limitHoldBack(waitMs: number): HoldBack {
         const { request, context } = this;
-        const retryAfterMs = context.targets.limitReturnMs(request.service, waitMs);
+        const retryAfterMs = context.limitQueue.returnMs(request.service, waitMs);
         context.onDecision("limit of targets reached", {
             id: request.metadata.requestId,
             service: request.service,
@@ -196,7 +196,7 @@
                 untried.length > 0 ? untried : usable,
                 service => context.targets.eligible(service),
             );
-            const limitWaitMs = usable.length === 0 ? context.targets.limitWaitMs(request.service, 0) : undefined;
+            const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { Suspects } from "./suspects.js";
 import { partOfLimit, TargetLimits } from "./targetlimits.js";
 import { FirstEventTimes } from "./firstevent.js";
+import { LimitQueue } from "./limitqueue.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import { RolloutController } from "./rolloutcontroller.js";
@@ -39,6 +40,7 @@
     readonly rollouts: Rollouts;
     /** Requests that may crash targets. */
     readonly suspects: Suspects;
+    readonly limitQueue: LimitQueue;
     /** The target that holds a stage result; undefined if it is not registered. */
     readonly holderOf: (handle: string) => Target | undefined;
     readonly prefixCaches: PrefixCacheTracker;
@@ -180,6 +182,7 @@
             targets: this.targets,
             rollouts: this.rollouts,
             suspects: this.suspects,
+            limitQueue: LimitQueue.create(this.targets),
             holderOf: handle => this.holderOf(handle),
             prefixCaches: prefixMemory,
             firstEventTimes: this.firstEventTimes,
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -5,7 +5,7 @@
  * of its request rate, while it is cold or names a limit, is not used up.
  */
 import { halfLifeWeight } from "../model/decay.js";
-import { Health, TokenBucket, waitForTokensMs } from "../routing/index.js";
+import { Health, TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
 import type { ResponseMetadata, TargetLoad } from "./dialect.js";
 
@@ -47,9 +47,6 @@
 /** Maximum burst of requests from one gateway to a target that names a limit. */
 const LIMIT_BURST = 1;
 
-/** Shortest time after which a request may come back that only other gateways may send. */
-const NO_PART_RETURN_MS = 1_000;
-
 /** Time in milliseconds for which an unreachable target gets no requests; doubles with each failure. */
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
@@ -109,10 +106,6 @@
     private readonly targets = new Map<string, MutableTarget>();
     private readonly byService = new Map<string, Set<MutableTarget>>();
     private readonly byAddress = new Map<string, MutableTarget>();
-    /** Number of requests by service that are to be sent and were not yet. */
-    private readonly unsent = new Map<string, number>();
-    /** Monotonic time in milliseconds by service for which the next refused request is told to come back. */
-    private readonly nextReturnAt = new Map<string, number>();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -214,42 +207,11 @@
         return this.options.limitPartOf?.(target) ?? Number.POSITIVE_INFINITY;
     }
 
-    /**
-     * Milliseconds until this gateway may send a further request for a service, behind `ahead` others. Undefined unless
-     * all working targets of the service name limits, and infinite if this gateway has no part of any of them.
-     */
-    limitWaitMs(service: string, ahead: number): number | undefined {
-        const buckets = this.working(service).map(target => this.limitBucketOf(target));
-        if (buckets.length === 0 || buckets.includes(undefined)) return undefined;
-        return waitForTokensMs(buckets as readonly TokenBucket[], ahead + 1);
-    }
-
-    /**
-     * Milliseconds after which a request for a service may come back that is refused because of limits. The times of
-     * several requests follow one another at the rate at which they can be sent.
-     */
-    limitReturnMs(service: string, waitMs: number): number {
-        const perSecond = this.working(service).reduce((sum, target) => sum + this.limitPartOf(target), 0);
-        if (perSecond === 0) return NO_PART_RETURN_MS * (1 + Math.random());
-        const now = performance.now();
-        const returnAt = Math.max(now + waitMs, this.nextReturnAt.get(service) ?? 0);
-        this.nextReturnAt.set(service, returnAt + 1_000 / perSecond);
-        return returnAt - now;
-    }
-
-    /** Number of requests for a service that are to be sent and were not yet. */
-    unsentRequests(service: string): number {
-        return this.unsent.get(service) ?? 0;
-    }
-
-    /** Counts a request that is to be sent; call the returned function once it is sent or given up. */
-    addUnsent(service: string): () => void {
-        this.unsent.set(service, this.unsentRequests(service) + 1);
-        let isCounted = true;
-        return () => {
-            if (isCounted) this.unsent.set(service, this.unsentRequests(service) - 1);
-            isCounted = false;
-        };
+    /** The buckets of a service's working targets; undefined unless all of them name limits. */
+    limitBuckets(service: string): readonly TokenBucket[] | undefined {
+        const working = this.working(service);
+        const buckets = working.flatMap(target => this.limitBucketOf(target) ?? []);
+        return buckets.length > 0 && buckets.length === working.length ? buckets : undefined;
     }
 
     isCold(target: Target): boolean {
--- a/src/routing/tokenbucket.ts
+++ b/src/routing/tokenbucket.ts
@@ -21,6 +21,11 @@
         return new TokenBucket(options);
     }
 
+    /** Tokens gained each second. */
+    get perSecond(): number {
+        return this.options.perSecond;
+    }
+
     /** Whether there is a token to take. */
     available(): boolean {
         this.refill();
