Compare digests between gateways instead of sending all that is known

What callers could see: requests with a known deadly part sent on by a gateway that had been cut off, for seconds after the cut.

Cause: a gateway without news sent all that it knew to another one every second as long as it remembered a crash, and nothing if it knew of none. So one that had been cut off while others learned something waited until one of them chose it.

Ruled out: longer pauses between exchanges, with which a gateway that was cut off stays behind for longer.

Change: each gateway compares a digest with one other every second, whether it knows anything or not. Where the digests differ, both send what they know; answers leave it out where they agree. Digests have no times, which differ between clocks.

--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -1,11 +1,12 @@
 /**
- * Spreads what one gateway learns to all: each gateway with news sends what it knows to its successor in the order of names
- * and to a few others at random, in a few rounds, and those do the same with what is new to them. The answer to a message has what the other gateway knows.
+ * Spreads what one gateway learns to all. A gateway with news sends what it knows to its successor in the order of names and
+ * to a few others at random, in a few rounds, and those do the same with what is new to them.
  *
- * No gateway has a special task, so the loss of any of them or a cut between some delays news but does not stop it. While
- * there is anything to know, a gateway also exchanges it with one other now and then, which reaches those that were cut
- * off. One that has just started asks a few others.
+ * Each gateway also compares a digest of what it knows with that of one other every second, and both exchange what they
+ * know if the digests differ. This reaches gateways that were cut off. No gateway has a special task, so the loss of any
+ * of them delays news but does not stop it.
  */
+import { createHash } from "node:crypto";
 import { z } from "zod";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
@@ -30,17 +31,21 @@
 const GATHER_MS = 20;
 const ROUND_INTERVAL_MS = 100;
 
-/** Interval in milliseconds of exchanges without news. */
-const EXCHANGE_INTERVAL_MS = 1_000;
+/** Interval in milliseconds at which digests are compared. */
+const COMPARE_INTERVAL_MS = 1_000;
 
 /** Time in milliseconds for an answer. */
 const ANSWER_TIMEOUT_MS = 500;
 
-const messageSchema = z.record(z.string(), z.unknown());
+/** A message or its answer; the digest is that of the sender. */
+const messageSchema = z.object({ digest: z.string(), topics: z.record(z.string(), z.unknown()).optional() });
+
+type Message = z.infer<typeof messageSchema>;
 
 /** The knowledge that is spread. */
 export interface SharedKnowledge {
-    readonly isEmpty: boolean;
+    /** A text that is the same at all gateways that know the same. */
+    digest(): string;
     /** What is known, as a value that can be encoded as JSON. */
     news(): unknown;
     /** Takes over what another gateway knows. Returns false if it is malformed. */
@@ -62,14 +67,13 @@
 export class Gossip {
     private roundTimer: NodeJS.Timeout | undefined;
     private remainingRounds = 0;
-    private readonly exchangeTimer: NodeJS.Timeout;
+    private readonly compareTimer: NodeJS.Timeout;
 
     private constructor(private readonly environment: GossipEnvironment) {
-        this.exchangeTimer = setInterval(() => {
-            if (Object.values(environment.topics).every(topic => topic.isEmpty)) return;
-            for (const peer of this.somePeers(1)) void this.exchange(peer);
-        }, EXCHANGE_INTERVAL_MS);
-        this.exchangeTimer.unref();
+        this.compareTimer = setInterval(() => {
+            for (const peer of this.somePeers(1)) void this.compare(peer);
+        }, COMPARE_INTERVAL_MS);
+        this.compareTimer.unref();
     }
 
     static start(environment: GossipEnvironment): Gossip {
@@ -82,19 +86,24 @@
         this.roundTimer ??= setTimeout(() => this.sendRound(), GATHER_MS);
     }
 
-    /** Takes what another gateway knows; returns what this one knows, or undefined if the text is malformed. */
+    /**
+     * Takes a message of another gateway. Returns the answer, with what this gateway knows if that differs, or undefined if
+     * the message is malformed.
+     */
     receive(text: string): string | undefined {
-        return this.merge(text) ? this.news() : undefined;
+        const message = this.merge(text);
+        if (message === undefined) return undefined;
+        return this.encode(message.digest !== this.digest());
     }
 
     /** Asks a few gateways for what they know. */
     async learn(): Promise<void> {
-        await Promise.all(this.somePeers(FIRST_QUESTIONS).map(peer => this.exchange(peer)));
+        await Promise.all(this.somePeers(FIRST_QUESTIONS).map(peer => this.compare(peer)));
     }
 
     stop(): void {
         clearTimeout(this.roundTimer);
-        clearInterval(this.exchangeTimer);
+        clearInterval(this.compareTimer);
     }
 
     private sendRound(): void {
@@ -104,7 +113,7 @@
         // By chance alone, some gateways would hear news from nobody.
         const successor = successorOf(self, others);
         const receivers = new Set([...(successor === undefined ? [] : [successor]), ...this.somePeers(FAN_OUT)]);
-        for (const peer of receivers) void this.exchange(peer);
+        for (const peer of receivers) void this.send(peer, true);
     }
 
     private somePeers(count: number): readonly GatewayPeer[] {
@@ -117,24 +126,48 @@
         return chosen;
     }
 
-    private async exchange(peer: GatewayPeer): Promise<void> {
+    /** Compares digests with another gateway. If they differ, both learn what the other one knows. */
+    private async compare(peer: GatewayPeer): Promise<void> {
+        const answer = await this.send(peer, false);
+        if (answer !== undefined && answer.digest !== this.digest()) await this.send(peer, true);
+    }
+
+    /** Sends a message and takes the answer; undefined if there is none. */
+    private async send(peer: GatewayPeer, withTopics: boolean): Promise<Message | undefined> {
         const { peerCalls, onChange } = this.environment;
         const limits = { deadline: Deadline.after(ANSWER_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const answer = await peerCalls.call(peer, NEWS_PATH, this.news(), limits);
-        if (answer.kind === "failed") onChange("news not exchanged", { peer: peer.name, reason: answer.reason });
-        else if (!this.merge(answer.text)) onChange("news malformed", { peer: peer.name });
+        const outcome = await peerCalls.call(peer, NEWS_PATH, this.encode(withTopics), limits);
+        if (outcome.kind === "failed") {
+            onChange("news not exchanged", { peer: peer.name, reason: outcome.reason });
+            return undefined;
+        }
+        const answer = this.merge(outcome.text);
+        if (answer === undefined) onChange("news malformed", { peer: peer.name });
+        return answer;
+    }
+
+    private digest(): string {
+        const hash = createHash("sha256");
+        for (const [name, topic] of Object.entries(this.environment.topics)) {
+            hash.update(`${name}\n${topic.digest()}\n`);
+        }
+        return hash.digest("base64url");
     }
 
-    private news(): string {
-        const topics = Object.entries(this.environment.topics);
-        return JSON.stringify(Object.fromEntries(topics.map(([name, topic]) => [name, topic.news()])));
+    private encode(withTopics: boolean): string {
+        const digest = this.digest();
+        if (!withTopics) return JSON.stringify({ digest } satisfies Message);
+        const topics = Object.entries(this.environment.topics).map(([name, topic]) => [name, topic.news()]);
+        return JSON.stringify({ digest, topics: Object.fromEntries(topics) } satisfies Message);
     }
 
-    private merge(text: string): boolean {
-        const parsed = messageSchema.safeParse(parseJson(text));
-        if (!parsed.success) return false;
-        const known = Object.entries(this.environment.topics).filter(([name]) => name in parsed.data);
-        return known.map(([name, topic]) => topic.merge(parsed.data[name])).every(Boolean);
+    /** Takes over what a message tells; undefined if it is malformed. */
+    private merge(text: string): Message | undefined {
+        const message = messageSchema.safeParse(parseJson(text)).data;
+        const { topics = {} } = message ?? {};
+        const known = Object.entries(this.environment.topics).filter(([name]) => name in topics);
+        const isMerged = known.map(([name, topic]) => topic.merge(topics[name])).every(Boolean);
+        return isMerged ? message : undefined;
     }
 }
 
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -84,7 +84,9 @@
             }),
         )
         .max(MAXIMUM_CRASHES),
-    served: z.array(z.object({ trait: z.string(), ageMs: z.number() })),
+    served: z
+        .array(z.object({ trait: z.string(), ageMs: z.number() }))
+        .max(2 * MAXIMUM_CRASHES * MAXIMUM_TRAITS_PER_CRASH),
 });
 
 /** The content of a request, from which its traits follow. */
@@ -195,6 +197,19 @@
         this.onNews();
     }
 
+    digest(): string {
+        this.forgetOld();
+        const crashes = this.crashes.map(({ target, responding, waiting, tried }) =>
+            [target, ...[responding, waiting, tried].map(traits => [...traits].sort().join(","))].join(";"),
+        );
+        // Gateways do not have the same clock, but they agree on which crashes a trait is cleared of.
+        const served = [...this.servedAt].map(([trait, at]) => {
+            const clearedCount = this.crashes.filter(crash => crash.at < at).length;
+            return `${trait};${clearedCount}`;
+        });
+        return [...crashes.sort(), ...served.sort()].join("\n");
+    }
+
     /** What is known, for other gateways. */
     news(): unknown {
         this.forgetOld();
--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -72,10 +72,6 @@
         return new TargetLimits(onNews, onChange);
     }
 
-    get isEmpty(): boolean {
-        return this.limits.size === 0;
-    }
-
     /** Requests a second that a target takes from all gateways together; undefined if it names no limit. */
     perSecond(target: TargetStart): number | undefined {
         const known = this.limits.get(keyOf(target));
@@ -94,9 +90,17 @@
         this.onNews();
     }
 
+    digest(): string {
+        this.forgetUnconfirmed();
+        return [...this.limits]
+            .map(([key, { perSecond }]) => `${key} ${perSecond ?? ""}`)
+            .sort()
+            .join("\n");
+    }
+
     news(): unknown {
+        this.forgetUnconfirmed();
         const now = performance.now();
-        for (const [key, { at }] of this.limits) if (now - at > UNCONFIRMED_MS) this.limits.delete(key);
         return [...this.limits.values()].map(({ target: { id, incarnation }, perSecond, at }) => ({
             id,
             incarnation,
@@ -124,6 +128,11 @@
         return true;
     }
 
+    private forgetUnconfirmed(): void {
+        const oldestAt = performance.now() - UNCONFIRMED_MS;
+        for (const [key, { at }] of this.limits) if (at < oldestAt) this.limits.delete(key);
+    }
+
     private put(limit: NamedLimit): void {
         const key = keyOf(limit.target);
         const before = this.limits.get(key)?.perSecond;
--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -150,7 +150,7 @@
         }
         const before = crashes();
         await vi.waitFor(() => {
-            const news = deployment.gateways.map(({ gateway }) => gateway.gossip.receive("{}"));
+            const news = deployment.gateways.map(({ gateway }) => gateway.gossip.receive('{"digest":""}'));
             // Until the failed trial is known, a gateway rightly sends such a request on trial.
             expect(news.every(text => text?.includes('"tried":["part deadly"]'))).toBe(true);
         }, CONTACT_MS);
@@ -167,7 +167,8 @@
         const waiting = Array.from({ length: 4 }, (_, index) => ask(`waiting-${index}`, "/draft/1", ["deadly"], 0));
         await pause(30);
         const crash = { target: "other 1", ageMs: 0, responding: ["part deadly"], waiting: [], tried: [] };
-        deployment.gateways[0]?.gateway.gossip.receive(JSON.stringify({ crashes: { crashes: [crash], served: [] } }));
+        const topics = { crashes: { crashes: [crash], served: [] } };
+        deployment.gateways[0]?.gateway.gossip.receive(JSON.stringify({ digest: "", topics }));
         await Promise.all(waiting);
         // The first request, and one on trial.
         expect(deployment.target("engines-0").arrivals.length).toBeLessThanOrEqual(2);
--- a/test/gateway/suspects.test.ts
+++ b/test/gateway/suspects.test.ts
@@ -76,6 +76,25 @@
         expect(suspects.admission(() => ["first", "deadly"])).toMatchObject({ kind: "trial", traits: ["deadly"] });
     });
 
+    it("has another digest after each change, and the same one as time passes", () => {
+        const suspects = Suspects.create();
+        const changes = [
+            () => crash(suspects, "t1", ["a", "b"]),
+            () => suspects.recordServed(() => ["a"]),
+            () => crash(suspects, "t2", ["a", "b"]),
+            () => suspects.recordServed(() => ["a"]),
+            () => crash(suspects, "t3", ["b"], ["b"]),
+        ];
+        const digests = [suspects.digest()];
+        for (const change of changes) {
+            change();
+            digests.push(suspects.digest());
+            vi.advanceTimersByTime(5_000);
+            expect(suspects.digest()).toBe(digests.at(-1));
+        }
+        expect(new Set(digests).size).toBe(digests.length);
+    });
+
     it("tries traits together when no other request tells them apart", () => {
         const suspects = Suspects.create();
         for (const id of ["t1", "t2"]) crash(suspects, id, ["a", "b"]);
@@ -122,6 +141,7 @@
                 for (let round = 0; round < 3; round += 1) {
                     for (const from of gateways) for (const to of gateways) to.merge(from.news());
                 }
+                expect(new Set(gateways.map(suspects => suspects.digest())).size).toBe(1);
                 for (const traits of [["a"], ["b"], ["c"]]) {
                     const [kind, ...others] = gateways.map(suspects => suspects.admission(() => traits).kind);
                     for (const other of others) expect(other).toBe(kind);
