Split the stand-ins of the platform into the store and the targets

Ruled out: a shorter stand-in for targets; each behaviour is used by a test.

Change: standinplatform, standintarget, and listening for what both need. Moved, not changed.

--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -3,7 +3,7 @@
  * part from few crashes and refuse such requests at once; requests that share only the other parts keep being served.
  */
 import { pause } from "../../src/model/pause.js";
-import type { Behaviour } from "../platform/standin.js";
+import type { Behaviour } from "../platform/standintarget.js";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { Deployment, type CallAnswer } from "./harness.js";
 
--- a/test/gateway/faultyresponses.test.ts
+++ b/test/gateway/faultyresponses.test.ts
@@ -3,7 +3,7 @@
  * Callers must not be told that a request was not run, nor get bytes that are not the response to it.
  */
 import { afterEach, describe, expect, it } from "vitest";
-import type { Behaviour } from "../platform/standin.js";
+import type { Behaviour } from "../platform/standintarget.js";
 import { Deployment } from "./harness.js";
 
 let deployment: Deployment;
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -4,7 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { rendezvousWeight } from "../../src/routing/index.js";
 import { pause } from "../../src/model/pause.js";
-import { type Behaviour } from "../platform/standin.js";
+import { type Behaviour } from "../platform/standintarget.js";
 import { KIND } from "../../src/platform/names.js";
 import { type CallAnswer, type CallOptions, CONFIGURATION, Deployment } from "./harness.js";
 
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -7,7 +7,8 @@
 import { platformEnvironment } from "../../src/platform/source.js";
 import { gatewaySettingsSchema } from "../../src/settings/index.js";
 import { CallCounter } from "../../src/store/index.js";
-import { StandInPlatform, StandInTarget } from "../platform/standin.js";
+import { StandInTarget } from "../platform/standintarget.js";
+import { StandInPlatform } from "../platform/standinplatform.js";
 import { freeAddress } from "../processes/daemons.js";
 
 /** A caller's request. */
--- a/test/processes/gateway.test.ts
+++ b/test/processes/gateway.test.ts
@@ -1,6 +1,7 @@
 /** The gateway as a process: signals, and the end of a planned stop, as callers and the load balancer see them. */
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
-import { StandInPlatform, StandInTarget } from "../platform/standin.js";
+import { StandInTarget } from "../platform/standintarget.js";
+import { StandInPlatform } from "../platform/standinplatform.js";
 import { CONFIGURATION } from "../gateway/harness.js";
 import { type Daemon, freeAddress, ProcessGroup, until } from "./daemons.js";
 
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,7 +5,8 @@
 import { Agent, request } from "node:http";
 import { createRandom } from "../../src/bench/random.js";
 import { CONFIGURATION } from "../gateway/harness.js";
-import { StandInPlatform, StandInTarget } from "../platform/standin.js";
+import { StandInTarget } from "../platform/standintarget.js";
+import { StandInPlatform } from "../platform/standinplatform.js";
 import { type Daemon, freeAddress, pause, ProcessGroup, until } from "../processes/daemons.js";
 import {
     type CallerObservation,
--- a/test/stages/piececall.test.ts
+++ b/test/stages/piececall.test.ts
@@ -3,7 +3,7 @@
 import { type Target, TargetDirectory } from "../../src/gateway/target.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { callForPieces, releaseResults } from "../../src/stages/index.js";
-import { StandInTarget } from "../platform/standin.js";
+import { StandInTarget } from "../platform/standintarget.js";
 import { piecesOf } from "./pieces.js";
 
 /** Deadline in milliseconds that suffices on a busy machine. */
