Take a retry from the budget only for an attempt that is sent

What callers saw: a stream or a call that failed at one target ended with a failure, or a started stream with a closed connection, although another target was usable: the gateway's last retry had been taken for nothing.

Cause: the budget was charged whenever a retry was considered. A target that could not be reached cost a retry although nothing was sent, the next target cost another one. A stream that got a status other than 200 asked twice, once to see whether it was the last attempt. A retry that was taken when no target was left was not returned.

Ruled out: charging at the time of sending only. Between the decision and the sending another request could take the last retry.

Why it works: a request holds the retry that it took until an attempt is sent, holds it again if nothing reached the target, and returns it at its end. The number of requests that reach targets beyond the first attempt stays within the budget.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -6,6 +6,7 @@
 import type { StageResult } from "../stages/index.js";
 import { type AttemptOutcome, HEAD_TOO_LONG, NO_ANSWER_IN_TIME, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
+import { RequestRetries } from "./requestretries.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
@@ -53,12 +54,14 @@
     private hasBeenServed = false;
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
+    private readonly retries: RequestRetries;
 
     private constructor(
         private readonly context: GatewayContext,
         private readonly request: RoutedRequest,
     ) {
         this.markSent = context.limitQueue.add(request.service);
+        this.retries = RequestRetries.create(context.retryBudgetOf(request.service));
     }
 
     static create(context: GatewayContext, request: RoutedRequest): Attempts {
@@ -78,6 +81,7 @@
     /** Ends the attempts, whatever has come of them. */
     end(): void {
         this.markSent();
+        this.retries.end();
         this.endTrial();
     }
 
@@ -231,6 +235,7 @@
         });
         if (body !== undefined) headers.push("content-length", String(body.length));
         this.count += 1;
+        this.retries.recordAttempt();
         this.markSent();
         this.triedNames.add(target.name);
         context.rollouts.recordSent(target);
@@ -265,6 +270,7 @@
     ): Promise<ExchangeResult | "again"> {
         const { targets } = this.context;
         targets.recordEnded(target);
+        if (outcome.kind === "unreachable" || ("sent" in outcome && !outcome.sent)) this.retries.recordNothingSent();
         switch (outcome.kind) {
             case "unreachable":
                 this.count -= 1;
@@ -299,12 +305,12 @@
         this.logDecision("attempt declined", target, { wrongTarget });
     }
 
-    /** Whether a request that no target has run may be sent to another one; takes from the retry budget. */
+    /** Whether a request that no target has run may be sent to another one; if so, it holds a retry. */
     mayTryAnotherTarget(): boolean {
         return this.declinedCount <= MAXIMUM_DECLINES && this.takeRetry();
     }
 
-    /** Whether a request that a target may have run may be retried; takes from the retry budget. */
+    /** Whether a request that a target may have run may be retried; if so, it holds a retry. */
     mayRetry(): boolean {
         const { route, signal, deadline } = this.request;
         if (!route.idempotent || this.count >= route.maximumAttempts) return false;
@@ -322,12 +328,11 @@
 
     private takeRetry(): boolean {
         const { service, metadata } = this.request;
-        const budget = this.context.retryBudgetOf(service);
-        if (!budget.available()) {
+        if (!this.retries.available()) {
             this.context.onDecision("repeat denied", { id: metadata.requestId, service });
             return false;
         }
-        budget.take();
+        this.retries.take();
         return true;
     }
 
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -56,6 +56,11 @@
     take(): void {
         this.bucket.take();
     }
+
+    /** Returns a retry that was taken and not used. */
+    giveBack(): void {
+        this.bucket.add(1);
+    }
 }
 
 /** The budgets of all accounts and services at one entry. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -171,6 +171,13 @@
         return response?.status === 200;
     }
 
+    /** Leaves a gateway a number of retries for a service, and less than one more. */
+    leaveRetries(service: string, count: number, gateway = 0): void {
+        const budget = this.gateways[gateway]?.gateway.context.retryBudgetOf(service);
+        while (budget?.available() === true) budget.take();
+        for (let retry = 0; retry < count; retry += 1) budget?.giveBack();
+    }
+
     /** Log lines with a message, optionally of one request. */
     linesOf(message: string, id?: string): readonly Readonly<Record<string, unknown>>[] {
         return this.lines.filter(line => line.message === message && (id === undefined || line.id === id));
