Leave a silent target only for another one

What callers saw: a resumable stream ended with a closed connection, or with a 502 before its first event, seconds before its deadline, although its target was sound and would have gone on. Whoever gets a closed connection has neither an answer nor a refusal.

Cause: the timeouts for the first event and between events ended the attempt in any case. Whether the request could be sent to another target was only asked afterwards. On the last attempt, without a retry left, or without another target nothing was gained by ending it.

Evidence: of the 22 new tests in test/gateway/silenttargets.test.ts 17 failed before, among them all that leave the stream no other target: a target silent for 1,150 ms, with 2 s until the deadline, cost the caller its stream after about 0.95 s (502, or cut between events), or about 1.9 s where the only target was asked twice.

Ruled out: longer timeouts, which only move the moment, and hold streams at targets that are dead. Asking the next target first while the silent one goes on: two targets would work on one stream.

Why it works: when a timeout has passed, the request leaves its target only if it has an attempt and a retry left and an untried target is usable, both of which are reserved; the attempt is closed before the next one begins. Otherwise it goes on, is judged again every 100 ms, and ends at the deadline at the latest. The silence still counts against the target, so that other requests avoid it, and is logged ("silent attempt continues", with what is in the way).

Result: the 22 tests pass, as do those of test/gateway, test/routing and test/stages (377 in 30 files).

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -17,6 +17,7 @@
 import { connect, type Socket } from "node:net";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
+import { startSilenceTimeout } from "./silence.js";
 
 /** The request to send. */
 export interface AttemptRequest {
@@ -86,6 +87,8 @@
     readonly signal: AbortSignal;
     /** Maximum wait in milliseconds for the response head; undefined for the whole deadline. */
     readonly headTimeoutMs?: number | undefined;
+    /** Whether the attempt may end because the peer is silent, asked until it may; undefined if it always may. */
+    readonly mayAbandon?: (() => boolean) | undefined;
     /** Called when the connection is open and the request is about to be sent. */
     readonly onConnected?: () => void;
 }
@@ -175,24 +178,26 @@
         const finish = (outcome: AttemptOutcome): void => {
             if (settled) return;
             settled = true;
-            cancelTimeout();
+            cancelDeadline();
+            cancelHeadTimeout?.();
             limits.signal.removeEventListener("abort", onAbort);
             outgoing.socket?.removeListener("data", countHeadBytes);
             if (outcome.kind !== "answered") outgoing.destroy();
             resolve(outcome);
         };
         const onAbort = (): void => finish({ kind: "cancelled", sent: true });
-        const remaining = limits.deadline.remainingMs();
-        const headTimeout = limits.headTimeoutMs ?? Number.POSITIVE_INFINITY;
-        const cancelTimeout = startTimeout(
-            () =>
-                finish(
-                    headTimeout < remaining
-                        ? { kind: "broken", reason: NO_ANSWER_IN_TIME }
-                        : { kind: "expired", sent: true },
-                ),
-            Math.min(headTimeout, remaining),
+        const cancelDeadline = startTimeout(
+            () => finish({ kind: "expired", sent: true }),
+            limits.deadline.remainingMs(),
         );
+        const cancelHeadTimeout =
+            limits.headTimeoutMs === undefined
+                ? undefined
+                : startSilenceTimeout(
+                      () => finish({ kind: "broken", reason: NO_ANSWER_IN_TIME }),
+                      limits.headTimeoutMs,
+                      limits.mayAbandon,
+                  );
         const outgoing: ClientRequest = request({
             method: attemptRequest.method,
             path: attemptRequest.path,
@@ -303,7 +308,11 @@
             const armStallTimer = (): void => {
                 if (options.stallTimeoutMs === undefined) return;
                 cancelStallTimeout();
-                cancelStallTimeout = startTimeout(() => finish({ kind: "stalled" }), options.stallTimeoutMs);
+                cancelStallTimeout = startSilenceTimeout(
+                    () => finish({ kind: "stalled" }),
+                    options.stallTimeoutMs,
+                    options.mayAbandon,
+                );
             };
             const onEnd = (): void =>
                 finish(
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -7,6 +7,7 @@
 import { type AttemptOutcome, HEAD_TOO_LONG, NO_ANSWER_IN_TIME, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
 import { RequestRetries } from "./requestretries.js";
+import { firstEventTimeoutMs } from "./streamtimeouts.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
@@ -40,8 +41,6 @@
     readonly inputs: readonly StageResult[];
     /** Id of the event after which an interrupted stream is resumed. */
     readonly lastEventId?: string | undefined;
-    /** Maximum wait in milliseconds for the response head; undefined for the whole deadline. */
-    readonly headTimeoutMs?: number | undefined;
 }
 
 /** The attempts of one request. */
@@ -55,6 +54,10 @@
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
     private readonly retries: RequestRetries;
+    /** The target to which the request moves from a silent one. */
+    private reservedTarget: Target | undefined;
+    /** Whether the silence of the attempt in progress was recorded. */
+    private isSilenceRecorded = false;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -194,26 +197,62 @@
         for (;;) {
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
+            const reserved = usable.find(target => target === this.reservedTarget);
+            this.reservedTarget = undefined;
+            if (reserved !== undefined) return reserved;
             const untried = usable.filter(target => !this.triedNames.has(target.name));
-            const candidates = context.rollouts.allowed(
-                request.service,
-                untried.length > 0 ? untried : usable,
-                service => context.targets.eligible(service),
-            );
             const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
-            const chosen = request.route.streaming
-                ? cheapestEngine(candidates, this.placementInput(inputs), context.prefixCaches)
-                : leastLoadedTarget(candidates, context.zone, Math.random);
+            const chosen = this.bestTarget(untried.length > 0 ? untried : usable, inputs);
             if (chosen !== undefined) return chosen;
             if (performance.now() >= waitUntil) return undefined;
             await pause(TARGET_RECHECK_MS);
         }
     }
 
+    /** The best of the given targets, of those that roll-outs allow. */
+    private bestTarget(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
+        const { request, context } = this;
+        const eligible = (service: string): readonly Target[] => context.targets.eligible(service);
+        const allowed = context.rollouts.allowed(request.service, targets, eligible);
+        return request.route.streaming
+            ? cheapestEngine(allowed, this.placementInput(inputs), context.prefixCaches)
+            : leastLoadedTarget(allowed, context.zone, Math.random);
+    }
+
+    /**
+     * Whether the request leaves a silent target. It does so only for another target, which is reserved together with a
+     * retry: a silent target may go on, so that leaving it for nothing would take the answer from the caller.
+     */
+    mayAbandon(target: Target, inputs: readonly StageResult[]): boolean {
+        const obstacle = this.reserveOtherTarget(inputs);
+        if (obstacle === undefined) return true;
+        if (!this.isSilenceRecorded) {
+            this.context.targets.recordSilent(target);
+            this.logDecision("silent attempt continues", target, { reason: obstacle });
+        }
+        this.isSilenceRecorded = true;
+        return false;
+    }
+
+    /** Reserves another target and a retry. Returns what is in the way, if the request cannot move on. */
+    private reserveOtherTarget(inputs: readonly StageResult[]): string | undefined {
+        const { request, context } = this;
+        if (!this.hasAttemptLeft()) return "no attempt is left";
+        if (!this.retries.available()) return "no retry is left";
+        const { kind } = context.suspects.admission(request.traits);
+        if (kind !== "admitted" && this.trial === undefined) return "request may crash targets";
+        const usable = context.targets.usable(request.service);
+        const untried = usable.filter(({ name }) => !this.triedNames.has(name));
+        this.reservedTarget = this.bestTarget(untried, inputs);
+        if (this.reservedTarget === undefined) return "no other target";
+        this.retries.take();
+        return undefined;
+    }
+
     /** Zone of the target that will probably get the request. */
     preferredZone(): string {
         const { request, context } = this;
@@ -222,7 +261,7 @@
     }
 
     /** Sends the request to a target. */
-    send(target: Target, { inputs, lastEventId, headTimeoutMs }: AttemptOptions): Promise<AttemptOutcome> {
+    send(target: Target, { inputs, lastEventId }: AttemptOptions): Promise<AttemptOutcome> {
         const { context, request } = this;
         const { route, metadata, body } = request;
         const headers = context.dialect.attemptHeaders(request.rawHeaders, {
@@ -236,6 +275,7 @@
         if (body !== undefined) headers.push("content-length", String(body.length));
         this.count += 1;
         this.retries.recordAttempt();
+        this.isSilenceRecorded = false;
         this.markSent();
         this.triedNames.add(target.name);
         context.rollouts.recordSent(target);
@@ -248,7 +288,12 @@
             headers,
             body,
         };
-        return sendAttempt(attemptRequest, { deadline: request.deadline, signal: request.signal, headTimeoutMs });
+        return sendAttempt(attemptRequest, {
+            deadline: request.deadline,
+            signal: request.signal,
+            headTimeoutMs: route.streaming && route.idempotent ? firstEventTimeoutMs(route) : undefined,
+            mayAbandon: () => this.mayAbandon(target, inputs),
+        });
     }
 
     /** Number of prompt tokens that the target has to process because they are not in its prefix cache. */
@@ -312,10 +357,14 @@
 
     /** Whether a request that a target may have run may be retried; if so, it holds a retry. */
     mayRetry(): boolean {
+        return this.hasAttemptLeft() && this.takeRetry();
+    }
+
+    /** Whether a request that a target may have run may be sent once more, within the retry budget. */
+    private hasAttemptLeft(): boolean {
         const { route, signal, deadline } = this.request;
         if (!route.idempotent || this.count >= route.maximumAttempts) return false;
-        if (signal.aborted || deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return false;
-        return this.takeRetry();
+        return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
     }
 
     /** Ids of the prompt parts that other requests may share, as far as they fit into a log line. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -17,7 +17,7 @@
 import type { GatewayContext } from "./gateway.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { forwardStream } from "./streamforwarding.js";
-import { callerWaitLimitMs, firstEventTimeoutMs } from "./streamtimeouts.js";
+import { callerWaitLimitMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
 import { lazyTraitsOf } from "./suspects.js";
 
@@ -286,12 +286,10 @@
             const target = await attempts.nextTarget(inputs);
             if (target === undefined) break;
             const promptTokens = attempts.uncachedTokens(target);
-            const headTimeoutMs = request.route.idempotent ? firstEventTimeoutMs(request.route) : undefined;
             const startedAt = performance.now();
             const attempt = await attempts.send(target, {
                 inputs,
                 lastEventId: writer.lastDeliveredEventId,
-                headTimeoutMs,
             });
             if (attempt.kind !== "answered") {
                 this.context.targets.recordPromptRead(target, promptTokens);
@@ -335,7 +333,7 @@
                 continue;
             }
             let hasEvent = false;
-            const streamFailure = await forwardStream(request, target, attempt.head, attempt.body, writer, () => {
+            const onFirstEvent = (): void => {
                 hasEvent = true;
                 attempts.recordServed();
                 this.firstEventMs ??= performance.now() - this.receivedAt;
@@ -347,6 +345,10 @@
                     (performance.now() - startedAt) / request.route.latencyObjectiveMs,
                     request.route.name,
                 );
+            };
+            const streamFailure = await forwardStream(request, target, attempt.head, attempt.body, writer, {
+                onFirstEvent,
+                mayAbandon: () => attempts.mayAbandon(target, inputs),
             });
             this.context.targets.recordPromptRead(target, promptTokens);
             this.context.targets.recordEnded(target);
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -11,6 +11,13 @@
 /** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
 const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
 
+/** Callbacks of a stream that is forwarded. */
+export interface StreamCallbacks {
+    readonly onFirstEvent: () => void;
+    /** Whether the stream may be left because its target is silent. */
+    readonly mayAbandon: () => boolean;
+}
+
 /** Forwards a stream to its end. Returns undefined when the stream is complete, otherwise why it is not. */
 export async function forwardStream(
     request: RoutedRequest,
@@ -18,7 +25,7 @@
     head: ResponseHead,
     body: ResponseBody,
     writer: StreamWriter,
-    onFirstEvent: () => void,
+    { onFirstEvent, mayAbandon }: StreamCallbacks,
 ): Promise<ExchangeResult | undefined> {
     const splitter = EventSplitter.create(writer.lastDeliveredEventId ?? request.metadata.lastEventId);
     let isFirst = true;
@@ -27,6 +34,7 @@
         deadline: request.deadline,
         signal: request.signal,
         stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
+        mayAbandon,
         onChunk: chunk => {
             const events = splitter.push(chunk);
             if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -270,6 +270,11 @@
         this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
+    /** Records an attempt whose target is silent and that continues. Only its end says whether it failed. */
+    recordSilent(target: Target): void {
+        this.health.recordFailure(target.name, this.eligibleNames(target));
+    }
+
     /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
     recordExpired(target: Target, route = ""): void {
         this.options.onOutcome?.(target, route, true, undefined);
--- /dev/null
+++ b/test/gateway/silenttargets.test.ts
@@ -0,0 +1,140 @@
+/**
+ * Targets of resumable streams that fall silent, and those that go on after a while. A gateway that leaves such a target
+ * although the stream cannot continue elsewhere takes an answer from its caller that would have come.
+ */
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { pause } from "../../src/model/pause.js";
+import type { Behaviour } from "../platform/standintarget.js";
+import { type CallAnswer, Deployment } from "./harness.js";
+
+let deployment: Deployment;
+
+afterEach(() => deployment.close());
+
+/** Longer than the timeouts of the route's streams (900 ms), with enough time left before its deadline (2 s). */
+const SILENCE_MS = 1_150;
+const ENDLESS_MS = 5_000;
+const EVENTS = 4;
+
+type Silence = "before the head" | "before the first event" | "between events";
+
+function silentStream(silence: Silence, milliseconds = SILENCE_MS): Behaviour {
+    switch (silence) {
+        case "before the head":
+            return { kind: "delayedStream", events: EVENTS, delayMs: milliseconds };
+        case "before the first event":
+            return { kind: "stream", events: EVENTS, silence: { after: "head", milliseconds } };
+        case "between events":
+            return { kind: "stream", events: EVENTS, silence: { after: 2, milliseconds } };
+    }
+}
+
+const SILENCES: readonly { readonly silence: Silence }[] = [
+    { silence: "before the head" },
+    { silence: "before the first event" },
+    { silence: "between events" },
+];
+
+/** Sets how the engines handle the next requests, in order of arrival; the last behaviour repeats. */
+function scriptEngines(behaviours: readonly Behaviour[]): void {
+    let arrivals = 0;
+    for (const target of deployment.targets.values()) {
+        target.behaviour = () => {
+            const behaviour = behaviours[Math.min(arrivals, behaviours.length - 1)];
+            arrivals += 1;
+            return behaviour ?? { kind: "answer" };
+        };
+    }
+}
+
+/** Leaves the gateway a number of retries, and less than one more. */
+function leaveRetries(count: number): void {
+    const budget = deployment.gateways[0]?.gateway.context.retryBudgetOf("engines");
+    while (budget?.available() === true) budget.take();
+    for (let retry = 0; retry < count; retry += 1) while (budget?.available() === false) budget.deposit();
+}
+
+function arrivalCount(): number {
+    return [...deployment.targets.values()].reduce((sum, { arrivals }) => sum + arrivals.length, 0);
+}
+
+function expectWholeStream(answer: CallAnswer): void {
+    expect(answer).toMatchObject({ status: 200, complete: true });
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+    expect(ids).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
+}
+
+describe("a stream whose target is silent for a while", () => {
+    it.each(SILENCES)("$silence is not ended when no attempt is left", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 3 });
+        scriptEngines([{ kind: "reset" }, silentStream(silence)]);
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(arrivalCount()).toBe(2);
+    });
+
+    it.each(SILENCES)("$silence is not ended when no retry is left", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        leaveRetries(0);
+        scriptEngines([silentStream(silence)]);
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(arrivalCount()).toBe(1);
+    });
+
+    it.each(SILENCES)("$silence is not ended when there is no other target", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 1 });
+        scriptEngines([silentStream(silence)]);
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(arrivalCount()).toBe(1);
+    });
+
+    it.each(SILENCES)("$silence is not ended when the other target is leaving", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        deployment.register("engines", "engines-1", { State: "draining" });
+        await vi.waitFor(() => expect(deployment.linesOf("target draining")).toHaveLength(1));
+        scriptEngines([silentStream(silence)]);
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(arrivalCount()).toBe(1);
+    });
+
+    it("and that is not resumable waits for it until the deadline", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines([silentStream("between events")]);
+        expectWholeStream(await deployment.call({ path: "/draft/1" }));
+        expect(arrivalCount()).toBe(1);
+    });
+});
+
+describe("a stream whose target stays silent", () => {
+    it.each(SILENCES)("$silence moves to another target, one at a time", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        const [first, second] = [deployment.target("engines-0"), deployment.target("engines-1")];
+        first.behaviour = () => silentStream(silence, ENDLESS_MS);
+        let wasAbandoned = false;
+        second.behaviour = () => {
+            wasAbandoned = first.abandoned.length > 0;
+            return { kind: "stream", events: EVENTS };
+        };
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(second.arrivals).toHaveLength(1);
+        expect(wasAbandoned).toBe(true);
+    });
+
+    it.each(SILENCES)("$silence moves on when another target comes", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 1 });
+        deployment.target("engines-0").behaviour = () => silentStream(silence, ENDLESS_MS);
+        const answered = deployment.call({ path: "/chat/1" });
+        await pause(SILENCE_MS);
+        (await deployment.addTarget("engines", "engines-1")).behaviour = () => ({ kind: "stream", events: EVENTS });
+        expectWholeStream(await answered);
+        expect(arrivalCount()).toBe(2);
+    });
+
+    it.each(SILENCES)("$silence ends at its deadline when there is no other", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 1 });
+        scriptEngines([silentStream(silence, ENDLESS_MS)]);
+        const answer = await deployment.call({ path: "/chat/1" });
+        if (silence === "between events") expect(answer).toMatchObject({ status: 200, complete: false });
+        else expect(answer.status).toBe(504);
+        expect(deployment.linesOf("silent attempt continues")).toHaveLength(1);
+    });
+});
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -20,7 +20,14 @@
 /** How a target handles a request. */
 export type Behaviour =
     | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
-    | { readonly kind: "stream"; readonly events: number; readonly gapMs?: number; readonly cutAfterBytes?: number }
+    | {
+          readonly kind: "stream";
+          readonly events: number;
+          readonly gapMs?: number;
+          readonly cutAfterBytes?: number;
+          /** A silence in the stream: after its head, or after the event with this id. */
+          readonly silence?: { readonly after: "head" | number; readonly milliseconds: number };
+      }
     | { readonly kind: "delayedStream"; readonly events: number; readonly delayMs: number }
     /** Writes `first`, then `repeated` until the caller closes the connection. */
     | { readonly kind: "endless"; readonly first: string; readonly repeated: string }
@@ -225,7 +232,12 @@
             "x-parsleyrun-server-stamp": `stamp-${this.id}`,
             ...this.limitHeader(),
         });
+        const { silence } = behaviour;
         const first = Number(arrival.headers["last-event-id"] ?? 0) + 1;
+        if (silence?.after === "head") {
+            response.flushHeaders();
+            await new Promise(resolve => setTimeout(resolve, silence.milliseconds));
+        }
         let bytesLeft = behaviour.cutAfterBytes ?? Number.POSITIVE_INFINITY;
         for (let id = first; id <= behaviour.events; id += 1) {
             const event = `id: ${id}\ndata: event ${id} of ${arrival.id}\n\n`;
@@ -237,7 +249,8 @@
             }
             bytesLeft -= event.length;
             response.write(event);
-            await new Promise(resolve => setTimeout(resolve, behaviour.gapMs ?? 1));
+            const gapMs = silence?.after === id ? silence.milliseconds : (behaviour.gapMs ?? 1);
+            await new Promise(resolve => setTimeout(resolve, gapMs));
         }
         response.end();
     }
