Read the rest of a refused request before closing its connection

What callers saw: a reset connection in place of a refusal (404 for a removed route, 401 for a removed key, 408, 413, 431, 503 while starting or stopping), whenever a part of the body arrived after the refusal was sent. Bodies of 18 KB and more come in several parts.

Cause: such a refusal closes the connection, and Node closes the socket as soon as the response is written. Bytes that are unread then, or arrive later, reset the connection, and the caller's side discards the response that it has not read yet or fails on its next write.

The gateway also did not wait for such a caller when it stopped.

Ruled out: a wrong status or a missing response; the response was written in all cases. The same request with its body complete before the refusal is answered.

A gateway that stops counts the request as open until its body has ended. A body that is late or too long is no longer kept in memory once that is known.

Why this works: the refusal with its length is followed by an orderly end of the connection, and no byte is left unread, so the operating system has no reason to reset it within these bounds.

--- a/src/gateway/requestbody.ts
+++ b/src/gateway/requestbody.ts
@@ -19,14 +19,18 @@
         let size = 0;
         const finish = (outcome: RequestBody): void => {
             cancelTimeout();
+            // The rest of the body is still read, since an unread rest would reset the connection, but not kept.
+            request.off("data", keep);
+            request.resume();
             resolve(outcome);
         };
-        const cancelTimeout = startTimeout(() => finish("late"), deadline.remainingMs());
-        request.on("data", (chunk: Buffer) => {
+        const keep = (chunk: Buffer): void => {
             size += chunk.length;
             if (size > maximumBytes) finish("tooLong");
             else chunks.push(chunk);
-        });
+        };
+        const cancelTimeout = startTimeout(() => finish("late"), deadline.remainingMs());
+        request.on("data", keep);
         request.on("end", () => finish(Buffer.concat(chunks)));
         request.on("error", () => finish("broken"));
         request.on("close", () => finish("broken"));
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -5,6 +5,7 @@
 import { pause } from "../model/pause.js";
 import { decodeOrder, decodeRelease, OpenOrders, PEER_PATHS, PROGRESS_INTERVAL_MS } from "../stages/index.js";
 import type { ConnectionLimits } from "./configuration.js";
+import { Connection, type RequestHandler } from "./connection.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
 import { NEWS_PATH } from "./gossip.js";
@@ -23,6 +24,9 @@
 /** Maximum time in milliseconds for a whole request to arrive. */
 const REQUEST_TIMEOUT_MS = 60_000;
 
+/** Size in bytes that is read of a request after its response at least, if the limit of bodies is smaller. */
+const MINIMUM_DISCARD_LIMIT_BYTES = 1_048_576;
+
 /** Maximum size in bytes of an order for pieces from another gateway. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
@@ -31,29 +35,38 @@
 
 /** An HTTP server that tracks its connections and open requests. */
 export class Listener {
-    private readonly sockets = new Set<Socket>();
-    private open = 0;
+    private readonly connections = new Map<Socket, Connection>();
 
-    private constructor(readonly server: Server) {
+    private constructor(
+        readonly server: Server,
+        serve: RequestHandler,
+        maximumDiscardedBytes: () => number,
+    ) {
         server.on("connection", socket => {
-            this.sockets.add(socket);
+            this.connections.set(socket, Connection.of(socket, serve, maximumDiscardedBytes));
             socket.setNoDelay(true);
-            socket.once("close", () => this.sockets.delete(socket));
+            socket.once("close", () => this.connections.delete(socket));
         });
-        server.on("request", (_request, response: ServerResponse) => {
-            this.open += 1;
-            response.once("close", () => (this.open -= 1));
+        server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+            this.connections.get(request.socket)?.receive(request, response);
         });
     }
 
-    /** Number of requests whose responses have not ended. */
+    /** Number of requests that have not ended. */
     get openRequests(): number {
-        return this.open;
+        let sum = 0;
+        for (const { openRequests } of this.connections.values()) sum += openRequests;
+        return sum;
     }
 
-    /** Listens at an address (host:port). */
-    static async listen(server: Server, address: string): Promise<Listener> {
-        const listener = new Listener(server);
+    /** Listens at an address (host:port). `maximumDiscardedBytes` is as for a connection. */
+    static async listen(
+        server: Server,
+        address: string,
+        serve: RequestHandler,
+        maximumDiscardedBytes: () => number = () => MINIMUM_DISCARD_LIMIT_BYTES,
+    ): Promise<Listener> {
+        const listener = new Listener(server, serve, maximumDiscardedBytes);
         const separator = address.lastIndexOf(":");
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -66,57 +79,61 @@
     close(): Promise<void> {
         return new Promise(resolve => {
             this.server.close(() => resolve());
-            for (const socket of this.sockets) socket.destroy();
+            for (const socket of this.connections.keys()) socket.destroy();
         });
     }
 }
 
 /** Serves callers. */
 export async function listenForCallers(gateway: Gateway, address: string): Promise<Listener> {
-    const server = createServer(
-        {
-            maxHeaderSize: MAXIMUM_HEAD_BYTES,
-            connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
-            requestTimeout: REQUEST_TIMEOUT_MS,
-        },
+    const server = createServer({
+        maxHeaderSize: MAXIMUM_HEAD_BYTES,
+        connectionsCheckingInterval: SLOW_CALLER_CHECK_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+    });
+    const limits = (): ConnectionLimits | undefined => gateway.configuration?.content.limits;
+    return Listener.listen(
+        server,
+        address,
         (request, response) => {
-            const limits = gateway.configuration?.content.limits;
-            if (limits !== undefined) applyLimits(server, limits);
+            applyLimits(server, limits());
             void Exchange.serve(gateway.context, request, response);
         },
+        () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
     );
-    return Listener.listen(server, address);
 }
 
-function applyLimits(server: Server, limits: ConnectionLimits): void {
+function applyLimits(server: Server, limits: ConnectionLimits | undefined): void {
+    if (limits === undefined) return;
     server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
     server.headersTimeout = Math.min(REQUEST_TIMEOUT_MS, limits.headerTimeoutMs);
 }
 
 /** Serves readiness checks: 200 while the gateway accepts new connections, otherwise 503. */
 export async function listenForReadiness(address: string, ready: () => boolean): Promise<Listener> {
-    const server = createServer((_request, response) => {
+    return Listener.listen(createServer(), address, (_request, response) => {
         response.writeHead(ready() ? 200 : 503, { "content-length": 0 });
         response.end();
     });
-    return Listener.listen(server, address);
 }
 
 /** Serves the metrics page. */
 export async function listenForMetrics(address: string, render: () => string): Promise<Listener> {
-    const server = createServer((request, response) => {
+    return Listener.listen(createServer(), address, (request, response) => {
         const found = request.url === "/metrics";
         response.writeHead(found ? 200 : 404, { "content-type": "text/plain; version=0.0.4" });
         response.end(found ? render() : "");
     });
-    return Listener.listen(server, address);
 }
 
 /** Serves calls from other gateways. */
 export async function listenForPeers(gateway: Gateway, address: string): Promise<Listener> {
     const openOrders = OpenOrders.create();
-    const server = createServer((request, response) => void servePeer(gateway, openOrders, request, response));
-    return Listener.listen(server, address);
+    return Listener.listen(
+        createServer(),
+        address,
+        (request, response) => void servePeer(gateway, openOrders, request, response),
+    );
 }
 
 async function servePeer(
