Name the era of the store in the outcomes of its calls

Cause: a store that was restored from a copy gives versions and revisions out again. Nothing in the outcome of a call told that the versions in it cannot be compared with those of earlier calls; the clients read no header of an answer.

Ruled out: recognising a restoration by a revision that goes back. Once the store has caught up, revisions look as if nothing had happened, and a stale read looks like a restoration.

Change: reads, lists, writes and watches name the era, a count that rises with each restoration. An answer of an earlier era that arrives late counts as no answer, and a list whose pages have different eras fails. The stand-ins of both stores can be restored.

Result: no change of behaviour for stores that name no era; the tests of the stores pass with the era 0 in each outcome.

--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -32,6 +32,8 @@
     /** Handles of stage results, comma-separated. */
     inputs: "x-parsleyrun-inputs",
     authorization: "authorization",
+    /** In all answers of the store: rises by one each time the store is restored from a copy. */
+    storeEra: "store-era",
 } as const;
 
 /** Paths of calls to targets. */
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -5,16 +5,19 @@
     type StoreCallOutcome,
     type CallKind,
     type CallCounter,
+    EraTracker,
     type ListOutcome,
     type ReadOutcome,
     sendCall,
     type Store,
     type StoreCall,
     type StoredObject,
+    type StoreEra,
     type StoreEvent,
     type WatchOutcome,
     type WriteOutcome,
 } from "../store/index.js";
+import { HEADER } from "./names.js";
 
 /** Settings of the client. */
 export interface PlatformStoreOptions {
@@ -42,6 +45,7 @@
 /** Client of the platform's store. */
 export class PlatformStore implements Store {
     private readonly agent = new Agent({ keepAlive: true });
+    private readonly era = EraTracker.create(HEADER.storeEra);
 
     private constructor(private readonly options: PlatformStoreOptions) {}
 
@@ -51,21 +55,25 @@
 
     async read(key: string): Promise<ReadOutcome> {
         const answer = await this.call("read", { method: "GET", path: `/objects/${key}` });
-        if (answer.kind === "answered" && answer.status === 404) return { kind: "missing" };
+        if (answer.kind === "answered" && answer.status === 404) return { kind: "missing", era: this.era.current };
         const object = objectSchema.safeParse(successBody(answer));
-        return object.success ? { kind: "found", object: decode(kindOf(key), object.data) } : unavailable(answer);
+        if (!object.success) return unavailable(answer);
+        return { kind: "found", object: decode(kindOf(key), object.data), era: this.era.current };
     }
 
     async list(prefix: string): Promise<ListOutcome> {
         const kind = kindOf(prefix);
         const objects: StoredObject[] = [];
         let revision: number | undefined;
+        let firstEra: StoreEra | undefined;
         let after = "";
         for (let page = 0; page < MAXIMUM_PAGES; page += 1) {
             const query = after === "" ? "" : `?After=${encodeURIComponent(after)}`;
             const answer = await this.call("list", { method: "GET", path: `/objects/${kind}${query}` });
             const body = listSchema.safeParse(successBody(answer));
             if (!body.success) return unavailable(answer);
+            const era = this.era.current;
+            if (era !== (firstEra ??= era)) return { kind: "unavailable", message: "the store was restored" };
             // A watch from the first page's revision also reports the changes made while later pages were read.
             revision ??= body.data.At;
             for (const entry of body.data.Entries) {
@@ -73,7 +81,7 @@
                 if (object.success) objects.push(decode(kind, object.data));
             }
             const last = objectSchema.safeParse(body.data.Entries.at(-1));
-            if (body.data.HasMore !== true || !last.success) return { kind: "listed", objects, revision };
+            if (body.data.HasMore !== true || !last.success) return { kind: "listed", objects, revision, era };
             after = last.data.Metadata.Name;
         }
         return { kind: "unavailable", message: "list has too many pages" };
@@ -91,7 +99,7 @@
             const key = `${kind}/${event.Object.Metadata.Name}`;
             return event.Deleted === true ? { key } : { key, object: decode(kind, event.Object) };
         });
-        return { kind: "changed", events, revision: body.data.At };
+        return { kind: "changed", events, revision: body.data.At, era: this.era.current };
     }
 
     async write(key: string, value: string, expectedVersion: number): Promise<WriteOutcome> {
@@ -101,19 +109,19 @@
         const metadata = create ? { Name: name } : { Name: name, Revision: expectedVersion };
         const path = create ? `/objects/${kind}` : `/objects/${key}`;
         const body = JSON.stringify({ Metadata: metadata, Spec: spec });
-        return writeOutcome(await this.call("write", { method: create ? "POST" : "PUT", path, body }));
+        return this.writeOutcome(await this.call("write", { method: create ? "POST" : "PUT", path, body }));
     }
 
     async remove(key: string, expectedVersion: number): Promise<WriteOutcome> {
         const path = `/objects/${key}?Revision=${expectedVersion}`;
-        return writeOutcome(await this.call("remove", { method: "DELETE", path }));
+        return this.writeOutcome(await this.call("remove", { method: "DELETE", path }));
     }
 
     /** Replaces the status of an object if its version is `expectedVersion`. */
     async writeStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
         const metadata = { Name: nameOf(key), Revision: expectedVersion };
         const body = JSON.stringify({ Metadata: metadata, Status: status });
-        return writeOutcome(await this.call("write", { method: "PUT", path: `/objects/${key}/status`, body }));
+        return this.writeOutcome(await this.call("write", { method: "PUT", path: `/objects/${key}/status`, body }));
     }
 
     /** Closes all connections. */
@@ -126,10 +134,28 @@
         call: Omit<StoreCall, "timeoutMilliseconds"> & { readonly timeoutMilliseconds?: number },
     ): Promise<StoreCallOutcome> {
         const { address, timeoutMilliseconds, ledger } = this.options;
-        const answer = await sendCall(this.agent, address, { timeoutMilliseconds, ...call });
+        const answer = this.era.check(await sendCall(this.agent, address, { timeoutMilliseconds, ...call }));
         ledger.record(kind, answer.kind !== "answered" || answer.status === 429 || answer.status >= 500);
         return answer;
     }
+
+    private writeOutcome(answer: StoreCallOutcome): WriteOutcome {
+        if (answer.kind === "unanswered") {
+            return { kind: answer.sent ? "unknown" : "unavailable", message: answer.message };
+        }
+        const { status } = answer;
+        if (status === 409 || status === 404) return { kind: "conflict" };
+        if (status >= 200 && status < 300) {
+            const object = objectSchema.safeParse(answer.body);
+            return {
+                kind: "written",
+                version: object.success ? object.data.Metadata.Revision : 0,
+                era: this.era.current,
+            };
+        }
+        // The store answers 429 or 503 only if it has not applied the write.
+        return { kind: status === 429 || status === 503 ? "unavailable" : "unknown", message: `status ${status}` };
+    }
 }
 
 function kindOf(key: string): string {
@@ -153,17 +179,3 @@
     const message = answer.kind === "answered" ? `status ${answer.status}` : answer.message;
     return { kind: "unavailable", message };
 }
-
-function writeOutcome(answer: StoreCallOutcome): WriteOutcome {
-    if (answer.kind === "unanswered") {
-        return { kind: answer.sent ? "unknown" : "unavailable", message: answer.message };
-    }
-    const { status } = answer;
-    if (status === 409 || status === 404) return { kind: "conflict" };
-    if (status >= 200 && status < 300) {
-        const object = objectSchema.safeParse(answer.body);
-        return { kind: "written", version: object.success ? object.data.Metadata.Revision : 0 };
-    }
-    // The store answers 429 or 503 only if it has not applied the write.
-    return { kind: status === 429 || status === 503 ? "unavailable" : "unknown", message: `status ${status}` };
-}
--- a/src/standins/server.ts
+++ b/src/standins/server.ts
@@ -100,6 +100,7 @@
     const client = store.client("http", Infinity);
     const controls = { standIn: store, faultNames: STORE_FAULTS, counters: () => store.allCounts() };
     const served = await serve(address, controls, async (request, url, response) => {
+        response.setHeader("store-era", store.era);
         const key = decodeURIComponent(url.pathname.replace(/^\/objects\//, ""));
         const expected = request.headers["if-none-match"] === "*" ? 0 : Number(request.headers["if-match"]);
         const prefix = url.searchParams.get("prefix") ?? "";
@@ -116,6 +117,8 @@
                 route === "GET /objects"
                     ? await client.list(prefix)
                     : await client.watch(prefix, number("revision"), number("timeoutMilliseconds"));
+            // The store may have been restored while the watch waited.
+            response.setHeader("store-era", store.era);
             if (outcome.kind === "unavailable") return sendUnavailable(response, outcome.message);
             return sendJson(response, 200, { ...outcome, kind: undefined });
         }
--- a/src/standins/store.ts
+++ b/src/standins/store.ts
@@ -90,6 +90,7 @@
     private readonly readLimiter: RateLimiter;
     private history: Change[] = [];
     private revision = 0;
+    private currentEra = 0;
     private outage = false;
     private slowMilliseconds = 0;
     private staleMilliseconds = 0;
@@ -166,6 +167,26 @@
         this.staleMilliseconds = on ? lagMilliseconds : 0;
     }
 
+    /** Number of restorations so far. */
+    get era(): number {
+        return this.currentEra;
+    }
+
+    /** Returns to the state of `ageMilliseconds` ago. Versions and revisions since then are given out again. */
+    restore(ageMilliseconds: number): void {
+        const copiedAt = performance.now() - ageMilliseconds;
+        const lost = this.history.filter(change => change.changedAt > copiedAt);
+        for (const { key, before } of lost.toReversed()) {
+            this.versions.set(key, (this.versions.get(key) ?? 1) - 1);
+            if (before === undefined) this.objects.delete(key);
+            else this.objects.set(key, before);
+        }
+        this.history = this.history.slice(0, this.history.length - lost.length);
+        this.revision -= lost.length;
+        this.currentEra += 1;
+        this.wakeWatches();
+    }
+
     /** Replaces the VM list; readers see it after the lag. The first list is visible at once. */
     setVms(vms: readonly Vm[]): void {
         const lag = this.vms === undefined ? 0 : this.options.vmListLagMilliseconds;
@@ -241,7 +262,8 @@
     private read(key: string): ReadOutcome {
         const hidden = this.hiddenChanges().find(change => change.key === key);
         const object = hidden === undefined ? this.objects.get(key) : hidden.before;
-        return object === undefined ? { kind: "missing" } : { kind: "found", object };
+        const era = this.currentEra;
+        return object === undefined ? { kind: "missing", era } : { kind: "found", object, era };
     }
 
     private list(prefix: string): ListOutcome {
@@ -253,7 +275,8 @@
         }
         const listed = [...objects.values()].filter(object => object.key.startsWith(prefix));
         const revision = hidden[0] === undefined ? this.revision : hidden[0].revision - 1;
-        return { kind: "listed", objects: listed.sort((a, b) => (a.key < b.key ? -1 : 1)), revision };
+        const sorted = listed.sort((a, b) => (a.key < b.key ? -1 : 1));
+        return { kind: "listed", objects: sorted, revision, era: this.currentEra };
     }
 
     private write(key: string, value: string | undefined, expectedVersion: number): WriteOutcome {
@@ -273,7 +296,7 @@
         const maximum = this.options.maximumHistory ?? 10_000;
         if (this.history.length > maximum * 1.1) this.history = this.history.slice(-maximum);
         this.wakeWatches();
-        return { kind: "written", version };
+        return { kind: "written", version, era: this.currentEra };
     }
 
     private wakeWatches(): void {
@@ -301,11 +324,13 @@
         const oldest = this.history[0]?.revision ?? this.revision + 1;
         if (revision < oldest - 1 || revision > this.revision) return unavailable(STORE_REVISION_TOO_OLD);
         const endsAt = performance.now() + timeoutMilliseconds;
+        const era = this.currentEra;
         for (;;) {
             if (this.isInOutage(client)) return unavailable(STORE_OUTAGE);
             const events = this.eventsAfter(prefix, revision);
             const remaining = endsAt - performance.now();
-            if (events.length > 0 || remaining <= 0) return { kind: "changed", events, revision: this.revision };
+            if (this.currentEra !== era) return unavailable(STORE_REVISION_TOO_OLD);
+            if (events.length > 0 || remaining <= 0) return { kind: "changed", events, revision: this.revision, era };
             await this.waitForChange(remaining);
         }
     }
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -1,5 +1,5 @@
 /** One HTTP call to a store, and its outcome. */
-import { type Agent, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
+import { type Agent, type IncomingHttpHeaders, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
 import { parseJson } from "../model/json.js";
 import { startTimeout } from "../model/timeout.js";
 
@@ -14,7 +14,12 @@
 
 /** The response to a call, or why there is none. `sent` tells whether the request may have reached the store. */
 export type StoreCallOutcome =
-    | { readonly kind: "answered"; readonly status: number; readonly body: unknown }
+    | {
+          readonly kind: "answered";
+          readonly status: number;
+          readonly headers: IncomingHttpHeaders;
+          readonly body: unknown;
+      }
     | { readonly kind: "unanswered"; readonly sent: boolean; readonly message: string };
 
 /**
@@ -48,7 +53,8 @@
             response.on("end", () => {
                 cancelTimeout();
                 const text = Buffer.concat(chunks).toString();
-                resolve({ kind: "answered", status: response.statusCode ?? 0, body: parseJson(text) });
+                const { statusCode: status = 0, headers } = response;
+                resolve({ kind: "answered", status, headers, body: parseJson(text) });
             });
         });
         const cancelTimeout = startTimeout(
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { type StoreCallOutcome, sendCall, type StoreCall } from "./call.js";
 import type { CallKind, CallCounter } from "./counter.js";
+import { EraTracker } from "./era.js";
 import type { ListOutcome, ReadOutcome, Store, StoreEvent, WatchOutcome, WriteOutcome } from "./store.js";
 
 /** Options of a store client. */
@@ -21,6 +22,9 @@
     readonly kind: CallKind;
 }
 
+/** Header of all answers with the number of times that the store was restored from a copy. */
+const ERA_HEADER = "store-era";
+
 const objectSchema = z.object({ key: z.string(), version: z.int().min(1), value: z.string() });
 const listSchema = z.object({ objects: z.array(objectSchema), revision: z.int().min(0) });
 const writtenSchema = z.object({ version: z.int().min(1) });
@@ -52,6 +56,7 @@
 /** Client of the object API. */
 export class HttpStore implements Store {
     private readonly agent = new Agent({ keepAlive: true });
+    private readonly era = EraTracker.create(ERA_HEADER);
 
     private constructor(private readonly options: HttpStoreOptions) {}
 
@@ -62,9 +67,9 @@
 
     async read(key: string): Promise<ReadOutcome> {
         const answer = await this.call({ ...this.getRequest("read"), path: objectPath(key) });
-        if (answer.kind === "answered" && answer.status === 404) return { kind: "missing" };
+        if (answer.kind === "answered" && answer.status === 404) return { kind: "missing", era: this.era.current };
         const object = bodyOf(answer, objectSchema);
-        return object?.key === key ? { kind: "found", object } : toUnavailable(answer);
+        return object?.key === key ? { kind: "found", object, era: this.era.current } : toUnavailable(answer);
     }
 
     async list(prefix: string): Promise<ListOutcome> {
@@ -73,7 +78,7 @@
             path: `/objects?${new URLSearchParams({ prefix })}`,
         });
         const body = bodyOf(answer, listSchema);
-        return body === undefined ? toUnavailable(answer) : { kind: "listed", ...body };
+        return body === undefined ? toUnavailable(answer) : { kind: "listed", ...body, era: this.era.current };
     }
 
     async write(key: string, value: string, expectedVersion: number): Promise<WriteOutcome> {
@@ -94,7 +99,7 @@
         const events = body.events.map(({ key, object }): StoreEvent =>
             object === undefined ? { key } : { key, object },
         );
-        return { kind: "changed", events, revision: body.revision };
+        return { kind: "changed", events, revision: body.revision, era: this.era.current };
     }
 
     /** Closes all connections. */
@@ -129,14 +134,14 @@
         }
         if (answer.status === 412) return { kind: "conflict" };
         const written = bodyOf(answer, writtenSchema);
-        if (written !== undefined) return { kind: "written", version: written.version };
+        if (written !== undefined) return { kind: "written", version: written.version, era: this.era.current };
         // The interface guarantees only for these statuses that nothing was changed.
         const refused = [400, 413, 429, 503].includes(answer.status);
         return refused ? toUnavailable(answer) : { kind: "unknown", message: toUnavailable(answer).message };
     }
 
     private async call(call: CountedCall): Promise<StoreCallOutcome> {
-        const answer = await sendCall(this.agent, this.options.address, call);
+        const answer = this.era.check(await sendCall(this.agent, this.options.address, call));
         const expected = answer.kind === "answered" && [200, 404, 410, 412].includes(answer.status);
         this.options.callCounter.record(call.kind, !expected);
         return answer;
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -2,5 +2,6 @@
 export { HttpStore, type HttpStoreOptions } from "./client.js";
 export * from "./lease.js";
 export * from "./counter.js";
+export * from "./era.js";
 export * from "./store.js";
 export * from "./view.js";
--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -87,7 +87,7 @@
         const version = read.kind === "found" ? read.object.version : 0;
         if (read.kind === "found" && version > expectedVersion) {
             const isOwn = parseRecord(read.object.value)?.renewal === record.renewal;
-            return isOwn ? { kind: "written", version } : { kind: "conflict" };
+            return isOwn ? { kind: "written", version, era: read.era } : { kind: "conflict" };
         }
         if (read.kind !== "unavailable") outcome = await store.write(key, value, expectedVersion);
         inDoubt = outcome.kind !== "written";
--- a/test/platform/standinplatform.ts
+++ b/test/platform/standinplatform.ts
@@ -35,6 +35,9 @@
     private history: Change[] = [];
     private oldestRevision = 0;
     private revision = 1;
+    private era = 1;
+    private copy:
+        { readonly objects: readonly [string, Map<string, StoredEntry>][]; readonly revision: number } | undefined;
     private waitingWatches = new Set<() => void>();
     private readonly sockets = new Set<Socket>();
 
@@ -69,6 +72,25 @@
         this.wake();
     }
 
+    /** Takes a copy, to which `restore` returns. */
+    takeCopy(): void {
+        const objects = [...this.objects].map(([kind, entries]) => [kind, new Map(entries)] as const);
+        this.copy = { objects: objects.map(([kind, entries]) => [kind, entries]), revision: this.revision };
+    }
+
+    /** Returns to the copy: what was written since is gone, and its revisions are given out again. */
+    restore(): void {
+        if (this.copy === undefined) throw new Error("there is no copy");
+        this.objects.clear();
+        for (const [kind, entries] of this.copy.objects) this.objects.set(kind, new Map(entries));
+        this.revision = this.copy.revision;
+        this.history = this.history.filter(change => change.revision <= this.revision);
+        this.oldestRevision = Math.min(this.oldestRevision, this.revision);
+        this.era += 1;
+        this.cutConnections();
+        this.wake();
+    }
+
     put(kind: string, name: string, spec: unknown, status?: unknown): StoredEntry {
         this.revision += 1;
         const object = { Metadata: { Name: name, Revision: this.revision }, Spec: spec, Status: status };
@@ -110,6 +132,7 @@
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readAll(request);
         this.calls.push(`${request.method} ${request.url}`);
+        response.setHeader("Store-Era", this.era);
         if (this.silent) return;
         if (this.down || [...this.refusedKinds].some(kind => request.url?.startsWith(`/objects/${kind}`))) {
             response.writeHead(503).end();
@@ -164,10 +187,9 @@
         }
         const end = Date.now() + Number(query.get("WaitMs") ?? 0);
         for (;;) {
-            if (Number(sinceRevision) < this.oldestRevision) return answer(410, {});
-            const events = this.history.filter(
-                change => change.kind === kind && change.revision > Number(sinceRevision),
-            );
+            const since = Number(sinceRevision);
+            if (since < this.oldestRevision || since > this.revision) return answer(410, {});
+            const events = this.history.filter(change => change.kind === kind && change.revision > since);
             if (events.length > 0 || Date.now() >= end) {
                 return answer(200, {
                     events: events.map(({ Object, Deleted }) => ({ Object, Deleted })),
--- a/test/store/store.test.ts
+++ b/test/store/store.test.ts
@@ -23,15 +23,15 @@
     });
 
     it("reads, lists, writes and removes with versions", async () => {
-        expect(await store.read("a/b")).toEqual({ kind: "missing" });
-        expect(await store.write("a/b", "ü\n1", 0)).toEqual({ kind: "written", version: 1 });
+        expect(await store.read("a/b")).toEqual({ kind: "missing", era: 0 });
+        expect(await store.write("a/b", "ü\n1", 0)).toEqual({ kind: "written", version: 1, era: 0 });
         expect(await store.write("a/b", "2", 0)).toEqual({ kind: "conflict" });
         const object = { key: "a/b", version: 1, value: "ü\n1" };
-        expect(await store.read("a/b")).toEqual({ kind: "found", object });
-        expect(await store.list("a/")).toEqual({ kind: "listed", objects: [object], revision: 1 });
+        expect(await store.read("a/b")).toEqual({ kind: "found", object, era: 0 });
+        expect(await store.list("a/")).toEqual({ kind: "listed", objects: [object], revision: 1, era: 0 });
         const watch = store.watch("a/", 1, 5_000);
-        expect(await store.remove("a/b", 1)).toEqual({ kind: "written", version: 2 });
-        expect(await watch).toEqual({ kind: "changed", events: [{ key: "a/b" }], revision: 2 });
+        expect(await store.remove("a/b", 1)).toEqual({ kind: "written", version: 2, era: 0 });
+        expect(await watch).toEqual({ kind: "changed", events: [{ key: "a/b" }], revision: 2, era: 0 });
         expect(await store.watch("a/", 9, 100)).toMatchObject({ kind: "unavailable" });
         expect(callCounter.totals()).toMatchObject({
             read: { calls: 2, failed: 0 },
