Follow a store that was restored from a copy

Cause: each view of the store compared revisions and object versions across the restoration. A list whose revision was lower than the known one was dropped and counted as a success; the watch after it asked for a revision that the store did not have, got 410, and the next list followed at once.

Ruled out: that only the configuration is concerned (a target that drains at 22 s is not seen either), and a dead connection (calls succeed all the time).

Change: versions are compared within an era. When the era rises, the view keeps for five seconds what the store lacks, and does not take back what had been removed, unless a later change confirms it: operators and targets write again what was lost. A registration that may be older does not end the draining of its target. A watch that is refused again and again backs off.

Why it works: what was in force stays in force until it is written again, and everything written after the restoration is followed at once, since nothing is compared with an earlier era.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -5,7 +5,14 @@
  * their targets are alive; such targets are kept for a short time after the store is available again.
  */
 import type { LineFields } from "../observability/index.js";
-import { type AvailabilityChange, type Store, StoreView, type StoredObject, type StoreEvent } from "../store/index.js";
+import {
+    type AvailabilityChange,
+    type RestorationChange,
+    type Store,
+    StoreView,
+    type StoredObject,
+    type StoreEvent,
+} from "../store/index.js";
 import type { ConfigurationContent } from "./configuration.js";
 import type { Gateway } from "./gateway.js";
 import type { GatewayPeers } from "./peers.js";
@@ -49,6 +56,9 @@
 /** Watch timeout in milliseconds for roll-outs, whose targets start some time after the request. */
 const ROLLOUT_WATCH_TIMEOUT_MS = 4_000;
 
+/** Maximum number of keys in one log line. */
+const MAXIMUM_LOGGED_KEYS = 8;
+
 /** Time in milliseconds after an outage within which live targets renew their expired registrations. */
 const LAPSE_GRACE_MS = 2_300;
 
@@ -73,6 +83,7 @@
                 prefix,
                 watchMilliseconds,
                 onAvailability: change => this.reportAvailability(prefix, change),
+                onRestoration: change => this.handleRestoration(prefix, change),
             });
             view.subscribe(apply);
             return view;
@@ -110,6 +121,15 @@
         else this.options.onChange("store regained", { prefix, outageMs: Math.round(change.outageMs) });
     }
 
+    private handleRestoration(prefix: string, { kind, era, missing, reappeared }: RestorationChange): void {
+        this.options.onChange(`store ${kind}`, {
+            prefix,
+            era,
+            missing: logged(missing),
+            reappeared: logged(reappeared),
+        });
+    }
+
     private applyConfiguration(event: StoreEvent): void {
         if (event.object === undefined) return;
         const decoded = this.options.source.decodeConfiguration(event.object.value);
@@ -128,7 +148,7 @@
         }
         const decoded = source.decodeTarget(id, event.object.value);
         if (decoded.kind === "decoded") {
-            gateway.targets.put(decoded.value);
+            gateway.targets.put(decoded.value, event.mayBeOlder);
             return;
         }
         this.options.onChange("registration ignored", { target: id, reason: decoded.message });
@@ -171,3 +191,8 @@
         this.options.gateway.targets.closeZones(new Set(zones));
     }
 }
+
+/** The number of keys, and those that fit into a log line. */
+function logged(keys: readonly string[]): LineFields {
+    return { count: keys.length, keys: keys.slice(0, MAXIMUM_LOGGED_KEYS) };
+}
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -133,10 +133,15 @@
         return this.targets.size;
     }
 
-    /** Adds a target or updates its registration. Registrations of earlier incarnations are ignored. */
-    put(registration: TargetRegistration): void {
+    /**
+     * Adds a target or updates its registration. Registrations of earlier incarnations are ignored, and so are those that
+     * may be older than the report that a target is draining: draining ends only with the incarnation.
+     */
+    put(registration: TargetRegistration, mayBeOlder = false): void {
         const known = this.targets.get(registration.id);
         if (known !== undefined && registration.incarnation < known.registration.incarnation) return;
+        const isSameIncarnation = known?.registration.incarnation === registration.incarnation;
+        if (mayBeOlder && isSameIncarnation && known.registration.state === "draining") return;
         const restarted = known !== undefined && registration.incarnation > known.registration.incarnation;
         if (known === undefined || restarted || known.registration.service !== registration.service) {
             this.remove(registration.id);
--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -3,9 +3,13 @@
  *
  * While the store is unreachable, the copy keeps its objects. A list that is older than the copy is ignored, and an
  * object is never replaced by an older version of itself.
+ *
+ * After the store was restored from a copy (its era has risen), versions start anew. Whoever wrote the lost changes writes
+ * them again, so what the store does not show may only be lost. For a limited time the view therefore keeps objects that
+ * the store lacks, and does not take back objects that were removed, unless a later change confirms it.
  */
 import { InterruptiblePause } from "../model/pause.js";
-import type { Store, StoredObject, StoreEvent } from "./store.js";
+import type { ListOutcome, Store, StoredObject, StoreEra, StoreEvent } from "./store.js";
 
 /** Options of a view. */
 export interface StoreViewOptions {
@@ -15,12 +19,25 @@
     readonly watchMilliseconds?: number;
     /** Called when calls begin to fail and when they succeed again. */
     readonly onAvailability?: (change: AvailabilityChange) => void;
+    /** Called when the store was restored from a copy, and when the view agrees with it again. */
+    readonly onRestoration?: (change: RestorationChange) => void;
 }
 
 /** Whether the store became unreachable or reachable again. */
 export type AvailabilityChange =
     { readonly kind: "lost"; readonly message: string } | { readonly kind: "regained"; readonly outageMs: number };
 
+/**
+ * Progress after the store was restored. `missing` keys are kept though the store lacks them, `reappeared` ones are not
+ * taken back though the store has them; when it settles, the store is believed in both.
+ */
+export interface RestorationChange {
+    readonly kind: "restored" | "settled";
+    readonly era: StoreEra;
+    readonly missing: readonly string[];
+    readonly reappeared: readonly string[];
+}
+
 /** Called once for each change of the copy; `object` is absent after a removal. */
 export type ViewListener = (event: StoreEvent) => void;
 
@@ -31,6 +48,12 @@
 /** Outcome of one call. After `historyGone`, the view has to list again before it can watch. */
 type CallOutcome = "succeeded" | "historyGone" | "failed";
 
+/**
+ * Time in milliseconds after a restoration for which the view waits until lost changes are written again. Writers that
+ * renew their objects do so at least every few seconds.
+ */
+const SETTLE_MS = 5_000;
+
 /** Maximum number of removed keys whose versions are kept. */
 const MAXIMUM_REMOVED = 10_000;
 
@@ -47,6 +70,12 @@
     private resolveReady: () => void = () => undefined;
     /** Revision of the copy; undefined before the first list. */
     private revision: number | undefined;
+    private era: StoreEra | undefined;
+    /** Revision of the store when this view first listed it in the current era. */
+    private restoredRevision = 0;
+    /** What the store shows of the keys in which it is not believed yet; undefined for keys that it lacks. */
+    private readonly withheld = new Map<string, StoredObject | undefined>();
+    private settleTimer: NodeJS.Timeout | undefined;
     private reachable = false;
     private failingSince: number | undefined;
     private recoveredAt = Number.NEGATIVE_INFINITY;
@@ -88,6 +117,7 @@
     /** Stops following. A pending watch is not cancelled and ends by its own timeout. */
     stop(): void {
         this.stopped = true;
+        clearTimeout(this.settleTimer);
         this.pause.end();
         this.listeners.clear();
     }
@@ -96,13 +126,15 @@
         let failures = 0;
         let listNeeded = true;
         while (!this.stopped) {
-            const outcome: CallOutcome = listNeeded ? await this.list() : await this.watch();
+            const isList: boolean = listNeeded;
+            const outcome: CallOutcome = isList ? await this.list() : await this.watch();
             if (this.stopped) return;
-            const failed = outcome === "failed";
-            this.reachable = !failed;
+            this.reachable = outcome !== "failed";
             listNeeded = outcome !== "succeeded";
-            failures = failed ? failures + 1 : 0;
-            if (failed) await this.backOff(failures);
+            // A list alone does not end a series: the watch after it may be refused again.
+            if (listNeeded) failures += 1;
+            else if (!isList) failures = 0;
+            if (outcome === "failed" || (listNeeded && failures > 1)) await this.backOff(failures);
         }
     }
 
@@ -111,14 +143,14 @@
         if (this.stopped) return "failed";
         if (outcome.kind === "unavailable") return this.fail(outcome.message);
         this.recover();
-        if (outcome.revision < (this.revision ?? 0)) return "succeeded";
-        const listed = new Set(outcome.objects.map(object => object.key));
-        for (const key of [...this.objectsByKey.keys()]) {
-            if (!listed.has(key)) this.apply({ key });
-        }
-        for (const object of outcome.objects) this.apply({ key: object.key, object });
+        const isRestored = this.era !== undefined && outcome.era > this.era;
+        if (isRestored) this.beginEra(outcome.revision);
+        else if (outcome.revision < (this.revision ?? 0)) return "succeeded";
+        this.era = outcome.era;
+        this.reconcile(outcome);
         this.revision = outcome.revision;
         this.resolveReady();
+        if (isRestored) this.reportRestoration("restored");
         return "succeeded";
     }
 
@@ -128,11 +160,59 @@
         if (this.stopped) return "failed";
         if (outcome.kind === "historyGone") return "historyGone";
         if (outcome.kind === "unavailable") return this.fail(outcome.message);
+        // The revision to watch from belongs to the earlier era.
+        if (outcome.era !== this.era) return "historyGone";
         for (const event of outcome.events) this.apply(event);
         this.revision = Math.max(this.revision ?? 0, outcome.revision);
         return "succeeded";
     }
 
+    /** Forgets all versions and revisions, which the store gives out again. */
+    private beginEra(revision: number): void {
+        this.restoredRevision = revision;
+        for (const [key, object] of this.objectsByKey) this.objectsByKey.set(key, { ...object, version: 0 });
+        for (const key of this.removed.keys()) this.removed.set(key, 0);
+        this.withheld.clear();
+        clearTimeout(this.settleTimer);
+        this.settleTimer = setTimeout(() => this.settle(), SETTLE_MS);
+    }
+
+    /** Applies a list. While the view settles, only what was written since the restoration is taken for news. */
+    private reconcile({ objects }: Extract<ListOutcome, { kind: "listed" }>): void {
+        const isSettling = this.settleTimer !== undefined;
+        const listed = new Set(objects.map(object => object.key));
+        for (const [key, { version }] of [...this.objectsByKey]) {
+            if (listed.has(key)) continue;
+            // An object that was seen in this era has been removed since.
+            if (isSettling && version === 0) this.withheld.set(key, undefined);
+            else this.apply({ key });
+        }
+        for (const object of objects) {
+            const { key, version } = object;
+            const isFromCopy = isSettling && version <= this.restoredRevision;
+            if (isFromCopy && this.removed.has(key)) this.withheld.set(key, object);
+            else this.apply({ key, object });
+        }
+    }
+
+    /** Believes the store in what no later change has confirmed or refuted. */
+    private settle(): void {
+        this.settleTimer = undefined;
+        this.reportRestoration("settled");
+        for (const [key, object] of [...this.withheld]) this.apply(object === undefined ? { key } : { key, object });
+    }
+
+    private reportRestoration(kind: RestorationChange["kind"]): void {
+        const keys = [...this.withheld.keys()];
+        const isMissing = (key: string): boolean => this.withheld.get(key) === undefined;
+        this.options.onRestoration?.({
+            kind,
+            era: this.era ?? 0,
+            missing: keys.filter(isMissing),
+            reappeared: keys.filter(key => !isMissing(key)),
+        });
+    }
+
     private fail(message: string): CallOutcome {
         if (this.failingSince === undefined) {
             this.failingSince = performance.now();
@@ -151,7 +231,9 @@
 
     private apply(event: StoreEvent): void {
         const { key, object } = event;
-        const knownVersion = this.objectsByKey.get(key)?.version ?? this.removed.get(key) ?? 0;
+        this.withheld.delete(key);
+        const known = this.objectsByKey.get(key);
+        const knownVersion = known?.version ?? this.removed.get(key) ?? 0;
         if (object === undefined) {
             if (!this.objectsByKey.delete(key)) return;
             this.removed.set(key, knownVersion);
@@ -161,8 +243,11 @@
             if (object.version <= knownVersion) return;
             this.removed.delete(key);
             this.objectsByKey.set(key, object);
+            // Restored with the content that it had, only under another version.
+            if (known?.version === 0 && hasSameContent(known, object)) return;
         }
-        for (const listener of [...this.listeners]) listener(event);
+        const mayBeOlder = known?.version === 0;
+        for (const listener of [...this.listeners]) listener(mayBeOlder ? { ...event, mayBeOlder } : event);
     }
 
     private backOff(failures: number): Promise<void> {
@@ -170,3 +255,7 @@
         return this.pause.wait(maximumDelay * (0.5 + Math.random() / 2));
     }
 }
+
+function hasSameContent(left: StoredObject, right: StoredObject): boolean {
+    return left.value === right.value && left.status === right.status;
+}
