Register a gateway again when the store has lost its registration

Limits for all gateways together (retries, cold targets, limits of targets, trials) are divided by the registered gateways; those that the copy did not have were not counted, so each of the others took a larger part.

Cause: a gateway wrote its registration once, at its start, and never looked at it again.

Evidence: the new test failed on the code before: the registration of the second gateway stays missing after the restoration.

Ruled out: a lease on the registration, which costs each gateway a write every few seconds for an event that the era tells.

Change: after a restoration, and when its registration is removed or replaced by something else, a gateway registers again, unless it is stopping. The views keep the other gateways until then.

Result: the test passes; a restoration costs each gateway one read and, if the registration was lost, one write.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -121,13 +121,11 @@
         else this.options.onChange("store regained", { prefix, outageMs: Math.round(change.outageMs) });
     }
 
+    /** What this gateway wrote may be lost, so it writes it again. */
     private handleRestoration(prefix: string, { kind, era, missing, reappeared }: RestorationChange): void {
-        this.options.onChange(`store ${kind}`, {
-            prefix,
-            era,
-            missing: logged(missing),
-            reappeared: logged(reappeared),
-        });
+        const { source, peers, onChange } = this.options;
+        onChange(`store ${kind}`, { prefix, era, missing: logged(missing), reappeared: logged(reappeared) });
+        if (kind === "restored" && prefix === source.gatewayPrefix) peers.registerAgain();
     }
 
     private applyConfiguration(event: StoreEvent): void {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -46,6 +46,9 @@
 export class GatewayPeers {
     private readonly peers = new Map<string, GatewayPeer>();
     private hasBeenRegistered = false;
+    private isRegistering = false;
+    /** Repeats the registration; undefined before the first one. */
+    private repeatRegistration: (() => Promise<void>) | undefined;
     private changes = 0;
 
     private constructor(
@@ -86,10 +89,27 @@
         if (parsed?.success === true && parsed.data.name === name) this.peers.set(name, parsed.data);
         else this.peers.delete(name);
         this.hasBeenRegistered ||= this.peers.has(this.self.name);
+        if (name === this.self.name && !this.peers.has(name)) this.registerAgain();
     }
 
-    /** Registers this gateway; retries until it succeeds or `isStopped` returns true. */
+    /**
+     * Registers this gateway; retries until it succeeds or `isStopped` returns true. From then on the registration is
+     * written again whenever the store has lost it.
+     */
     async register(store: Store, isStopped: () => boolean): Promise<void> {
+        this.repeatRegistration = () => this.register(store, isStopped);
+        if (this.isRegistering) return;
+        this.isRegistering = true;
+        await this.write(store, isStopped);
+        this.isRegistering = false;
+    }
+
+    /** Writes the registration again if the store lacks it, once this gateway has registered. */
+    registerAgain(): void {
+        void this.repeatRegistration?.();
+    }
+
+    private async write(store: Store, isStopped: () => boolean): Promise<void> {
         const key = this.prefix + this.self.name;
         const value = JSON.stringify(this.self);
         for (let retryMs = FIRST_RETRY_MS; !isStopped(); retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2)) {
@@ -106,6 +126,7 @@
 
     /** Removes this gateway's registration before a planned stop. */
     async unregister(store: Store): Promise<void> {
+        this.repeatRegistration = undefined;
         const read = await store.read(this.prefix + this.self.name);
         if (read.kind === "found") await store.remove(read.object.key, read.object.version);
     }
--- a/test/gateway/restoredstore.test.ts
+++ b/test/gateway/restoredstore.test.ts
@@ -149,4 +149,24 @@
             await vi.waitFor(() => expect(version()).toBe(10 * round + 1), APPLY_MS);
         }
     });
+
+    it("the registrations of gateways: all register again and are counted all the time", async () => {
+        deployment = await Deployment.start({ bookings: 1 });
+        const { platform } = deployment;
+        platform.takeCopy();
+        await deployment.addGateway("gateway-1");
+        await vi.waitFor(() => expect([...platform.names(KIND.gateways)].sort()).toEqual(["gateway-0", "gateway-1"]));
+        const counts = (): Promise<readonly (string | undefined)[]> =>
+            Promise.all(
+                deployment.metrics.map(async address => {
+                    const page = await (await fetch(`http://${address}/metrics`)).text();
+                    return /^\w*gateways (\d+)$/m.exec(page)?.[1];
+                }),
+            );
+        await vi.waitFor(async () => expect(await counts()).toEqual(["2", "2"]), APPLY_MS);
+        platform.restore();
+        await restored();
+        await vi.waitFor(() => expect([...platform.names(KIND.gateways)].sort()).toEqual(["gateway-0", "gateway-1"]));
+        await holdsFor(500, async () => expect(await counts()).toEqual(["2", "2"]));
+    });
 });
