Write the decision of a roll-out again when the store has lost it

After a restoration that loses the state of a roll-out, the version was tried again, with the old targets already stopped, and could be decided differently.

Cause: gateways took the state of a roll-out from the store alone. A decision that the store had acknowledged and lost was gone.

Evidence: the new test failed on the code before: the state stays in_progress after the restoration, for completed and reverted.

Ruled out: keeping every decision for good. Operators may request the same version again; only the first report of a roll-out after a restoration may be older than what is known.

Change: a known decision stays in force when the restored roll-out is undecided, and is written again: by the chosen gateway, and a second later by any other that knows it. An acknowledged decision is known before the view of the store shows it, and one whose write may have taken effect is not changed any more.

Result: the tests pass, as do those of roll-outs.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -153,7 +153,7 @@
         gateway.targets.remove(id);
     }
 
-    private applyRollout({ key, object }: StoreEvent): void {
+    private applyRollout({ key, object, mayBeOlder }: StoreEvent): void {
         const { gateway, source, onChange } = this.options;
         const name = key.slice(source.rolloutPrefix.length);
         if (object === undefined) {
@@ -162,7 +162,7 @@
             return;
         }
         const decoded = source.decodeRollout(object);
-        if (decoded.kind === "decoded") gateway.putRollout(decoded.value);
+        if (decoded.kind === "decoded") gateway.putRollout(decoded.value, mayBeOlder);
         else onChange("rollout ignored", { service: name, reason: decoded.message });
     }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -248,12 +248,12 @@
         this.options.onChange("configuration in force", { version: content.version, before: previousVersion });
     }
 
-    /** Applies a roll-out or a change of its state. */
-    putRollout(rollout: Rollout): void {
+    /** Applies a roll-out or a change of its state. `mayBeOlder` tells that the store may have lost a later state. */
+    putRollout(rollout: Rollout, mayBeOlder = false): void {
         const before = this.rollouts.find(rollout.service);
-        this.rollouts.put(rollout);
+        this.rollouts.put(rollout, mayBeOlder);
         this.rolloutController.follow();
-        if (before?.version === rollout.version && before.state === rollout.state) return;
+        if (before?.version === rollout.version && before.storedState === rollout.state) return;
         const { service, version, state = "requested", durationMs } = rollout;
         this.options.onChange("rollout", { service, version, state, durationMs });
     }
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -34,6 +34,9 @@
 /** Pause in milliseconds after a write of a state that failed. */
 const WRITE_RETRY_MS = 500;
 
+/** Time in milliseconds that the other gateways leave the chosen one to write a decision that the store has lost. */
+const REWRITE_DELAY_MS = 1_000;
+
 /** Maximum number of observations of one service that wait to be sent. */
 const MAXIMUM_WAITING = 2_000;
 
@@ -62,8 +65,12 @@
     readonly judge: VersionJudge;
     /** Why the version is bad; undefined while it is not known to be. */
     fault: string | undefined;
+    /** The decision of which a write may have taken effect; it is not changed any more. */
+    decision: { readonly state: RolloutState; readonly reason: string } | undefined;
     isWriting: boolean;
     writeAfter: number;
+    /** Since when the store is known to have lost the decision; undefined while it has it. */
+    lostSince: number | undefined;
 }
 
 /** Observes answers during roll-outs, and decides those for which this gateway is chosen. */
@@ -81,10 +88,10 @@
 
     /** Begins to follow roll-outs that are not decided; called when roll-outs have changed. */
     follow(): void {
-        if (this.timer !== undefined || this.stopped || this.environment.rollouts.undecided().length === 0) return;
+        if (this.timer !== undefined || this.stopped || this.environment.rollouts.pending().length === 0) return;
         this.timer = setTimeout(() => {
             this.timer = undefined;
-            for (const rollout of this.environment.rollouts.undecided()) this.advance(rollout);
+            for (const rollout of this.environment.rollouts.pending()) this.advance(rollout);
             this.follow();
         }, INTERVAL_MS);
     }
@@ -129,6 +136,10 @@
         const observations = this.waiting.get(service)?.splice(0) ?? [];
         const { peers } = this.environment;
         const chosen = chooseCoordinator(`rollout ${service}`, [peers.self, ...peers.others]) ?? peers.self;
+        if (!isUndecided(rollout)) {
+            this.writeAgain(rollout, chosen === peers.self);
+            return;
+        }
         if (chosen !== peers.self) {
             void this.send(rollout, observations, chosen);
             return;
@@ -157,7 +168,21 @@
         }
     }
 
+    /** Writes a decision that the store has lost. Any gateway may know of it, also if the chosen one does not. */
+    private writeAgain(rollout: SeenRollout, isChosen: boolean): void {
+        const trial = this.trialOf(rollout);
+        trial.lostSince ??= performance.now();
+        const delayMs = isChosen ? 0 : REWRITE_DELAY_MS;
+        if (rollout.state === undefined || performance.now() - trial.lostSince < delayMs) return;
+        this.write(rollout, trial, rollout.state, "lost by the store");
+    }
+
     private decide(rollout: SeenRollout, trial: Trial): void {
+        trial.lostSince = undefined;
+        if (trial.decision !== undefined) {
+            this.write(rollout, trial, trial.decision.state, trial.decision.reason);
+            return;
+        }
         trial.fault ??= trial.judge.findFault();
         if (trial.fault !== undefined) {
             this.environment.rollouts.stop(rollout);
@@ -181,6 +206,12 @@
         void this.environment.writeState(rollout, state).then(outcome => {
             trial.isWriting = false;
             trial.writeAfter = performance.now() + WRITE_RETRY_MS;
+            const isDecision = state !== "inProgress";
+            if (isDecision && outcome.kind === "written") {
+                this.environment.rollouts.recordDecision(rollout, state, outcome.version);
+                this.environment.onChange("rollout", { service, version, state, durationMs: rollout.durationMs });
+            }
+            if (isDecision && outcome.kind === "unknown") trial.decision ??= { state, reason };
             const answers = trial.judge.newAnswers;
             this.environment.onChange("rollout state written", {
                 service,
@@ -197,7 +228,15 @@
         const known = this.trials.get(service);
         if (known?.version === version) return known;
         const judge = VersionJudge.create();
-        const trial: Trial = { version, judge, fault: undefined, isWriting: false, writeAfter: 0 };
+        const trial: Trial = {
+            version,
+            judge,
+            fault: undefined,
+            decision: undefined,
+            isWriting: false,
+            writeAfter: 0,
+            lostSince: undefined,
+        };
         this.trials.set(service, trial);
         return trial;
     }
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -26,9 +26,12 @@
     readonly revision: number;
 }
 
-/** A roll-out with the time on the monotonic clock at which this gateway first saw it. */
+/** A roll-out as this gateway knows it. */
 export interface SeenRollout extends Rollout {
+    /** Time on the monotonic clock at which this gateway first saw it. */
     readonly seenAt: number;
+    /** State in the store, which loses a decision when it is restored from a copy. */
+    readonly storedState: RolloutState | undefined;
 }
 
 /** Bound on what all gateways together send to a new version until its roll-out is decided. */
@@ -72,11 +75,28 @@
         return new Rollouts(limits, gatewayCount);
     }
 
-    /** Adds a roll-out or updates its state. */
-    put(rollout: Rollout): void {
+    /**
+     * Adds a roll-out or updates its state. A decision that is known stays in force if the stored roll-out `mayBeOlder`:
+     * what follows from a decision, such as the end of the old targets, cannot be taken back.
+     */
+    put(rollout: Rollout, mayBeOlder = false): void {
         const known = this.rollouts.get(rollout.service);
-        const seenAt = known?.version === rollout.version ? known.seenAt : performance.now();
-        this.rollouts.set(rollout.service, { ...rollout, seenAt });
+        const isKnown = known?.version === rollout.version;
+        if (isKnown && !mayBeOlder && rollout.revision < known.revision) return;
+        const isLost = mayBeOlder && isKnown && !isUndecided(known) && isUndecided(rollout);
+        this.rollouts.set(rollout.service, {
+            ...rollout,
+            state: isLost ? known.state : rollout.state,
+            seenAt: isKnown ? known.seenAt : performance.now(),
+            storedState: rollout.state,
+        });
+    }
+
+    /** Records a decision that the store has acknowledged, before the view of the store shows it. */
+    recordDecision({ service, version }: Rollout, state: RolloutState, revision: number): void {
+        const known = this.rollouts.get(service);
+        if (known?.version !== version || revision < known.revision) return;
+        this.rollouts.set(service, { ...known, state, storedState: state, revision });
     }
 
     /** Forgets a roll-out; the same version may be tried again later. */
@@ -90,9 +110,11 @@
         return this.rollouts.get(service);
     }
 
-    /** The roll-outs that are not decided. */
-    undecided(): readonly SeenRollout[] {
-        return [...this.rollouts.values()].filter(isUndecided);
+    /** The roll-outs that are not decided, or whose decision the store has lost. */
+    pending(): readonly SeenRollout[] {
+        return [...this.rollouts.values()].filter(
+            rollout => isUndecided(rollout) || rollout.state !== rollout.storedState,
+        );
     }
 
     /** Sends nothing more to the new version, before the stored state says so. */
--- a/test/gateway/restoredstore.test.ts
+++ b/test/gateway/restoredstore.test.ts
@@ -169,4 +169,22 @@
         await vi.waitFor(() => expect([...platform.names(KIND.gateways)].sort()).toEqual(["gateway-0", "gateway-1"]));
         await holdsFor(500, async () => expect(await counts()).toEqual(["2", "2"]));
     });
+
+    it.each(["completed", "reverted"])("the state of a roll-out that was %s: writes it again", async State => {
+        deployment = await Deployment.start({ engines: 2 }, 2);
+        const { platform } = deployment;
+        const spec = { Service: "engines", Target: "v2", DurationS: 60 };
+        platform.put(KIND.rollouts, "engines", spec, { State: "in_progress", Target: "v2" });
+        await pause(100);
+        platform.takeCopy();
+        platform.put(KIND.rollouts, "engines", spec, { State, Target: "v2" });
+        const decided = (): boolean => deployment.linesOf("rollout").filter(line => line.state === State).length === 2;
+        await vi.waitFor(() => expect(decided()).toBe(true), APPLY_MS);
+        platform.restore();
+        await vi.waitFor(
+            () => expect(platform.status(KIND.rollouts, "engines")).toEqual({ State, Target: "v2" }),
+            3_000,
+        );
+        expect(deployment.linesOf("rollout state written").filter(line => line.state !== State)).toEqual([]);
+    });
 });
