Refuse or answer what outlasts a planned stop instead of cutting it

Callers whose request was still at a target 0.4 s before the end of the grace period of a planned stop saw their connection close without an answer, also where the request may not be repeated. Requests that came after the signal were passed on with their whole time, 15 s beside 8 s of grace, and met the same end.

Cause: the stop knew one time only, at which all connections are destroyed. It did not limit the deadlines of requests, and whether a request is refused was decided from its head alone: one whose body, stages or wait for a target took long was sent just before the end.

Ruled out: responses that were written but not flushed, since the process waits for the end of each response; and late requests, which were refused as not run.

Now a request is taken after the signal, and sent to a target at any time of the stop, only if its own deadline or the longest of the last 32 times of its route fits into what is left. Its deadline, with the one that the target is told, is limited to that. At the end of that time open requests get 503 if nothing was sent and 504 if something was; a begun stream ends with its connection, after what was written. The times are parts of the grace period where that is short: new requests had been served for 2.6 s even if the grace period was shorter.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -20,6 +20,7 @@
     ProcessMetrics,
     renderMetrics,
 } from "../observability/index.js";
+import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
 import type { GatewaySettings } from "../settings/index.js";
 import type { CallCounter, Store } from "../store/index.js";
@@ -50,8 +51,16 @@
  */
 const DRAIN_MS = 2_600;
 
-/** Time before the end of the grace period at which the process stops waiting for open requests. */
+/** Maximum of that time as a fraction of the grace period, so that what was taken can end. */
+const MAXIMUM_DRAIN_SHARE = 0.5;
+
+/** Time before the end of the grace period at which the process ends, and its maximum as a fraction of the period. */
 const STOP_MARGIN_MS = 400;
+const MAXIMUM_STOP_MARGIN_SHARE = 0.05;
+
+/** Time before that end at which open requests get a response, and its maximum as a fraction of the grace period. */
+const RESPONSE_MARGIN_MS = 200;
+const MAXIMUM_RESPONSE_MARGIN_SHARE = 0.025;
 
 /** Time for removing the registration and writing the last log lines. */
 const LAST_WRITES_MS = 200;
@@ -158,14 +167,18 @@
         await Promise.all([callers, ...otherListeners].map(listener => listener.close()));
     };
     const stop = async (): Promise<void> => {
-        const deadline = performance.now() + settings.stopGraceSeconds * 1_000 - STOP_MARGIN_MS;
+        const graceMs = settings.stopGraceSeconds * 1_000;
+        const margin = Math.min(STOP_MARGIN_MS, graceMs * MAXIMUM_STOP_MARGIN_SHARE);
+        const deadline = Deadline.after(graceMs - margin);
+        const responseMargin = Math.min(RESPONSE_MARGIN_MS, graceMs * MAXIMUM_RESPONSE_MARGIN_SHARE);
+        gateway.shutdown.begin(deadline.earlierBy(responseMargin));
         log.writeUnthrottled("stopping", { openRequests: callers.openRequests });
         gateway.enterPhase("draining");
         isStopping = true;
         const unregistration = peers.unregister(store);
-        await pause(DRAIN_MS);
+        await pause(Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE));
         gateway.enterPhase("stopping");
-        await waitUntil(() => callers.openRequests === 0, deadline - performance.now());
+        await waitUntil(() => callers.openRequests === 0, deadline.remainingMs());
         await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
         log.writeUnthrottled("stopped", { openRequests: callers.openRequests });
         await kill();
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -27,6 +27,9 @@
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
+/** Reason of a request that a planned stop leaves no time for. */
+export const STOPPING = "stopping";
+
 /** Why a request is not sent, and when it may come back. */
 export interface HoldBack {
     readonly reason: string;
@@ -58,6 +61,7 @@
     private reservedTarget: Target | undefined;
     /** Whether the silence of the attempt in progress was recorded. */
     private isSilenceRecorded = false;
+    private sentAt: number | undefined;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -94,6 +98,9 @@
      */
     findHoldBack(preparationMs: number): HoldBack | undefined {
         const { context, request } = this;
+        const usualMs = context.requestTimes.usualMs(request.route.name);
+        const stopHoldBack = this.stopHoldBack(usualMs - (performance.now() - request.receivedAt));
+        if (stopHoldBack !== undefined) return stopHoldBack;
         const admission = context.suspects.admission(request.traits);
         if (admission.kind === "refused") return this.suspectHoldBack(admission, admission.retryAfterMs);
         const ahead = context.limitQueue.unsentRequests(request.service) - 1;
@@ -102,6 +109,21 @@
         return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitHoldBack(waitMs);
     }
 
+    /** Holds a request back that has probably no time to end before a planned stop, as another gateway can serve it. */
+    private stopHoldBack(usualMs: number): HoldBack | undefined {
+        const { shutdown } = this.context;
+        if (shutdown.hasTimeFor(usualMs, this.request.ownDeadline)) return undefined;
+        return { reason: STOPPING, retryAfterMs: 0 };
+    }
+
+    /** Records how long a request took that was served. */
+    recordTimes(): void {
+        const { context, request, sentAt } = this;
+        const now = performance.now();
+        context.requestTimes.record(request.route.name, now - request.receivedAt);
+        if (sentAt !== undefined) context.attemptTimes.record(request.route.name, now - sentAt);
+    }
+
     private suspectHoldBack(admission: Admission, retryAfterMs: number): HoldBack {
         this.context.onDecision("request held back", {
             id: this.request.metadata.requestId,
@@ -128,6 +150,11 @@
         for (;;) {
             if (!(await this.waitForAdmission())) return undefined;
             const target = await this.chooseTarget(inputs);
+            const stopHoldBack = this.stopHoldBack(this.context.attemptTimes.usualMs(this.request.route.name));
+            if (stopHoldBack !== undefined) {
+                this.lastHoldBack = stopHoldBack;
+                return undefined;
+            }
             // What is known of the request may have changed while it waited for a target.
             const { kind } = this.context.suspects.admission(this.request.traits);
             if (target === undefined || this.trial !== undefined || kind === "admitted") return target;
@@ -276,6 +303,7 @@
         this.count += 1;
         this.retries.recordAttempt();
         this.isSilenceRecorded = false;
+        this.sentAt = performance.now();
         this.markSent();
         this.triedNames.add(target.name);
         context.rollouts.recordSent(target);
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,11 +10,12 @@
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type ResponseHead, readBody } from "./attempt.js";
-import { Attempts } from "./attempts.js";
+import { Attempts, STOPPING } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
-import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
+import type { RequestMetadata } from "./dialect.js";
 import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
+import { inputsGone, isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { forwardStream } from "./streamforwarding.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
@@ -39,6 +40,9 @@
     private stagesMs = 0;
     /** Time in milliseconds from the request to its stream's first event. */
     private firstEventMs: number | undefined;
+    /** Whether a planned stop has left no more time for the request. */
+    private isCutByStop = false;
+    private readonly cutByStop: Promise<"cut">;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -46,7 +50,15 @@
         private readonly response: ServerResponse,
         private readonly receivedAt: number,
     ) {
+        let reportCut = (): void => undefined;
+        this.cutByStop = new Promise(resolve => (reportCut = () => resolve("cut")));
+        const cancelCut = context.shutdown.onDue(() => {
+            this.isCutByStop = true;
+            this.abortController.abort();
+            reportCut();
+        });
         response.on("close", () => {
+            cancelCut();
             if (!response.writableFinished) this.abortController.abort();
         });
     }
@@ -60,7 +72,9 @@
     ): Promise<void> {
         const exchange = new Exchange(context, request, response, receivedAt);
         const metadata = context.dialect.readRequest(request.headers);
-        const result = await exchange.handle(metadata);
+        const handled = await exchange.handle(metadata);
+        const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
+        if (result.outcome === "answered") exchange.attempts?.recordTimes();
         context.onRequestEnd(
             {
                 id: metadata.requestId,
@@ -94,9 +108,16 @@
         if (!route.isPublic && authentication.kind === "unknownKey") return this.reject(401, "unknown key");
         const account = authentication.kind === "account" ? authentication.account : undefined;
         this.accountName = account?.name;
-        if (this.context.isStopping()) return this.refuse("stopping", 0);
-        const deadline = this.deadlineOf(metadata, route);
-        const body = await readRequestBody(this.incoming, limits.bodyBytes, deadline);
+        const { shutdown, requestTimes } = this.context;
+        const ownDeadline = this.deadlineOf(metadata, route);
+        if (this.context.isStopping() || !shutdown.hasTimeFor(requestTimes.usualMs(route.name), ownDeadline)) {
+            return this.refuse(STOPPING, 0);
+        }
+        const body = await Promise.race([
+            readRequestBody(this.incoming, limits.bodyBytes, ownDeadline),
+            this.cutByStop,
+        ]);
+        if (body === "cut") return { outcome: "cancelled", status: 0, reason: STOPPING };
         if (body === "tooLong") return this.reject(413, "body is too long");
         if (body === "late") return this.respond("refused", 408, "body did not arrive in time");
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
@@ -118,7 +139,10 @@
             priority: account?.priority ?? route.priority,
             rawHeaders: this.incoming.rawHeaders,
             traits,
-            deadline,
+            ownDeadline,
+            get deadline() {
+                return shutdown.limit(ownDeadline);
+            },
             receivedAt: this.receivedAt,
             signal: this.abortController.signal,
         });
@@ -403,9 +427,21 @@
         return this.respond(result.outcome, result.status, result.reason);
     }
 
+    /** Responds to a request for which a planned stop leaves no more time. */
+    private endCut(result: ExchangeResult): ExchangeResult {
+        if (this.response.destroyed || this.response.headersSent) return result;
+        if ((this.attempts?.count ?? 0) === 0) return this.refuse(STOPPING, 0);
+        return this.respond("expired", 504, "gateway stops");
+    }
+
     /** Ends an incomplete stream: closes the connection if part of the stream was delivered. */
     private endBrokenStream(writer: StreamWriter, result: ExchangeResult): ExchangeResult {
         if (!writer.started) return this.respondUnlessCancelled(result);
+        if (this.isCutByStop) {
+            // What was written reaches the caller, which can resume the stream from there.
+            this.response.socket?.destroySoon();
+            return { ...result, outcome: "brokenOff", reason: "gateway stops" };
+        }
         this.response.destroy();
         return result.outcome === "cancelled" ? result : { ...result, outcome: "brokenOff" };
     }
@@ -421,24 +457,3 @@
         return { outcome, status, reason };
     }
 }
-
-/**
- * Whether a response belongs to a request. A faulty target may write a response to another request, and a refusal among
- * them says nothing about this one.
- */
-function isResponseTo({ metadata }: RoutedRequest, { requestId }: ResponseMetadata): boolean {
-    return requestId === undefined || requestId === metadata.requestId;
-}
-
-function isFinal({ outcome }: ExchangeResult): boolean {
-    return outcome === "cancelled" || outcome === "expired";
-}
-
-/** The result of a request that an earlier attempt may have run: never 503, which says that it was not run. */
-function withoutRefusalStatus(result: ExchangeResult): ExchangeResult {
-    return result.status === 503 ? { ...result, status: 504 } : result;
-}
-
-function inputsGone(): ExchangeResult {
-    return { outcome: "failed", status: 503, reason: "results of stages are gone" };
-}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,7 +28,9 @@
 import { PrefixCacheTracker } from "./placement.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
+import { Shutdown } from "./shutdown.js";
 import { type Target, TargetDirectory } from "./target.js";
+import { UsualTimes } from "./usualtimes.js";
 
 /** Dependencies of an exchange. */
 export interface GatewayContext {
@@ -53,6 +55,11 @@
     readonly stageReadyBy: (route: Route, stage: number, latest: Deadline) => Deadline;
     /** Expected time of a stage in milliseconds, without queueing. */
     readonly expectedStageMs: (route: Route, stage: number) => number;
+    /** The time that a planned stop leaves for requests. */
+    readonly shutdown: Shutdown;
+    /** Usual times from a request to the end of its response, and from its sending to a target to that end. */
+    readonly requestTimes: UsualTimes;
+    readonly attemptTimes: UsualTimes;
     /** Whether new requests are refused because the process is stopping. */
     readonly isStopping: () => boolean;
     /** Whether responses tell callers to close their connections. */
@@ -103,6 +110,7 @@
     readonly pieceRouter: PieceRouter;
     readonly rolloutController: RolloutController;
     readonly gossip: Gossip;
+    readonly shutdown = Shutdown.create();
     private readonly suspects: Suspects;
     private readonly limits: TargetLimits;
     /** This gateway's parts of limits, by target; computed again when a limit or the gateways change. */
@@ -196,6 +204,9 @@
                     latest.earlierBy(this.firstEventTimes.reserveMs(route.name)),
                 ),
             expectedStageMs: (route, stage) => this.schedule.callMs(route.stages[stage]?.service ?? ""),
+            shutdown: this.shutdown,
+            requestTimes: UsualTimes.create(),
+            attemptTimes: UsualTimes.create(),
             isStopping: () => this.phase === "stopping",
             closesConnections: () => this.phase !== "serving",
             onDecision,
--- a/src/gateway/routedrequest.ts
+++ b/src/gateway/routedrequest.ts
@@ -19,12 +19,15 @@
     readonly rawHeaders: readonly string[];
     /** The body; undefined when the caller sent none. */
     readonly body: Buffer | undefined;
+    /** The end of the time that the caller and the route allow. */
+    readonly ownDeadline: Deadline;
+    /** The earlier of its own deadline and the end of a planned stop, which may begin meanwhile. */
     readonly deadline: Deadline;
     /** Monotonic time in milliseconds at which the request's head was read. */
     readonly receivedAt: number;
     /** What it has in common with other requests, for recognising requests that crash targets; computed when needed. */
     readonly traits: () => readonly string[];
-    /** Aborted when the caller closes its connection. */
+    /** Aborted when the caller closes its connection, or a planned stop leaves no more time. */
     readonly signal: AbortSignal;
 }
 
--- /dev/null
+++ b/test/processes/plannedstop.test.ts
@@ -0,0 +1,231 @@
+/** A planned stop of a gateway process, as callers see it whose requests are open, come early or come late. */
+import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { CONFIGURATION } from "../gateway/harness.js";
+import { StandInPlatform } from "../platform/standinplatform.js";
+import { StandInTarget } from "../platform/standintarget.js";
+import { type Daemon, freeAddress, pause, ProcessGroup, until } from "./daemons.js";
+import { type RawAnswer, RawCaller } from "./rawcaller.js";
+
+/** Grace period, and when requests come early and late in it. */
+const GRACE_MS = 4_000;
+const EARLY_MS = 300;
+const LATE_MS = 2_800;
+
+const SERVICES = ["bookings", "engines"];
+
+/** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
+class Stage {
+    callers = "";
+    private readonly group = ProcessGroup.create();
+    private readonly targets: StandInTarget[] = [];
+    private readonly open: RawCaller[] = [];
+    gateway!: Daemon;
+
+    private constructor(readonly platform: StandInPlatform) {}
+
+    static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
+        const stage = new Stage(await StandInPlatform.start());
+        const routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs: 15_000 }));
+        stage.platform.put("config", "main", { ...CONFIGURATION, Routes: routes });
+        for (const service of SERVICES) {
+            const target = await StandInTarget.start(`${service}-0`);
+            target.behaviour = ({ id }) => {
+                if (id.startsWith("silent")) return { kind: "silent" };
+                if (id.startsWith("events")) return { kind: "stream", events: 1_000, gapMs: 100 };
+                return service === "engines" ? { kind: "stream", events: 2 } : { kind: "answer" };
+            };
+            stage.targets.push(target);
+            const record = { Service: service, Address: target.address, Zone: "east", Version: "v1", Slots: 64 };
+            const state = { State: "available", ColdRemainingMs: 0, Seqno: 1, born: 1_000 };
+            stage.platform.put("servers", target.id, { ...record, ...state });
+        }
+        stage.callers = await freeAddress();
+        const readiness = await freeAddress();
+        const settings = {
+            name: "gateway-1",
+            zone: "east",
+            callerAddress: stage.callers,
+            readinessAddress: readiness,
+            peerAddress: await freeAddress(),
+            store: { address: stage.platform.address, timeoutMilliseconds: 300 },
+            stopGraceSeconds: GRACE_MS / 1_000,
+        };
+        stage.gateway = stage.group.spawn("gateway", "gateway", settings, nodeArguments);
+        await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
+        return stage;
+    }
+
+    target(service: string): StandInTarget {
+        const found = this.targets.find(({ id }) => id === `${service}-0`);
+        if (found === undefined) throw new Error(`no target of ${service}`);
+        return found;
+    }
+
+    /** The requests with an id that reached targets. */
+    arrivals(id: string): StandInTarget["arrivals"] {
+        return this.targets.flatMap(target => target.arrivals.filter(arrival => arrival.id === id));
+    }
+
+    async connect(): Promise<RawCaller> {
+        const caller = await RawCaller.open(this.callers);
+        this.open.push(caller);
+        return caller;
+    }
+
+    /** Opens a connection that has carried a request. */
+    async connectKept(): Promise<RawCaller> {
+        const caller = await this.connect();
+        expect((await caller.send("/public/1", "kept")).status).toBe(200);
+        return caller;
+    }
+
+    async close(): Promise<void> {
+        for (const caller of this.open) caller.close();
+        await this.group.close();
+        this.platform.close();
+        for (const target of this.targets) target.close();
+    }
+}
+
+type Moment = "before" | "early" | "late";
+
+/** A request during a planned stop. */
+interface StopCase {
+    readonly route: "check" | "book" | "chat" | "draft";
+    readonly kind: "silent" | "events";
+    readonly moment: Moment;
+    readonly connection: "kept" | "new";
+    /** Whether the last byte of the body comes late in the grace period. */
+    readonly slowBody?: boolean;
+}
+
+const ROUTES = ["check", "book", "chat", "draft"] as const;
+const CONNECTIONS = ["kept", "new"] as const;
+const MOMENTS = ["before", "early", "late"] as const;
+
+const silentCases: readonly StopCase[] = ROUTES.flatMap(route =>
+    MOMENTS.flatMap(moment => CONNECTIONS.map(connection => ({ route, kind: "silent" as const, moment, connection }))),
+);
+const begunStreams: readonly StopCase[] = (["chat", "draft"] as const).flatMap(route =>
+    (["before", "early"] as const).map(moment => ({ route, kind: "events", moment, connection: "new" })),
+);
+const slowBodies: readonly StopCase[] = (["check", "book"] as const).map(route => ({
+    route,
+    kind: "silent",
+    moment: "before",
+    connection: "new",
+    slowBody: true,
+}));
+
+function idOf({ route, kind, moment, connection, slowBody }: StopCase): string {
+    return `${kind}-${route}-${moment}-${connection}${slowBody === true ? "-slow" : ""}`;
+}
+
+/** Stops the gateway once while the requests of all cases are sent at their moments. */
+async function playStop(stage: Stage, cases: readonly StopCase[]): Promise<ReadonlyMap<string, RawAnswer>> {
+    const kept = new Map<StopCase, RawCaller>();
+    for (const stopCase of cases) {
+        if (stopCase.connection === "kept") kept.set(stopCase, await stage.connectKept());
+    }
+    const answers = new Map<string, Promise<RawAnswer>>();
+    const sendAt = async (moment: Moment): Promise<void> => {
+        for (const stopCase of cases.filter(candidate => candidate.moment === moment)) {
+            const caller = kept.get(stopCase) ?? (await stage.connect());
+            const id = idOf(stopCase);
+            answers.set(id, caller.send(`/${stopCase.route}/1`, id, stopCase.slowBody === true ? 1 : 0));
+            if (stopCase.slowBody === true) lateBytes.push(() => caller.write("y"));
+        }
+    };
+    const lateBytes: (() => void)[] = [];
+    await sendAt("before");
+    const isOpen = (stopCase: StopCase): boolean =>
+        stopCase.moment === "before" && stopCase.slowBody !== true && stage.arrivals(idOf(stopCase)).length === 0;
+    await until("requests are at targets", () => !cases.some(isOpen));
+    stage.gateway.signal("SIGTERM");
+    await stage.gateway.logged('"stopping"');
+    await pause(EARLY_MS);
+    await sendAt("early");
+    await pause(LATE_MS - EARLY_MS);
+    await sendAt("late");
+    for (const send of lateBytes) send();
+    const ended = await Promise.all([...answers].map(async ([id, answer]) => [id, await answer] as const));
+    expect(await stage.gateway.ended).toEqual({ code: 0, signal: null });
+    return new Map(ended);
+}
+
+describe("requests that outlast a planned stop, on routes that usually are quick", () => {
+    let stage: Stage;
+    let answers: ReadonlyMap<string, RawAnswer>;
+
+    beforeAll(async () => {
+        stage = await Stage.start();
+        for (const route of ROUTES) {
+            const caller = await stage.connect();
+            expect((await caller.send(`/${route}/1`, `quick-${route}`)).status).toBe(200);
+        }
+        answers = await playStop(stage, [...silentCases, ...begunStreams, ...slowBodies]);
+    });
+
+    afterAll(() => stage.close());
+
+    // Guards against a stop that closes the connection of a request at a target without an answer.
+    it.each([...silentCases.filter(({ moment }) => moment !== "late"), ...slowBodies])(
+        "$route sent $moment the signal on a $connection connection (slow body: $slowBody) gets 504 or 502",
+        stopCase => {
+            const answer = answers.get(idOf(stopCase));
+            expect(answer).toMatchObject({ complete: true, reset: false, headers: { connection: "close" } });
+            expect([502, 504]).toContain(answer?.status);
+            const arrivals = stage.arrivals(idOf(stopCase));
+            expect(arrivals.length).toBeGreaterThan(0);
+            if (!["check", "chat"].includes(stopCase.route)) expect(arrivals).toHaveLength(1);
+            const passedOn = Math.max(...arrivals.map(({ headers }) => Number(headers["x-parsleyrun-deadline-ms"])));
+            if (stopCase.moment === "early") expect(passedOn).toBeLessThan(GRACE_MS);
+        },
+    );
+
+    // Guards against a request that is passed on when the balancer and its caller have had time to go elsewhere.
+    it.each(silentCases.filter(({ moment }) => moment === "late"))(
+        "$route sent late in the grace period on a $connection connection is not passed on",
+        stopCase => {
+            const answer = answers.get(idOf(stopCase));
+            expect(stage.arrivals(idOf(stopCase))).toEqual([]);
+            // A kept connection that was idle may have been closed.
+            const refused = { status: 503, complete: true };
+            const closed = { status: undefined };
+            expect([refused, closed]).toContainEqual(
+                answer?.status === undefined ? closed : { status: answer.status, complete: answer.complete },
+            );
+            if (stopCase.connection === "new") expect(answer).toMatchObject(refused);
+            if (answer?.status === 503) expect(answer.headers).toHaveProperty("retry-after");
+        },
+    );
+
+    // Guards against a reset that takes from callers what was written of their streams.
+    it.each(begunStreams)("a stream of $route that began $moment the signal ends incomplete and in order", stopCase => {
+        expect(answers.get(idOf(stopCase))).toMatchObject({ status: 200, complete: false, reset: false });
+    });
+});
+
+describe("requests in a planned stop, on routes whose usual time is unknown or does not fit", () => {
+    let stage: Stage;
+    let answers: ReadonlyMap<string, RawAnswer>;
+    const cases = [...silentCases.filter(({ moment }) => moment === "early"), ...slowBodies];
+
+    beforeAll(async () => {
+        stage = await Stage.start();
+        answers = await playStop(stage, cases);
+    });
+
+    afterAll(() => stage.close());
+
+    // Guards against a request that is passed on although the rest of the grace period may not be enough for it.
+    it.each(cases)(
+        "$route on a $connection connection (slow body: $slowBody) is refused before it is sent",
+        stopCase => {
+            const answer = answers.get(idOf(stopCase));
+            expect(answer).toMatchObject({ status: 503, complete: true, headers: { connection: "close" } });
+            expect(answer?.headers).toHaveProperty("retry-after");
+            expect(stage.arrivals(idOf(stopCase))).toEqual([]);
+        },
+    );
+});
