Wait in a planned stop for the pieces that other gateways ordered

Requests at other gateways lost the pieces that a stopping gateway was still making for them: their order ended without an answer, and they had to be made again.

Cause: the stop waited for the requests of callers only. As soon as none was open, all connections were destroyed, those of other gateways with orders in progress too.

Evidence: an order whose call to its target takes 3.1 s, in progress at the signal, ended with "other side closed" after the 2.6 s for new requests, though 1 s of the grace period was left.

Ruled out: pieces that still wait; these are given back to another gatherer when the stop begins. Now the stop also waits for the open requests of other gateways, within the same limit of time.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -125,10 +125,8 @@
     });
     let isStopping = false;
     const callers = await listenForCallers(gateway, settings.callerAddress);
-    const otherListeners = [
-        await listenForReadiness(settings.readinessAddress, () => gateway.isReady),
-        await listenForPeers(gateway, settings.peerAddress),
-    ];
+    const peerCalls = await listenForPeers(gateway, settings.peerAddress);
+    const otherListeners = [await listenForReadiness(settings.readinessAddress, () => gateway.isReady), peerCalls];
     if (settings.metricsAddress !== undefined) {
         const render = (): string => {
             const counters = new Map([...metrics.totals(), ...Object.entries(reportStoreCalls(ledger))]);
@@ -178,7 +176,8 @@
         const unregistration = peers.unregister(store);
         await pause(Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE));
         gateway.enterPhase("stopping");
-        await waitUntil(() => callers.openRequests === 0, deadline.remainingMs());
+        // Requests of other gateways wait for the pieces that this one gathers.
+        await waitUntil(() => callers.openRequests + peerCalls.openRequests === 0, deadline.remainingMs());
         await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
         log.writeUnthrottled("stopped", { openRequests: callers.openRequests });
         await kill();
--- a/test/processes/plannedstop.test.ts
+++ b/test/processes/plannedstop.test.ts
@@ -1,5 +1,7 @@
 /** A planned stop of a gateway process, as callers see it whose requests are open, come early or come late. */
-import { afterAll, beforeAll, describe, expect, it } from "vitest";
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from "vitest";
+import { encodeOrder } from "../../src/stages/order.js";
+import { Deadline } from "../../src/model/index.js";
 import { CONFIGURATION } from "../gateway/harness.js";
 import { StandInPlatform } from "../platform/standinplatform.js";
 import { StandInTarget } from "../platform/standintarget.js";
@@ -11,11 +13,15 @@
 const EARLY_MS = 300;
 const LATE_MS = 2_800;
 
-const SERVICES = ["bookings", "engines"];
+/** Duration of a call for pieces: longer than new requests are served after the signal. */
+const STAGE_MS = 3_100;
+
+const SERVICES = ["bookings", "engines", "encode"];
 
 /** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
 class Stage {
     callers = "";
+    peers = "";
     private readonly group = ProcessGroup.create();
     private readonly targets: StandInTarget[] = [];
     private readonly open: RawCaller[] = [];
@@ -26,7 +32,10 @@
     static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         const routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs: 15_000 }));
-        stage.platform.put("config", "main", { ...CONFIGURATION, Routes: routes });
+        const services = CONFIGURATION.Services.map(service =>
+            service.Name === "encode" ? { ...service, Segments: { ...service.Segments, CallMs: STAGE_MS } } : service,
+        );
+        stage.platform.put("config", "main", { ...CONFIGURATION, Routes: routes, Services: services });
         for (const service of SERVICES) {
             const target = await StandInTarget.start(`${service}-0`);
             target.behaviour = ({ id }) => {
@@ -40,13 +49,14 @@
             stage.platform.put("servers", target.id, { ...record, ...state });
         }
         stage.callers = await freeAddress();
+        stage.peers = await freeAddress();
         const readiness = await freeAddress();
         const settings = {
             name: "gateway-1",
             zone: "east",
             callerAddress: stage.callers,
             readinessAddress: readiness,
-            peerAddress: await freeAddress(),
+            peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
         };
@@ -229,3 +239,41 @@
         },
     );
 });
+
+describe("a planned stop of a gateway", () => {
+    let stage: Stage;
+
+    beforeEach(async () => {
+        stage = await Stage.start();
+    });
+
+    afterEach(() => stage.close());
+
+    // Guards against a stop that drops the pieces that the gateway gathers for others.
+    it("finishes an order of another gateway", async () => {
+        stage.target("encode").callMs = STAGE_MS;
+        const job = {
+            service: "encode",
+            requestId: "request-1",
+            stage: 0,
+            index: 0,
+            pieces: 1,
+            key: "piece-key",
+            inputs: [],
+            isLastUse: true,
+            inputBytes: 0,
+            resultBytes: 1_000,
+            priority: 1,
+            deadline: Deadline.after(15_000),
+            targetTime: Deadline.after(15_000),
+            zone: "east",
+            fetches: 1,
+            begun: false,
+        };
+        const body = encodeOrder("encode", [job]);
+        const order = fetch(`http://${stage.peers}/pieces`, { method: "POST", body }).then(answer => answer.json());
+        await until("at the target", () => stage.target("encode").pieceCalls.length === 1);
+        stage.gateway.signal("SIGTERM");
+        expect(await order).toMatchObject({ results: [{ kind: "made" }] });
+    });
+});
