Stop in order when SIGTERM comes twice or before the gateway has started

Callers with an open request saw their connection close at once when a second SIGTERM reached a gateway that was stopping. A gateway that got SIGTERM while its program was loaded ended by the signal instead of with 0.

Cause: the handler was installed after the start and removed itself after the first signal; without a handler, the runtime ends the process.

Evidence: before, an open request got no status after a second SIGTERM 0.3 s after the first, and a process with SIGTERM while it loads ended with "gateway ended early: loading". SIGHUP in the stop and a store that is away from before the signal on were tried too; the open request was answered and the process ended with 0, before and after.

It remembers the time of the signal, from which the grace period counts, and later signals change nothing. A gateway that was never ready refuses new requests at once when it stops, as nobody has to be sent elsewhere.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -39,6 +39,8 @@
 /** A running gateway process. */
 export interface GatewayProcess extends RunningProcess {
     readonly gateway: Gateway;
+    /** Stops gracefully. The grace period counts from `requestedAt`, a reading of the monotonic clock. */
+    stop(requestedAt?: number): Promise<void>;
     /** Closes everything at once, without finishing open requests. */
     kill(): Promise<void>;
     /** Applies changed settings; changes to listeners need a restart. */
@@ -164,17 +166,19 @@
         log.flush();
         await Promise.all([callers, ...otherListeners].map(listener => listener.close()));
     };
-    const stop = async (): Promise<void> => {
+    const stop = async (requestedAt = performance.now()): Promise<void> => {
         const graceMs = settings.stopGraceSeconds * 1_000;
         const margin = Math.min(STOP_MARGIN_MS, graceMs * MAXIMUM_STOP_MARGIN_SHARE);
-        const deadline = Deadline.after(graceMs - margin);
+        const deadline = Deadline.after(requestedAt + graceMs - margin - performance.now());
         const responseMargin = Math.min(RESPONSE_MARGIN_MS, graceMs * MAXIMUM_RESPONSE_MARGIN_SHARE);
         gateway.shutdown.begin(deadline.earlierBy(responseMargin));
+        // One that was never ready has no callers to send elsewhere.
+        const drainMs = gateway.isReady ? Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE) : 0;
         log.writeUnthrottled("stopping", { openRequests: callers.openRequests });
         gateway.enterPhase("draining");
         isStopping = true;
         const unregistration = peers.unregister(store);
-        await pause(Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE));
+        await pause(Math.max(0, requestedAt + drainMs - performance.now()));
         gateway.enterPhase("stopping");
         // Requests of other gateways wait for the pieces that this one gathers.
         await waitUntil(() => callers.openRequests + peerCalls.openRequests === 0, deadline.remainingMs());
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -8,8 +8,16 @@
 /** Exit code for invalid settings. */
 const EXIT_USAGE = 2;
 
-/** Runs a gateway on a settings file. Resolves, once it has started, to a function that reads the settings again. */
-export async function runGateway(file: string): Promise<() => void> {
+/** What signals do with a running gateway. */
+export interface GatewayProgram {
+    /** Reads the settings again. */
+    readonly reload: () => void;
+    /** Stops gracefully, once, and ends the process. `requestedAt` is a reading of the monotonic clock. */
+    readonly stop: (requestedAt: number) => void;
+}
+
+/** Runs a gateway on a settings file. Resolves once it has started. */
+export async function runGateway(file: string): Promise<GatewayProgram> {
     const loaded = await loadSettings(gatewaySettingsSchema, file);
     if (loaded.kind === "invalid") {
         for (const line of formatSettingsErrors(file, loaded.errors)) process.stderr.write(`error: ${line}\n`);
@@ -25,8 +33,11 @@
             else log.writeUnthrottled("settings not reloaded", { errors: formatSettingsErrors(file, changed.errors) });
         });
     };
-    process.once("SIGTERM", () => {
-        void running.stop().then(() => process.exit(0));
-    });
-    return reload;
+    let isStopping = false;
+    const stop = (requestedAt: number): void => {
+        if (isStopping) return;
+        isStopping = true;
+        void running.stop(requestedAt).then(() => process.exit(0));
+    };
+    return { reload, stop };
 }
--- a/test/processes/gateway.test.ts
+++ b/test/processes/gateway.test.ts
@@ -89,6 +89,17 @@
         await until("the gateway is ready", async () => (await readinessStatus()) === 200);
     });
 
+    // Guards against a stop in which the process is ended by the signal, as it has no handler yet.
+    it("ends with 0 after a signal to stop that comes while its program is loaded", async () => {
+        const slowLoading = `data:text/javascript,${encodeURIComponent(SLOW_LOADING)}`;
+        await start({}, ["--import", slowLoading], async () => {
+            await gateway.logged("loading");
+            gateway.signal("SIGTERM");
+        });
+        expect(await gateway.ended).toEqual({ code: 0, signal: null });
+        expect(platform.names("parsleyrun-gateways")).toEqual([]);
+    });
+
     it("serves, survives a reload, and ends a planned stop within its time without cutting an answer", async () => {
         await start({ stopGraceSeconds: 6 });
         await until("ready", async () => (await readinessStatus()) === 200);
--- a/test/processes/plannedstop.test.ts
+++ b/test/processes/plannedstop.test.ts
@@ -249,6 +249,28 @@
 
     afterEach(() => stage.close());
 
+    // Guards against a stop that is cut short, or never ends, because of another signal or an outage of the store.
+    it.each<{ event: string; during: () => void }>([
+        { event: "a second SIGTERM", during: () => stage.gateway.signal("SIGTERM") },
+        { event: "a SIGHUP", during: () => stage.gateway.signal("SIGHUP") },
+        { event: "an outage of the store", during: () => (stage.platform.down = true) },
+    ])("finishes an open request under $event", async ({ event, during }) => {
+        let answer = (): void => undefined;
+        const held = new Promise<void>(resolve => (answer = resolve));
+        stage.target("bookings").behaviour = () => ({ kind: "answer", after: held });
+        const caller = await stage.connect();
+        const open = caller.send("/book/1", "open");
+        await until("at the target", () => stage.arrivals("open").length === 1);
+        if (event.includes("store")) during();
+        stage.gateway.signal("SIGTERM");
+        await stage.gateway.logged('"stopping"');
+        during();
+        await pause(EARLY_MS);
+        answer();
+        expect(await open).toMatchObject({ status: 200, complete: true });
+        expect(await stage.gateway.ended).toEqual({ code: 0, signal: null });
+    });
+
     // Guards against a stop that drops the pieces that the gateway gathers for others.
     it("finishes an order of another gateway", async () => {
         stage.target("encode").callMs = STAGE_MS;
