Do not end the process on an object of the store that is nested very deep

What operators saw: on systems like this one, the machines that read the list ended again and again after another writer had left an entry that is nested very deep.

Cause: the client of the store turned each `Spec` and `Status` into text with `JSON.stringify`, which is recursive. From some thousand levels on it throws, and the exception ended the process as an unhandled rejection, again at each start.

Ruled out: keeping the parsed value in `StoredObject`. Leases and registrations compare values as text, and the other store has text only. `JSON.parse` and the schemas do not fail at this depth.

Decoding is in a module of its own, platform/entries.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,6 +1,7 @@
 /** Implements `Store` on the platform's metadata store. Keys are `kind/name`, values are the JSON text of a `Spec`. */
 import { Agent } from "node:http";
 import { z } from "zod";
+import { decodeObject } from "./entries.js";
 import {
     type StoreCallOutcome,
     type CallKind,
@@ -31,14 +32,10 @@
 /** Maximum number of pages in one list; a page holds about 500 objects. */
 const MAXIMUM_PAGES = 100;
 
-const objectSchema = z.object({
-    Metadata: z.object({ Name: z.string(), Revision: z.int() }),
-    Spec: z.unknown().optional(),
-    Status: z.unknown().optional(),
-});
+const namedSchema = z.looseObject({ Metadata: z.object({ Name: z.string(), Revision: z.int() }) });
 const listSchema = z.object({ Entries: z.array(z.unknown()), HasMore: z.boolean().optional(), At: z.int() });
 const watchSchema = z.object({
-    events: z.array(z.object({ Object: objectSchema, Deleted: z.boolean().optional() })),
+    events: z.array(z.object({ Object: namedSchema, Deleted: z.boolean().optional() })),
     At: z.int(),
 });
 
@@ -56,9 +53,8 @@
     async read(key: string): Promise<ReadOutcome> {
         const answer = await this.call("read", { method: "GET", path: `/objects/${key}` });
         if (answer.kind === "answered" && answer.status === 404) return { kind: "missing", era: this.era.current };
-        const object = objectSchema.safeParse(successBody(answer));
-        if (!object.success) return unavailable(answer);
-        return { kind: "found", object: decode(kindOf(key), object.data), era: this.era.current };
+        const object = decodeObject(kindOf(key), successBody(answer));
+        return object === undefined ? unavailable(answer) : { kind: "found", object, era: this.era.current };
     }
 
     async list(prefix: string): Promise<ListOutcome> {
@@ -77,10 +73,10 @@
             // A watch from the first page's revision also reports the changes made while later pages were read.
             revision ??= body.data.At;
             for (const entry of body.data.Entries) {
-                const object = objectSchema.safeParse(entry);
-                if (object.success) objects.push(decode(kind, object.data));
+                const object = decodeObject(kind, entry);
+                if (object !== undefined) objects.push(object);
             }
-            const last = objectSchema.safeParse(body.data.Entries.at(-1));
+            const last = namedSchema.safeParse(body.data.Entries.at(-1));
             if (body.data.HasMore !== true || !last.success) return { kind: "listed", objects, revision, era };
             after = last.data.Metadata.Name;
         }
@@ -97,7 +93,8 @@
         if (!body.success) return unavailable(answer);
         const events = body.data.events.map((event): StoreEvent => {
             const key = `${kind}/${event.Object.Metadata.Name}`;
-            return event.Deleted === true ? { key } : { key, object: decode(kind, event.Object) };
+            const object = event.Deleted === true ? undefined : decodeObject(kind, event.Object);
+            return object === undefined ? { key } : { key, object };
         });
         return { kind: "changed", events, revision: body.data.At, era: this.era.current };
     }
@@ -146,7 +143,7 @@
         const { status } = answer;
         if (status === 409 || status === 404) return { kind: "conflict" };
         if (status >= 200 && status < 300) {
-            const object = objectSchema.safeParse(answer.body);
+            const object = namedSchema.safeParse(answer.body);
             return {
                 kind: "written",
                 version: object.success ? object.data.Metadata.Revision : 0,
@@ -166,11 +163,6 @@
     return key.slice(key.indexOf("/") + 1);
 }
 
-function decode(kind: string, { Metadata, Spec, Status }: z.infer<typeof objectSchema>): StoredObject {
-    const object = { key: `${kind}/${Metadata.Name}`, version: Metadata.Revision, value: JSON.stringify(Spec ?? null) };
-    return Status === undefined ? object : { ...object, status: JSON.stringify(Status) };
-}
-
 function successBody(answer: StoreCallOutcome): unknown {
     return answer.kind === "answered" && answer.status >= 200 && answer.status < 300 ? answer.body : undefined;
 }
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -13,7 +13,7 @@
     readonly key: string;
     /** Increases with each write to this key; reused only in another era. */
     readonly version: number;
-    /** At most one megabyte. */
+    /** At most one megabyte; empty if it cannot be read. */
     readonly value: string;
     /** What was last reported on the object, in stores that keep a status beside the value. */
     readonly status?: string;
