Read the other entries of the store beside one that is odd

What operators saw: the machines that read a list in which another writer had left an odd entry stopped following it.

Cause: a page was continued after the name of its last entry only if the whole entry was valid; otherwise the list ended there without a log line, and the entries of later pages counted as removed. A watch was checked as a whole, so that one odd event made it fail, sound events with it, and the next watch from the same revision failed again.

Ruled out: leaving out entries with a name and an odd revision. A closed zone is closed by its name alone, and an entry that was sound before would keep its old value until the next list.

Change: entries and events are decoded one by one. An object without a readable revision takes the latest one that it can have (that of the page, or the one before the next event), so that later changes to it still count; its value is empty. An entry without a name is left out and reported once. A page is continued after the last name on it; a list with a page that gives no new name fails.

--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -9,6 +9,9 @@
 
 const BYTES_PER_MEGABYTE = 1_000_000;
 
+/** Longest message on an invalid object, in characters. */
+const MAXIMUM_MESSAGE_LENGTH = 300;
+
 /** Connection limits that a configuration does not set. */
 const DEFAULT_LIMITS = {
     MaxHeaderBytes: 16_384,
@@ -102,7 +105,7 @@
 /** Decodes a configuration. */
 export function decodeConfiguration(text: string): DecodedObject<ConfigurationContent> {
     const parsed = configurationSchema.safeParse(parseJson(text));
-    if (!parsed.success) return { kind: "invalid", message: z.prettifyError(parsed.error) };
+    if (!parsed.success) return invalid(parsed.error);
     const { Version, Routes, Services, Tenants, Limits } = parsed.data;
     const limits = { ...DEFAULT_LIMITS, ...Limits };
     return {
@@ -129,7 +132,7 @@
 /** Decodes a target's registration; `id` is the name of the stored object. */
 export function decodeTarget(id: string, text: string): DecodedObject<TargetRegistration> {
     const parsed = targetSchema.safeParse(parseJson(text));
-    if (!parsed.success) return { kind: "invalid", message: z.prettifyError(parsed.error) };
+    if (!parsed.success) return invalid(parsed.error);
     const { Service, Address, Zone, Version, Slots, State, ColdRemainingMs, born } = parsed.data;
     return {
         kind: "decoded",
@@ -150,7 +153,7 @@
 /** Decodes a roll-out. The status of an earlier target version says nothing about this one. */
 export function decodeRollout({ value, status, version }: StoredObject): DecodedObject<Rollout> {
     const parsed = rolloutSchema.safeParse(parseJson(value));
-    if (!parsed.success) return { kind: "invalid", message: z.prettifyError(parsed.error) };
+    if (!parsed.success) return invalid(parsed.error);
     const { Service, Target, DurationS } = parsed.data;
     const reported = status === undefined ? undefined : rolloutStatusSchema.safeParse(parseJson(status)).data;
     const states = Object.entries(ROLLOUT_STATES) as readonly [RolloutState, string][];
@@ -159,6 +162,11 @@
     return { kind: "decoded", value: { service: Service, version: Target, durationMs, state, revision: version } };
 }
 
+/** An object that does not match its schema. The message is bounded, since another writer decides on its length. */
+function invalid(error: z.ZodError): { readonly kind: "invalid"; readonly message: string } {
+    return { kind: "invalid", message: z.prettifyError(error).slice(0, MAXIMUM_MESSAGE_LENGTH) };
+}
+
 /** Encodes the status of a roll-out. */
 export function encodeRolloutStatus({ version }: Pick<Rollout, "version">, state: RolloutState): unknown {
     return { State: ROLLOUT_STATES[state], Target: version };
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -25,7 +25,11 @@
     }
     const { settings } = loaded;
     const log = DecisionLog.create(settings.name);
-    const environment = platformEnvironment({ ...settings.store, ledger: CallCounter.create() });
+    const environment = platformEnvironment({
+        ...settings.store,
+        ledger: CallCounter.create(),
+        onEntryIgnored: (kind, reason) => log.write("entry ignored", { kind, reason }),
+    });
     const running = await startGateway(settings, { ...environment, log });
     const reload = (): void => {
         void loadSettings(gatewaySettingsSchema, file).then(changed => {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,7 +1,7 @@
 /** Implements `Store` on the platform's metadata store. Keys are `kind/name`, values are the JSON text of a `Spec`. */
 import { Agent } from "node:http";
 import { z } from "zod";
-import { decodeObject } from "./entries.js";
+import { decodeObject, EntryReader, revisionOf } from "./entries.js";
 import {
     type StoreCallOutcome,
     type CallKind,
@@ -14,7 +14,6 @@
     type StoreCall,
     type StoredObject,
     type StoreEra,
-    type StoreEvent,
     type WatchOutcome,
     type WriteOutcome,
 } from "../store/index.js";
@@ -27,24 +26,26 @@
     /** Timeout of one call in milliseconds; a watch adds the time for which it waits. */
     readonly timeoutMilliseconds: number;
     readonly ledger: CallCounter;
+    /** Called once for each entry that has no name and is ignored. */
+    readonly onEntryIgnored?: (kind: string, reason: string) => void;
 }
 
 /** Maximum number of pages in one list; a page holds about 500 objects. */
 const MAXIMUM_PAGES = 100;
 
-const namedSchema = z.looseObject({ Metadata: z.object({ Name: z.string(), Revision: z.int() }) });
 const listSchema = z.object({ Entries: z.array(z.unknown()), HasMore: z.boolean().optional(), At: z.int() });
-const watchSchema = z.object({
-    events: z.array(z.object({ Object: namedSchema, Deleted: z.boolean().optional() })),
-    At: z.int(),
-});
+const watchSchema = z.object({ events: z.array(z.unknown()), At: z.int() });
 
 /** Client of the platform's store. */
 export class PlatformStore implements Store {
     private readonly agent = new Agent({ keepAlive: true });
     private readonly era = EraTracker.create(HEADER.storeEra);
 
-    private constructor(private readonly options: PlatformStoreOptions) {}
+    private readonly entries: EntryReader;
+
+    private constructor(private readonly options: PlatformStoreOptions) {
+        this.entries = EntryReader.create((kind, reason) => options.onEntryIgnored?.(kind, reason));
+    }
 
     static create(options: PlatformStoreOptions): PlatformStore {
         return new PlatformStore(options);
@@ -72,13 +73,13 @@
             if (era !== (firstEra ??= era)) return { kind: "unavailable", message: "the store was restored" };
             // A watch from the first page's revision also reports the changes made while later pages were read.
             revision ??= body.data.At;
-            for (const entry of body.data.Entries) {
-                const object = decodeObject(kind, entry);
-                if (object !== undefined) objects.push(object);
+            const read = this.entries.readPage(kind, body.data.Entries, body.data.At);
+            objects.push(...read.objects);
+            if (body.data.HasMore !== true) return { kind: "listed", objects, revision, era };
+            if (read.lastName === undefined || read.lastName === after) {
+                return { kind: "unavailable", message: "page of a list has no name to continue from" };
             }
-            const last = namedSchema.safeParse(body.data.Entries.at(-1));
-            if (body.data.HasMore !== true || !last.success) return { kind: "listed", objects, revision, era };
-            after = last.data.Metadata.Name;
+            after = read.lastName;
         }
         return { kind: "unavailable", message: "list has too many pages" };
     }
@@ -91,11 +92,7 @@
         if (answer.kind === "answered" && answer.status === 410) return { kind: "historyGone" };
         const body = watchSchema.safeParse(successBody(answer));
         if (!body.success) return unavailable(answer);
-        const events = body.data.events.map((event): StoreEvent => {
-            const key = `${kind}/${event.Object.Metadata.Name}`;
-            const object = event.Deleted === true ? undefined : decodeObject(kind, event.Object);
-            return object === undefined ? { key } : { key, object };
-        });
+        const events = this.entries.readEvents(kind, body.data.events, body.data.At);
         return { kind: "changed", events, revision: body.data.At, era: this.era.current };
     }
 
@@ -143,12 +140,7 @@
         const { status } = answer;
         if (status === 409 || status === 404) return { kind: "conflict" };
         if (status >= 200 && status < 300) {
-            const object = namedSchema.safeParse(answer.body);
-            return {
-                kind: "written",
-                version: object.success ? object.data.Metadata.Revision : 0,
-                era: this.era.current,
-            };
+            return { kind: "written", version: revisionOf(answer.body) ?? 0, era: this.era.current };
         }
         // The store answers 429 or 503 only if it has not applied the write.
         return { kind: status === 429 || status === 503 ? "unavailable" : "unknown", message: `status ${status}` };
@@ -168,6 +160,7 @@
 }
 
 function unavailable(answer: StoreCallOutcome): { readonly kind: "unavailable"; readonly message: string } {
-    const message = answer.kind === "answered" ? `status ${answer.status}` : answer.message;
-    return { kind: "unavailable", message };
+    if (answer.kind === "unanswered") return { kind: "unavailable", message: answer.message };
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    return { kind: "unavailable", message: isSuccess ? "malformed answer" : `status ${answer.status}` };
 }
--- a/test/platform/scriptedstore.ts
+++ b/test/platform/scriptedstore.ts
@@ -64,6 +64,11 @@
         for (const socket of this.sockets) socket.destroy();
     }
 
+    /** Removes the entries of lists. */
+    clear(): void {
+        this.listed.length = 0;
+    }
+
     /** Adds an entry to lists. */
     add(kind: string, position: string, text: (revision: number) => string): void {
         this.revision += 1;
