Log an object that cannot be read once, not with each list or rewrite

What operators saw: nothing yet; the log of a gateway would have repeated the same line for an odd entry each time that another writer touched it, or with each list for an entry without a revision.

Cause: the feed wrote a line for each event of an object that its decoder refuses.

Ruled out: comparing the objects' texts, which may be a megabyte long and differ without a difference to the gateway.

Change: the feed remembers the reason by key until the object can be read or is removed, and writes a line when it changes. The lines name the key, as that of configurations did.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -70,6 +70,8 @@
     readonly peersReady: Promise<void>;
     private readonly views: readonly StoreView[];
     private readonly removalTimers = new Map<string, NodeJS.Timeout>();
+    /** Why objects are ignored, by key, so that a list does not report them again. */
+    private readonly ignoredReasons = new Map<string, string>();
 
     private constructor(private readonly options: FeedOptions) {
         const { source, store } = options;
@@ -129,10 +131,9 @@
     }
 
     private applyConfiguration(event: StoreEvent): void {
-        if (event.object === undefined) return;
-        const decoded = this.options.source.decodeConfiguration(event.object.value);
-        if (decoded.kind === "decoded") this.options.gateway.applyConfiguration(decoded.value);
-        else this.options.onChange("configuration ignored", { key: event.key, reason: decoded.message });
+        const decoded = event.object && this.options.source.decodeConfiguration(event.object.value);
+        this.reportIgnored("configuration ignored", event.key, decoded);
+        if (decoded?.kind === "decoded") this.options.gateway.applyConfiguration(decoded.value);
     }
 
     private applyTarget(event: StoreEvent, view: StoreView): void {
@@ -141,29 +142,38 @@
         clearTimeout(this.removalTimers.get(id));
         this.removalTimers.delete(id);
         if (event.object === undefined) {
+            this.ignoredReasons.delete(event.key);
             this.removeTarget(id, view);
             return;
         }
         const decoded = source.decodeTarget(id, event.object.value);
-        if (decoded.kind === "decoded") {
-            gateway.targets.put(decoded.value, event.mayBeOlder);
-            return;
-        }
-        this.options.onChange("registration ignored", { target: id, reason: decoded.message });
-        gateway.targets.remove(id);
+        this.reportIgnored("registration ignored", event.key, decoded);
+        if (decoded.kind === "decoded") gateway.targets.put(decoded.value, event.mayBeOlder);
+        else gateway.targets.remove(id);
     }
 
     private applyRollout({ key, object, mayBeOlder }: StoreEvent): void {
         const { gateway, source, onChange } = this.options;
         const name = key.slice(source.rolloutPrefix.length);
         if (object === undefined) {
+            this.ignoredReasons.delete(key);
             gateway.removeRollout(name);
             onChange("rollout removed", { service: name });
             return;
         }
         const decoded = source.decodeRollout(object);
+        this.reportIgnored("rollout ignored", key, decoded);
         if (decoded.kind === "decoded") gateway.putRollout(decoded.value, mayBeOlder);
-        else onChange("rollout ignored", { service: name, reason: decoded.message });
+    }
+
+    /** Reports an object that is ignored, once for each reason. */
+    private reportIgnored(change: string, key: string, decoded: DecodedObject<unknown> | undefined): void {
+        if (decoded?.kind !== "invalid") {
+            this.ignoredReasons.delete(key);
+        } else if (this.ignoredReasons.get(key) !== decoded.message) {
+            this.ignoredReasons.set(key, decoded.message);
+            this.options.onChange(change, { key, reason: decoded.message });
+        }
     }
 
     private removeTarget(id: string, view: StoreView): void {
