Keep counting a gateway whose registration can no longer be read

What callers could see: more repeats, and more requests to cold targets, than all gateways together may send.

Cause: a registration that could not be read took the gateway out of the count by which limits are divided, although it still runs. The module says that the count may be too high but not too low.

Ruled out: counting registrations that were never readable. Another writer's entries would shrink the parts for good.

Change: such a change leaves the registration that was read; only its removal ends it.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -85,9 +85,10 @@
     apply(event: StoreEvent): void {
         this.changes += 1;
         const name = event.key.slice(this.prefix.length);
-        const parsed = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value));
-        if (parsed?.success === true && parsed.data.name === name) this.peers.set(name, parsed.data);
-        else this.peers.delete(name);
+        if (event.object === undefined) this.peers.delete(name);
+        // A registration that cannot be read does not replace one that could: fewer gateways would make the parts too large.
+        const peer = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value)).data;
+        if (peer?.name === name) this.peers.set(name, peer);
         this.hasBeenRegistered ||= this.peers.has(this.self.name);
         if (name === this.self.name && !this.peers.has(name)) this.registerAgain();
     }
--- a/test/gateway/oddentries.test.ts
+++ b/test/gateway/oddentries.test.ts
@@ -1,6 +1,7 @@
 /** An odd entry in the store names nothing that a gateway uses, does not end the process, and is logged once. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { startGateway, type GatewayProcess } from "../../src/daemon/gateway.js";
+import { GatewayPeers } from "../../src/gateway/index.js";
 import { DecisionLog, LineSink } from "../../src/observability/index.js";
 import { KIND } from "../../src/platform/names.js";
 import { platformEnvironment } from "../../src/platform/source.js";
@@ -134,4 +135,19 @@
         expect(logged("rollout ignored")).toHaveLength(2);
         expect(longestLine()).toBeLessThan(1_000);
     });
+
+    it("does not make a registered gateway count as gone", () => {
+        const capacity = { processors: 1, linkMegabits: 1 };
+        const peer = (name: string): unknown => ({ name, zone: "east", address: "127.0.0.1:7001", capacity });
+        const peers = GatewayPeers.create(peer("a") as GatewayPeers["self"], "gateways/");
+        const apply = (name: string, value: string, version: number): void =>
+            peers.apply({ key: `gateways/${name}`, object: { key: `gateways/${name}`, version, value } });
+        apply("a", JSON.stringify(peer("a")), 1);
+        apply("b", JSON.stringify(peer("b")), 2);
+        apply("b", text, 3);
+        apply("c", text, 4);
+        expect(peers.all.map(({ name }) => name)).toEqual(["a", "b"]);
+        peers.apply({ key: "gateways/b" });
+        expect(peers.count).toBe(1);
+    });
 });
