Return "unreachable" for an address to which no connection can be made

What operators saw: the process of a gateway ended by an unhandled rejection once another writer had registered a port such as 99999.

Cause: the functions that send an attempt passed the port on unchecked. `connect` and `request` throw for a port out of range, so that the promise of an outcome rejected. A host that is no address was looked up as a name.

Ruled out: catching what `connect` throws, which leaves the look-up of names such as 999.1.1.1.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -15,6 +15,7 @@
     type RequestOptions,
 } from "node:http";
 import { connect, type Socket } from "node:net";
+import { parseSocketAddress } from "../model/address.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 import { startSilenceTimeout } from "./silence.js";
@@ -120,15 +121,22 @@
 ): Promise<AttemptOutcome> {
     if (limits.signal.aborted) return { kind: "cancelled", sent: false };
     if (limits.deadline.passed()) return { kind: "expired", sent: false };
-    return sendOnConnection({ agent, ...hostAndPort(attemptRequest.address) }, attemptRequest, limits);
+    const address = parseSocketAddress(attemptRequest.address);
+    if (address === undefined) return NO_SUCH_ADDRESS;
+    return sendOnConnection({ agent, ...address }, attemptRequest, limits);
 }
 
 type ConnectionOutcome =
     { readonly kind: "connected"; readonly socket: Socket } | Exclude<AttemptOutcome, { kind: "broken" | "answered" }>;
 
-function openConnection(address: string, limits: AttemptLimits): Promise<ConnectionOutcome> {
+/** Outcome for an address that is none. `connect` would throw for it, or ask for a host of that name. */
+const NO_SUCH_ADDRESS = { kind: "unreachable", reason: "no connection can be made to this address" } as const;
+
+function openConnection(text: string, limits: AttemptLimits): Promise<ConnectionOutcome> {
+    const address = parseSocketAddress(text);
+    if (address === undefined) return Promise.resolve(NO_SUCH_ADDRESS);
     return new Promise(resolve => {
-        const socket = connect(hostAndPort(address));
+        const socket = connect(address);
         socket.setNoDelay(true);
         const finish = (outcome: ConnectionOutcome): void => {
             cancelTimeout();
@@ -239,11 +247,6 @@
     });
 }
 
-function hostAndPort(address: string): { readonly host: string; readonly port: number } {
-    const separator = address.lastIndexOf(":");
-    return { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) };
-}
-
 /** Adds the `Host` header that HTTP/1.1 requires, unless the caller's is among the headers. */
 function headersWithHost({ headers, address }: AttemptRequest): string[] {
     const hasHost = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "host");
