Check addresses, names and numbers of registrations where they are decoded

What operators could see: a registration with port 99999 or with a name that no header can hold became a target; each attempt at it failed with an exception. A roll-out stored under one service's name took over another's, and its state was written to the path that its `Service` gave.

Cause: the schemas checked types, but not ranges: any digits and dots with any port were an address.

Ruled out: such bounds for configurations, which the store checks; one that is refused by mistake would keep an old version in force.

A roll-out is the one of the service that its key names.

--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -4,8 +4,10 @@
 import type { DecodedObject } from "../gateway/feed.js";
 import type { Rollout, RolloutState } from "../gateway/rollouts.js";
 import type { TargetRegistration } from "../gateway/target.js";
+import { parseSocketAddress } from "../model/address.js";
 import { parseJson } from "../model/json.js";
 import type { StoredObject } from "../store/index.js";
+import { KIND } from "./names.js";
 
 const BYTES_PER_MEGABYTE = 1_000_000;
 
@@ -84,19 +86,34 @@
         .optional(),
 });
 
+/** Longest name in a registration, in characters; names are part of headers and log lines. */
+const MAXIMUM_NAME_LENGTH = 256;
+
+/** Longest duration of what another writer registers, in milliseconds: a day. */
+const MAXIMUM_DURATION_MS = 86_400_000;
+
+const name = z.string().max(MAXIMUM_NAME_LENGTH);
+
+/** The id of a target is sent as a header. */
+const targetIdSchema = name.regex(/^[\x21-\x2e\x30-\x7e]+$/, "is not a name that can be sent as a header");
+
 const targetSchema = z.object({
-    Service: z.string(),
-    Address: z.string().regex(/^[\d.]+:\d+$/),
-    Zone: z.string(),
-    Version: z.string(),
+    Service: name.min(1),
+    Address: z.string().refine(text => parseSocketAddress(text) !== undefined, "is no IPv4 address and port"),
+    Zone: name,
+    Version: name,
     Slots: count,
     State: z.enum(["available", "draining"]),
-    ColdRemainingMs: nonNegative.optional(),
+    ColdRemainingMs: nonNegative.max(MAXIMUM_DURATION_MS).optional(),
     /** Wall-clock start time of the target in milliseconds. */
-    born: z.int().optional(),
+    born: z.int().min(0).optional(),
 });
 
-const rolloutSchema = z.object({ Service: z.string(), Target: z.string(), DurationS: nonNegative });
+const rolloutSchema = z.object({
+    Service: name.min(1),
+    Target: name.min(1),
+    DurationS: nonNegative.max(MAXIMUM_DURATION_MS / 1_000),
+});
 
 const ROLLOUT_STATES = { inProgress: "in_progress", completed: "completed", reverted: "reverted" } as const;
 
@@ -131,6 +148,8 @@
 
 /** Decodes a target's registration; `id` is the name of the stored object. */
 export function decodeTarget(id: string, text: string): DecodedObject<TargetRegistration> {
+    const named = targetIdSchema.safeParse(id);
+    if (!named.success) return invalid(named.error);
     const parsed = targetSchema.safeParse(parseJson(text));
     if (!parsed.success) return invalid(parsed.error);
     const { Service, Address, Zone, Version, Slots, State, ColdRemainingMs, born } = parsed.data;
@@ -151,10 +170,12 @@
 }
 
 /** Decodes a roll-out. The status of an earlier target version says nothing about this one. */
-export function decodeRollout({ value, status, version }: StoredObject): DecodedObject<Rollout> {
+export function decodeRollout({ key, value, status, version }: StoredObject): DecodedObject<Rollout> {
     const parsed = rolloutSchema.safeParse(parseJson(value));
     if (!parsed.success) return invalid(parsed.error);
     const { Service, Target, DurationS } = parsed.data;
+    // The state is written to the object that the service names.
+    if (key !== `${KIND.rollouts}/${Service}`) return { kind: "invalid", message: "is named after another service" };
     const reported = status === undefined ? undefined : rolloutStatusSchema.safeParse(parseJson(status)).data;
     const states = Object.entries(ROLLOUT_STATES) as readonly [RolloutState, string][];
     const state = states.find(([, name]) => reported?.Target === Target && reported.State === name)?.[0];
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -2,7 +2,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
-import { decodeConfiguration, decodeTarget } from "../../src/platform/configuration.js";
+import { decodeConfiguration, decodeRollout, decodeTarget } from "../../src/platform/configuration.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { CONFIGURATION } from "../gateway/harness.js";
 
@@ -69,11 +69,59 @@
         ["with a host name", { Address: "host:80" }, "invalid"],
         ["with an unknown state", { State: "resting" }, "invalid"],
         ["with a number of another type", { Slots: "4" }, "invalid"],
+        ["with port 0", { Address: "10.0.0.1:0" }, "invalid"],
+        ["with port -1", { Address: "10.0.0.1:-1" }, "invalid"],
+        ["with port 65535", { Address: "10.0.0.1:65535" }, "decoded"],
+        ["with port 65536", { Address: "10.0.0.1:65536" }, "invalid"],
+        ["with port 99999", { Address: "10.0.0.1:99999" }, "invalid"],
+        ["with an octet out of range", { Address: "999.1.1.1:80" }, "invalid"],
+        ["with three octets", { Address: "10.0.1:80" }, "invalid"],
+        ["with slots that are too many", { Slots: 1e308 }, "invalid"],
+        ["with negative slots", { Slots: -1 }, "invalid"],
+        ["with a fraction of a slot", { Slots: 1.5 }, "invalid"],
+        ["with a cold period that is too long", { ColdRemainingMs: 1e308 }, "invalid"],
+        ["with a negative cold period", { ColdRemainingMs: -1 }, "invalid"],
+        ["with a start that is too late", { born: 1e308 }, "invalid"],
+        ["with a negative start", { born: -1 }, "invalid"],
+        ["with a start as text", { born: "5" }, "invalid"],
+        ["with a very long zone", { Zone: "z".repeat(100_000) }, "invalid"],
+        ["with a very long service", { Service: "z".repeat(100_000) }, "invalid"],
+        ["with an empty service", { Service: "" }, "invalid"],
     ])("%s", (_, change, kind) => {
         expect(decodeTarget("id", JSON.stringify({ ...valid, ...change })).kind).toBe(kind);
     });
 });
 
+describe("the name of a registration", () => {
+    const spec = { Service: "s", Address: "10.0.0.1:80", Zone: "z", Version: "v1", Slots: 4, State: "available" };
+    it.each<[string, string, string]>([
+        ["i-7f3a91c2", "of letters and digits", "decoded"],
+        ["a\r\nb: c", "with a line break", "invalid"],
+        ["a\u0000", "with a control character", "invalid"],
+        ["a b", "with a space", "invalid"],
+        ["a/b", "with a slash", "invalid"],
+        ["\u20ac", "that a header cannot hold", "invalid"],
+        ["a".repeat(1_000), "that is very long", "invalid"],
+    ])("%j %s", (id, _, kind) => {
+        expect(decodeTarget(id, JSON.stringify(spec)).kind).toBe(kind);
+    });
+});
+
+describe("a roll-out", () => {
+    const spec = { Service: "s", Target: "v2", DurationS: 60 };
+    it.each<[string, string, Readonly<Record<string, unknown>>, string]>([
+        ["that is complete", "rollouts/s", {}, "decoded"],
+        ["of another service than its name", "rollouts/t", {}, "invalid"],
+        ["of a service that is a path", "rollouts/x", { Service: "../config/main" }, "invalid"],
+        ["without a version", "rollouts/s", { Target: "" }, "invalid"],
+        ["with a duration that is too long", "rollouts/s", { DurationS: 1e308 }, "invalid"],
+        ["with a negative duration", "rollouts/s", { DurationS: -1 }, "invalid"],
+    ])("%s", (_, key, change, kind) => {
+        const object = { key, version: 1, value: JSON.stringify({ ...spec, ...change }) };
+        expect(decodeRollout(object).kind).toBe(kind);
+    });
+});
+
 describe("the dialect", () => {
     it("reads the metadata of a request", () => {
         const facts = platformDialect.readRequest({
