Encode the names of objects in the paths of calls to the store

What operators could see: a status written to another object than the roll-out that it is for, such as `config/main`.

Cause: names went into paths as they were. Those with dots and slashes, question marks or line breaks lead to another path; `..` does so even if it is encoded.

Ruled out: refusing all names with a slash. A closed zone is closed by its name, whatever that is.

Change: names are encoded as the list's `After` was. An entry named `.` or `..` has no path and is ignored.

--- a/src/platform/entries.ts
+++ b/src/platform/entries.ts
@@ -17,12 +17,12 @@
 /** Maximum number of entries without a name that are remembered as reported. */
 const MAXIMUM_REPORTED = 1_000;
 
-// A path cannot hold half of a surrogate pair.
+// A path cannot hold half of a surrogate pair, and "." and ".." are no names in it.
 const nameSchema = z
     .string()
     .min(1)
     .max(MAXIMUM_NAME_LENGTH)
-    .regex(/^\P{Surrogate}*$/u);
+    .regex(/^(?!\.{1,2}$)\P{Surrogate}*$/u);
 const namedSchema = z.object({
     Metadata: z.object({ Name: nameSchema, Revision: z.unknown().optional() }),
     Spec: z.unknown().optional(),
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -52,7 +52,7 @@
     }
 
     async read(key: string): Promise<ReadOutcome> {
-        const answer = await this.call("read", { method: "GET", path: `/objects/${key}` });
+        const answer = await this.call("read", { method: "GET", path: pathOf(key) });
         if (answer.kind === "answered" && answer.status === 404) return { kind: "missing", era: this.era.current };
         const object = decodeObject(kindOf(key), successBody(answer));
         return object === undefined ? unavailable(answer) : { kind: "found", object, era: this.era.current };
@@ -101,13 +101,13 @@
         const spec: unknown = JSON.parse(value);
         const create = expectedVersion === 0;
         const metadata = create ? { Name: name } : { Name: name, Revision: expectedVersion };
-        const path = create ? `/objects/${kind}` : `/objects/${key}`;
+        const path = create ? `/objects/${kind}` : pathOf(key);
         const body = JSON.stringify({ Metadata: metadata, Spec: spec });
         return this.writeOutcome(await this.call("write", { method: create ? "POST" : "PUT", path, body }));
     }
 
     async remove(key: string, expectedVersion: number): Promise<WriteOutcome> {
-        const path = `/objects/${key}?Revision=${expectedVersion}`;
+        const path = `${pathOf(key)}?Revision=${expectedVersion}`;
         return this.writeOutcome(await this.call("remove", { method: "DELETE", path }));
     }
 
@@ -115,7 +115,7 @@
     async writeStatus(key: string, status: unknown, expectedVersion: number): Promise<WriteOutcome> {
         const metadata = { Name: nameOf(key), Revision: expectedVersion };
         const body = JSON.stringify({ Metadata: metadata, Status: status });
-        return this.writeOutcome(await this.call("write", { method: "PUT", path: `/objects/${key}/status`, body }));
+        return this.writeOutcome(await this.call("write", { method: "PUT", path: `${pathOf(key)}/status`, body }));
     }
 
     /** Closes all connections. */
@@ -155,6 +155,11 @@
     return key.slice(key.indexOf("/") + 1);
 }
 
+/** The path of an object. Names may hold characters that would otherwise lead to another path. */
+function pathOf(key: string): string {
+    return `/objects/${kindOf(key)}/${encodeURIComponent(nameOf(key))}`;
+}
+
 function successBody(answer: StoreCallOutcome): unknown {
     return answer.kind === "answered" && answer.status >= 200 && answer.status < 300 ? answer.body : undefined;
 }
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -36,6 +36,8 @@
     ["a name that is a number", '{"Metadata":{"Name":7,"Revision":5},"Spec":{}}'],
     ["a name nested very deep", `{"Metadata":{"Name":${DEEP},"Revision":5},"Spec":{}}`],
     ["a name with half of a surrogate pair", '{"Metadata":{"Name":"b\\ud800","Revision":5},"Spec":{}}'],
+    ["a name that is a dot", '{"Metadata":{"Name":".","Revision":5},"Spec":{}}'],
+    ["a name that leads to the parent", '{"Metadata":{"Name":"..","Revision":5},"Spec":{}}'],
     ["a very long name", `{"Metadata":{"Name":"${"b".repeat(100_000)}","Revision":5},"Spec":{}}`],
 ];
 
@@ -185,3 +187,19 @@
         expect((await store.watch("servers/", 1, 100)).kind).toBe("unavailable");
     });
 });
+
+describe("an object whose name holds characters of a path", () => {
+    it.each(["../config/main", "a/b", "a?b", "a#b", "a b", "a%2fb", "a\n", "\u20ac"])(
+        "%j is read and written under its own path",
+        async name => {
+            const key = `${KIND.rollouts}/${name}`;
+            await store.read(key);
+            await store.write(key, "{}", 3);
+            await store.remove(key, 3);
+            await store.writeStatus(key, {}, 3);
+            const path = `/objects/${KIND.rollouts}/${encodeURIComponent(name)}`;
+            const expected = [`GET ${path}`, `PUT ${path}`, `DELETE ${path}?Revision=3`, `PUT ${path}/status`];
+            expect(server.calls).toEqual(expected);
+        },
+    );
+});
