Reject a request that cannot be sent on, instead of ending the process

What callers saw: all requests of a process ended without an answer when one caller sent a path with a tab or a form feed.

Cause: the parser of requests takes these characters, and `http.request` throws for them. It does so for headers too, such as the name of an account. The promise of the attempt's outcome rejected, and nothing handled that.

Ruled out: "unreachable" as the outcome. The request would go from target to target, and each would get no requests for a time.

Change: attempts have the outcome "unsendable": the same for every target, and nothing was sent. The caller gets 400, which is not repeated.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -44,6 +44,8 @@
 export type AttemptOutcome =
     /** No connection was made; nothing was sent. */
     | { readonly kind: "unreachable"; readonly reason: string }
+    /** The request cannot be written as HTTP, to whichever target; nothing was sent. */
+    | { readonly kind: "unsendable"; readonly reason: string }
     /** Something was sent but no response head came; the target may have run the request. */
     | { readonly kind: "broken"; readonly reason: string }
     /** The deadline passed before the response head came. */
@@ -107,7 +109,9 @@
     if (connection.kind !== "connected") return connection;
     const { socket } = connection;
     limits.onConnected?.();
-    return sendOnConnection({ createConnection: () => socket }, attemptRequest, limits);
+    const outcome = await sendOnConnection({ createConnection: () => socket }, attemptRequest, limits);
+    if (outcome.kind === "unsendable") socket.destroy();
+    return outcome;
 }
 
 /**
@@ -127,7 +131,8 @@
 }
 
 type ConnectionOutcome =
-    { readonly kind: "connected"; readonly socket: Socket } | Exclude<AttemptOutcome, { kind: "broken" | "answered" }>;
+    | { readonly kind: "connected"; readonly socket: Socket }
+    | Exclude<AttemptOutcome, { kind: "broken" | "answered" | "unsendable" }>;
 
 /** Outcome for an address that is none. `connect` would throw for it, or ask for a host of that name. */
 const NO_SUCH_ADDRESS = { kind: "unreachable", reason: "no connection can be made to this address" } as const;
@@ -181,6 +186,14 @@
     attemptRequest: AttemptRequest,
     limits: AttemptLimits,
 ): Promise<AttemptOutcome> {
+    const created = createRequest({
+        method: attemptRequest.method,
+        path: attemptRequest.path,
+        headers: headersWithHost(attemptRequest),
+        ...connection,
+    });
+    if (created.kind === "unsendable") return Promise.resolve(created);
+    const { outgoing } = created;
     return new Promise(resolve => {
         let settled = false;
         const finish = (outcome: AttemptOutcome): void => {
@@ -206,12 +219,6 @@
                       limits.headTimeoutMs,
                       limits.mayAbandon,
                   );
-        const outgoing: ClientRequest = request({
-            method: attemptRequest.method,
-            path: attemptRequest.path,
-            headers: headersWithHost(attemptRequest),
-            ...connection,
-        });
         let headBytes = 0;
         const countHeadBytes = (chunk: Buffer): void => {
             headBytes += chunk.length;
@@ -247,6 +254,17 @@
     });
 }
 
+/** Creates a request. Its path and headers may come from callers, targets and other writers of the store. */
+function createRequest(
+    options: RequestOptions,
+): { readonly kind: "created"; readonly outgoing: ClientRequest } | Extract<AttemptOutcome, { kind: "unsendable" }> {
+    try {
+        return { kind: "created", outgoing: request(options) };
+    } catch (error) {
+        return { kind: "unsendable", reason: error instanceof Error ? error.message : String(error) };
+    }
+}
+
 /** Adds the `Host` header that HTTP/1.1 requires, unless the caller's is among the headers. */
 function headersWithHost({ headers, address }: AttemptRequest): string[] {
     const hasHost = headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === "host");
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -350,6 +350,11 @@
                 targets.recordUnreachable(target);
                 this.logDecision("target unreachable", target, { reason: outcome.reason });
                 return "again";
+            case "unsendable":
+                this.count -= 1;
+                targets.recordInconclusive(target);
+                this.logDecision("request not sendable", target, { reason: outcome.reason });
+                return { outcome: "rejected", status: 400, reason: "request cannot be sent" };
             case "broken":
                 targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
--- a/src/gateway/results.ts
+++ b/src/gateway/results.ts
@@ -12,7 +12,7 @@
 
 /** Whether a result ends the request whatever its route allows. */
 export function isFinal({ outcome }: ExchangeResult): boolean {
-    return outcome === "cancelled" || outcome === "expired";
+    return outcome === "cancelled" || outcome === "expired" || outcome === "rejected";
 }
 
 /** The result of a request that an earlier attempt may have run: never 503, which says that it was not run. */
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -39,7 +39,7 @@
     const call = dialect.pieceCall(target.registration.id, orders);
     const order = { ...call, address: target.registration.address };
     const sent = await sendAttempt(order, { ...limits, onConnected: onSent });
-    if (sent.kind === "unreachable") return { kind: "notSent", reason: sent.reason };
+    if (sent.kind === "unreachable" || sent.kind === "unsendable") return { kind: "notSent", reason: sent.reason };
     if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
     if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
     const facts = dialect.readResponse(sent.head.status, sent.head.headers);
