Do not end the process on a response head that cannot be sent on

What callers saw: all requests of a process ended without an answer after a target had sent a response with status 099, a reason phrase with a control character, or a header without a name.

Cause: the parser of responses takes these heads, and `writeHead` throws for them: for a plain call an unhandled rejection, for a stream an uncaught exception within an event of the socket.

Evidence: before, "status 099" failed with "RangeError: Invalid status code: 99" and the reason phrase with "TypeError: Invalid character in statusMessage", both as unhandled rejections, and the callers got no answer in 30 s. The parser refuses status 1000 and control characters in header values itself.

Ruled out: replacing such a status by one of our own. A stream of bytes that is no response may have any body.

Change: a head whose status or header names cannot be sent on is a broken attempt, of which nobody knows whether it was run. Control characters are taken out of the reason phrase, which has no meaning.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -83,6 +83,13 @@
 /** Reason of an attempt whose response head exceeds the limit. */
 export const HEAD_TOO_LONG = "response head is too long";
 
+/** Reason of an attempt whose response head cannot be sent on. */
+const INVALID_HEAD = "response head is invalid";
+
+const HEADER_NAME = /^[\w!#$%&'*+.^`|~-]+$/;
+/** Characters of a reason phrase that cannot be sent on. */
+const CONTROL_CHARACTERS = /[\x00-\x08\x0a-\x1f\x7f]/g;
+
 /** Time limits and callbacks of one attempt. */
 export interface AttemptLimits {
     readonly deadline: Deadline;
@@ -237,12 +244,8 @@
         // The response may come before the whole body was sent; `finish` then ignores errors of sending.
         outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
         outgoing.on("response", message => {
-            const head: ResponseHead = {
-                status: message.statusCode ?? 0,
-                statusText: message.statusMessage ?? "",
-                headers: message.headers,
-                rawHeaders: message.rawHeaders,
-            };
+            const head = responseHead(message);
+            if (head === undefined) return finish({ kind: "broken", reason: INVALID_HEAD });
             finish({
                 kind: "answered",
                 head,
@@ -254,6 +257,14 @@
     });
 }
 
+/** The head of a response; undefined if it cannot be sent on. The parser takes more than `writeHead` does. */
+function responseHead(message: IncomingMessage): ResponseHead | undefined {
+    const { statusCode: status = 0, statusMessage = "", headers, rawHeaders } = message;
+    const hasValidNames = rawHeaders.every((name, index) => index % 2 === 1 || HEADER_NAME.test(name));
+    if (status < 200 || !hasValidNames) return undefined;
+    return { status, statusText: statusMessage.replaceAll(CONTROL_CHARACTERS, ""), headers, rawHeaders };
+}
+
 /** Creates a request. Its path and headers may come from callers, targets and other writers of the store. */
 function createRequest(
     options: RequestOptions,
--- a/test/gateway/faultyresponses.test.ts
+++ b/test/gateway/faultyresponses.test.ts
@@ -141,3 +141,33 @@
         if (path === "/draft/1") expect(answer.status).toBe(502);
     });
 });
+
+describe("a response head that cannot be sent on", () => {
+    it.each([
+        { name: "status 099", status: "099 Odd", header: {} },
+        { name: "status 000", status: "000 Odd", header: {} },
+        { name: "status 1000", status: "1000 Odd", header: {} },
+        { name: "a header without a name", status: "200 OK", header: { "": "b" } },
+        { name: "a header name with a space", status: "200 OK", header: { "a b": "c" } },
+        { name: "a header value with a control character", status: "200 OK", header: { a: "b\u0001c" } },
+    ])("($name) leads to 502 and does not end the process", async ({ status, header }) => {
+        deployment = await Deployment.start({ bookings: 1, engines: 1 });
+        const body = "id: 1\ndata: x\n\n";
+        const text = response(status, { ...OWN, ...header, "content-length": String(body.length) }, body);
+        scriptBehaviours("", [{ kind: "raw", text }]);
+        for (const path of ["/book/1", "/draft/1"]) {
+            expect(await deployment.call({ path, body: "b" })).toMatchObject({ status: 502, complete: true });
+        }
+        expect(arrivalCount()).toBe(2);
+    });
+
+    it("for a control character in its reason phrase is sent on without it", async () => {
+        deployment = await Deployment.start({ bookings: 1, engines: 1 });
+        const body = "id: 1\ndata: x\n\n";
+        const text = response("200 O\u0001K\u007f", { ...OWN, "content-length": String(body.length) }, body);
+        scriptBehaviours("", [{ kind: "raw", text }]);
+        for (const path of ["/book/1", "/draft/1"]) {
+            expect(await deployment.call({ path, body: "b" })).toMatchObject({ status: 200, complete: true, body });
+        }
+    });
+});
