End only the request or peer call in whose handling an exception occurs

What callers saw: whenever something threw in the handling of one request, the process ended and all its open requests got no answer.

Cause: `Exchange.serve` and `servePeer` ran as promises that nobody handled, and the reader of a response body called its caller from an event of the socket, where an exception is uncaught.

Ruled out: a handler of unhandled rejections for the whole process. It could not answer the caller, and would hide broken invariants.

Change: one boundary for each request and each peer call. It writes one line with the id or the path and the error. A caller gets 500, which does not promise that the request was not run, or the end of a response that has begun. A body that is being read rejects with what its reader throws. Progress to another gateway ends with its order.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -320,10 +320,13 @@
         this.outgoing.destroy();
     }
 
-    /** Reads to the end. The connection stays open only if it is pooled and the response is complete. */
+    /**
+     * Reads to the end. The connection stays open only if it is pooled and the response is complete. Rejects with what
+     * `onChunk` throws.
+     */
     read(options: BodyReadOptions): Promise<BodyOutcome> {
         const { message } = this;
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             let settled = false;
             let cancelStallTimeout = (): void => undefined;
             const finish = (outcome: BodyOutcome): void => {
@@ -357,10 +360,15 @@
             message.on("data", (chunk: Buffer) => {
                 if (settled) return;
                 armStallTimer();
-                const chunkTaken = options.onChunk(chunk);
-                if (chunkTaken === undefined) return;
-                message.pause();
-                void chunkTaken.then(() => message.resume());
+                try {
+                    const chunkTaken = options.onChunk(chunk);
+                    if (chunkTaken === undefined) return;
+                    message.pause();
+                    void chunkTaken.then(() => message.resume());
+                } catch (error) {
+                    reject(error instanceof Error ? error : new Error(String(error)));
+                    finish({ kind: "broken", reason: "chunk was not taken" });
+                }
             });
             message.on("end", onEnd);
             message.on("close", onEnd);
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -61,6 +61,12 @@
     response.end(body);
 }
 
+/** Ends a response after an exception: with status 500, which promises nothing, or by closing one that has begun. */
+export function failResponse(response: ServerResponse, reason: string): void {
+    if (response.headersSent) response.destroy();
+    else sendGatewayResponse(response, { status: 500, reason, retryAfterMs: undefined }, true);
+}
+
 /** Writes an event stream to the caller: one head, complete events, and the id after which to resume the stream. */
 export class StreamWriter {
     started = false;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,6 +6,7 @@
  * that the request itself was not sent to a target.
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
@@ -13,7 +14,7 @@
 import { Attempts, STOPPING } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata } from "./dialect.js";
-import { sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
+import { failResponse, sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
 import { inputsGone, isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
@@ -71,13 +72,13 @@
         receivedAt: number,
     ): Promise<void> {
         const exchange = new Exchange(context, request, response, receivedAt);
-        const metadata = context.dialect.readRequest(request.headers);
-        const handled = await exchange.handle(metadata);
+        const id = context.dialect.readRequest(request.headers).requestId;
+        const handled = await exchange.handle().catch((error: unknown) => exchange.endAfterException(id, error));
         const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
         if (result.outcome === "answered") exchange.attempts?.recordTimes();
         context.onRequestEnd(
             {
-                id: metadata.requestId,
+                id,
                 route: exchange.route?.name,
                 account: exchange.accountName,
                 outcome: result.outcome,
@@ -95,7 +96,8 @@
         );
     }
 
-    private async handle(metadata: RequestMetadata): Promise<ExchangeResult> {
+    private async handle(): Promise<ExchangeResult> {
+        const metadata = this.context.dialect.readRequest(this.incoming.headers);
         const configuration = this.context.configuration();
         if (configuration === undefined) return this.refuse("starting", NO_TARGET_RETRY_MS);
         const headerBytes = this.incoming.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
@@ -148,6 +150,14 @@
         });
     }
 
+    /** Ends a request whose handling has thrown, so that the others go on. Nobody knows whether a target has run it. */
+    private endAfterException(id: string | undefined, error: unknown): ExchangeResult {
+        this.context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
+        const result = { outcome: "failed", status: 500, reason: "unexpected error" } as const;
+        failResponse(this.response, result.reason);
+        return result;
+    }
+
     private deadlineOf(metadata: RequestMetadata, route: Route): Deadline {
         const spent = performance.now() - this.receivedAt;
         const longest = Math.min(metadata.deadlineMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,11 +1,20 @@
 /** The gateway's HTTP listeners: for callers, readiness checks, metrics and other gateways. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
-import { decodeOrder, decodeRelease, OpenOrders, PEER_PATHS, PROGRESS_INTERVAL_MS } from "../stages/index.js";
+import {
+    decodeOrder,
+    decodeRelease,
+    OpenOrders,
+    PEER_PATHS,
+    type PieceResult,
+    PROGRESS_INTERVAL_MS,
+} from "../stages/index.js";
 import type { ConnectionLimits } from "./configuration.js";
 import { Connection, type RequestHandler } from "./connection.js";
+import { failResponse } from "./delivery.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
 import { NEWS_PATH } from "./gossip.js";
@@ -129,11 +138,13 @@
 /** Serves calls from other gateways. */
 export async function listenForPeers(gateway: Gateway, address: string): Promise<Listener> {
     const openOrders = OpenOrders.create();
-    return Listener.listen(
-        createServer(),
-        address,
-        (request, response) => void servePeer(gateway, openOrders, request, response),
-    );
+    return Listener.listen(createServer(), address, (request, response) => {
+        servePeer(gateway, openOrders, request, response).catch((error: unknown) => {
+            const fields = { path: request.url, error: describeError(error) };
+            gateway.context.onDecision("peer call failed unexpectedly", fields);
+            failResponse(response, "unexpected error");
+        });
+    });
 }
 
 async function servePeer(
@@ -182,8 +193,12 @@
     // Spaces before the JSON text show the other gateway that this one is still working on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
-    const results = await openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
-    clearInterval(progress);
+    let results: readonly PieceResult[];
+    try {
+        results = await openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
+    } finally {
+        clearInterval(progress);
+    }
     response.end(JSON.stringify({ results, waitMs: gateway.pieceRouter.queueWaitMs(order.service) }));
 }
 
--- /dev/null
+++ b/test/gateway/exceptions.test.ts
@@ -0,0 +1,119 @@
+/** An exception in the handling of one request or peer call ends only that, not the process with all open requests. */
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { NEWS_PATH } from "../../src/gateway/gossip.js";
+import { OBSERVATIONS_PATH } from "../../src/gateway/rolloutcontroller.js";
+import type { Gateway } from "../../src/gateway/index.js";
+import { PEER_PATHS } from "../../src/stages/index.js";
+import { Deployment } from "./harness.js";
+
+const ERROR = new Error("a fault of the program");
+const fail = (): never => {
+    throw ERROR;
+};
+
+let deployment: Deployment;
+let gateway: Gateway;
+
+beforeEach(async () => {
+    deployment = await Deployment.start({ bookings: 1, engines: 1, encode: 1, rank: 1 });
+    gateway = deployment.gateways[0]?.gateway as Gateway;
+});
+
+afterEach(async () => {
+    vi.restoreAllMocks();
+    await deployment.close();
+});
+
+describe("an exception in a request", () => {
+    it.each<{ name: string; path: string; arrange: () => void; status: number }>([
+        {
+            name: "before its route is known",
+            path: "/book/1",
+            arrange: () => vi.spyOn(gateway.context, "configuration").mockImplementationOnce(fail),
+            status: 500,
+        },
+        {
+            name: "when its target is chosen",
+            path: "/book/1",
+            arrange: () => vi.spyOn(gateway.targets, "usable").mockImplementationOnce(fail),
+            status: 500,
+        },
+        {
+            name: "after its response",
+            path: "/book/1",
+            arrange: () => vi.spyOn(gateway.targets, "recordSuccess").mockImplementationOnce(fail),
+            status: 500,
+        },
+        {
+            name: "in an event of its stream, before the first byte",
+            path: "/draft/1",
+            arrange: () => vi.spyOn(gateway.targets, "recordSuccess").mockImplementationOnce(fail),
+            status: 500,
+        },
+        {
+            name: "within its stream",
+            path: "/draft/1",
+            arrange: () =>
+                vi
+                    .spyOn(gateway.targets, "recordPromptRead")
+                    .mockImplementationOnce(() => undefined)
+                    .mockImplementationOnce(fail),
+            status: 200,
+        },
+        {
+            name: "in its stages",
+            path: "/staged/1",
+            arrange: () => vi.spyOn(gateway.pieceRouter, "make").mockImplementationOnce(fail),
+            status: 500,
+        },
+    ])("$name ends only this request", async ({ path, arrange, status }) => {
+        const other = deployment.target("bookings-0");
+        let respond = (): void => undefined;
+        const after = new Promise<void>(resolve => (respond = resolve));
+        other.behaviour = () => ({ kind: "answer", after });
+        const open = deployment.call({ path: "/check/1", id: "open" });
+        await vi.waitFor(() => expect(other.arrivals).toHaveLength(1));
+        other.behaviour = () => ({ kind: "answer" });
+        deployment.target("engines-0").behaviour = () => ({ kind: "stream", events: 3, gapMs: 5 });
+        arrange();
+        const headers = { "x-parsleyrun-pieces": "1,1", "x-parsleyrun-piece-key": "k" };
+        const answer = await deployment.call({ path, id: "odd", body: "b", headers });
+        expect(answer.status).toBe(status);
+        expect(answer.headers["x-parsleyrun-not-executed"]).toBeUndefined();
+        const logged = (): unknown => deployment.linesOf("request failed unexpectedly", "odd");
+        await vi.waitFor(() => expect(logged()).toMatchObject([{ error: expect.stringContaining(ERROR.message) }]));
+        await vi.waitFor(() => expect(deployment.linesOf("request ended", "odd")).toMatchObject([{ status: 500 }]));
+        respond();
+        expect((await open).status).toBe(200);
+    });
+});
+
+describe("an exception in a call of another gateway", () => {
+    it.each<{ path: string; body: string; arrange: () => void }>([
+        { path: NEWS_PATH, body: "{}", arrange: () => vi.spyOn(gateway.gossip, "receive").mockImplementation(fail) },
+        {
+            path: OBSERVATIONS_PATH,
+            body: "{}",
+            arrange: () => vi.spyOn(gateway.rolloutController, "receive").mockImplementation(fail),
+        },
+        {
+            path: PEER_PATHS.release,
+            body: '{"service":"encode","handles":[],"isEarly":false}',
+            arrange: () => vi.spyOn(gateway.pieceRouter, "releaseHere").mockImplementation(fail),
+        },
+        {
+            path: PEER_PATHS.make,
+            body: '{"service":"encode","indexes":[]}',
+            arrange: () => vi.spyOn(gateway.pieceRouter, "makeForPeer").mockImplementation(fail),
+        },
+    ])("at $path ends only this call", async ({ path, body, arrange }) => {
+        arrange();
+        const answer = await fetch(`http://${deployment.peers[0]}${path}`, { method: "POST", body })
+            .then(async response => ({ status: response.status, text: await response.text() }))
+            .catch(() => ({ status: 0, text: "" }));
+        expect(answer.status).not.toBe(200);
+        const logged = (): unknown => deployment.linesOf("peer call failed unexpectedly");
+        await vi.waitFor(() => expect(logged()).toMatchObject([{ path }]));
+        expect((await deployment.call({ path: "/book/1" })).status).toBe(200);
+    });
+});
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -77,6 +77,8 @@
     readonly callers: string[] = [];
     readonly readiness: string[] = [];
     readonly metrics: string[] = [];
+    /** Addresses for other gateways. */
+    readonly peers: string[] = [];
     /** Log lines of all gateways. */
     readonly lines: Readonly<Record<string, unknown>>[] = [];
 
@@ -163,6 +165,7 @@
         this.callers.push(callers);
         this.readiness.push(readiness);
         this.metrics.push(metrics);
+        this.peers.push(peers);
         return gateway;
     }
 
