Look again at pieces whose stage service is not configured

What callers saw: beside a change of the configuration a request with stages got neither an answer nor a refusal until it gave up.

Cause: the queue of a stage service looked at its waiting pieces neither for calls nor for their deadlines while the current configuration did not name the service, and armed no timer to look again. Pieces that waited when a new version dropped the service, and pieces from a gateway that had a new version sooner than the gatherer, stayed in the queue; the request behind them had no other end.

Ruled out: refusing these pieces at once. Requests that were accepted under the earlier version can be answered, and a gatherer is at most a moment behind.

Why it works: a queue keeps the last capacity that was configured, so pieces from before the change are made as usual. Without any it checks at the usual interval whether the service is configured by now and whether deadlines have passed, and refuses those as late.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,7 @@
     StageSchedule,
 } from "../stages/index.js";
 import { Deadline } from "../model/index.js";
-import { type ConfigurationContent, GatewayConfiguration, type Route } from "./configuration.js";
+import { type ConfigurationContent, GatewayConfiguration, type Route, type StageCapacity } from "./configuration.js";
 import type { Dialect } from "./dialect.js";
 import { Gossip } from "./gossip.js";
 import { Suspects } from "./suspects.js";
@@ -279,6 +279,10 @@
         const existing = this.queues.get(service);
         if (existing !== undefined) return existing;
         const { dialect, onDecision } = this.options;
+        // Pieces of requests from before a change may still wait when the service is no longer configured.
+        let lastCapacity: StageCapacity | undefined;
+        const capacity = (): StageCapacity | undefined =>
+            (lastCapacity = this.currentConfiguration?.service(service)?.stage ?? lastCapacity);
         const created = StageQueue.create(service, {
             targets: this.targets,
             callForPieces: (...call) => callForPieces({ dialect, targets: this.targets }, ...call),
@@ -287,7 +291,7 @@
                 return releaseResults(dialect, target, handles);
             },
             holderOf: handle => this.holderOf(handle),
-            capacity: () => this.currentConfiguration?.service(service)?.stage,
+            capacity,
             onInputsRead: handles => this.releaseEarly(handles),
             onDecision,
         });
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -41,6 +41,7 @@
     readonly releaseResults: (target: Target, handles: readonly string[]) => Promise<string | undefined>;
     /** The target that holds a result; undefined when it is not registered. */
     readonly holderOf: (handle: string) => Target | undefined;
+    /** The last capacity that was configured; undefined until the service is. */
     readonly capacity: () => StageCapacity | undefined;
     /** Called with results that calls in progress have read and nothing else needs. */
     readonly onInputsRead: (handles: readonly string[]) => void;
@@ -163,7 +164,7 @@
         this.releases.addEarly(handles);
     }
 
-    /** Capacity of the usable targets; undefined while the service is not configured. */
+    /** Capacity of the usable targets; undefined until the service is configured. */
     private usableCapacity(): QueueCapacity | undefined {
         const capacity = this.environment.capacity();
         if (capacity === undefined) return undefined;
@@ -220,7 +221,11 @@
     private dispatch(): void {
         this.dropLate();
         const capacity = this.environment.capacity();
-        if (capacity === undefined || this.waiting.length === 0) return;
+        if (capacity !== undefined && this.waiting.length > 0) this.sendCalls(capacity);
+        if (this.waiting.length > 0) this.recheckTimer ??= setTimeout(() => this.recheck(), RECHECK_INTERVAL_MS);
+    }
+
+    private sendCalls(capacity: StageCapacity): void {
         const usable = this.environment.targets.usable(this.service);
         let free = usable.filter(target => this.trackerOf(target).isFree(capacity.slots));
         while (free.length > 0 && this.waiting.length > 0) {
@@ -232,7 +237,6 @@
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
             void this.call(target, pieces, capacity);
         }
-        if (this.waiting.length > 0) this.recheckTimer ??= setTimeout(() => this.recheck(), RECHECK_INTERVAL_MS);
     }
 
     /** The free target with the lowest cost of slowness and of bytes that the most urgent piece moves between zones. */
@@ -299,11 +303,12 @@
 
     private dropLate(): void {
         const now = performance.now();
+        if (this.waiting.length === 0) return;
         const capacity = this.usableCapacity();
-        if (capacity === undefined || this.waiting.length === 0) return;
-        const onTimeCount = this.countOnTime(capacity);
+        const onTimeCount = capacity === undefined ? 0 : this.countOnTime(capacity);
         this.waiting = this.waiting.filter(piece => {
-            const isDroppable = capacity.targets > 0 && shouldDrop(piece, now, onTimeCount, capacity);
+            const isForecast = capacity !== undefined && capacity.targets > 0;
+            const isDroppable = isForecast && shouldDrop(piece, now, onTimeCount, capacity);
             if (!piece.deadline.passed() && !isDroppable) return true;
             this.lose(piece, "late");
             return false;
