Keep a stream at its engine once its stage results are released

What callers saw: a resumable stream with stages ended with a closed connection, seconds before its deadline, when its engine was silent between events, although the engine was sound and other engines were usable.

Cause: the results of the stages are released at the first event, to free the memory of their holders. Every engine needs them, and one that finds them gone declines (409). A stream that left its engine after the first event was therefore lost whatever was usable, and used an attempt and a retry for it.

Evidence: two of the three new tests in test/gateway/releasedinputs.test.ts failed before: the stream was cut about 0.95 s after the silence began, and a broken stream was sent to an engine that had to decline it.

Ruled out: keeping the results until the stream ends. They occupy the memory that bounds how many requests can be in progress; whether that costs more than the streams it saves was not measured.

Why it works: once results are released, the request has nowhere else to go, so it neither leaves a silent engine nor is sent again. Before the first event it still moves.

Result: the three tests pass, as do those of test/gateway and test/stages (368 in 31 files).

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -59,6 +59,8 @@
     private readonly retries: RequestRetries;
     /** The target to which the request moves from a silent one. */
     private reservedTarget: Target | undefined;
+    /** Whether results that every attempt needs are gone. */
+    private areInputsReleased = false;
     /** Whether the silence of the attempt in progress was recorded. */
     private isSilenceRecorded = false;
     private sentAt: number | undefined;
@@ -198,6 +200,11 @@
         this.endTrial();
     }
 
+    /** Records that the results of the stages were released. Without them, no other target can take the request. */
+    recordInputsReleased(inputs: readonly StageResult[]): void {
+        this.areInputsReleased = inputs.length > 0;
+    }
+
     /**
      * Finds out whether the target of a broken attempt has crashed, and records it. A request that another target has
      * served does not crash targets.
@@ -268,6 +275,7 @@
     /** Reserves another target and a retry. Returns what is in the way, if the request cannot move on. */
     private reserveOtherTarget(inputs: readonly StageResult[]): string | undefined {
         const { request, context } = this;
+        if (this.areInputsReleased) return "results of stages are released";
         if (!this.hasAttemptLeft()) return "no attempt is left";
         if (!this.retries.available()) return "no retry is left";
         const { kind } = context.suspects.admission(request.traits);
@@ -396,7 +404,7 @@
     /** Whether a request that a target may have run may be sent once more, within the retry budget. */
     private hasAttemptLeft(): boolean {
         const { route, signal, deadline } = this.request;
-        if (!route.idempotent || this.count >= route.maximumAttempts) return false;
+        if (!route.idempotent || this.areInputsReleased || this.count >= route.maximumAttempts) return false;
         return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
     }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -379,6 +379,7 @@
                 this.context.firstEventTimes.record(request.route.name, performance.now() - startedAt);
                 this.context.targets.recordPromptRead(target, promptTokens);
                 releaseInputs();
+                attempts.recordInputsReleased(inputs);
                 this.context.targets.recordSuccess(
                     target,
                     (performance.now() - startedAt) / request.route.latencyObjectiveMs,
