Keep an idle connection for the time that was announced on it

What callers saw: a connection that was closed sooner than its response had announced in `Keep-Alive`, beside a configuration that lowers the idle timeout; a request sent in that time could be lost. And a connection that became idle under a short timeout was closed by it, although a longer one was in force.

Cause: Node announces the timeout that is set when a request is read, but starts the timer with the one that is set when its response has ended. A timer that runs does not change.

Evidence: idleconnections.test.ts on the code before: announced 5 s under a limit of 4 s that was lowered to 1 s during the request, and closed after 3 s. Raised from 1 s to 6 s while idle, the connection was closed after 3 s.

Ruled out by the same file, which passed before: the first connection of a gateway, a limit that is lowered while the connection is idle or raised during the request, half a head or half a body at the time of the timer, and a request that is served for longer than the limit.

Change: a connection remembers what was announced on it last. When Node's timer fires, it is closed only once the longer of that and the timeout in force has passed, with a second on top; otherwise the timer runs on. The timeout in force is also read for a new connection.

Why this works: the decision is made when the timer fires, from both values, instead of when it starts.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -5,7 +5,7 @@
  * that is on its way. A connection is therefore closed for writing first, and what arrives is read and discarded until
  * the caller closes it too.
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /** Maximum time in milliseconds for which a connection is read after it was closed for writing. */
@@ -20,10 +20,24 @@
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse, receivedAt: number) => void;
 
+/** Time in milliseconds for which an idle connection is kept beyond the announced time, in which a request may arrive. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** What a connection does with requests. */
+export interface ConnectionOptions {
+    readonly serve: RequestHandler;
+    /** How much of a request is read and discarded after its response. */
+    readonly maximumDiscardedBytes: () => number;
+    /** The time to announce for idle connections that is in force now, in milliseconds. */
+    readonly idleTimeoutMs: () => number;
+}
+
 interface ReceivedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly receivedAt: number;
+    /** The time that Node announces in the response for the idle connection. */
+    readonly announcedIdleMs: number;
 }
 
 /** One connection and its requests. */
@@ -34,19 +48,18 @@
     /** Pipelined requests that are served once the response before theirs has ended. */
     private waiting: ReceivedRequest[] = [];
     private isClosing = false;
+    private idleSince = 0;
+    private announcedIdleMs = 0;
 
     private constructor(
         private readonly socket: Socket,
-        private readonly serve: RequestHandler,
-        private readonly maximumDiscardedBytes: () => number,
+        private readonly server: Server,
+        private readonly options: ConnectionOptions,
     ) {}
 
-    /**
-     * Takes over how a connection is closed after its last response. `maximumDiscardedBytes` is how much of a request
-     * is read after that.
-     */
-    static of(socket: Socket, serve: RequestHandler, maximumDiscardedBytes: () => number): Connection {
-        const connection = new Connection(socket, serve, maximumDiscardedBytes);
+    /** Takes over how a connection is closed after its last response. */
+    static of(socket: Socket, server: Server, options: ConnectionOptions): Connection {
+        const connection = new Connection(socket, server, options);
         // Node resumes reading after each request that it has read.
         socket.on("resume", () => connection.pauseIfFull());
         const destroySoon = socket.destroySoon.bind(socket);
@@ -72,11 +85,20 @@
             request.resume();
             return;
         }
-        this.waiting.push({ request, response, receivedAt: performance.now() });
+        const { keepAliveTimeout: announcedIdleMs } = this.server;
+        this.waiting.push({ request, response, receivedAt: performance.now(), announcedIdleMs });
         if (this.isServing) this.pauseIfFull();
         else this.serveNext();
     }
 
+    /** Closes the connection if it has been idle for as long as was announced and is configured now. */
+    handleIdleTimeout(): void {
+        const idleTimeoutMs = Math.max(this.announcedIdleMs, this.options.idleTimeoutMs()) + IDLE_MARGIN_MS;
+        const remainingMs = this.idleSince + idleTimeoutMs - performance.now();
+        if (remainingMs > 0) this.socket.setTimeout(remainingMs);
+        else this.socket.destroy();
+    }
+
     private pauseIfFull(): void {
         if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) this.socket.pause();
     }
@@ -85,14 +107,16 @@
         const next = this.waiting.shift();
         if (next === undefined) return;
         if (this.waiting.length < MAXIMUM_WAITING_REQUESTS) this.socket.resume();
-        const { request, response, receivedAt } = next;
+        const { request, response, receivedAt, announcedIdleMs } = next;
         this.request = request;
         this.isServing = true;
         response.once("close", () => {
             this.isServing = false;
+            this.idleSince = performance.now();
+            this.announcedIdleMs = announcedIdleMs;
             if (!this.isClosing && !this.socket.destroyed) this.serveNext();
         });
-        this.serve(request, response, receivedAt);
+        this.options.serve(request, response, receivedAt);
     }
 
     /** Whether the caller may have sent more than was read. */
@@ -105,7 +129,7 @@
         this.waiting = [];
         this.socket.resume();
         const endAt = performance.now() + DISCARD_TIMEOUT_MS;
-        const maximumBytes = this.socket.bytesRead + this.maximumDiscardedBytes();
+        const maximumBytes = this.socket.bytesRead + this.options.maximumDiscardedBytes();
         const timer = setInterval(() => {
             if (performance.now() > endAt || this.socket.bytesRead > maximumBytes) this.socket.destroy();
         }, DISCARD_CHECK_MS);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -13,7 +13,7 @@
     PROGRESS_INTERVAL_MS,
 } from "../stages/index.js";
 import type { ConnectionLimits } from "./configuration.js";
-import { Connection, type RequestHandler } from "./connection.js";
+import { Connection, type ConnectionOptions } from "./connection.js";
 import { failResponse } from "./delivery.js";
 import { Exchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
@@ -48,17 +48,18 @@
 
     private constructor(
         readonly server: Server,
-        serve: RequestHandler,
-        maximumDiscardedBytes: () => number,
+        options: ConnectionOptions,
     ) {
         server.on("connection", socket => {
-            this.connections.set(socket, Connection.of(socket, serve, maximumDiscardedBytes));
+            this.connections.set(socket, Connection.of(socket, server, options));
             socket.setNoDelay(true);
             socket.once("close", () => this.connections.delete(socket));
         });
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
             this.connections.get(request.socket)?.receive(request, response);
         });
+        // Node closes a connection at its idle timeout only without such a listener.
+        server.on("timeout", socket => this.connections.get(socket)?.handleIdleTimeout());
     }
 
     /** Number of requests that have not ended. */
@@ -68,14 +69,17 @@
         return sum;
     }
 
-    /** Listens at an address (host:port). `maximumDiscardedBytes` is as for a connection. */
+    /** Listens at an address (host:port). */
     static async listen(
         server: Server,
         address: string,
-        serve: RequestHandler,
-        maximumDiscardedBytes: () => number = () => MINIMUM_DISCARD_LIMIT_BYTES,
+        options: Pick<ConnectionOptions, "serve"> & Partial<ConnectionOptions>,
     ): Promise<Listener> {
-        const listener = new Listener(server, serve, maximumDiscardedBytes);
+        const listener = new Listener(server, {
+            maximumDiscardedBytes: () => MINIMUM_DISCARD_LIMIT_BYTES,
+            idleTimeoutMs: () => server.keepAliveTimeout,
+            ...options,
+        });
         const separator = address.lastIndexOf(":");
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
@@ -101,15 +105,18 @@
         requestTimeout: REQUEST_TIMEOUT_MS,
     });
     const limits = (): ConnectionLimits | undefined => gateway.configuration?.content.limits;
-    return Listener.listen(
-        server,
-        address,
-        (request, response, receivedAt) => {
+    server.on("connection", () => applyLimits(server, limits()));
+    return Listener.listen(server, address, {
+        serve: (request, response, receivedAt) => {
             applyLimits(server, limits());
             void Exchange.serve(gateway.context, request, response, receivedAt);
         },
-        () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
-    );
+        maximumDiscardedBytes: () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
+        idleTimeoutMs: () => {
+            applyLimits(server, limits());
+            return server.keepAliveTimeout;
+        },
+    });
 }
 
 function applyLimits(server: Server, limits: ConnectionLimits | undefined): void {
@@ -120,30 +127,36 @@
 
 /** Serves readiness checks: 200 while the gateway accepts new connections, otherwise 503. */
 export async function listenForReadiness(address: string, ready: () => boolean): Promise<Listener> {
-    return Listener.listen(createServer(), address, (_request, response) => {
-        response.writeHead(ready() ? 200 : 503, { "content-length": 0 });
-        response.end();
+    return Listener.listen(createServer(), address, {
+        serve: (_request, response) => {
+            response.writeHead(ready() ? 200 : 503, { "content-length": 0 });
+            response.end();
+        },
     });
 }
 
 /** Serves the metrics page. */
 export async function listenForMetrics(address: string, render: () => string): Promise<Listener> {
-    return Listener.listen(createServer(), address, (request, response) => {
-        const found = request.url === "/metrics";
-        response.writeHead(found ? 200 : 404, { "content-type": "text/plain; version=0.0.4" });
-        response.end(found ? render() : "");
+    return Listener.listen(createServer(), address, {
+        serve: (request, response) => {
+            const found = request.url === "/metrics";
+            response.writeHead(found ? 200 : 404, { "content-type": "text/plain; version=0.0.4" });
+            response.end(found ? render() : "");
+        },
     });
 }
 
 /** Serves calls from other gateways. */
 export async function listenForPeers(gateway: Gateway, address: string): Promise<Listener> {
     const openOrders = OpenOrders.create();
-    return Listener.listen(createServer(), address, (request, response) => {
-        servePeer(gateway, openOrders, request, response).catch((error: unknown) => {
-            const fields = { path: request.url, error: describeError(error) };
-            gateway.context.onDecision("peer call failed unexpectedly", fields);
-            failResponse(response, "unexpected error");
-        });
+    return Listener.listen(createServer(), address, {
+        serve: (request, response) => {
+            servePeer(gateway, openOrders, request, response).catch((error: unknown) => {
+                const fields = { path: request.url, error: describeError(error) };
+                gateway.context.onDecision("peer call failed unexpectedly", fields);
+                failResponse(response, "unexpected error");
+            });
+        },
     });
 }
 
