Read what has arrived before closing an idle connection

What callers saw: a closed connection in place of a response, for a request that was sent before the announced time of the idle connection had passed, on a gateway that was silent for a second or more.

Cause: after a delay the event loop runs timers before it reads sockets. The idle timer closed the connection although the request was in the socket's buffer, and the unread bytes reset it.

Evidence: the added test in idleconnections.test.ts sends a request half a second before the timer and blocks the event loop beyond it. Before, the connection was closed and there was no second response.

Change: the connection is closed only after the sockets were read once more, and only if nothing arrived.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -95,8 +95,15 @@
     handleIdleTimeout(): void {
         const idleTimeoutMs = Math.max(this.announcedIdleMs, this.options.idleTimeoutMs()) + IDLE_MARGIN_MS;
         const remainingMs = this.idleSince + idleTimeoutMs - performance.now();
-        if (remainingMs > 0) this.socket.setTimeout(remainingMs);
-        else this.socket.destroy();
+        if (remainingMs > 0) {
+            this.socket.setTimeout(remainingMs);
+            return;
+        }
+        // Timers run before sockets are read, so after a delay of this process a request may have arrived in time.
+        const { bytesRead } = this.socket;
+        setImmediate(() => {
+            if (this.socket.bytesRead === bytesRead) this.socket.destroy();
+        });
     }
 
     private pauseIfFull(): void {
--- a/test/gateway/idleconnections.test.ts
+++ b/test/gateway/idleconnections.test.ts
@@ -40,6 +40,12 @@
     return 1_000 * Number(/timeout=(\d+)/.exec(header ?? "")?.[1]);
 }
 
+/** Blocks the event loop, as a frozen process does. */
+function block(milliseconds: number): void {
+    const end = performance.now() + milliseconds;
+    while (performance.now() < end);
+}
+
 async function expectServed(): Promise<void> {
     const { length } = caller.responses;
     caller.write(get("/check/1", "request-2"));
@@ -93,6 +99,17 @@
         await expectServed();
     }, 20_000);
 
+    it("is not closed on a request that arrived while the gateway was frozen", async () => {
+        await start(1_000);
+        caller.write(get("/check/1"));
+        expect(await caller.read(1)).toHaveLength(1);
+        // The timer expires after three seconds.
+        await pause(2_500);
+        caller.write(get("/check/1", "request-2"));
+        block(1_500);
+        expect(await caller.read(2)).toHaveLength(2);
+    }, 20_000);
+
     it.each([
         { case: "is not closed in the middle of a head", first: 20 },
         { case: "is not closed in the middle of a body", first: 330 },
--- a/test/gateway/rawcaller.ts
+++ b/test/gateway/rawcaller.ts
@@ -51,6 +51,18 @@
         this.socket.destroy();
     }
 
+    /** All that was read. */
+    get text(): string {
+        return this.received;
+    }
+
+    /** Waits until a number of heads was read, or the connection ended. */
+    async readHeads(count: number, milliseconds = 3_000): Promise<void> {
+        const end = performance.now() + milliseconds;
+        const heads = (): number => this.received.split("\r\n\r\n").length - 1;
+        while (heads() < count && this.ending === undefined && performance.now() < end) await pause(5);
+    }
+
     /** The whole responses that were read, without provisional ones. */
     get responses(): readonly RawResponse[] {
         const responses: RawResponse[] = [];
