Check the addresses and names of other gateways where they are decoded

What callers could see: pieces and news sent to an address that is none, and a process that ended by the exception for its port.

Cause: a gateway's registration could have any text as its address and any length of a zone.

Ruled out: host names. The settings of a gateway take an IPv4 address only.

Change: the schema of registrations parses the address as attempts do, and bounds names.

--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -5,6 +5,7 @@
  * can be too high and the parts too small, but not the other way round.
  */
 import { z } from "zod";
+import { parseSocketAddress } from "../model/address.js";
 import { parseJson } from "../model/json.js";
 import { pause } from "../model/pause.js";
 import type { Store, StoreEvent } from "../store/index.js";
@@ -26,10 +27,13 @@
     readonly capacity: GatewayCapacity;
 }
 
+/** Longest name of a gateway or a zone, in characters. */
+const MAXIMUM_NAME_LENGTH = 256;
+
 const peerSchema = z.object({
-    name: z.string(),
-    zone: z.string(),
-    address: z.string(),
+    name: z.string().max(MAXIMUM_NAME_LENGTH),
+    zone: z.string().max(MAXIMUM_NAME_LENGTH),
+    address: z.string().refine(text => parseSocketAddress(text) !== undefined),
     // Gateways of earlier versions do not register a capacity.
     capacity: z
         .object({ processors: z.number().positive(), linkMegabits: z.number().positive() })
--- a/test/gateway/oddentries.test.ts
+++ b/test/gateway/oddentries.test.ts
@@ -151,3 +151,25 @@
         expect(peers.count).toBe(1);
     });
 });
+
+describe("whether a gateway is called, if its registration has", () => {
+    const capacity = { processors: 1, linkMegabits: 1 };
+    const sound = { name: "b", zone: "east", address: "127.0.0.1:7001", capacity };
+    it.each<[string, unknown, number]>([
+        ["all that is needed", sound, 2],
+        ["port 0", { ...sound, address: "127.0.0.1:0" }, 1],
+        ["port 99999", { ...sound, address: "127.0.0.1:99999" }, 1],
+        ["a host that is no address", { ...sound, address: "999.1.1.1:80" }, 1],
+        ["another name", { ...sound, name: "c" }, 1],
+        ["a very long zone", { ...sound, zone: "z".repeat(100_000) }, 1],
+        ["no capacity that counts", { ...sound, capacity: { processors: -1, linkMegabits: 1 } }, 1],
+        ["a capacity as text", { ...sound, capacity: { processors: "1", linkMegabits: 1 } }, 1],
+    ])("%s", (_, registration, count) => {
+        const peers = GatewayPeers.create({ ...sound, name: "a" }, "gateways/");
+        for (const [name, value] of Object.entries({ a: { ...sound, name: "a" }, b: registration })) {
+            const key = `gateways/${name}`;
+            peers.apply({ key, object: { key, version: 1, value: JSON.stringify(value) } });
+        }
+        expect(peers.all).toHaveLength(count);
+    });
+});
