Take no handle of a result that cannot be sent as a header

What callers could see: a request that ends with an exception after its stages, since a target named a result with a line break in it.

Cause: handles go into a header, separated by commas, as the target or another gateway wrote them. A comma would make two of one.

Evidence: five cases failed before (a line break, a comma, characters beyond ASCII, an empty and a very long handle were taken as made).

Ruled out: asking for an address in it. What a handle looks like is for the platform to say, and one that names no known holder is harmless.

Change: a piece with such a handle counts as failed and may be made again; an answer of another gateway with one is malformed.

--- a/src/platform/dialect.ts
+++ b/src/platform/dialect.ts
@@ -13,6 +13,7 @@
     TargetLoad,
 } from "../gateway/dialect.js";
 import { parseJson } from "../model/json.js";
+import { RESULT_HANDLE } from "../stages/piece.js";
 import { HEADER, PATH } from "./names.js";
 
 /** Headers that are not forwarded: those that hold for one connection, and the length, which the gateway sets. */
@@ -114,7 +115,10 @@
         const parsed = pieceAnswersSchema.safeParse(parseJson(body));
         if (!parsed.success || parsed.data.Entries.length !== count) return undefined;
         return parsed.data.Entries.map(({ Handle, Reason }): PieceAnswer => {
-            if (Handle !== undefined) return { kind: "made", handle: Handle };
+            if (Handle !== undefined) {
+                const isUsable = RESULT_HANDLE.test(Handle);
+                return isUsable ? { kind: "made", handle: Handle } : { kind: "failed", reason: "unreadable handle" };
+            }
             if (Reason === "late") return { kind: "late" };
             if (Reason === "gone") return { kind: "inputGone" };
             if (Reason === "room") return { kind: "noRoom" };
--- a/src/stages/order.ts
+++ b/src/stages/order.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
-import type { PieceJob, PieceResult } from "./piece.js";
+import { type PieceJob, type PieceResult, RESULT_HANDLE } from "./piece.js";
 
 /** The pieces of one stage of a request differ only in their index, so an order carries the common fields once. */
 const orderSchema = z.object({
@@ -43,7 +43,7 @@
     waitMs: z.number(),
     results: z.array(
         z.union([
-            z.object({ kind: z.literal("made"), handle: z.string() }),
+            z.object({ kind: z.literal("made"), handle: z.string().regex(RESULT_HANDLE) }),
             z.object({ kind: z.literal("lost"), reason: z.enum(LOSS_REASONS), retryAfterMs: z.number() }),
         ]),
     ),
--- a/src/stages/piece.ts
+++ b/src/stages/piece.ts
@@ -1,6 +1,9 @@
 /** A piece of stage work and its result. */
 import type { Deadline } from "../model/index.js";
 
+/** A handle of a result. Handles are sent as a header, separated by commas. */
+export const RESULT_HANDLE = /^[\x21-\x2b\x2d-\x7e]{1,1000}$/;
+
 /** One piece that a request needs from a stage service. */
 export interface PieceJob {
     readonly requestId: string;
--- a/test/platform/boundary.test.ts
+++ b/test/platform/boundary.test.ts
@@ -158,6 +158,12 @@
     it.each<[string, string, readonly string[] | undefined]>([
         ["results and reasons", '{"Entries":[{"Handle":"h"},{"Reason":"room"}]}', ["made", "noRoom"]],
         ["every reason", '{"Entries":[{"Reason":"late"},{"Reason":"gone"}]}', ["late", "inputGone"]],
+        ["a handle with a line break", '{"Entries":[{"Handle":"h\\r\\na: b"},{"Handle":"h"}]}', ["failed", "made"]],
+        ["a handle with a comma", '{"Entries":[{"Handle":"h,i"},{"Handle":"h"}]}', ["failed", "made"]],
+        ["a handle that no header can hold", '{"Entries":[{"Handle":"\u20ac"},{"Handle":"h"}]}', ["failed", "made"]],
+        ["an empty handle", '{"Entries":[{"Handle":""},{"Handle":"h"}]}', ["failed", "made"]],
+        ["a very long handle", `{"Entries":[{"Handle":"${"h".repeat(100_000)}"},{"Handle":"h"}]}`, ["failed", "made"]],
+        ["answers that are nested very deep", `{"Entries":${"[".repeat(50_000)}${"]".repeat(50_000)}}`, undefined],
         ["too few answers", '{"Entries":[{"Handle":"h"}]}', undefined],
         ["text that is not JSON", "x", undefined],
     ])("reads %s of a stage call", (_, body, kinds) => {
