Report an exception in work beside requests instead of ending the process

What callers saw: whenever something threw in a task that no request waits for, the process ended and all its open requests got no answer.

Cause: exchanges of news, roll-outs, calls for pieces, releases and probes between gateways, and the registration ran as promises that nobody handled, most of them started by timers.

Ruled out: a handler for the whole process, which could not lose the pieces of a failed call nor allow another write of a state.

Change: such tasks run in `runInBackground`, which writes one line with the task and the error. The pieces of a call that has thrown are lost, and a roll-out's state is written again.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -20,6 +20,7 @@
     ProcessMetrics,
     renderMetrics,
 } from "../observability/index.js";
+import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
 import type { GatewaySettings } from "../settings/index.js";
@@ -156,7 +157,10 @@
         });
     });
     // Other gateways send pieces to a registered gateway, so it registers only once it knows the targets.
-    void isInformed.then(() => peers.register(store, () => isStopping));
+    const onTaskFailure = (fields: LineFields): void => onChange("task failed unexpectedly", fields);
+    runInBackground("registration", onTaskFailure, () =>
+        isInformed.then(() => peers.register(store, () => isStopping)),
+    );
 
     const kill = async (): Promise<void> => {
         isStopping = true;
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -8,6 +8,7 @@
  */
 import { createHash } from "node:crypto";
 import { z } from "zod";
+import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
@@ -71,7 +72,7 @@
 
     private constructor(private readonly environment: GossipEnvironment) {
         this.compareTimer = setInterval(() => {
-            for (const peer of this.somePeers(1)) void this.compare(peer);
+            for (const peer of this.somePeers(1)) this.run(() => this.compare(peer));
         }, COMPARE_INTERVAL_MS);
         this.compareTimer.unref();
     }
@@ -106,6 +107,11 @@
         clearInterval(this.compareTimer);
     }
 
+    private run(exchange: () => Promise<unknown>): void {
+        const onFailure: OnTaskFailure = fields => this.environment.onChange("task failed unexpectedly", fields);
+        runInBackground("exchange of news", onFailure, exchange);
+    }
+
     private sendRound(): void {
         this.remainingRounds -= 1;
         this.roundTimer = this.remainingRounds > 0 ? setTimeout(() => this.sendRound(), ROUND_INTERVAL_MS) : undefined;
@@ -113,7 +119,7 @@
         // By chance alone, some gateways would hear news from nobody.
         const successor = successorOf(self, others);
         const receivers = new Set([...(successor === undefined ? [] : [successor]), ...this.somePeers(FAN_OUT)]);
-        for (const peer of receivers) void this.send(peer, true);
+        for (const peer of receivers) this.run(() => this.send(peer, true));
     }
 
     private somePeers(count: number): readonly GatewayPeer[] {
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -7,6 +7,7 @@
  * for the chosen one write conditionally, and a decided state is never changed.
  */
 import { z } from "zod";
+import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
@@ -91,7 +92,7 @@
         if (this.timer !== undefined || this.stopped || this.environment.rollouts.pending().length === 0) return;
         this.timer = setTimeout(() => {
             this.timer = undefined;
-            for (const rollout of this.environment.rollouts.pending()) this.advance(rollout);
+            for (const rollout of this.environment.rollouts.pending()) this.run(() => this.advance(rollout));
             this.follow();
         }, INTERVAL_MS);
     }
@@ -131,6 +132,11 @@
         clearTimeout(this.timer);
     }
 
+    private run(task: () => void | Promise<void>): void {
+        const onFailure: OnTaskFailure = fields => this.environment.onChange("task failed unexpectedly", fields);
+        runInBackground("roll-out", onFailure, task);
+    }
+
     private advance(rollout: SeenRollout): void {
         const { service } = rollout;
         const observations = this.waiting.get(service)?.splice(0) ?? [];
@@ -141,7 +147,7 @@
             return;
         }
         if (chosen !== peers.self) {
-            void this.send(rollout, observations, chosen);
+            this.run(() => this.send(rollout, observations, chosen));
             return;
         }
         const trial = this.trialOf(rollout);
@@ -203,8 +209,8 @@
         if (trial.isWriting || performance.now() < trial.writeAfter) return;
         trial.isWriting = true;
         const { service, version } = rollout;
-        void this.environment.writeState(rollout, state).then(outcome => {
-            trial.isWriting = false;
+        this.run(async () => {
+            const outcome = await this.environment.writeState(rollout, state).finally(() => (trial.isWriting = false));
             trial.writeAfter = performance.now() + WRITE_RETRY_MS;
             const isDecision = state !== "inProgress";
             if (isDecision && outcome.kind === "written") {
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -11,6 +11,7 @@
  */
 import { NEVER_ABORTED } from "../gateway/attempt.js";
 import type { GatewayPeer } from "../gateway/peers.js";
+import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { chooseCoordinator } from "../gateway/coordinator.js";
 import {
@@ -185,7 +186,7 @@
     private routeRelease(order: ReleaseOrder): void {
         const gatherer = this.gathererOf(order.service);
         if (gatherer === undefined) this.releaseHere(order);
-        else void this.releaseAtPeer(gatherer, order);
+        else this.run("release", () => this.releaseAtPeer(gatherer, order));
     }
 
     /** The gateway that gathers a service's pieces; undefined if it is this one. */
@@ -214,7 +215,7 @@
         if (this.unreachable.has(peer.name)) return;
         if (!isPeerAlive) {
             this.unreachable.add(peer.name);
-            void this.waitUntilReachable(peer, performance.now());
+            this.run("probe of a gateway", () => this.waitUntilReachable(peer, performance.now()));
         }
         this.environment.onDecision(isPeerAlive ? "order sent again" : "gatherer unreachable", {
             peer: peer.name,
@@ -241,6 +242,10 @@
         this.environment.onDecision("gatherer reachable again", { peer: unreachablePeer.name, afterMs });
     }
 
+    private run(task: string, run: () => Promise<void>): void {
+        runInBackground(task, fields => this.environment.onDecision("task failed unexpectedly", fields), run);
+    }
+
     /** Sends an order. */
     private async sendOrder(
         peer: GatewayPeer,
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -7,6 +7,7 @@
 import type { StageCapacity } from "../gateway/configuration.js";
 import type { PieceAnswer } from "../gateway/dialect.js";
 import type { Target, TargetDirectory } from "../gateway/target.js";
+import { runInBackground } from "../model/background.js";
 import { RetryBudget } from "../routing/index.js";
 import {
     admit,
@@ -235,7 +236,14 @@
             if (pieces.length === 0) continue;
             const taken = new Set(pieces);
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
-            void this.call(target, pieces, capacity);
+            this.run(async () => {
+                try {
+                    await this.call(target, pieces, capacity);
+                } catch (error) {
+                    for (const piece of pieces) this.lose(piece, "failed");
+                    throw error;
+                }
+            });
         }
     }
 
@@ -293,7 +301,12 @@
 
     private recheck(): void {
         this.recheckTimer = undefined;
-        this.dispatch();
+        this.run(() => this.dispatch());
+    }
+
+    private run(task: () => void | Promise<void>): void {
+        const { onDecision } = this.environment;
+        runInBackground(`queue of ${this.service}`, fields => onDecision("task failed unexpectedly", fields), task);
     }
 
     private countOnTime(capacity: QueueCapacity): number {
