Go on following the store after an exception of a listener

What operators saw: a machine stopped following the store, or its process ended, once one object made the code that applies it throw.

Cause: `StoreView.follow` ran as a promise that nobody handled. An exception in a listener ended the loop and the process.

Evidence: the new test failed before with an unhandled rejection ("fault of a listener"), and the view reported no further change.

Ruled out: catching around each listener. A call to the store that rejects would still end the loop.

Change: the loop takes an exception as a call that failed: it reports the error as the reason, backs off and lists. The object at fault is known by then and not applied again; the others of its answer are.

--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -8,6 +8,7 @@
  * them again, so what the store does not show may only be lost. For a limited time the view therefore keeps objects that
  * the store lacks, and does not take back objects that were removed, unless a later change confirms it.
  */
+import { describeError } from "../model/error.js";
 import { InterruptiblePause } from "../model/pause.js";
 import type { ListOutcome, Store, StoredObject, StoreEra, StoreEvent } from "./store.js";
 
@@ -127,7 +128,9 @@
         let listNeeded = true;
         while (!this.stopped) {
             const isList: boolean = listNeeded;
-            const outcome: CallOutcome = isList ? await this.list() : await this.watch();
+            const call: Promise<CallOutcome> = isList ? this.list() : this.watch();
+            // An exception of a listener must not end the view; what it missed is in the next list.
+            const outcome = await call.catch((error: unknown) => this.fail(describeError(error)));
             if (this.stopped) return;
             this.reachable = outcome !== "failed";
             listNeeded = outcome !== "succeeded";
@@ -199,7 +202,13 @@
     private settle(): void {
         this.settleTimer = undefined;
         this.reportRestoration("settled");
-        for (const [key, object] of [...this.withheld]) this.apply(object === undefined ? { key } : { key, object });
+        for (const [key, object] of [...this.withheld]) {
+            try {
+                this.apply(object === undefined ? { key } : { key, object });
+            } catch (error) {
+                this.fail(describeError(error));
+            }
+        }
     }
 
     private reportRestoration(kind: RestorationChange["kind"]): void {
--- a/test/store/store.test.ts
+++ b/test/store/store.test.ts
@@ -127,6 +127,30 @@
             expect(view.objects.get("p/a")?.value).toBe("2");
         });
 
+        it("goes on after an exception of a listener", async () => {
+            const changes: string[] = [];
+            const view = StoreView.start({
+                store: standIn.client("view"),
+                prefix: "p/",
+                onAvailability: change => changes.push(change.kind === "lost" ? change.message : change.kind),
+            });
+            await view.ready;
+            const seen: string[] = [];
+            view.subscribe(({ key, object }) => {
+                seen.push(`${key}=${object?.value ?? ""}`);
+                if (object?.value === "odd") throw new Error("fault of a listener");
+            });
+            await writer.write("p/a", "odd", 0);
+            await writer.write("p/b", "1", 0);
+            await vi.advanceTimersByTimeAsync(2_000);
+            await writer.write("p/a", "2", 1);
+            await vi.advanceTimersByTimeAsync(2_000);
+            expect(seen).toEqual(["p/a=odd", "p/b=1", "p/a=2"]);
+            expect(changes).toEqual([expect.stringContaining("fault of a listener"), "regained"]);
+            expect(view.available).toBe(true);
+            view.stop();
+        });
+
         it("ignores a stale list and never replaces an object by an older version", async () => {
             await writer.write("p/a", "1", 0);
             await vi.advanceTimersByTimeAsync(2_000);
