Return an outcome for a call to the store that cannot be sent

What operators could see: a process that ends over the address of its store or the path of a call, such as one with a port out of range.

Cause: `httpRequest` throws for these, so that the promise of an outcome rejected. The interface of the store says that calls never reject.

Evidence: lists, reads, writes and watches at three such addresses rejected before with "TypeError: Invalid URL".

Ruled out: a check of the address alone; paths and headers lead to the same exception.

Change: such a call is unanswered and was not sent.

--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -32,7 +32,16 @@
 const CONNECT_ERROR_CODES = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL", "EMFILE"];
 
 /** Sends a call to `address` (host:port). The `body` of a response that is not JSON is undefined. */
-export function sendCall(agent: Agent, address: string, call: StoreCall): Promise<StoreCallOutcome> {
+export async function sendCall(agent: Agent, address: string, call: StoreCall): Promise<StoreCallOutcome> {
+    try {
+        return await send(agent, address, call);
+    } catch (error) {
+        // Only the creation of the request throws, for an address, path or header that cannot be sent.
+        return { kind: "unanswered", sent: false, message: error instanceof Error ? error.message : String(error) };
+    }
+}
+
+function send(agent: Agent, address: string, call: StoreCall): Promise<StoreCallOutcome> {
     const { method, body } = call;
     const length = body === undefined ? {} : { "content-length": Buffer.byteLength(body) };
     const options = {
--- a/test/store/store.test.ts
+++ b/test/store/store.test.ts
@@ -22,6 +22,17 @@
         await server.close();
     });
 
+    it.each(["127.0.0.1:99999", "127.0.0.1:x", "not an address"])(
+        "resolves to an outcome when the address of the store is %j",
+        async address => {
+            const elsewhere = HttpStore.create({ address, timeoutMilliseconds: 200, callCounter });
+            expect((await elsewhere.list("a/")).kind).toBe("unavailable");
+            expect((await elsewhere.read("a/b")).kind).toBe("unavailable");
+            expect((await elsewhere.write("a/b", "1", 0)).kind).toBe("unavailable");
+            expect((await elsewhere.watch("a/", 1, 100)).kind).toBe("unavailable");
+        },
+    );
+
     it("reads, lists, writes and removes with versions", async () => {
         expect(await store.read("a/b")).toEqual({ kind: "missing", era: 0 });
         expect(await store.write("a/b", "ü\n1", 0)).toEqual({ kind: "written", version: 1, era: 0 });
