Refuse a request at its deadline when a target of its stages is silent

What callers saw: no answer at the route's timeout, and a refusal seconds later, when a target of one of the stages was silent.

Cause: a request waited for the calls that make its pieces. Their timeout follows from the expected duration and the measured slowness of the target, not from the request's deadline, which was only looked at between calls.

Ruled out: limiting the timeout of a call to the deadlines of its pieces. A call holds pieces of several requests, and the target would work on while its slot counted as free.

Why it works: a stage is lost as late at the deadline of its request. The call goes on for the pieces of others; results that it still makes for this request are released.

--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -5,7 +5,8 @@
  */
 import type { RouteStage } from "../gateway/configuration.js";
 import type { Deadline } from "../model/index.js";
-import type { MakePieces, PieceJob, PieceLossReason } from "./piece.js";
+import { withTimeout } from "../model/pause.js";
+import type { MakePieces, PieceJob, PieceLossReason, PieceResult } from "./piece.js";
 
 /** The stages of a request and what they are run with. */
 export interface RunStagesOptions {
@@ -170,7 +171,8 @@
         zone: options.zone,
         begun,
     }));
-    const results = await options.make(jobs, options.signal);
+    const results = await makeInTime(options, stage, jobs);
+    if (results === undefined) return { lost: "late", retryAfterMs: 0 };
     const handles = results.flatMap(result => (result.kind === "made" ? [result.handle] : []));
     const lost = results.find(result => result.kind === "lost");
     if (lost === undefined) return { handles };
@@ -178,6 +180,29 @@
     return { lost: lost.reason, retryAfterMs: lost.retryAfterMs };
 }
 
+/**
+ * Makes pieces. At the request's deadline it returns undefined, and results that come later are released: a call may
+ * still wait for a silent target then.
+ */
+async function makeInTime(
+    { make, release, deadline, signal }: RunStagesOptions,
+    { service }: RouteStage,
+    jobs: readonly PieceJob[],
+): Promise<readonly PieceResult[] | undefined> {
+    const expiry = new AbortController();
+    const making = make(jobs, AbortSignal.any([signal, expiry.signal]));
+    const results = await withTimeout(making, deadline.remainingMs(), undefined);
+    if (results !== undefined) return results;
+    expiry.abort();
+    void making.then(late =>
+        release(
+            service,
+            late.flatMap(result => (result.kind === "made" ? [result.handle] : [])),
+        ),
+    );
+    return undefined;
+}
+
 /** Number of pieces of each stage that needs the results of the given stage. */
 function consumerPieces(options: RunStagesOptions, index: number): readonly number[] {
     return options.stages.flatMap(({ after }, other) => (after.includes(index) ? [options.pieces[other] ?? 0] : []));
