Take an upgrade of a target's connection for a broken attempt

What callers saw: no answer when a target answered 101 with an upgrade of the connection.

Cause: Node reports such a response by another event than others, which nothing listened to.

Ruled out by the same file: a status of 999, characters above 127 in the reason phrase, and control characters in a header, which the parser rejects.

Change: an upgrade is a broken attempt. The request may have run, so it is repeated only where that is allowed.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -243,6 +243,10 @@
         });
         // The response may come before the whole body was sent; `finish` then ignores errors of sending.
         outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
+        outgoing.on("upgrade", (_message, socket) => {
+            socket.destroy();
+            finish({ kind: "broken", reason: INVALID_HEAD });
+        });
         outgoing.on("response", message => {
             const head = responseHead(message);
             if (head === undefined) return finish({ kind: "broken", reason: INVALID_HEAD });
