Let bytes that are no request wait for the response before them

What callers saw: 400, 408 or 431 as the response to a request that was being served, or a stream that was cut, when bytes that are no request, half a head or a head over 128 KB followed it on the connection; a reset instead of 431 for such a head by itself; and 408 for a head whose rest had arrived while the gateway was silent.

Cause: without a listener for `clientError`, Node writes a rejection unless the pending response has begun, and destroys the socket, whatever is being served. Its check for slow heads is a timer and runs before sockets are read.

Change: a rejection is written only if no request is served or waits; otherwise the connection is closed in order after the last response. A head is late only if nothing more of it was read in the same turn of the event loop. A caller that closes its connection still ends what is done for it.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -32,6 +32,13 @@
     readonly idleTimeoutMs: () => number;
 }
 
+/** Status lines of the responses to bytes that are no request, by the code of Node's error; any other is a bad request. */
+const REJECTIONS: Readonly<Record<string, string>> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+
 interface ReceivedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -48,6 +55,8 @@
     /** Pipelined requests that are served once the response before theirs has ended. */
     private waiting: ReceivedRequest[] = [];
     private isClosing = false;
+    /** Whether what followed the requests was no request, so that nothing more can be read. */
+    private isMalformed = false;
     private idleSince = 0;
     private announcedIdleMs = 0;
 
@@ -66,9 +75,9 @@
         // Node calls this when a response that closes the connection has ended.
         socket.destroySoon = (): void => {
             if (connection.isClosing) return;
+            connection.isClosing = true;
             if (connection.expectsBytes) connection.closeInOrder();
             else destroySoon();
-            connection.isClosing = true;
         };
         return connection;
     }
@@ -106,6 +115,35 @@
         });
     }
 
+    /** Handles an error of the connection or of the parser, after the requests that were read before it. */
+    handleError(error: NodeJS.ErrnoException): void {
+        const { code = "" } = error;
+        // Such an error of the parser means that the caller has closed the connection.
+        const isGone = !code.startsWith("HPE_") && code !== "ERR_HTTP_REQUEST_TIMEOUT";
+        if (isGone || code === "HPE_INVALID_EOF_STATE" || !this.socket.writable) {
+            if (!this.isClosing || isGone) this.socket.destroy();
+            return;
+        }
+        if (code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+            this.reject(code);
+            return;
+        }
+        // As with the idle timeout, the rest of the request may have arrived in time.
+        const { bytesRead } = this.socket;
+        setImmediate(() => {
+            if (this.socket.bytesRead === bytesRead) this.reject(code);
+        });
+    }
+
+    private reject(code: string): void {
+        if (this.isClosing || this.isMalformed) return;
+        this.isMalformed = true;
+        if (this.isServing || this.waiting.length > 0) return;
+        const status = REJECTIONS[code] ?? "400 Bad Request";
+        this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+        this.closeInOrder();
+    }
+
     private pauseIfFull(): void {
         if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) this.socket.pause();
     }
@@ -121,17 +159,20 @@
             this.isServing = false;
             this.idleSince = performance.now();
             this.announcedIdleMs = announcedIdleMs;
-            if (!this.isClosing && !this.socket.destroyed) this.serveNext();
+            if (this.isClosing || this.socket.destroyed) return;
+            if (this.isMalformed && this.waiting.length === 0) this.closeInOrder();
+            else this.serveNext();
         });
         this.options.serve(request, response, receivedAt);
     }
 
     /** Whether the caller may have sent more than was read. */
     private get expectsBytes(): boolean {
-        return this.request?.complete === false || this.waiting.length > 0;
+        return this.request?.complete === false || this.waiting.length > 0 || this.isMalformed;
     }
 
     private closeInOrder(): void {
+        this.isClosing = true;
         for (const { request } of this.waiting) request.resume();
         this.waiting = [];
         this.socket.resume();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -58,6 +58,9 @@
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
             this.connections.get(request.socket)?.receive(request, response);
         });
+        server.on("clientError", (error: Error, socket) => {
+            this.connections.get(socket as Socket)?.handleError(error);
+        });
         // Node closes a connection at its idle timeout only without such a listener.
         server.on("timeout", socket => this.connections.get(socket)?.handleIdleTimeout());
     }
--- /dev/null
+++ b/test/gateway/malformedrequests.test.ts
@@ -0,0 +1,114 @@
+/** Bytes on a connection that are no request: they must not replace or cut the response to the request before them. */
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { pause } from "../../src/model/pause.js";
+import { Deployment } from "./harness.js";
+import { RawCaller, requestHead } from "./rawcaller.js";
+
+let deployment: Deployment;
+let caller: RawCaller;
+
+afterEach(async () => {
+    caller.close();
+    await deployment.close();
+});
+
+async function start(): Promise<void> {
+    deployment = await Deployment.start({ bookings: 1, engines: 1 });
+    caller = await RawCaller.connect(deployment.callers[0] ?? "");
+}
+
+const notRequests: readonly {
+    readonly case: string;
+    readonly text: string;
+    readonly waitMs: number;
+}[] = [
+    {
+        case: "bytes that are no request",
+        text: "no request\r\n\r\n",
+        waitMs: 100,
+    },
+    // The limit for the time of a head is one second.
+    {
+        case: "half a head that is not continued",
+        text: "GET /check/2 HTTP/1.1\r\nho",
+        waitMs: 1_700,
+    },
+    {
+        case: "a head that is too long",
+        text: requestHead("GET", "/check/2", "x".repeat(140_000)),
+        waitMs: 100,
+    },
+];
+
+describe("a request that is followed by", () => {
+    it.each(notRequests)("$case gets its response", async ({ text, waitMs }) => {
+        await start();
+        let answer = (): void => undefined;
+        const after = new Promise<void>(resolve => (answer = resolve));
+        deployment.target("bookings-0").behaviour = () => ({
+            kind: "answer",
+            after,
+        });
+        caller.write(requestHead("GET", "/check/1", "first"));
+        await vi.waitFor(() => expect(deployment.target("bookings-0").arrivals).toHaveLength(1));
+        caller.write(text);
+        await pause(waitMs);
+        answer();
+        const [response] = await caller.read(1);
+        expect(response).toMatchObject({ status: 200, body: "answer to first" });
+        expect(await caller.ended()).toBe("end");
+        expect(caller.responses).toHaveLength(1);
+    });
+
+    it.each(notRequests)("$case gets its whole stream", async ({ text }) => {
+        await start();
+        deployment.target("engines-0").behaviour = () => ({
+            kind: "stream",
+            events: 20,
+            gapMs: 80,
+        });
+        caller.write(requestHead("POST", "/draft/1", "first", { "content-length": 0 }));
+        await vi.waitFor(() => expect(caller.text).toContain("id: 2\n"));
+        caller.write(text);
+        expect(await caller.ended(5_000)).toBe("end");
+        expect(caller.text).toContain("id: 20\n");
+        expect(caller.text.endsWith("0\r\n\r\n")).toBe(true);
+    });
+});
+
+describe("a caller that sends", () => {
+    it.each([
+        {
+            case: "bytes that are no request",
+            status: 400,
+            text: "no request\r\n\r\n",
+        },
+        { case: "half a head", status: 408, text: "GET /check/2 HTTP/1.1\r\nho" },
+        {
+            case: "a head that is too long",
+            status: 431,
+            text: requestHead("GET", "/check/2", "x".repeat(400_000)),
+        },
+    ])("$case gets a rejection ($status)", async ({ status, text }) => {
+        await start();
+        caller.stopReading();
+        for (let index = 0; index < text.length; index += 100_000) {
+            caller.write(text.slice(index, index + 100_000));
+            await pause(20);
+        }
+        await pause(1_500);
+        caller.continueReading();
+        expect((await caller.read(1)).map(response => response.status)).toEqual([status]);
+        expect(await caller.ended()).toBe("end");
+    });
+
+    it("the rest of a head while the gateway is frozen is served", async () => {
+        await start();
+        const head = requestHead("GET", "/check/1", "first");
+        caller.write(head.slice(0, 30));
+        await pause(600);
+        caller.write(head.slice(30));
+        for (const end = performance.now() + 1_500; performance.now() < end;);
+        expect((await caller.read(1)).map(response => response.status)).toEqual([200]);
+    });
+});
