Keep one holder of a lease when the store has lost its record

What callers would see: two entries that run the same move at once after the store was restored from a copy, or a move whose lease no entry takes.

Cause: a candidate took a lease at once whose record was missing or released, though the copy may only have lost a later record, and it ignored a record whose version was below one that it had seen. A holder took a higher version for proof of a write, and gave the lease up when its record was gone.

Ruled out: an unconditional end of the lease in a new era, which needs a call to learn of the era and leaves the lease unused for a duration and a quarter although its holder is alive. Conditions alone: the store cannot make a write conditional on the era.

Change: the record names the era of the version on which its write was conditional. A record that is missing or of an earlier era counts as held for a duration and a quarter from when a candidate first sees the era. The holder writes such a record again while it holds the lease.

Why this works: a holder counts at most a duration from a renewal sent before the restoration, which is before any candidate sees the new era. A write of an earlier era that arrives late and replaces the record of the next holder names its own era, so that this holder writes its record again, and candidates start to wait anew.

--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -3,26 +3,15 @@
  * it sends a renewal. A candidate counts from after it first reads the record and waits a quarter longer than the
  * duration.
  *
- * The record is never removed, so that fencing numbers only increase. The record of a released lease has an empty
- * holder.
+ * The record is never removed. The record of a released lease has an empty holder.
+ *
+ * A store that was restored from a copy may have lost the record, or show an earlier one. The holder writes it again for
+ * as long as it holds the lease. A candidate waits for a whole duration and a quarter after it first sees the new era,
+ * which is longer than any holder can count on a renewal that the store has lost. All processes use the same duration.
  */
-import { randomBytes } from "node:crypto";
-import { z } from "zod";
 import { pause } from "../model/pause.js";
-import type { Store, WriteOutcome } from "./store.js";
-
-const recordSchema = z.object({
-    /** Empty after a release. */
-    holder: z.string(),
-    incarnation: z.string(),
-    fencing: z.int().min(1),
-    durationMs: z.number().positive(),
-    /** Unique per write, so that the writer can recognise its own write when the response was lost. */
-    renewal: z.string(),
-});
-
-/** The stored form of a lease. */
-export type LeaseRecord = Readonly<z.infer<typeof recordSchema>>;
+import { ATTEMPTS_PER_DURATION, createRenewal, type LeaseRecord, parseRecord, writeRecord } from "./leaserecord.js";
+import type { ReadOutcome, Store, StoreEra } from "./store.js";
 
 /** Options of an attempt to acquire a lease. */
 export interface LeaseOptions {
@@ -50,50 +39,24 @@
 const CANDIDATE_MARGIN_FRACTION = 0.25;
 /** Renewals per duration; two may fail before the lease expires. */
 const RENEWALS_PER_DURATION = 3;
-/** Reads by a candidate, and retries after a failed call, per duration. */
-const ATTEMPTS_PER_DURATION = 10;
 
 interface Observation {
+    readonly era: StoreEra;
     readonly version: number;
     readonly record: LeaseRecord | undefined;
-    /** Time of the first read that showed this version. */
+    /** Time of the first read that showed this version in this era. */
     readonly since: number;
 }
 
-function parseRecord(value: string): LeaseRecord | undefined {
-    try {
-        return recordSchema.safeParse(JSON.parse(value)).data;
-    } catch {
-        return undefined;
-    }
+type Answer = Exclude<ReadOutcome, { kind: "unavailable" }>;
+
+function versionOf(read: Answer): number {
+    return read.kind === "found" ? read.object.version : 0;
 }
 
-/**
- * Writes a record. If the response is lost, finds out whether the write took effect: a read that shows the version
- * before the write may be stale, so the write is repeated, and conflicts if the first one took effect.
- */
-async function writeRecord(
-    options: LeaseOptions,
-    record: LeaseRecord,
-    expectedVersion: number,
-    deadline: number,
-): Promise<WriteOutcome> {
-    const { store, key } = options;
-    const value = JSON.stringify(record);
-    let outcome = await store.write(key, value, expectedVersion);
-    let inDoubt = outcome.kind === "unknown";
-    while (inDoubt && performance.now() < deadline) {
-        const read = await store.read(key);
-        const version = read.kind === "found" ? read.object.version : 0;
-        if (read.kind === "found" && version > expectedVersion) {
-            const isOwn = parseRecord(read.object.value)?.renewal === record.renewal;
-            return isOwn ? { kind: "written", version, era: read.era } : { kind: "conflict" };
-        }
-        if (read.kind !== "unavailable") outcome = await store.write(key, value, expectedVersion);
-        inDoubt = outcome.kind !== "written";
-        if (inDoubt) await pause(record.durationMs / ATTEMPTS_PER_DURATION);
-    }
-    return inDoubt ? { kind: "unknown", message: "no answer to the write" } : outcome;
+/** Whether a read shows a later state than an observation; it is stale otherwise, or the state is unchanged. */
+function isLater(read: Answer, { era, version }: Observation): boolean {
+    return read.era > era || (read.era === era && versionOf(read) > version);
 }
 
 /** A lease that was acquired. It may have ended since. */
@@ -106,6 +69,8 @@
     private renewalTimer: NodeJS.Timeout | undefined;
     private pendingRenewal: Promise<void> = Promise.resolve();
     private heldUntil = 0;
+    /** Era to which `version` belongs. */
+    private era: StoreEra;
 
     private constructor(
         private readonly options: LeaseOptions,
@@ -113,6 +78,7 @@
         private version: number,
         sentAt: number,
     ) {
+        this.era = record.era;
         this.ended = new Promise(resolve => {
             this.resolveEnded = resolve;
         });
@@ -121,7 +87,8 @@
 
     /**
      * Tries to acquire the lease: immediately if it is free, else once its record has stayed unchanged for its duration
-     * plus a quarter. The outcome is `unavailable` if the last call to the store failed.
+     * plus a quarter. A record that may hide a later one, as the store has lost its latest changes, counts as held. The
+     * outcome is `unavailable` if the last call to the store failed.
      */
     static async acquire(options: LeaseOptions): Promise<LeaseOutcome> {
         const duration = options.durationMilliseconds;
@@ -131,13 +98,14 @@
             const read = await options.store.read(options.key);
             let failure = read.kind === "unavailable" ? read.message : undefined;
             if (read.kind !== "unavailable") {
-                const version = read.kind === "found" ? read.object.version : 0;
                 const record = read.kind === "found" ? parseRecord(read.object.value) : undefined;
                 if (read.kind === "found" && record === undefined) {
                     return { kind: "unavailable", message: `the value of ${options.key} is not a lease` };
                 }
-                if (seen === undefined || version > seen.version) seen = { version, record, since: performance.now() };
-                const attempt = Lease.isFree(seen) ? await Lease.tryTake(options, seen) : undefined;
+                if (seen === undefined || isLater(read, seen)) {
+                    seen = { era: read.era, version: versionOf(read), record, since: performance.now() };
+                }
+                const attempt = Lease.isFree(seen, duration) ? await Lease.tryTake(options, seen) : undefined;
                 if (attempt instanceof Lease) return { kind: "acquired", lease: attempt };
                 failure = attempt;
             }
@@ -150,9 +118,16 @@
         }
     }
 
-    private static isFree(observed: Observation): boolean {
-        if (observed.record === undefined || observed.record.holder === "") return true;
-        return performance.now() - observed.since >= observed.record.durationMs * (1 + CANDIDATE_MARGIN_FRACTION);
+    /**
+     * Whether no other process can hold the lease. In the era of the record, it shows the last holder. Otherwise a holder
+     * that the store has forgotten may still count on a renewal from before the restoration.
+     */
+    private static isFree({ era, record, since }: Observation, ownDuration: number): boolean {
+        const isLast = era === 0 || record?.era === era;
+        if (isLast && (record === undefined || record.holder === "")) return true;
+        const duration =
+            isLast && record !== undefined ? record.durationMs : Math.max(ownDuration, record?.durationMs ?? 0);
+        return performance.now() - since >= duration * (1 + CANDIDATE_MARGIN_FRACTION);
     }
 
     /** Returns the lease, or the message of a failed call; undefined if another process took the lease first. */
@@ -162,7 +137,8 @@
             incarnation: options.incarnation,
             fencing: (observed.record?.fencing ?? 0) + 1,
             durationMs: options.durationMilliseconds,
-            renewal: randomBytes(8).toString("hex"),
+            renewal: createRenewal(),
+            era: observed.era,
         };
         const sentAt = performance.now();
         const outcome = await writeRecord(options, record, observed.version, sentAt + options.durationMilliseconds);
@@ -195,7 +171,7 @@
     }
 
     private encodeRecord(holder: string): string {
-        return JSON.stringify({ ...this.record, holder, renewal: randomBytes(8).toString("hex") });
+        return JSON.stringify({ ...this.record, holder, renewal: createRenewal(), era: this.era });
     }
 
     private end(reason: LeaseEndReason): void {
@@ -224,13 +200,30 @@
     private async renew(): Promise<void> {
         if (!this.isHeld()) return this.end("expired");
         const sentAt = performance.now();
-        const record = { ...this.record, renewal: randomBytes(8).toString("hex") };
+        const record = { ...this.record, renewal: createRenewal(), era: this.era };
         const outcome = await writeRecord(this.options, record, this.version, this.heldUntil);
         if (outcome.kind === "written") this.version = outcome.version;
+        const isTaken = outcome.kind === "conflict" && !(await this.followRestoration());
         if (this.hasEnded) return;
-        if (outcome.kind === "conflict") return this.end("taken");
+        if (isTaken) return this.end("taken");
         if (!this.isHeld()) return this.end("expired");
         if (outcome.kind === "written") return this.extend(sentAt);
         this.scheduleRenewal(this.options.durationMilliseconds / ATTEMPTS_PER_DURATION);
     }
+
+    /**
+     * After a conflict, finds out whether the store has lost the record, or has replaced it by a write from before a
+     * restoration that arrived late. The next renewal then writes it again: candidates wait longer than this lease is
+     * held. Returns false if another process has written the record in the era that the store is in.
+     */
+    private async followRestoration(): Promise<boolean> {
+        const read = await this.options.store.read(this.options.key);
+        // Once this lease has expired, the lost record may be that of a later holder, which must not be touched.
+        if (read.kind === "unavailable" || performance.now() >= this.heldUntil) return true;
+        const recordEra = read.kind === "found" ? parseRecord(read.object.value)?.era : this.era;
+        if (recordEra === undefined || recordEra >= read.era) return false;
+        this.era = read.era;
+        this.version = versionOf(read);
+        return true;
+    }
 }
