Compose fencing numbers of the era and the version of the store

What callers would see: a target that enforces fencing accepts orders of an earlier holder of a lease, as its number equals that of the next one.

Cause: a holder took the number of the record that it replaced plus one. After a restoration that record may be gone or older, so that a number was given out twice.

Evidence: on the code before, the property of leases failed after 3 cases (expected 1 to be greater than 1).

Ruled out: the era and a count. A late write of an earlier era can replace the record that holds the count of the current one.

Change: in a store that names an era, the number is composed of the era and the version that the holder replaces, and is above that of the record replaced. Without an era, numbers are counted as before.

Why this works: eras rise, and of two writes in one era the later replaces a higher version.

Result: the tests of the store pass, the property in 150 cases.

--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -10,7 +10,14 @@
  * which is longer than any holder can count on a renewal that the store has lost. All processes use the same duration.
  */
 import { pause } from "../model/pause.js";
-import { ATTEMPTS_PER_DURATION, createRenewal, type LeaseRecord, parseRecord, writeRecord } from "./leaserecord.js";
+import {
+    ATTEMPTS_PER_DURATION,
+    createRenewal,
+    type LeaseRecord,
+    nextFencing,
+    parseRecord,
+    writeRecord,
+} from "./leaserecord.js";
 import type { ReadOutcome, Store, StoreEra } from "./store.js";
 
 /** Options of an attempt to acquire a lease. */
@@ -135,7 +142,7 @@
         const record: LeaseRecord = {
             holder: options.holder,
             incarnation: options.incarnation,
-            fencing: (observed.record?.fencing ?? 0) + 1,
+            fencing: nextFencing(observed.record, observed.era, observed.version),
             durationMs: options.durationMilliseconds,
             renewal: createRenewal(),
             era: observed.era,
--- a/src/store/leaserecord.ts
+++ b/src/store/leaserecord.ts
@@ -3,12 +3,13 @@
 import { z } from "zod";
 import { parseJson } from "../model/json.js";
 import { pause } from "../model/pause.js";
-import type { Store, WriteOutcome } from "./store.js";
+import type { Store, StoreEra, WriteOutcome } from "./store.js";
 
 const recordSchema = z.object({
     /** Empty after a release. */
     holder: z.string(),
     incarnation: z.string(),
+    /** See `nextFencing`. */
     fencing: z.int().min(1),
     durationMs: z.number().positive(),
     /** Unique per write, so that the writer can recognise its own write when the response was lost. */
@@ -28,6 +29,19 @@
     return recordSchema.safeParse(parseJson(value)).data;
 }
 
+/** Exceeds all versions, so that the numbers of an era exceed those of earlier ones. */
+const FENCING_NUMBERS_PER_ERA = 2 ** 32;
+
+/**
+ * Fencing number of a holder that replaces `record`, if there is one, at `version`. A store that names no era has lost no
+ * number, so that counting is enough. Otherwise the last number may be lost; the number is then composed of the era and the
+ * version, which no two writes of one era have in common.
+ */
+export function nextFencing(record: LeaseRecord | undefined, era: StoreEra, version: number): number {
+    const lowest = era === 0 ? 1 : era * FENCING_NUMBERS_PER_ERA + version + 1;
+    return Math.max((record?.fencing ?? 0) + 1, lowest);
+}
+
 /** An identifier of one write. */
 export function createRenewal(): string {
     return randomBytes(8).toString("hex");
--- a/test/store/restoredlease.test.ts
+++ b/test/store/restoredlease.test.ts
@@ -1,4 +1,4 @@
-/** Guards against two holders of a lease after the store has lost its latest changes. */
+/** Guards against two holders of a lease, or a fencing number used twice, after the store has lost its latest changes. */
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { StandInStore } from "../../src/standins/index.js";
@@ -104,6 +104,7 @@
     for (const { name, lease } of current) {
         const last = holders.at(-1);
         if (lease === undefined || last?.lease === lease) continue;
+        if (last !== undefined) expect(lease.fencing).toBeGreaterThan(last.lease.fencing);
         holders.push({ name, lease });
     }
 }
@@ -231,7 +232,7 @@
         }
     }
 
-    it("has at most one holder through restorations, outages, pauses and late writes", async () => {
+    it("has at most one holder, and rising fencing numbers, through restorations, outages, pauses and late writes", async () => {
         const commands = fc.array(command, { minLength: 20, maxLength: 60, size: "max" });
         let takeovers = 0;
         await fc.assert(
