Answer unknown for keys whose claims the store may have lost

What callers would see: a booking is made twice. The key was run, its claim or result was acknowledged, the store was restored from a copy of before, and the key was sent again.

The slot table was compared by versions of the earlier era, so that nobody could move slots any more, and leases counted as unchanged when their version had been given out again.

Ruled out: keys that the process itself has run as a remedy, since the slot may have had another owner in the part that was lost.

Change: an agent that has seen the era of the store rise answers unknown for new keys of slots that it recovers, for as long as callers may resend a key. The slot table and the observations of leases follow the era.

--- a/src/claims/ownerlease.ts
+++ b/src/claims/ownerlease.ts
@@ -7,7 +7,7 @@
  */
 import { randomBytes } from "node:crypto";
 import { z } from "zod";
-import type { Store, StoredObject } from "../store/index.js";
+import type { Store, StoredObject, StoreEra } from "../store/index.js";
 
 /** Time for which a renewal is valid, in milliseconds. */
 export const LEASE_DURATION_MS = 6_000;
@@ -155,6 +155,7 @@
 /** Observes the leases of a service's owners on behalf of one candidate, by its monotonic clock. */
 export class LeaseObserver {
     private observations = new Map<string, Observation>();
+    private era: StoreEra = 0;
 
     private constructor(
         private readonly store: Store,
@@ -168,7 +169,7 @@
 
     /**
      * Reads all leases. Owners in `owners` that have no lease are observed as well. Returns false if the store did not
-     * answer; the observations then start again.
+     * answer; the observations then start again, as they do when the store has lost its latest changes.
      */
     async observe(owners: Iterable<string>): Promise<boolean> {
         const listed = await this.store.list(leasePrefix(this.service));
@@ -176,6 +177,8 @@
             this.reset();
             return false;
         }
+        if (listed.era !== this.era) this.reset();
+        this.era = listed.era;
         const objects = new Map(listed.objects.map(object => [this.ownerOf(object), object]));
         const next = new Map<string, Observation>();
         for (const owner of new Set([...objects.keys(), ...owners])) {
@@ -231,7 +234,7 @@
         };
         const key = leasePrefix(this.service) + owner;
         const outcome = await this.store.write(key, JSON.stringify(record), object?.version ?? 0);
-        return outcome.kind === "written";
+        return outcome.kind === "written" && outcome.era === this.era;
     }
 
     /** Removes taken leases of holders that are not in `owners`, the owners in the slot table. */
--- a/src/claims/ownersession.ts
+++ b/src/claims/ownersession.ts
@@ -5,15 +5,20 @@
 import type { Metrics } from "../observability/index.js";
 import type { Store } from "../store/index.js";
 import { Journal } from "./journal.js";
+import type { RestorationWatch } from "./restorationwatch.js";
 import { leasePrefix, OwnerLease } from "./ownerlease.js";
 import { Registry } from "./registry.js";
 import { decodeReference, type JournalRecord, type JournalReference } from "./segment.js";
 import type { SlotOwner } from "./slot.js";
 import { JournalRecovery } from "./recovery.js";
 
+/** Time for which callers may resend a key that may have been run without a claim that is still stored. */
+export const RESEND_WINDOW_MS = 15 * 60_000;
+
 /** Parts and settings of a session. */
 export interface OwnerSessionOptions {
     readonly store: Store;
+    readonly restorations: RestorationWatch;
     readonly service: string;
     readonly target: string;
     readonly incarnation: string;
@@ -81,12 +86,13 @@
             if (records === undefined) return;
             histories.set(reference.journal, records);
         }
+        const lossMilliseconds = RESEND_WINDOW_MS - this.options.restorations.millisecondsSinceRestoration;
         for (const { slot, owner, uncertainMilliseconds } of slots) {
             if (this.recovering.get(slot) !== owner.epoch) continue;
             this.recovering.delete(slot);
             const journals = new Set(owner.journals.map(text => decodeReference(text).journal));
             const records = [...journals].flatMap(journal => histories.get(journal) ?? []);
-            this.registry.addSlot(slot, owner.epoch, records, uncertainMilliseconds);
+            this.registry.addSlot(slot, owner.epoch, records, Math.max(uncertainMilliseconds, lossMilliseconds));
         }
     }
 
--- a/src/claims/ownership.ts
+++ b/src/claims/ownership.ts
@@ -10,10 +10,11 @@
 import type { StateLogger } from "../observability/index.js";
 import { LEASE_DURATION_MS, LeaseObserver } from "./ownerlease.js";
 import { DEFAULT_RETENTION_MS } from "./registry.js";
+import { RestorationWatch } from "./restorationwatch.js";
 import { decodeReference, encodeReference } from "./segment.js";
 import type { SlotOwner, SlotTable } from "./slot.js";
 import { ownerId, SlotTableStore } from "./slottablestore.js";
-import { type AcquiredSlot, OwnerSession, type OwnerSessionOptions } from "./ownersession.js";
+import { type AcquiredSlot, OwnerSession, type OwnerSessionOptions, RESEND_WINDOW_MS } from "./ownersession.js";
 
 /** Time between two renewals of the lease, in milliseconds. */
 const RENEWAL_INTERVAL_MS = LEASE_DURATION_MS / 4;
@@ -31,11 +32,11 @@
 /** Longest time that a stop waits for the release of the slots, in milliseconds. */
 const STOP_TIMEOUT_MS = 5_000;
 
-/** Time for which callers may resend a key whose owner died in a store outage, in milliseconds (`continue` only). */
-const RESEND_WINDOW_MS = 15 * 60_000;
-
 /** Parts and settings of the agent that ownership uses. */
-export interface OwnershipOptions extends Omit<OwnerSessionOptions, "continueWithoutStore" | "retentionMilliseconds"> {
+export interface OwnershipOptions extends Omit<
+    OwnerSessionOptions,
+    "continueWithoutStore" | "restorations" | "retentionMilliseconds"
+> {
     readonly logger: StateLogger;
     readonly retentionMilliseconds?: number;
     /**
@@ -47,6 +48,7 @@
 
 /** Acquires, keeps and releases the slots of one agent. */
 export class Ownership {
+    private readonly restorations: RestorationWatch;
     private readonly observer: LeaseObserver;
     private readonly tableStore: SlotTableStore;
     private service: Service | undefined;
@@ -58,8 +60,10 @@
     private readonly reconcilePause = InterruptiblePause.create();
 
     private constructor(private readonly options: OwnershipOptions) {
-        this.observer = LeaseObserver.create(options.store, options.service);
-        this.tableStore = SlotTableStore.create(options.store, options.service);
+        this.restorations = RestorationWatch.of(options.store);
+        const { store } = this.restorations;
+        this.observer = LeaseObserver.create(store, options.service);
+        this.tableStore = SlotTableStore.create(store, options.service);
     }
 
     /** Ownership that starts once the service is known to have slots. */
@@ -135,10 +139,11 @@
             this.session.end();
             this.generation += 1;
         }
-        const { store, service, target, incarnation, metrics } = this.options;
+        const { service, target, incarnation, metrics } = this.options;
         this.session = OwnerSession.begin(
             {
-                store,
+                store: this.restorations.store,
+                restorations: this.restorations,
                 service,
                 target,
                 incarnation,
--- a/src/claims/slottablestore.ts
+++ b/src/claims/slottablestore.ts
@@ -5,7 +5,7 @@
  * owner, and its name is also the owner's id.
  */
 import { pause } from "../model/pause.js";
-import type { Store } from "../store/index.js";
+import type { Store, StoreEra } from "../store/index.js";
 import { decodeReference } from "./segment.js";
 import { encodeSlotTable, parseSlotTable, type SlotOwner, type SlotTable, slotTableKey } from "./slot.js";
 
@@ -23,7 +23,7 @@
 
 /** The slot table of one service. */
 export class SlotTableStore {
-    private newest: { readonly table: SlotTable; readonly version: number } | undefined;
+    private newest: { readonly table: SlotTable; readonly version: number; readonly era: StoreEra } | undefined;
 
     private constructor(
         private readonly store: Store,
@@ -54,12 +54,15 @@
         const read = await this.store.read(slotTableKey(this.service));
         if (read.kind === "unavailable") return undefined;
         const version = read.kind === "found" ? read.object.version : 0;
-        if (version < (this.newest?.version ?? 0)) return undefined;
+        const { newest } = this;
+        if (newest !== undefined && (read.era < newest.era || (read.era === newest.era && version < newest.version))) {
+            return undefined;
+        }
         const table =
             read.kind === "found"
                 ? parseSlotTable(read.object.value)
                 : { service: this.service, slots: Array.from({ length: slots }, () => undefined) };
-        if (table !== undefined) this.newest = { table, version };
+        if (table !== undefined) this.newest = { table, version, era: read.era };
         return table;
     }
 
@@ -74,7 +77,7 @@
             if (next.slots.every((owner, slot) => owner === table.slots[slot])) return table;
             const outcome = await this.store.write(slotTableKey(this.service), encodeSlotTable(next), version);
             if (outcome.kind === "written") {
-                this.newest = { table: next, version: outcome.version };
+                this.newest = { table: next, version: outcome.version, era: outcome.era };
                 return next;
             }
             if (outcome.kind === "unavailable") return undefined;
