Go on with a move whose writes the store has lost

What callers would see: a move that neither goes on nor is taken back until its controller dies. The controller keeps the lease, and each of its writes is refused.

Cause: a session ignored a move whose version was not above the one that it had written, as a stale read, and wrote on the condition of that version again and again.

Ruled out: an end of the session, whose successor would start from the older state although this controller holds the lease.

Change: a session that reads the move in a later era writes its own state on the condition of the version read, or creates the move again. It ends if a later controller has written the move, or a result is stored.

--- a/src/moves/session.ts
+++ b/src/moves/session.ts
@@ -2,10 +2,12 @@
  * One controller's session on a move, under the move's lease. Each write of the move is conditional on the version that
  * this controller wrote last, and carries its fencing number. A controller that was paused past its lease therefore
  * cannot write after its successor has.
+ *
+ * If the store was restored from a copy, the controller writes again what it has written.
  */
 import { createRequestId } from "../model/index.js";
 import { pause } from "../model/pause.js";
-import type { Store, StoredObject } from "../store/index.js";
+import type { ReadOutcome, Store, StoredObject, StoreEra } from "../store/index.js";
 import type { MoveClock } from "./clock.js";
 import { decodeMove, encodeMove, type Move, moveKey, type MoveResult } from "./move.js";
 
@@ -26,6 +28,8 @@
 export class MoveSession {
     private current: Move;
     private version: number;
+    /** Era to which `version` belongs. */
+    private era: StoreEra;
     private writtenAt = performance.now();
     private lost = false;
 
@@ -33,10 +37,11 @@
         private readonly store: Store,
         private readonly lease: HeldLease,
         private readonly clock: MoveClock,
-        { move, version }: { readonly move: Move; readonly version: number },
+        stored: { readonly move: Move; readonly version: number; readonly era: StoreEra },
     ) {
-        this.current = move;
-        this.version = version;
+        this.current = stored.move;
+        this.version = stored.version;
+        this.era = stored.era;
     }
 
     /**
@@ -55,7 +60,8 @@
             if (read.kind === "found" && move !== undefined) {
                 clock.observe(move);
                 if (move.state === "ended" || move.fencing > lease.fencing) return undefined;
-                const session = new MoveSession(store, lease, clock, { move, version: read.object.version });
+                const { version } = read.object;
+                const session = new MoveSession(store, lease, clock, { move, version, era: read.era });
                 if (await session.update({})) return session;
             }
             // The read may have been stale.
@@ -117,6 +123,7 @@
         const outcome = await this.store.write(moveKey(next), encodeMove(next), this.version);
         const version = outcome.kind === "written" ? outcome.version : await this.resolveWrite(next, outcome.kind);
         if (version === undefined) return false;
+        if (outcome.kind === "written") this.era = outcome.era;
         this.current = next;
         this.version = version;
         this.writtenAt = performance.now();
@@ -130,12 +137,21 @@
     ): Promise<number | undefined> {
         if (kind === "unavailable") return undefined;
         const read = await this.store.read(moveKey(written));
+        if (read.kind !== "unavailable" && read.era > this.era) this.followRestoration(read);
         if (read.kind !== "found" || read.object.version <= this.version) return undefined;
         const stored = decodeMove(read.object.value);
         if (stored?.writeId === written.writeId) return read.object.version;
         return this.adopt(stored, read.object);
     }
 
+    /** Makes the next write replace what the store has kept, unless a later controller has written it. */
+    private followRestoration(read: Exclude<ReadOutcome, { kind: "unavailable" }>): void {
+        const stored = read.kind === "found" ? decodeMove(read.object.value) : undefined;
+        this.era = read.era;
+        this.version = read.kind === "found" ? read.object.version : 0;
+        this.lost = stored !== undefined && (stored.fencing > this.lease.fencing || stored.state === "ended");
+    }
+
     /** Continues from an earlier write of this controller that took effect after its answer was given up. */
     private adopt(stored: Move | undefined, object: StoredObject): undefined {
         const own = stored !== undefined && stored.fencing === this.lease.fencing && stored.state !== "ended";
