Write the result of a move again when the store has lost it

What callers would see: a move that had ended as done is run a second time after a restoration, and ends as taken back; or it is gone.

Cause: an entry forgot a move when it ended, so that the open move in the copy looked like a new one. The removal of a move was not followed.

Ruled out: only the controller writes again. It may have stopped, and every entry that follows moves knows the result.

Change: entries keep the moves that ended. A move that the store shows as open though it has ended, or does not have any more, is written again on the condition of the version read, after a random delay of up to a second.

Entries that start after the restoration do not know the result.

--- a/src/moves/controller.ts
+++ b/src/moves/controller.ts
@@ -1,6 +1,9 @@
 /**
  * Runs open moves on one entry. For each open move, the entry tries to acquire the move's lease. While it holds the
  * lease it controls the move, starting from the stored state.
+ *
+ * Moves are never removed, and a result is final. What the store shows otherwise, it has lost when it was restored from a
+ * copy; each entry that knows of it writes it again.
  */
 import type { Membership } from "../membership/index.js";
 import { hashText } from "../model/index.js";
@@ -8,7 +11,7 @@
 import type { StateLogger } from "../observability/index.js";
 import { Lease, type Store, type StoredObject, type StoreEvent } from "../store/index.js";
 import { MoveClock } from "./clock.js";
-import { decodeMove, type Move, moveId, moveKey, moveLeaseKey } from "./move.js";
+import { decodeMove, encodeMove, type Move, moveId, moveKey, moveLeaseKey } from "./move.js";
 import { MoveSession } from "./session.js";
 
 /** Another entry takes over a dead controller's move after 1.25 times this, which is less than the rollback margin. */
@@ -25,6 +28,9 @@
 
 const RETRY_PAUSE_MS = 250;
 
+/** Longest delay before a lost move is written again, in milliseconds; random, so that most entries find it written. */
+const REWRITE_DELAY_MS = 1_000;
+
 /** A watched copy of the stored moves. */
 export interface MoveView {
     readonly objects: ReadonlyMap<string, StoredObject>;
@@ -55,6 +61,8 @@
 export class MoveController {
     private readonly clock = MoveClock.create();
     private readonly followed = new Map<string, FollowedMove>();
+    private readonly ended = new Map<string, Move>();
+    private readonly rewritten = new Set<string>();
     private readonly abort = new AbortController();
     private readonly unsubscribe: () => void;
     private readonly tasks = new Set<Promise<void>>();
@@ -62,8 +70,9 @@
 
     private constructor(private readonly options: ControllerOptions) {
         for (const object of options.view.objects.values()) this.handleObject(object);
-        this.unsubscribe = options.view.subscribe(({ object }) => {
-            if (object !== undefined) this.handleObject(object);
+        this.unsubscribe = options.view.subscribe(({ key, object }) => {
+            if (object === undefined) this.writeAgain(key);
+            else this.handleObject(object);
         });
     }
 
@@ -105,8 +114,11 @@
         const key = moveKey(move);
         const known = this.followed.get(key);
         if (move.state === "ended") {
+            this.ended.set(key, move);
             this.followed.delete(key);
             if (known !== undefined) this.options.logger.info(`move ${moveId(move)} ended`, { ...move.result });
+        } else if (this.ended.has(key)) {
+            this.writeAgain(key);
         } else if (known === undefined) {
             this.followed.set(key, { move, changedAt: performance.now() });
             this.startTask(key);
@@ -116,8 +128,39 @@
         }
     }
 
-    private startTask(key: string): void {
-        const task: Promise<void> = this.followMove(key)
+    /** Writes a move that the store has lost, or of which it has lost the result. */
+    private writeAgain(key: string): void {
+        if (this.rewritten.has(key)) return;
+        this.rewritten.add(key);
+        this.startTask(
+            key,
+            this.rewrite(key).finally(() => this.rewritten.delete(key)),
+        );
+    }
+
+    private async rewrite(key: string): Promise<void> {
+        const { store, logger } = this.options;
+        await pause(Math.random() * REWRITE_DELAY_MS);
+        while (!this.abort.signal.aborted) {
+            const move = this.ended.get(key) ?? this.followed.get(key)?.move;
+            const read = await store.read(key);
+            const stored = read.kind === "found" ? decodeMove(read.object.value) : undefined;
+            if (move === undefined || stored?.state === "ended") return;
+            if (read.kind === "found" && move.state !== "ended") return;
+            if (read.kind !== "unavailable") {
+                const version = read.kind === "found" ? read.object.version : 0;
+                const written = await store.write(key, encodeMove(move), version);
+                if (written.kind === "written") {
+                    logger.warn(`move ${moveId(move)} was lost and is written again`);
+                    return;
+                }
+            }
+            await pause(RETRY_PAUSE_MS);
+        }
+    }
+
+    private startTask(key: string, work = this.followMove(key)): void {
+        const task: Promise<void> = work
             .catch((error: unknown) => {
                 this.options.logger.error(`the controller of ${key} failed`, error);
             })
@@ -162,8 +205,10 @@
         const id = moveId(session.move);
         this.options.logger.info(`move ${id} is now controlled by this entry`, { fencing: session.move.fencing });
         await this.options.run(session);
-        if (session.move.state === "ended") this.followed.delete(moveKey(session.move));
-        else this.options.logger.info(`move ${id} is no longer controlled by this entry`);
+        if (session.move.state === "ended") {
+            this.ended.set(moveKey(session.move), session.move);
+            this.followed.delete(moveKey(session.move));
+        } else this.options.logger.info(`move ${id} is no longer controlled by this entry`);
     }
 
     /**
--- a/test/moves/restoredstore.test.ts
+++ b/test/moves/restoredstore.test.ts
@@ -1,8 +1,18 @@
-/** Guards against moves that stop when the store was restored from a copy. */
+/** Guards against moves that stop, or get a second result, when the store was restored from a copy. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { MoveClock } from "../../src/moves/clock.js";
-import { declareMove, decodeMove, type Move, MoveSession } from "../../src/moves/index.js";
+import {
+    declareMove,
+    decodeMove,
+    type Move,
+    MoveController,
+    MoveSession,
+    MOVES_PREFIX,
+} from "../../src/moves/index.js";
+import { pause } from "../../src/model/pause.js";
 import { StandInStore } from "../../src/standins/index.js";
+import { StoreView } from "../../src/store/index.js";
+import { logger } from "../agent/harness.js";
 
 const KEY = "moves/zone-east-1";
 
@@ -50,4 +60,36 @@
         expect(await session?.update({ step: 2 })).toBe(false);
         expect(session?.held()).toBe(false);
     });
+
+    it.each([
+        { lost: "that it ended", ageMs: 1_500 },
+        { lost: "the move", ageMs: 4_000 },
+    ])("keeps its result and is not run again when the store has lost $lost", async ({ ageMs }) => {
+        const results: boolean[] = [];
+        const views = ["e1", "e2"].map(name => StoreView.start({ store: store.client(name), prefix: MOVES_PREFIX }));
+        await vi.advanceTimersByTimeAsync(10);
+        const controllers = views.map((view, index) =>
+            MoveController.start({
+                store: store.client(`e${index + 1}`),
+                view,
+                name: `e${index + 1}`,
+                incarnation: "1",
+                membership: () => ({ targets: [], entries: [] }),
+                logger,
+                run: async session => {
+                    await pause(2_000);
+                    results.push(await session.finish(results.length === 0 ? "done" : "takenBack", "reached"));
+                },
+            }),
+        );
+        await vi.advanceTimersByTimeAsync(3_000);
+        expect(storedMove()?.result).toMatchObject({ kind: "done" });
+        store.restore(ageMs);
+        expect(storedMove()?.state).not.toBe("ended");
+        await vi.advanceTimersByTimeAsync(20_000);
+        expect(storedMove()?.result).toMatchObject({ kind: "done" });
+        expect(results).toEqual([true]);
+        for (const controller of controllers) controller.kill();
+        for (const view of views) view.stop();
+    });
 });
