Write changes of the configuration again when the store has lost them

What callers would see: an entry that starts after a restoration serves an older configuration than the others, and a later change leads to two different configurations of the same version.

Cause: the feed kept the version in force, but no process wrote the changes and the head that the store had lost. A watch went on from a revision of the earlier era.

Evidence: on the code before, the new test failed: a process that starts later has 1 of 3 records.

Ruled out: a return to the version in the copy, which takes back changes that were acknowledged.

Change: when the era has risen, each process writes the changes that it applied and the store lacks, after a random delay of up to a second, and raises the head. Each is created on condition that it does not exist.

Result: the test passes, as do those of the configuration. Where another change of the same version was written first, the two remain.

--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -5,10 +5,12 @@
  * first version is applied only after a conditional write of the head has shown that it is not stale, unless a peer has
  * supplied that version or a newer one. After that, the feed watches the head and reads each following change by its
  * version, so that no change is skipped or applied twice.
+ *
+ * What is in force stays in force if the store has lost it. Each process then writes the lost changes again.
  */
 import { pause } from "../model/pause.js";
-import type { Store, StoredObject } from "../store/index.js";
-import { Configuration } from "./configuration.js";
+import type { Store, StoredObject, StoreEra } from "../store/index.js";
+import { Configuration, type ConfigurationChange } from "./configuration.js";
 import { changeKey, decodeChange, decodeHead, HEAD_KEY, raiseHead, SNAPSHOT_INTERVAL, snapshotKey } from "./head.js";
 import type { ConfigurationHolder } from "./holder.js";
 import { parseRecords } from "./records.js";
@@ -21,6 +23,9 @@
 
 const RETRY_PAUSE_MS = 100;
 
+/** Longest delay before lost changes are written again, in milliseconds; random, so that most processes find them. */
+const REWRITE_DELAY_MS = 1_000;
+
 /** Options of a feed. */
 export interface ConfigurationFeedOptions {
     readonly store: Store;
@@ -40,6 +45,8 @@
     private firstConfirmed = false;
     /** Highest version read from the head since the start. */
     private headVersion = 0;
+    /** Era in which the store is known to have the changes in force. */
+    private era: StoreEra | undefined;
     private resolveReady: () => void = () => undefined;
 
     private constructor(
@@ -149,6 +156,8 @@
         const listed = await this.store.list(HEAD_KEY);
         this.reachable = listed.kind === "listed";
         if (listed.kind !== "listed") return undefined;
+        if (this.era !== undefined && listed.era !== this.era && !(await this.writeAgain())) return undefined;
+        this.era = listed.era;
         this.recordHead(listed.objects);
         return listed.revision;
     }
@@ -157,7 +166,7 @@
     private async watchHead(revision: number): Promise<number | undefined> {
         const watched = await this.store.watch(HEAD_KEY, revision, WATCH_TIMEOUT_MS);
         this.reachable = watched.kind === "changed";
-        if (watched.kind === "changed") {
+        if (watched.kind === "changed" && watched.era === this.era) {
             this.recordHead(watched.events.flatMap(event => event.object ?? []));
             return watched.revision;
         }
@@ -165,6 +174,23 @@
         return undefined;
     }
 
+    /** Writes the changes that the store has lost. Returns false if it did not answer. */
+    private async writeAgain(): Promise<boolean> {
+        await pause(Math.random() * REWRITE_DELAY_MS);
+        const lost: ConfigurationChange[] = [];
+        for (const change of this.holder.latestChanges.toReversed()) {
+            const read = await this.store.read(changeKey(change.version));
+            if (read.kind === "unavailable") return this.markUnreachable();
+            if (read.kind === "found") break;
+            lost.unshift(change);
+        }
+        for (const change of lost) {
+            const written = await this.store.write(changeKey(change.version), JSON.stringify(change), 0);
+            if (written.kind === "unavailable" || written.kind === "unknown") return this.markUnreachable();
+        }
+        return lost.length === 0 || (await this.raiseHeadTo(this.holder.current.version)) || this.markUnreachable();
+    }
+
     private recordHead(objects: readonly StoredObject[]): void {
         const head = objects.find(object => object.key === HEAD_KEY);
         if (head !== undefined) this.headVersion = Math.max(this.headVersion, decodeHead(head.value));
--- a/src/configuration/holder.ts
+++ b/src/configuration/holder.ts
@@ -59,6 +59,11 @@
         return true;
     }
 
+    /** The latest changes that were applied one by one, oldest first. */
+    get latestChanges(): readonly ConfigurationChange[] {
+        return this.retained;
+    }
+
     /** What a peer at `version` is missing; undefined if it is up to date. */
     transferSince(version: number): ConfigurationTransfer | undefined {
         const current = this.configuration;
--- a/test/configuration/log.test.ts
+++ b/test/configuration/log.test.ts
@@ -55,6 +55,29 @@
     return { feed, holder };
 }
 
+describe("a store that is restored from a copy", () => {
+    it("gets the changes that it has lost again, so that a process that starts later has them", async () => {
+        const store = StandInStore.create();
+        const operator = new Operator(store, "a");
+        const first = feedOf(store, "f1", operator.holder);
+        const second = feedOf(store, "f2");
+        await finish(Promise.all([first.feed.ready, second.feed.ready]));
+        await operator.accept(zone("east"));
+        await vi.advanceTimersByTimeAsync(3_000);
+        await operator.accept(zone("west"));
+        await operator.accept(zone("south"));
+        await vi.advanceTimersByTimeAsync(2_000);
+        store.restore(3_000);
+        expect(store.peek(changeKey(2))).toBeUndefined();
+        await vi.advanceTimersByTimeAsync(4_000);
+        const late = feedOf(store, "f3");
+        await finish(late.feed.ready);
+        const records = second.holder.current.allRecords();
+        expect(records).toHaveLength(3);
+        expect(late.holder.current.allRecords()).toEqual(records);
+    });
+});
+
 describe("accepting a change", () => {
     it("lets one of two racing operators win and shows the other what won", async () => {
         const store = StandInStore.create();
