Write a registration again in the background, also when it cannot be read

Cause: a registration that is written again ran as a promise that nobody handled, so that an exception in it would end the process. A gateway whose registration had been replaced by something unreadable kept the earlier one in its view and did not write it again. One that stops could write its registration between reading and removing it.

Ruled out: a check of the registration at intervals, which costs calls in calm.

Change: the repeated registration runs in the background like the first one; an own registration that cannot be read is written again; a gateway that stops meanwhile does not write.

The race of a stop was found by reading and has no test.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -159,7 +159,7 @@
     // Other gateways send pieces to a registered gateway, so it registers only once it knows the targets.
     const onTaskFailure = (fields: LineFields): void => onChange("task failed unexpectedly", fields);
     runInBackground("registration", onTaskFailure, () =>
-        isInformed.then(() => peers.register(store, () => isStopping)),
+        isInformed.then(() => peers.register(store, () => isStopping, onTaskFailure)),
     );
 
     const kill = async (): Promise<void> => {
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -6,6 +6,7 @@
  */
 import { z } from "zod";
 import { parseSocketAddress } from "../model/address.js";
+import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import { parseJson } from "../model/json.js";
 import { pause } from "../model/pause.js";
 import type { Store, StoreEvent } from "../store/index.js";
@@ -52,7 +53,7 @@
     private hasBeenRegistered = false;
     private isRegistering = false;
     /** Repeats the registration; undefined before the first one. */
-    private repeatRegistration: (() => Promise<void>) | undefined;
+    private repeatRegistration: (() => void) | undefined;
     private changes = 0;
 
     private constructor(
@@ -94,24 +95,26 @@
         const peer = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value)).data;
         if (peer?.name === name) this.peers.set(name, peer);
         this.hasBeenRegistered ||= this.peers.has(this.self.name);
-        if (name === this.self.name && !this.peers.has(name)) this.registerAgain();
+        if (name === this.self.name && peer === undefined) this.registerAgain();
     }
 
     /**
-     * Registers this gateway; retries until it succeeds or `isStopped` returns true. From then on the registration is
-     * written again whenever the store has lost it.
+     * Begins to register this gateway; retries until it succeeds or `isStopped` returns true. From then on the registration
+     * is written again whenever the store has lost it. `onFailure` is called after an exception.
      */
-    async register(store: Store, isStopped: () => boolean): Promise<void> {
-        this.repeatRegistration = () => this.register(store, isStopped);
-        if (this.isRegistering) return;
-        this.isRegistering = true;
-        await this.write(store, isStopped);
-        this.isRegistering = false;
+    register(store: Store, isStopped: () => boolean, onFailure: OnTaskFailure): void {
+        this.repeatRegistration = () =>
+            runInBackground("registration", onFailure, async () => {
+                if (this.isRegistering) return;
+                this.isRegistering = true;
+                await this.write(store, isStopped).finally(() => (this.isRegistering = false));
+            });
+        this.repeatRegistration();
     }
 
     /** Writes the registration again if the store lacks it, once this gateway has registered. */
     registerAgain(): void {
-        void this.repeatRegistration?.();
+        this.repeatRegistration?.();
     }
 
     private async write(store: Store, isStopped: () => boolean): Promise<void> {
@@ -120,6 +123,7 @@
         for (let retryMs = FIRST_RETRY_MS; !isStopped(); retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2)) {
             const read = await store.read(key);
             if (read.kind === "found" && read.object.value === value) return;
+            if (isStopped()) return;
             if (read.kind !== "unavailable") {
                 const version = read.kind === "found" ? read.object.version : 0;
                 const written = await store.write(key, value, version);
