Use the harness to leave a gateway without retries

Cause: silenttargets.test.ts had a function of its own for what the harness offers.

Ruled out: nothing.

Change: the tests of silent targets use Deployment.leaveRetries.

--- a/test/gateway/silenttargets.test.ts
+++ b/test/gateway/silenttargets.test.ts
@@ -47,13 +47,6 @@
     }
 }
 
-/** Leaves the gateway a number of retries, and less than one more. */
-function leaveRetries(count: number): void {
-    const budget = deployment.gateways[0]?.gateway.context.retryBudgetOf("engines");
-    while (budget?.available() === true) budget.take();
-    for (let retry = 0; retry < count; retry += 1) while (budget?.available() === false) budget.deposit();
-}
-
 function arrivalCount(): number {
     return [...deployment.targets.values()].reduce((sum, { arrivals }) => sum + arrivals.length, 0);
 }
@@ -74,7 +67,7 @@
 
     it.each(SILENCES)("$silence is not ended when no retry is left", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 2 });
-        leaveRetries(0);
+        deployment.leaveRetries("engines", 0);
         scriptEngines([silentStream(silence)]);
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         expect(arrivalCount()).toBe(1);
