Move the responses of an exchange into a module of their own

Ruled out: splitting calls from streams, which share the attempts and the release of stage results.

Change: gateway/reply sends complete responses and says what they mean for the result. Moved, not changed.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -14,8 +14,9 @@
 import { Attempts, STOPPING } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata } from "./dialect.js";
-import { failResponse, sendGatewayResponse, sendTargetResponse, StreamWriter } from "./delivery.js";
+import { failResponse, StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
+import { Reply } from "./reply.js";
 import { inputsGone, isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { forwardStream } from "./streamforwarding.js";
@@ -44,6 +45,7 @@
     /** Whether a planned stop has left no more time for the request. */
     private isCutByStop = false;
     private readonly cutByStop: Promise<"cut">;
+    private readonly reply: Reply;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -51,6 +53,7 @@
         private readonly response: ServerResponse,
         private readonly receivedAt: number,
     ) {
+        this.reply = Reply.to(incoming, response, () => context.closesConnections());
         let reportCut = (): void => undefined;
         this.cutByStop = new Promise(resolve => (reportCut = () => resolve("cut")));
         const cancelCut = context.shutdown.onDue(() => {
@@ -99,32 +102,32 @@
     private async handle(): Promise<ExchangeResult> {
         const metadata = this.context.dialect.readRequest(this.incoming.headers);
         const configuration = this.context.configuration();
-        if (configuration === undefined) return this.refuse("starting", NO_TARGET_RETRY_MS);
+        if (configuration === undefined) return this.reply.refuse("starting", NO_TARGET_RETRY_MS);
         const headerBytes = this.incoming.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
         const { limits } = configuration.content;
-        if (headerBytes > limits.headerBytes) return this.reject(431, "headers are too long");
+        if (headerBytes > limits.headerBytes) return this.reply.reject(431, "headers are too long");
         const route = configuration.matchRoute(this.incoming.headers.host ?? "", this.incoming.url ?? "/");
-        if (route === undefined) return this.reject(404, "no route matches");
+        if (route === undefined) return this.reply.reject(404, "no route matches");
         this.route = route;
         const authentication = configuration.authenticate(metadata.key);
-        if (!route.isPublic && authentication.kind === "unknownKey") return this.reject(401, "unknown key");
+        if (!route.isPublic && authentication.kind === "unknownKey") return this.reply.reject(401, "unknown key");
         const account = authentication.kind === "account" ? authentication.account : undefined;
         this.accountName = account?.name;
         const { shutdown, requestTimes } = this.context;
         const ownDeadline = this.deadlineOf(metadata, route);
         if (this.context.isStopping() || !shutdown.hasTimeFor(requestTimes.usualMs(route.name), ownDeadline)) {
-            return this.refuse(STOPPING, 0);
+            return this.reply.refuse(STOPPING, 0);
         }
         const body = await Promise.race([
             readRequestBody(this.incoming, limits.bodyBytes, ownDeadline),
             this.cutByStop,
         ]);
         if (body === "cut") return { outcome: "cancelled", status: 0, reason: STOPPING };
-        if (body === "tooLong") return this.reject(413, "body is too long");
-        if (body === "late") return this.respond("refused", 408, "body did not arrive in time");
+        if (body === "tooLong") return this.reply.reject(413, "body is too long");
+        if (body === "late") return this.reply.respond("refused", 408, "body did not arrive in time");
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
         const service = chooseService(route.services, Math.random);
-        if (service === undefined) return this.refuse("route has no service", NO_TARGET_RETRY_MS);
+        if (service === undefined) return this.reply.refuse("route has no service", NO_TARGET_RETRY_MS);
         const content = {
             method: this.incoming.method ?? "GET",
             path: this.incoming.url ?? "/",
@@ -176,7 +179,7 @@
 
     private async prepareAndSend(request: RoutedRequest, attempts: Attempts): Promise<ExchangeResult> {
         const holdBack = attempts.findHoldBack(this.expectedStagesMs(request));
-        if (holdBack !== undefined) return this.refuse(holdBack.reason, holdBack.retryAfterMs);
+        if (holdBack !== undefined) return this.reply.refuse(holdBack.reason, holdBack.retryAfterMs);
         const prepared = await this.runRequestStages(request, attempts);
         if (prepared.kind === "ended") return prepared.result;
         const { inputs, release } = prepared;
@@ -238,7 +241,7 @@
 
     private endAfterStageLoss(request: RoutedRequest, reason: PieceLossReason, retryAfterMs: number): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
-        return this.refuse(`stage ${reason}`, Math.max(retryAfterMs, NO_TARGET_RETRY_MS));
+        return this.reply.refuse(`stage ${reason}`, Math.max(retryAfterMs, NO_TARGET_RETRY_MS));
     }
 
     /** Serves a plain call: the response is buffered until it is complete. */
@@ -258,9 +261,7 @@
                 const unanswered = await attempts.handleUnanswered(target, attempt);
                 if (unanswered === "again") continue;
                 if (isFinal(unanswered)) {
-                    return this.respondUnlessCancelled(
-                        failure === undefined ? unanswered : withoutRefusalStatus(unanswered),
-                    );
+                    return this.reply.endWith(failure === undefined ? unanswered : withoutRefusalStatus(unanswered));
                 }
                 failure = unanswered;
                 continue;
@@ -273,7 +274,7 @@
             if (isOwnResponse && responseMetadata.notExecuted) {
                 attempts.handleDeclined(target, responseMetadata.wrongTarget);
                 if (failure === undefined && !attempts.mayTryAnotherTarget()) {
-                    return this.refuse("targets are full", NO_TARGET_RETRY_MS);
+                    return this.reply.refuse("targets are full", NO_TARGET_RETRY_MS);
                 }
                 continue;
             }
@@ -286,7 +287,7 @@
                     status: 502,
                     reason: isOwnResponse ? `answer ${outcome.kind}` : "answer of another",
                 };
-                if (outcome.kind === "expired") return this.respond("expired", 504, "answer took too long");
+                if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
                 continue;
             }
             attempts.recordServed();
@@ -301,10 +302,10 @@
                 (performance.now() - startedAt) / request.route.latencyObjectiveMs,
                 request.route.name,
             );
-            return this.respondWith(attempt.head, bytes);
+            return this.reply.forward(attempt.head, bytes);
         }
-        if (errorResponse !== undefined) return this.respondWith(errorResponse.head, errorResponse.bytes);
-        if (failure !== undefined) return this.respondUnlessCancelled(failure);
+        if (errorResponse !== undefined) return this.reply.forward(errorResponse.head, errorResponse.bytes);
+        if (failure !== undefined) return this.reply.endWith(failure);
         return this.endUnsent(request, attempts);
     }
 
@@ -367,7 +368,7 @@
                 failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
                 const isLastAttempt = !attempts.mayRetry();
                 if (outcome.kind === "complete" && isLastAttempt && !writer.started) {
-                    return this.respondWith(attempt.head, bytes);
+                    return this.reply.forward(attempt.head, bytes);
                 }
                 continue;
             }
@@ -415,39 +416,20 @@
     private endUnsent(request: RoutedRequest, attempts: Attempts): ExchangeResult {
         if (request.signal.aborted) return { outcome: "cancelled", status: 0, reason: "caller left" };
         const { holdBack } = attempts;
-        if (holdBack !== undefined) return this.refuse(holdBack.reason, holdBack.retryAfterMs);
-        return this.refuse("no target can be used", NO_TARGET_RETRY_MS);
-    }
-
-    private respondWith(head: ResponseHead, bytes: Buffer): ExchangeResult {
-        sendTargetResponse(this.response, head, bytes, this.context.closesConnections());
-        return { outcome: "answered", status: head.status, reason: "complete" };
-    }
-
-    private refuse(reason: string, retryAfterMs: number): ExchangeResult {
-        return this.respond("refused", 503, reason, retryAfterMs);
-    }
-
-    /** Rejects a request that is invalid or not allowed. */
-    private reject(status: number, reason: string): ExchangeResult {
-        return this.respond("rejected", status, reason);
-    }
-
-    private respondUnlessCancelled(result: ExchangeResult): ExchangeResult {
-        if (result.outcome === "cancelled") return result;
-        return this.respond(result.outcome, result.status, result.reason);
+        if (holdBack !== undefined) return this.reply.refuse(holdBack.reason, holdBack.retryAfterMs);
+        return this.reply.refuse("no target can be used", NO_TARGET_RETRY_MS);
     }
 
     /** Responds to a request for which a planned stop leaves no more time. */
     private endCut(result: ExchangeResult): ExchangeResult {
         if (this.response.destroyed || this.response.headersSent) return result;
-        if ((this.attempts?.count ?? 0) === 0) return this.refuse(STOPPING, 0);
-        return this.respond("expired", 504, "gateway stops");
+        if ((this.attempts?.count ?? 0) === 0) return this.reply.refuse(STOPPING, 0);
+        return this.reply.respond("expired", 504, "gateway stops");
     }
 
     /** Ends an incomplete stream: closes the connection if part of the stream was delivered. */
     private endBrokenStream(writer: StreamWriter, result: ExchangeResult): ExchangeResult {
-        if (!writer.started) return this.respondUnlessCancelled(result);
+        if (!writer.started) return this.reply.endWith(result);
         if (this.isCutByStop) {
             // What was written reaches the caller, which can resume the stream from there.
             this.response.socket?.destroySoon();
@@ -456,15 +438,4 @@
         this.response.destroy();
         return result.outcome === "cancelled" ? result : { ...result, outcome: "brokenOff" };
     }
-
-    private respond(
-        outcome: ExchangeResult["outcome"],
-        status: number,
-        reason: string,
-        retryAfterMs?: number,
-    ): ExchangeResult {
-        const closesConnection = this.context.closesConnections() || !this.incoming.complete;
-        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
-        return { outcome, status, reason };
-    }
 }
--- /dev/null
+++ b/src/gateway/reply.ts
@@ -0,0 +1,49 @@
+/** The response to one caller's request, unless it is an event stream, and what it means for the request's result. */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ResponseHead } from "./attempt.js";
+import { sendGatewayResponse, sendTargetResponse } from "./delivery.js";
+import type { ExchangeResult } from "./routedrequest.js";
+
+/** Responds to one request. */
+export class Reply {
+    private constructor(
+        private readonly request: IncomingMessage,
+        private readonly response: ServerResponse,
+        private readonly closesConnections: () => boolean,
+    ) {}
+
+    /** `closesConnections` says whether responses tell callers to close their connections. */
+    static to(request: IncomingMessage, response: ServerResponse, closesConnections: () => boolean): Reply {
+        return new Reply(request, response, closesConnections);
+    }
+
+    /** Sends a target's complete response. */
+    forward(head: ResponseHead, bytes: Buffer): ExchangeResult {
+        sendTargetResponse(this.response, head, bytes, this.closesConnections());
+        return { outcome: "answered", status: head.status, reason: "complete" };
+    }
+
+    /** Refuses a request that no target has run. */
+    refuse(reason: string, retryAfterMs: number): ExchangeResult {
+        return this.respond("refused", 503, reason, retryAfterMs);
+    }
+
+    /** Rejects a request that is invalid or not allowed. */
+    reject(status: number, reason: string): ExchangeResult {
+        return this.respond("rejected", status, reason);
+    }
+
+    /** Responds with a result, unless its caller has left. */
+    endWith(result: ExchangeResult): ExchangeResult {
+        if (result.outcome === "cancelled") return result;
+        return this.respond(result.outcome, result.status, result.reason);
+    }
+
+    /** Sends the gateway's own response. */
+    respond(outcome: ExchangeResult["outcome"], status: number, reason: string, retryAfterMs?: number): ExchangeResult {
+        // What follows on the connection could otherwise be the rest of this request.
+        const closesConnection = this.closesConnections() || !this.request.complete;
+        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
+        return { outcome, status, reason };
+    }
+}
