Refuse a request whose stage is in progress at the end of a planned stop

What callers saw: a connection that ends without a byte, when a gateway stops while a call for the pieces of their request is in progress.

Cause: a request waited for its stage until the deadline that it had when the stage began. The stop aborts the request, which ended only the pieces that still waited.

Ruled out: the refusal promises that the request was not run, and holds: only pieces had been sent.

Change: an abort ends the wait, as the deadline does; results that come later are released.

--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -181,8 +181,8 @@
 }
 
 /**
- * Makes pieces. At the request's deadline it returns undefined, and results that come later are released: a call may
- * still wait for a silent target then.
+ * Makes pieces. At the request's deadline, and when it is aborted, it returns undefined, and results that come later are
+ * released: a call may still wait for a silent target then.
  */
 async function makeInTime(
     { make, release, deadline, signal }: RunStagesOptions,
@@ -191,7 +191,12 @@
 ): Promise<readonly PieceResult[] | undefined> {
     const expiry = new AbortController();
     const making = make(jobs, AbortSignal.any([signal, expiry.signal]));
-    const results = await withTimeout(making, deadline.remainingMs(), undefined);
+    let reportAbort = (): void => undefined;
+    const aborted = new Promise<undefined>(resolve => (reportAbort = () => resolve(undefined)));
+    signal.addEventListener("abort", reportAbort);
+    if (signal.aborted) reportAbort();
+    const results = await withTimeout(Promise.race([making, aborted]), deadline.remainingMs(), undefined);
+    signal.removeEventListener("abort", reportAbort);
     if (results !== undefined) return results;
     expiry.abort();
     void making.then(late =>
--- a/test/gateway/silentstages.test.ts
+++ b/test/gateway/silentstages.test.ts
@@ -45,3 +45,29 @@
         await vi.waitFor(() => expect(new Set(encode.released).size).toBe(2));
     });
 });
+
+// Guards against a planned stop that waits for the call of a stage and then ends without a response.
+it("is refused by a gateway that stops", async () => {
+    const Routes = CONFIGURATION.Routes.map(route => ({ ...route, TimeoutMs: 15_000 }));
+    const safeRoutes = Routes.map(route => ("Phases" in route ? { ...route, Kind: "safe" } : route));
+    deployment = await Deployment.start({ engines: 1, encode: 1, rank: 1 }, 1, {
+        ...CONFIGURATION,
+        Routes: safeRoutes,
+        Services: CONFIGURATION.Services.map(service =>
+            "Segments" in service ? { ...service, Segments: { ...service.Segments, CallMs: 900 } } : service,
+        ),
+    });
+    const encode = deployment.target("encode-0");
+    encode.callMs = 60_000;
+    const headers = {
+        "x-parsleyrun-pieces": "2,1",
+        "x-parsleyrun-piece-key": "key",
+        "x-parsleyrun-deadline-ms": "15000",
+    };
+    const open = deployment.call({ path: "/staged/1", headers });
+    await vi.waitFor(() => expect(encode.pieceCalls).toHaveLength(1));
+    const stopped = deployment.gateways[0]?.stop();
+    expect((await open).status).toBe(503);
+    await stopped;
+    expect(deployment.linesOf("stopped")).toMatchObject([{ openRequests: 0 }]);
+}, 20_000);
