Do not count the time of a slow caller as silence of its target

What callers saw: a second run of a resumable stream, and its target counted as failed, while the caller itself did not read.

Cause: the timeout between events ran on while reading from the target was paused for the caller.

Evidence: trials of the review: stalled after 302 ms with a reader that is busy; with a caller that does not read for 3 s, a second run and a retry taken. There is no test in the repository yet.

Ruled out: the deadline, which still ends such a stream.

Change: the timeout is cancelled while reading is paused.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -367,8 +367,14 @@
                 try {
                     const chunkTaken = options.onChunk(chunk);
                     if (chunkTaken === undefined) return;
+                    // While the reader is busy, nothing can be said of the target.
                     message.pause();
-                    void chunkTaken.then(() => message.resume());
+                    cancelStallTimeout();
+                    void chunkTaken.then(() => {
+                        if (settled) return;
+                        armStallTimer();
+                        message.resume();
+                    });
                 } catch (error) {
                     reject(error instanceof Error ? error : new Error(String(error)));
                     finish({ kind: "broken", reason: "chunk was not taken" });
