Remove the listeners of a stream that has waited for its caller

Cause: each wait for a slow caller left a listener on the response until its end; from the eleventh on, Node warns.

Ruled out: a higher limit of listeners.

Change: both listeners are removed when one is called.

Result: found by a review with a trial; the tests of streams pass.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -90,8 +90,11 @@
         const hasCapacity = this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)));
         if (hasCapacity) return undefined;
         return new Promise(resolve => {
-            this.response.once("drain", resolve);
-            this.response.once("close", resolve);
+            const finish = (): void => {
+                this.response.off("drain", finish).off("close", finish);
+                resolve();
+            };
+            this.response.on("drain", finish).on("close", finish);
         });
     }
 
