Return an outcome for a call to the store that is answered with an upgrade

What operators would see: a view of the store that follows nothing any more, without a log line.

Cause: Node reports a status of 101 with an upgrade by another event than others, which nothing listened to, and closes the connection without an error. The call never ended.

There is no test in the repository yet.

Ruled out: the timeout of the call, which closes a request that is closed already.

Change: a request that closes without a response counts as unanswered.

--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -76,6 +76,8 @@
             resolve({ kind: "unanswered", sent: !CONNECT_ERROR_CODES.includes(code), message: code || error.message });
         };
         outgoing.on("error", fail);
+        // An upgrade of the connection closes it without another event.
+        outgoing.on("close", () => fail(new Error("connection closed")));
         outgoing.end(body);
     });
 }
