Report the new version of an object that was restored unchanged

What callers would see: a roll-out that is never decided after a restoration, so that a bad version keeps its share of the requests.

Cause: a view did not report an object that the store shows with the same content under another version. The roll-out kept the version of the earlier era, with which every write of its state conflicts, and later states with lower versions were taken for old. A decision that was acknowledged and lost before the view had shown it was not noticed.

Evidence: found by a review with trials; two new tests failed before: no state is written in 3 s after the roll-out is requested again, and in_progress stays in the store.

Ruled out: comparing contents in the roll-outs. Applying what is in force again changes nothing.

Change: such an object is reported like any other.

Result: the tests of restored stores and of roll-outs pass.

--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -252,8 +252,6 @@
             if (object.version <= knownVersion) return;
             this.removed.delete(key);
             this.objectsByKey.set(key, object);
-            // Restored with the content that it had, only under another version.
-            if (known?.version === 0 && hasSameContent(known, object)) return;
         }
         const mayBeOlder = known?.version === 0;
         for (const listener of [...this.listeners]) listener(mayBeOlder ? { ...event, mayBeOlder } : event);
@@ -264,7 +262,3 @@
         return this.pause.wait(maximumDelay * (0.5 + Math.random() / 2));
     }
 }
-
-function hasSameContent(left: StoredObject, right: StoredObject): boolean {
-    return left.value === right.value && left.status === right.status;
-}
--- a/test/gateway/restoredstore.test.ts
+++ b/test/gateway/restoredstore.test.ts
@@ -187,4 +187,37 @@
         );
         expect(deployment.linesOf("rollout state written").filter(line => line.state !== State)).toEqual([]);
     });
+
+    it("a roll-out before its state was written: writes the state once it is requested again", async () => {
+        deployment = await Deployment.start({ engines: 2 }, 2);
+        const { platform } = deployment;
+        const spec = { Service: "engines", Target: "v2", DurationS: 60 };
+        platform.takeCopy();
+        for (let zone = 0; zone < 20; zone += 1) platform.put(KIND.closedZones, `nowhere-${zone}`, {});
+        platform.put(KIND.rollouts, "engines", spec);
+        await vi.waitFor(() => expect(deployment.linesOf("rollout")).toHaveLength(2), APPLY_MS);
+        platform.restore();
+        platform.put(KIND.rollouts, "engines", spec);
+        await vi.waitFor(
+            () => expect(platform.status(KIND.rollouts, "engines")).toMatchObject({ State: "in_progress" }),
+            3_000,
+        );
+    });
+
+    it("a decision that was acknowledged and not reported: writes it again", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const { platform } = deployment;
+        const spec = { Service: "engines", Target: "v2", DurationS: 60 };
+        platform.put(KIND.rollouts, "engines", spec, { State: "in_progress", Target: "v2" });
+        await vi.waitFor(() => expect(deployment.linesOf("rollout")).toHaveLength(1), APPLY_MS);
+        platform.takeCopy();
+        const { rollouts } = deployment.gateways[0]?.gateway.context ?? {};
+        const rollout = rollouts?.find("engines");
+        if (rollout !== undefined) rollouts?.recordDecision(rollout, "completed", rollout.revision + 1);
+        platform.restore();
+        await vi.waitFor(
+            () => expect(platform.status(KIND.rollouts, "engines")).toEqual({ State: "completed", Target: "v2" }),
+            3_000,
+        );
+    });
 });
