Bound what a view does not believe of a restored store

What callers would see: requests to a zone for 5.1 s after it was closed anew in the first second after a restoration (allowed: 5 s); to targets that are gone for 5 s where 2 s are usual; a zone that is opened although it had been closed again, at a gateway that was cut off meanwhile.

Cause: everything that the first list of an era showed of removed objects counted as the copy's. At the end of the time for writing again, the view believed that first list, however old it was. After an exception of a listener in that list, the revision of the earlier era stayed, and with it the fault that the era was to end.

Ruled out: believing the copy at once in all that reappears. It still has targets that have left.

Change: an object counts as the copy's only if its version is not above the one that was removed; targets settle after 2.3 s; the view lists again before it settles, and waits while it cannot; a new era has no revision.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -79,11 +79,13 @@
             prefix: string,
             watchMilliseconds: number,
             apply: (event: StoreEvent) => void,
+            settleMilliseconds?: number,
         ): StoreView => {
             const view = StoreView.start({
                 store,
                 prefix,
                 watchMilliseconds,
+                ...(settleMilliseconds === undefined ? {} : { settleMilliseconds }),
                 onAvailability: change => this.reportAvailability(prefix, change),
                 onRestoration: change => this.handleRestoration(prefix, change),
             });
@@ -93,7 +95,12 @@
         const configuration = watchPrefix(source.configurationPrefix, WATCH_TIMEOUT_MS, event =>
             this.applyConfiguration(event),
         );
-        const targets = watchPrefix(source.targetPrefix, WATCH_TIMEOUT_MS, event => this.applyTarget(event, targets));
+        const targets: StoreView = watchPrefix(
+            source.targetPrefix,
+            WATCH_TIMEOUT_MS,
+            event => this.applyTarget(event, targets),
+            LAPSE_GRACE_MS,
+        );
         const closedZones: StoreView = watchPrefix(source.closedZonePrefix, WATCH_TIMEOUT_MS, () =>
             this.applyZones(closedZones),
         );
--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -18,6 +18,8 @@
     readonly prefix: string;
     /** Waiting time of one watch call. */
     readonly watchMilliseconds?: number;
+    /** Time in milliseconds after a restoration in which lost changes are written again; 5,000 by default. */
+    readonly settleMilliseconds?: number;
     /** Called when calls begin to fail and when they succeed again. */
     readonly onAvailability?: (change: AvailabilityChange) => void;
     /** Called when the store was restored from a copy, and when the view agrees with it again. */
@@ -53,7 +55,10 @@
  * Time in milliseconds after a restoration for which the view waits until lost changes are written again. Writers that
  * renew their objects do so at least every few seconds.
  */
-const SETTLE_MS = 5_000;
+const DEFAULT_SETTLE_MS = 5_000;
+
+/** Pause in milliseconds before the state that the view settles on is listed again after a failed call. */
+const SETTLE_RETRY_MS = 500;
 
 /** Maximum number of removed keys whose versions are kept. */
 const MAXIMUM_REMOVED = 10_000;
@@ -72,8 +77,8 @@
     /** Revision of the copy; undefined before the first list. */
     private revision: number | undefined;
     private era: StoreEra | undefined;
-    /** Revision of the store when this view first listed it in the current era. */
-    private restoredRevision = 0;
+    /** Versions of the keys that were removed in earlier eras, while the view settles. */
+    private readonly removedEarlier = new Map<string, number>();
     /** What the store shows of the keys in which it is not believed yet; undefined for keys that it lacks. */
     private readonly withheld = new Map<string, StoredObject | undefined>();
     private settleTimer: NodeJS.Timeout | undefined;
@@ -147,13 +152,16 @@
         if (outcome.kind === "unavailable") return this.fail(outcome.message);
         this.recover();
         const isRestored = this.era !== undefined && outcome.era > this.era;
-        if (isRestored) this.beginEra(outcome.revision);
+        if (isRestored) this.beginEra();
         else if (outcome.revision < (this.revision ?? 0)) return "succeeded";
         this.era = outcome.era;
-        this.reconcile(outcome);
+        try {
+            this.reconcile(outcome);
+        } finally {
+            if (isRestored) this.reportRestoration("restored");
+        }
         this.revision = outcome.revision;
         this.resolveReady();
-        if (isRestored) this.reportRestoration("restored");
         return "succeeded";
     }
 
@@ -171,13 +179,13 @@
     }
 
     /** Forgets all versions and revisions, which the store gives out again. */
-    private beginEra(revision: number): void {
-        this.restoredRevision = revision;
+    private beginEra(): void {
+        this.revision = undefined;
         for (const [key, object] of this.objectsByKey) this.objectsByKey.set(key, { ...object, version: 0 });
-        for (const key of this.removed.keys()) this.removed.set(key, 0);
+        for (const [key, version] of this.removed) this.removedEarlier.set(key, version);
+        this.removed.clear();
         this.withheld.clear();
-        clearTimeout(this.settleTimer);
-        this.settleTimer = setTimeout(() => this.settle(), SETTLE_MS);
+        this.scheduleSettlement(this.options.settleMilliseconds ?? DEFAULT_SETTLE_MS);
     }
 
     /** Applies a list. While the view settles, only what was written since the restoration is taken for news. */
@@ -192,22 +200,35 @@
         }
         for (const object of objects) {
             const { key, version } = object;
-            const isFromCopy = isSettling && version <= this.restoredRevision;
-            if (isFromCopy && this.removed.has(key)) this.withheld.set(key, object);
+            // A copy that still has the object shows no later version of it than the one that was removed.
+            if (version <= (this.removedEarlier.get(key) ?? 0)) this.withheld.set(key, object);
             else this.apply({ key, object });
         }
     }
 
-    /** Believes the store in what no later change has confirmed or refuted. */
-    private settle(): void {
+    private scheduleSettlement(milliseconds: number): void {
+        clearTimeout(this.settleTimer);
+        this.settleTimer = setTimeout(
+            () => void this.settle().catch((error: unknown) => this.fail(describeError(error))),
+            milliseconds,
+        );
+    }
+
+    /** Believes the store, as it is now, in what no later change has confirmed or refuted. */
+    private async settle(): Promise<void> {
+        const outcome = await this.options.store.list(this.options.prefix);
+        if (this.stopped) return;
+        if (outcome.kind !== "listed" || outcome.era !== this.era) {
+            this.scheduleSettlement(SETTLE_RETRY_MS);
+            return;
+        }
         this.settleTimer = undefined;
+        this.removedEarlier.clear();
         this.reportRestoration("settled");
-        for (const [key, object] of [...this.withheld]) {
-            try {
-                this.apply(object === undefined ? { key } : { key, object });
-            } catch (error) {
-                this.fail(describeError(error));
-            }
+        const objects = new Map(outcome.objects.map(object => [object.key, object]));
+        for (const key of [...this.withheld.keys()]) {
+            const object = objects.get(key);
+            this.apply(object === undefined ? { key } : { key, object });
         }
     }
 
@@ -251,6 +272,7 @@
         } else {
             if (object.version <= knownVersion) return;
             this.removed.delete(key);
+            this.removedEarlier.delete(key);
             this.objectsByKey.set(key, object);
         }
         const mayBeOlder = known?.version === 0;
--- a/test/gateway/restoredstore.test.ts
+++ b/test/gateway/restoredstore.test.ts
@@ -220,4 +220,18 @@
             3_000,
         );
     });
+
+    it("the opening of a zone, which is closed anew at once: closes it in time", async () => {
+        deployment = await Deployment.start({ bookings: 2 });
+        const { platform } = deployment;
+        deployment.register("bookings", "bookings-1", { Zone: "west" });
+        platform.put(KIND.closedZones, "west", {});
+        await vi.waitFor(() => expect(eligible()).toEqual(["bookings-0"]), APPLY_MS);
+        platform.takeCopy();
+        platform.remove(KIND.closedZones, "west");
+        await vi.waitFor(() => expect(eligible()).toHaveLength(2), APPLY_MS);
+        platform.restore();
+        platform.put(KIND.closedZones, "west", {});
+        await vi.waitFor(() => expect(eligible()).toEqual(["bookings-0"]), APPLY_MS);
+    });
 });
