Register again as soon as any view has seen a restoration

Cause: only the view of the gateways led to a new registration. It waits for up to 10 s on a connection that died silently, while the other gateways count without this one after 5 s.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -132,9 +132,9 @@
 
     /** What this gateway wrote may be lost, so it writes it again. */
     private handleRestoration(prefix: string, { kind, era, missing, reappeared }: RestorationChange): void {
-        const { source, peers, onChange } = this.options;
+        const { peers, onChange } = this.options;
         onChange(`store ${kind}`, { prefix, era, missing: logged(missing), reappeared: logged(reappeared) });
-        if (kind === "restored" && prefix === source.gatewayPrefix) peers.registerAgain();
+        if (kind === "restored") peers.registerAgain();
     }
 
     private applyConfiguration(event: StoreEvent): void {
