Move what the queue of a stage service depends on into a module of its own

Ruled out: moving the decisions of the queue, which share its state.

Change: the type is in stages/queueenvironment. Moved, not changed.

--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -6,7 +6,7 @@
  */
 import type { StageCapacity } from "../gateway/configuration.js";
 import type { PieceAnswer } from "../gateway/dialect.js";
-import type { Target, TargetDirectory } from "../gateway/target.js";
+import type { Target } from "../gateway/target.js";
 import { runInBackground } from "../model/background.js";
 import { RetryBudget } from "../routing/index.js";
 import {
@@ -23,32 +23,12 @@
 } from "./batch.js";
 import { InputUse } from "./inputuse.js";
 import { Overload } from "./overload.js";
-import { abandonedResults, type CallOutcome, unmadePieces } from "./piececall.js";
+import { abandonedResults, unmadePieces } from "./piececall.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
+import type { StageQueueEnvironment } from "./queueenvironment.js";
 import { ReleaseBatcher } from "./releasebatcher.js";
 import { TargetTracker } from "./targettracker.js";
 
-/** What a queue depends on. */
-export interface StageQueueEnvironment {
-    readonly targets: TargetDirectory;
-    /** Asks a target to make pieces. `onSent` is called when the connection is established. */
-    readonly callForPieces: (
-        target: Target,
-        pieces: readonly PieceJob[],
-        timeoutMs: number,
-        onSent: () => void,
-    ) => Promise<CallOutcome>;
-    /** Tells a target that results are no longer needed. Resolves to the reason of a failure. */
-    readonly releaseResults: (target: Target, handles: readonly string[]) => Promise<string | undefined>;
-    /** The target that holds a result; undefined when it is not registered. */
-    readonly holderOf: (handle: string) => Target | undefined;
-    /** The last capacity that was configured; undefined until the service is. */
-    readonly capacity: () => StageCapacity | undefined;
-    /** Called with results that calls in progress have read and nothing else needs. */
-    readonly onInputsRead: (handles: readonly string[]) => void;
-    readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
-}
-
 /** Number of unsuccessful calls after which a piece is lost. */
 const MAXIMUM_CALLS_PER_PIECE = 3;
 
