Wait anew when the store is restored again while a view settles

What callers would see: the fault that the wait is to prevent, after two restorations in a row: a zone that is opened although it was closed, a target that is dropped, since the second copy is believed at once.

Cause: a view lists the store before it settles. If the store was restored again before that list was answered, the answer was taken for the end of the second time, which had just begun, or replaced its timer by a short one.

Evidence: the new test failed before: an object that the second copy lacks is removed at once.

Ruled out: cancelling the list. Its answer can be on its way already.

Change: what comes of a list that belongs to an earlier era is ignored.

--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -216,9 +216,11 @@
 
     /** Believes the store, as it is now, in what no later change has confirmed or refuted. */
     private async settle(): Promise<void> {
+        const { era } = this;
         const outcome = await this.options.store.list(this.options.prefix);
-        if (this.stopped) return;
-        if (outcome.kind !== "listed" || outcome.era !== this.era) {
+        // A further restoration has begun a time of its own.
+        if (this.stopped || this.era !== era) return;
+        if (outcome.kind !== "listed" || outcome.era !== era) {
             this.scheduleSettlement(SETTLE_RETRY_MS);
             return;
         }
--- a/test/store/restoredview.test.ts
+++ b/test/store/restoredview.test.ts
@@ -1,7 +1,7 @@
 /** A view of a store that was restored from a copy: what it believes, and when. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { StandInStore } from "../../src/standins/index.js";
-import { StoreView } from "../../src/store/index.js";
+import { type ListOutcome, type Store, StoreView } from "../../src/store/index.js";
 
 const SETTLE_MS = 3_000;
 
@@ -67,3 +67,48 @@
     expect(view.objects.get("p/old")?.value).toBe("3");
     view.stop();
 });
+
+/** A store whose lists can be held up. */
+function delayLists(store: Store): { readonly store: Store; hold: boolean; release: () => void } {
+    let release = (): void => undefined;
+    const released = new Promise<void>(resolve => (release = resolve));
+    const delayed = {
+        hold: false,
+        release,
+        store: {
+            ...store,
+            list: async (prefix: string): Promise<ListOutcome> => {
+                if (delayed.hold) await released;
+                return store.list(prefix);
+            },
+        },
+    };
+    return delayed;
+}
+
+// Guards against a view that believes a second copy at once, as it is about to settle on the first.
+it("waits anew when the store is restored again while the view settles", async () => {
+    const standIn = StandInStore.create();
+    const writer = standIn.client("writer");
+    await writer.write("p/old", "1", 0);
+    await vi.advanceTimersByTimeAsync(10_000);
+    const delayed = delayLists(standIn.client("view"));
+    const view = StoreView.start({ store: delayed.store, prefix: "p/", settleMilliseconds: SETTLE_MS });
+    await vi.advanceTimersByTimeAsync(0);
+    standIn.restore(1_000);
+    await vi.advanceTimersByTimeAsync(1_000);
+    delayed.hold = true;
+    await vi.advanceTimersByTimeAsync(SETTLE_MS);
+    await writer.write("p/new", "1", 0);
+    await vi.advanceTimersByTimeAsync(100);
+    expect([...view.objects.keys()]).toContain("p/new");
+    delayed.hold = false;
+    standIn.restore(1_000);
+    await vi.advanceTimersByTimeAsync(500);
+    delayed.release();
+    await vi.advanceTimersByTimeAsync(SETTLE_MS - 1_000);
+    expect([...view.objects.keys()]).toContain("p/new");
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect([...view.objects.keys()]).toEqual(["p/old"]);
+    view.stop();
+});
