Settle a view in all objects although a listener throws

What operators would see: objects that the store has lost for good and that stay in use at one gateway for ever.

Cause: an exception of a listener ended the settling of a view after the first object, with nothing that goes on with the others.

Evidence: the new test failed before: two of three lost objects were still there 10 s after the time for writing again.

Ruled out: one boundary for each object. The exception is to be reported as the reason of a lost store, and a pause after it is wanted.

Change: the view settles again after a pause, in the objects that are left.

Result: the tests of stores, restored stores, the registry, roll-outs and odd entries pass.

--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -208,10 +208,18 @@
 
     private scheduleSettlement(milliseconds: number): void {
         clearTimeout(this.settleTimer);
-        this.settleTimer = setTimeout(
-            () => void this.settle().catch((error: unknown) => this.fail(describeError(error))),
-            milliseconds,
-        );
+        this.settleTimer = setTimeout(() => void this.settleOrRetry(), milliseconds);
+    }
+
+    /** An exception of a listener must not leave the other objects as they are. */
+    private async settleOrRetry(): Promise<void> {
+        const { era } = this;
+        try {
+            await this.settle();
+        } catch (error) {
+            this.fail(describeError(error));
+            if (!this.stopped && this.era === era) this.scheduleSettlement(SETTLE_RETRY_MS);
+        }
     }
 
     /** Believes the store, as it is now, in what no later change has confirmed or refuted. */
@@ -224,14 +232,14 @@
             this.scheduleSettlement(SETTLE_RETRY_MS);
             return;
         }
-        this.settleTimer = undefined;
-        this.removedEarlier.clear();
         this.reportRestoration("settled");
         const objects = new Map(outcome.objects.map(object => [object.key, object]));
         for (const key of [...this.withheld.keys()]) {
             const object = objects.get(key);
             this.apply(object === undefined ? { key } : { key, object });
         }
+        this.settleTimer = undefined;
+        this.removedEarlier.clear();
     }
 
     private reportRestoration(kind: RestorationChange["kind"]): void {
--- a/test/store/restoredview.test.ts
+++ b/test/store/restoredview.test.ts
@@ -112,3 +112,18 @@
     expect([...view.objects.keys()]).toEqual(["p/old"]);
     view.stop();
 });
+
+// Guards against objects that are kept for ever, as a listener has thrown while the view settled.
+it("settles in all objects although a listener throws", async () => {
+    const { standIn, view } = await follow();
+    const writer = standIn.client("writer");
+    for (const key of ["p/a", "p/b", "p/c"]) await writer.write(key, "1", 0);
+    await vi.advanceTimersByTimeAsync(100);
+    view.subscribe(({ object }) => {
+        if (object === undefined) throw new Error("listener");
+    });
+    standIn.restore(5_000);
+    await vi.advanceTimersByTimeAsync(SETTLE_MS + 10_000);
+    expect([...view.objects.keys()]).toEqual(["p/old"]);
+    view.stop();
+});
