Log which target is to follow a silent one, and why none does

A stream that ends after its target was silent left no trace of what was to follow, nor of what kept the next attempt from being sent. The two lines tell a declined next attempt from one that a planned stop, a trial or a missing target prevented.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -154,6 +154,7 @@
             const target = await this.chooseTarget(inputs);
             const stopHoldBack = this.stopHoldBack(this.context.attemptTimes.usualMs(this.request.route.name));
             if (stopHoldBack !== undefined) {
+                if (this.count > 0) this.logNoFurtherAttempt(stopHoldBack.reason);
                 this.lastHoldBack = stopHoldBack;
                 return undefined;
             }
@@ -177,6 +178,7 @@
                 return true;
             }
             const isOver = signal.aborted || performance.now() >= waitUntil;
+            if (this.count > 0 && (admission.kind !== "trial" || isOver)) this.logNoFurtherAttempt(admission.kind);
             if (admission.kind === "trial" && !isOver) {
                 await pause(TARGET_RECHECK_MS);
                 continue;
@@ -242,7 +244,10 @@
             }
             const chosen = this.bestTarget(untried.length > 0 ? untried : usable, inputs);
             if (chosen !== undefined) return chosen;
-            if (performance.now() >= waitUntil) return undefined;
+            if (performance.now() >= waitUntil) {
+                if (this.count > 0) this.logNoFurtherAttempt("no target");
+                return undefined;
+            }
             await pause(TARGET_RECHECK_MS);
         }
     }
@@ -263,7 +268,10 @@
      */
     mayAbandon(target: Target, inputs: readonly StageResult[]): boolean {
         const obstacle = this.reserveOtherTarget(inputs);
-        if (obstacle === undefined) return true;
+        if (obstacle === undefined) {
+            this.logDecision("silent attempt left", target, { next: this.reservedTarget?.name });
+            return true;
+        }
         if (!this.isSilenceRecorded) {
             this.context.targets.recordSilent(target);
             this.logDecision("silent attempt continues", target, { reason: obstacle });
@@ -426,6 +434,10 @@
         return true;
     }
 
+    private logNoFurtherAttempt(reason: string): void {
+        this.context.onDecision("no further attempt", { id: this.request.metadata.requestId, reason });
+    }
+
     private logDecision(decision: string, target: Target, fields: Readonly<Record<string, unknown>>): void {
         this.context.onDecision(decision, { id: this.request.metadata.requestId, target: target.name, ...fields });
     }
