Keep a silent attempt until another target has begun to answer

Callers got part of a stream and then the end of the connection, well before the deadline, although the target that had been silent for a moment would have sent the rest.

Cause: the silence ended the attempt as soon as another target and a retry were reserved. What came after asked for more: the other target may decline, break, fail or be silent itself, be replaced, or find that a planned stop leaves no time. Each of these ended a stream whose first target was still good.

Now the request of a silent target is sent to another one as well, and the attempt that has the next event first goes on; the other one is left. Both run for 300 ms at most, since a target that is at work 400 ms after another one has got the request counts as a second run. If neither has an event by then, the second one is left, or the first if it has been silent for 2 s, refuses connections or is no longer registered. So silence ends no attempt unless another one is in progress, and nothing that the other target does ends it either.

"no attempt is left" still holds: a target that broke the request does not get it again.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -18,7 +18,6 @@
 import { parseSocketAddress } from "../model/address.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
-import { startSilenceTimeout } from "./silence.js";
 
 /** The request to send. */
 export interface AttemptRequest {
@@ -97,8 +96,6 @@
     readonly signal: AbortSignal;
     /** Maximum wait in milliseconds for the response head; undefined for the whole deadline. */
     readonly headTimeoutMs?: number | undefined;
-    /** Whether the attempt may end because the peer is silent, asked until it may; undefined if it always may. */
-    readonly mayAbandon?: (() => boolean) | undefined;
     /** Called when the connection is open and the request is about to be sent. */
     readonly onConnected?: () => void;
 }
@@ -221,11 +218,7 @@
         const cancelHeadTimeout =
             limits.headTimeoutMs === undefined
                 ? undefined
-                : startSilenceTimeout(
-                      () => finish({ kind: "broken", reason: NO_ANSWER_IN_TIME }),
-                      limits.headTimeoutMs,
-                      limits.mayAbandon,
-                  );
+                : startTimeout(() => finish({ kind: "broken", reason: NO_ANSWER_IN_TIME }), limits.headTimeoutMs);
         let headBytes = 0;
         const countHeadBytes = (chunk: Buffer): void => {
             headBytes += chunk.length;
@@ -347,11 +340,7 @@
             const armStallTimer = (): void => {
                 if (options.stallTimeoutMs === undefined) return;
                 cancelStallTimeout();
-                cancelStallTimeout = startSilenceTimeout(
-                    () => finish({ kind: "stalled" }),
-                    options.stallTimeoutMs,
-                    options.mayAbandon,
-                );
+                cancelStallTimeout = startTimeout(() => finish({ kind: "stalled" }), options.stallTimeoutMs);
             };
             const onEnd = (): void =>
                 finish(
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -4,10 +4,9 @@
  */
 import { pause } from "../model/pause.js";
 import type { StageResult } from "../stages/index.js";
-import { type AttemptOutcome, HEAD_TOO_LONG, NO_ANSWER_IN_TIME, refusesConnections, sendAttempt } from "./attempt.js";
+import { type AttemptOutcome, HEAD_TOO_LONG, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
 import { RequestRetries } from "./requestretries.js";
-import { firstEventTimeoutMs } from "./streamtimeouts.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
@@ -44,6 +43,8 @@
     readonly inputs: readonly StageResult[];
     /** Id of the event after which an interrupted stream is resumed. */
     readonly lastEventId?: string | undefined;
+    /** Ends the attempt; by default the signal of the request. */
+    readonly signal?: AbortSignal;
 }
 
 /** The attempts of one request. */
@@ -57,13 +58,16 @@
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
     private readonly retries: RequestRetries;
-    /** The target to which the request moves from a silent one. */
-    private reservedTarget: Target | undefined;
+    /** Names of the targets that may have run the request. */
+    private readonly runNames = new Set<string>();
+    /** Names of those that were left before they had begun to answer, and that may get the request again. */
+    private readonly leftNames = new Set<string>();
     /** Whether results that every attempt needs are gone. */
     private areInputsReleased = false;
-    /** Whether the silence of the attempt in progress was recorded. */
-    private isSilenceRecorded = false;
-    private sentAt: number | undefined;
+    /** What was last in the way of another attempt beside a silent one. */
+    private loggedObstacle: string | undefined;
+    /** Monotonic time in milliseconds at which the attempt was sent that serves the request. */
+    private servedSentAt: number | undefined;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -120,10 +124,10 @@
 
     /** Records how long a request took that was served. */
     recordTimes(): void {
-        const { context, request, sentAt } = this;
+        const { context, request, servedSentAt } = this;
         const now = performance.now();
         context.requestTimes.record(request.route.name, now - request.receivedAt);
-        if (sentAt !== undefined) context.attemptTimes.record(request.route.name, now - sentAt);
+        if (servedSentAt !== undefined) context.attemptTimes.record(request.route.name, now - servedSentAt);
     }
 
     private suspectHoldBack(admission: Admission, retryAfterMs: number): HoldBack {
@@ -195,9 +199,10 @@
         this.trial = undefined;
     }
 
-    /** Records that a target has served the request: it responded completely, or with the first event. */
-    recordServed(): void {
+    /** Records that a target has served the request that was sent at that time: with its response, or the first event. */
+    recordServed(sentAt: number): void {
         this.hasBeenServed = true;
+        this.servedSentAt = sentAt;
         this.context.suspects.recordServed(this.request.traits);
         this.endTrial();
     }
@@ -233,9 +238,6 @@
         for (;;) {
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
-            const reserved = usable.find(target => target === this.reservedTarget);
-            this.reservedTarget = undefined;
-            if (reserved !== undefined) return reserved;
             const untried = usable.filter(target => !this.triedNames.has(target.name));
             const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
@@ -262,38 +264,45 @@
             : leastLoadedTarget(allowed, context.zone, Math.random);
     }
 
-    /**
-     * Whether the request leaves a silent target. It does so only for another target, which is reserved together with a
-     * retry: a silent target may go on, so that leaving it for nothing would take the answer from the caller.
-     */
-    mayAbandon(target: Target, inputs: readonly StageResult[]): boolean {
-        const obstacle = this.reserveOtherTarget(inputs);
-        if (obstacle === undefined) {
-            this.logDecision("silent attempt left", target, { next: this.reservedTarget?.name });
-            return true;
+    /** Records that an attempt was left for another one, before its target had begun to answer. */
+    recordLeft(target: Target): void {
+        this.leftNames.add(target.name);
+    }
+
+    /** Another target than a silent one, to which the request may be sent as well; the request then holds a retry. */
+    otherTarget(silent: Target, inputs: readonly StageResult[]): Target | undefined {
+        const found = this.findOtherTarget(silent, inputs);
+        if (found.kind === "found") {
+            this.retries.take();
+            return found.target;
         }
-        if (!this.isSilenceRecorded) {
-            this.context.targets.recordSilent(target);
-            this.logDecision("silent attempt continues", target, { reason: obstacle });
+        if (found.obstacle !== this.loggedObstacle) {
+            this.logDecision("silent attempt continues", silent, { reason: found.obstacle });
         }
-        this.isSilenceRecorded = true;
-        return false;
+        this.loggedObstacle = found.obstacle;
+        return undefined;
     }
 
-    /** Reserves another target and a retry. Returns what is in the way, if the request cannot move on. */
-    private reserveOtherTarget(inputs: readonly StageResult[]): string | undefined {
+    private findOtherTarget(
+        silent: Target,
+        inputs: readonly StageResult[],
+    ): { readonly kind: "found"; readonly target: Target } | { readonly kind: "none"; readonly obstacle: string } {
         const { request, context } = this;
-        if (this.areInputsReleased) return "results of stages are released";
-        if (!this.hasAttemptLeft()) return "no attempt is left";
-        if (!this.retries.available()) return "no retry is left";
+        const none = (obstacle: string) => ({ kind: "none", obstacle }) as const;
+        if (this.areInputsReleased) return none("results of stages are released");
+        if (!this.hasTimeLeft()) return none("no time is left");
+        if (!this.retries.available()) return none("no retry is left");
+        if (this.declinedCount > MAXIMUM_DECLINES) return none("targets decline");
+        if (this.stopHoldBack(context.attemptTimes.usualMs(request.route.name)) !== undefined) return none(STOPPING);
         const { kind } = context.suspects.admission(request.traits);
-        if (kind !== "admitted" && this.trial === undefined) return "request may crash targets";
-        const usable = context.targets.usable(request.service);
-        const untried = usable.filter(({ name }) => !this.triedNames.has(name));
-        this.reservedTarget = this.bestTarget(untried, inputs);
-        if (this.reservedTarget === undefined) return "no other target";
-        this.retries.take();
-        return undefined;
+        if (kind !== "admitted" && this.trial === undefined) return none("request may crash targets");
+        const others = context.targets.usable(request.service).filter(target => target !== silent);
+        const untried = others.filter(({ name }) => !this.triedNames.has(name));
+        const left = others.filter(({ name }) => this.leftNames.has(name));
+        const isAttemptLeft = this.runNames.size < request.route.maximumAttempts;
+        const target = this.bestTarget(isAttemptLeft && untried.length > 0 ? untried : left, inputs);
+        if (target !== undefined) return { kind: "found", target };
+        return none(isAttemptLeft ? "no other target" : "no attempt is left");
     }
 
     /** Zone of the target that will probably get the request. */
@@ -304,7 +313,7 @@
     }
 
     /** Sends the request to a target. */
-    send(target: Target, { inputs, lastEventId }: AttemptOptions): Promise<AttemptOutcome> {
+    send(target: Target, { inputs, lastEventId, signal }: AttemptOptions): Promise<AttemptOutcome> {
         const { context, request } = this;
         const { route, metadata, body } = request;
         const headers = context.dialect.attemptHeaders(request.rawHeaders, {
@@ -318,10 +327,9 @@
         if (body !== undefined) headers.push("content-length", String(body.length));
         this.count += 1;
         this.retries.recordAttempt();
-        this.isSilenceRecorded = false;
-        this.sentAt = performance.now();
         this.markSent();
         this.triedNames.add(target.name);
+        this.runNames.add(target.name);
         context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
         if (route.streaming) context.prefixCaches.recordSent(target.name, metadata.promptParts);
@@ -334,9 +342,7 @@
         };
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
-            signal: request.signal,
-            headTimeoutMs: route.streaming && route.idempotent ? firstEventTimeoutMs(route) : undefined,
-            mayAbandon: () => this.mayAbandon(target, inputs),
+            signal: signal ?? request.signal,
         });
     }
 
@@ -362,21 +368,19 @@
         if (outcome.kind === "unreachable" || ("sent" in outcome && !outcome.sent)) this.retries.recordNothingSent();
         switch (outcome.kind) {
             case "unreachable":
-                this.count -= 1;
+                this.recordNotRun(target);
                 targets.recordUnreachable(target);
                 this.logDecision("target unreachable", target, { reason: outcome.reason });
                 return "again";
             case "unsendable":
-                this.count -= 1;
+                this.recordNotRun(target);
                 targets.recordInconclusive(target);
                 this.logDecision("request not sendable", target, { reason: outcome.reason });
                 return { outcome: "rejected", status: 400, reason: "request cannot be sent" };
             case "broken":
                 targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
-                if (outcome.reason !== NO_ANSWER_IN_TIME && outcome.reason !== HEAD_TOO_LONG) {
-                    await this.checkForCrash(target, false);
-                }
+                if (outcome.reason !== HEAD_TOO_LONG) await this.checkForCrash(target, false);
                 return { outcome: "failed", status: 502, reason: outcome.reason };
             case "expired":
                 if (outcome.sent) targets.recordExpired(target, this.request.route.name);
@@ -392,13 +396,18 @@
 
     /** Records that a target declined the request: it states that it has not run it. */
     handleDeclined(target: Target, wrongTarget: boolean): void {
-        this.count -= 1;
+        this.recordNotRun(target);
         this.declinedCount += 1;
         this.context.targets.recordInconclusive(target);
         if (wrongTarget) this.context.targets.recordUnreachable(target);
         this.logDecision("attempt declined", target, { wrongTarget });
     }
 
+    private recordNotRun(target: Target): void {
+        this.count -= 1;
+        this.runNames.delete(target.name);
+    }
+
     /** Whether a request that no target has run may be sent to another one; if so, it holds a retry. */
     mayTryAnotherTarget(): boolean {
         return this.declinedCount <= MAXIMUM_DECLINES && this.takeRetry();
@@ -411,8 +420,13 @@
 
     /** Whether a request that a target may have run may be sent once more, within the retry budget. */
     private hasAttemptLeft(): boolean {
-        const { route, signal, deadline } = this.request;
+        const { route } = this.request;
         if (!route.idempotent || this.areInputsReleased || this.count >= route.maximumAttempts) return false;
+        return this.hasTimeLeft();
+    }
+
+    private hasTimeLeft(): boolean {
+        const { signal, deadline } = this.request;
         return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
     }
 
@@ -438,7 +452,8 @@
         this.context.onDecision("no further attempt", { id: this.request.metadata.requestId, reason });
     }
 
-    private logDecision(decision: string, target: Target, fields: Readonly<Record<string, unknown>>): void {
+    /** Logs a decision on the request at a target. */
+    logDecision(decision: string, target: Target, fields: Readonly<Record<string, unknown>>): void {
         this.context.onDecision(decision, { id: this.request.metadata.requestId, target: target.name, ...fields });
     }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -14,12 +14,12 @@
 import { Attempts, STOPPING } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestMetadata } from "./dialect.js";
-import { failResponse, StreamWriter } from "./delivery.js";
+import { failResponse } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
 import { Reply } from "./reply.js";
-import { inputsGone, isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
+import { isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
-import { forwardStream } from "./streamforwarding.js";
+import { StreamExchange } from "./streamexchange.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
 import { lazyTraitsOf } from "./suspects.js";
@@ -290,7 +290,7 @@
                 if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
                 continue;
             }
-            attempts.recordServed();
+            attempts.recordServed(startedAt);
             if (attempt.head.status >= 500) {
                 this.context.targets.recordFailure(target, request.route.name);
                 errorResponse = { head: attempt.head, bytes };
@@ -309,107 +309,24 @@
         return this.endUnsent(request, attempts);
     }
 
-    /**
-     * Serves a generation: events are forwarded as they arrive, and a broken stream is resumed if the route allows it.
-     */
-    private async serveStream(
+    private serveStream(
         request: RoutedRequest,
         attempts: Attempts,
         inputs: readonly StageResult[],
         releaseInputs: () => void,
     ): Promise<ExchangeResult> {
-        const writer = new StreamWriter(this.response, request.metadata.lastEventId, () =>
-            this.context.closesConnections(),
-        );
-        let failure: ExchangeResult | undefined;
-        while (failure === undefined || attempts.mayRetry()) {
-            const target = await attempts.nextTarget(inputs);
-            if (target === undefined) break;
-            const promptTokens = attempts.uncachedTokens(target);
-            const startedAt = performance.now();
-            const attempt = await attempts.send(target, {
-                inputs,
-                lastEventId: writer.lastDeliveredEventId,
-            });
-            if (attempt.kind !== "answered") {
-                this.context.targets.recordPromptRead(target, promptTokens);
-                const unanswered = await attempts.handleUnanswered(target, attempt);
-                if (unanswered === "again") continue;
-                if (isFinal(unanswered)) {
-                    return this.endBrokenStream(
-                        writer,
-                        failure === undefined ? unanswered : withoutRefusalStatus(unanswered),
-                    );
-                }
-                failure = unanswered;
-                continue;
-            }
-            const responseMetadata = this.context.dialect.readResponse(attempt.head.status, attempt.head.headers);
-            this.context.targets.recordReport(target, responseMetadata);
-            if (!isResponseTo(request, responseMetadata)) {
-                attempt.body.discard();
-                this.context.targets.recordPromptRead(target, promptTokens);
-                this.context.targets.recordEnded(target);
-                this.context.targets.recordFailure(target, request.route.name);
-                failure = { outcome: "failed", status: 502, reason: "answer of another" };
-                continue;
-            }
-            if (attempt.head.status !== 200) {
-                const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
-                this.context.targets.recordPromptRead(target, promptTokens);
-                this.context.targets.recordEnded(target);
-                if (responseMetadata.notExecuted) {
-                    if (attempt.head.status === 409) return this.endBrokenStream(writer, failure ?? inputsGone());
-                    attempts.handleDeclined(target, responseMetadata.wrongTarget);
-                    if (failure === undefined && !attempts.mayTryAnotherTarget()) break;
-                    continue;
-                }
-                if (attempt.head.status >= 500) this.context.targets.recordFailure(target, request.route.name);
-                failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
-                const isLastAttempt = !attempts.mayRetry();
-                if (outcome.kind === "complete" && isLastAttempt && !writer.started) {
-                    return this.reply.forward(attempt.head, bytes);
-                }
-                continue;
-            }
-            let hasEvent = false;
-            const onFirstEvent = (): void => {
-                hasEvent = true;
-                attempts.recordServed();
-                this.firstEventMs ??= performance.now() - this.receivedAt;
-                this.context.firstEventTimes.record(request.route.name, performance.now() - startedAt);
-                this.context.targets.recordPromptRead(target, promptTokens);
-                releaseInputs();
-                attempts.recordInputsReleased(inputs);
-                this.context.targets.recordSuccess(
-                    target,
-                    (performance.now() - startedAt) / request.route.latencyObjectiveMs,
-                    request.route.name,
-                );
-            };
-            const streamFailure = await forwardStream(request, target, attempt.head, attempt.body, writer, {
-                onFirstEvent,
-                mayAbandon: () => attempts.mayAbandon(target, inputs),
-            });
-            this.context.targets.recordPromptRead(target, promptTokens);
-            this.context.targets.recordEnded(target);
-            if (streamFailure === undefined) return { outcome: "answered", status: 200, reason: "complete" };
-            if (streamFailure.outcome === "cancelled" || streamFailure.outcome === "expired") {
-                return this.endBrokenStream(writer, streamFailure);
-            }
-            this.context.targets.recordFailure(target, request.route.name);
-            this.context.onDecision("stream broken", {
-                id: request.metadata.requestId,
-                target: target.name,
-                reason: streamFailure.reason,
-                delivered: writer.lastDeliveredEventId,
-                parts: attempts.loggedParts,
-            });
-            if (!hasEvent) await attempts.checkForCrash(target, true);
-            failure = streamFailure;
-        }
-        if (failure !== undefined) return this.endBrokenStream(writer, failure);
-        return this.endUnsent(request, attempts);
+        return StreamExchange.serve({
+            context: this.context,
+            request,
+            attempts,
+            inputs,
+            releaseInputs,
+            response: this.response,
+            reply: this.reply,
+            isCutByStop: () => this.isCutByStop,
+            onFirstEvent: milliseconds => (this.firstEventMs ??= milliseconds),
+            endUnsent: () => this.endUnsent(request, attempts),
+        });
     }
 
     /** Refuses a request that no target has run. */
@@ -426,16 +343,4 @@
         if ((this.attempts?.count ?? 0) === 0) return this.reply.refuse(STOPPING, 0);
         return this.reply.respond("expired", 504, "gateway stops");
     }
-
-    /** Ends an incomplete stream: closes the connection if part of the stream was delivered. */
-    private endBrokenStream(writer: StreamWriter, result: ExchangeResult): ExchangeResult {
-        if (!writer.started) return this.reply.endWith(result);
-        if (this.isCutByStop) {
-            // What was written reaches the caller, which can resume the stream from there.
-            this.response.socket?.destroySoon();
-            return { ...result, outcome: "brokenOff", reason: "gateway stops" };
-        }
-        this.response.destroy();
-        return result.outcome === "cancelled" ? result : { ...result, outcome: "brokenOff" };
-    }
 }
--- /dev/null
+++ b/src/gateway/streamattempt.ts
@@ -0,0 +1,158 @@
+/** One attempt of a stream: from sending the request to a target until its answer ends. */
+import { withTimeout } from "../model/pause.js";
+import { type AttemptOutcome, type BodyOutcome, type ResponseHead, readBody } from "./attempt.js";
+import type { StreamWriter } from "./delivery.js";
+import type { ResponseMetadata } from "./dialect.js";
+import { isResponseTo } from "./results.js";
+import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
+import { forwardStream } from "./streamforwarding.js";
+import { eventGapTimeoutMs, firstEventTimeoutMs } from "./streamtimeouts.js";
+import type { Target } from "./target.js";
+
+/** Size limit in bytes of a response that is no stream. */
+const MAXIMUM_RESPONSE_BYTES = 4_194_304;
+
+/** How an attempt ended. */
+export type StreamAttemptEnd =
+    | { readonly kind: "complete" }
+    | { readonly kind: "unanswered"; readonly outcome: Exclude<AttemptOutcome, { kind: "answered" }> }
+    /** The target has sent the answer to another request. */
+    | { readonly kind: "misdirected" }
+    /** An answer with another status than 200. */
+    | {
+          readonly kind: "refused";
+          readonly head: ResponseHead;
+          readonly metadata: ResponseMetadata;
+          readonly outcome: BodyOutcome;
+          readonly bytes: Buffer;
+      }
+    /** The stream ended before its end. */
+    | { readonly kind: "incomplete"; readonly result: ExchangeResult }
+    /** The request goes on at another target. */
+    | { readonly kind: "left" };
+
+/** What an attempt depends on. */
+export interface StreamAttemptOptions {
+    readonly request: RoutedRequest;
+    readonly target: Target;
+    /** Prompt tokens that the target has to process. */
+    readonly promptTokens: number;
+    readonly writer: StreamWriter;
+    readonly send: (signal: AbortSignal) => Promise<AttemptOutcome>;
+    readonly readResponse: (head: ResponseHead) => ResponseMetadata;
+    /** Whether the attempt may write to the caller: another attempt may be in progress. */
+    readonly claim: (attempt: StreamAttempt) => boolean;
+    readonly onFirstEvent: (attempt: StreamAttempt) => void;
+}
+
+/** An attempt in progress. */
+export class StreamAttempt {
+    readonly startedAt = performance.now();
+    readonly ended: Promise<void>;
+    private heard = performance.now();
+    private hasHead = false;
+    /** Whether the caller's connection is full, so that nothing is read from the target. */
+    private isCallerBusy = false;
+    private hasEventValue = false;
+    private endValue: StreamAttemptEnd | undefined;
+    private readonly abortController = new AbortController();
+
+    private constructor(private readonly options: StreamAttemptOptions) {
+        const signal = AbortSignal.any([options.request.signal, this.abortController.signal]);
+        this.ended = this.run(signal).then(end => {
+            this.endValue ??= end;
+        });
+    }
+
+    static start(options: StreamAttemptOptions): StreamAttempt {
+        return new StreamAttempt(options);
+    }
+
+    get target(): Target {
+        return this.options.target;
+    }
+
+    get promptTokens(): number {
+        return this.options.promptTokens;
+    }
+
+    /** How the attempt ended; undefined while it is in progress. */
+    get end(): StreamAttemptEnd | undefined {
+        return this.endValue;
+    }
+
+    /** Whether an event was received. */
+    get hasEvent(): boolean {
+        return this.hasEventValue;
+    }
+
+    /** Monotonic time in milliseconds at which the target was last heard, or the request sent. */
+    get heardAt(): number {
+        return this.heard;
+    }
+
+    /** Time in milliseconds for which the target has sent nothing although the caller takes what it sends. */
+    get silentMs(): number {
+        return this.isCallerBusy ? 0 : performance.now() - this.heard;
+    }
+
+    /** Whether the target has been silent for longer than it usually is. */
+    get isSilent(): boolean {
+        return this.silentMs >= this.silenceTimeoutMs;
+    }
+
+    private get silenceTimeoutMs(): number {
+        const { route } = this.options.request;
+        return this.hasHead ? eventGapTimeoutMs(route) : firstEventTimeoutMs(route);
+    }
+
+    /** Resolves when the attempt has ended, or when its target is silent. */
+    async endedOrSilent(): Promise<void> {
+        while (this.end === undefined && !this.isSilent) {
+            await withTimeout(this.ended, Math.max(1, this.silenceTimeoutMs - this.silentMs), undefined);
+        }
+    }
+
+    /** Ends the attempt at once; nothing more of it is written. */
+    leave(): void {
+        this.endValue ??= { kind: "left" };
+        this.abortController.abort();
+    }
+
+    private async run(signal: AbortSignal): Promise<StreamAttemptEnd> {
+        const { request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
+        const outcome = await send(signal);
+        if (outcome.kind !== "answered") return { kind: "unanswered", outcome };
+        this.recordHeard();
+        this.hasHead = true;
+        const { head, body } = outcome;
+        const metadata = readResponse(head);
+        if (!isResponseTo(request, metadata)) {
+            body.discard();
+            return { kind: "misdirected" };
+        }
+        if (head.status !== 200) {
+            const limits = { deadline: request.deadline, signal };
+            return { kind: "refused", head, metadata, ...(await readBody(body, limits, MAXIMUM_RESPONSE_BYTES)) };
+        }
+        const result = await forwardStream(request, head, body, writer, {
+            targetName: target.name,
+            signal,
+            claim: () => this.end === undefined && claim(this),
+            onFirstEvent: () => {
+                this.hasEventValue = true;
+                onFirstEvent(this);
+            },
+            onChunk: () => this.recordHeard(),
+            onCallerBusy: isBusy => {
+                this.isCallerBusy = isBusy;
+                this.heard = performance.now();
+            },
+        });
+        return result === undefined ? { kind: "complete" } : { kind: "incomplete", result };
+    }
+
+    private recordHeard(): void {
+        this.heard = performance.now();
+    }
+}
--- /dev/null
+++ b/src/gateway/streamexchange.ts
@@ -0,0 +1,275 @@
+/**
+ * Serves a generation: forwards events as they arrive, and resumes a broken stream if the route allows it.
+ *
+ * A target that is silent may go on, so silence alone does not end its attempt: the request is sent to another target as
+ * well, and whichever sends the next event first goes on. Both work on the request for a short time only. A begun stream
+ * ends when it is complete, when its target breaks it and it cannot be resumed, at its deadline, when the caller leaves,
+ * or when a planned stop leaves no more time.
+ */
+import type { ServerResponse } from "node:http";
+import { withTimeout } from "../model/pause.js";
+import type { StageResult } from "../stages/index.js";
+import type { Attempts } from "./attempts.js";
+import { StreamWriter } from "./delivery.js";
+import type { GatewayContext } from "./gateway.js";
+import type { Reply } from "./reply.js";
+import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
+import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
+import { StreamAttempt, type StreamAttemptEnd } from "./streamattempt.js";
+import type { Target } from "./target.js";
+
+/**
+ * Time in milliseconds for which a request may be in progress at two targets. A target that works on a request 400 ms
+ * after it was sent to another one counts as a second run.
+ */
+const OVERLAP_LIMIT_MS = 300;
+
+/** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
+const LONG_SILENCE_MS = 2_000;
+
+/** Interval in milliseconds at which a silent attempt looks for another target. */
+const RECHECK_MS = 100;
+
+/** What a stream depends on. */
+export interface StreamExchangeOptions {
+    readonly context: GatewayContext;
+    readonly request: RoutedRequest;
+    readonly attempts: Attempts;
+    readonly inputs: readonly StageResult[];
+    readonly releaseInputs: () => void;
+    readonly response: ServerResponse;
+    readonly reply: Reply;
+    /** Whether a planned stop has left no more time. */
+    readonly isCutByStop: () => boolean;
+    /** Called with the time in milliseconds to the first event. */
+    readonly onFirstEvent: (milliseconds: number) => void;
+    /** Ends a request that was not sent. */
+    readonly endUnsent: () => ExchangeResult;
+}
+
+/** Two attempts in progress, of which one is to go on. */
+interface Contest {
+    readonly attempts: readonly [StreamAttempt, StreamAttempt];
+    readonly onWon: (winner: StreamAttempt) => void;
+}
+
+/** One stream. */
+export class StreamExchange {
+    private readonly writer: StreamWriter;
+    private failure: ExchangeResult | undefined;
+    private contest: Contest | undefined;
+    /** Whether two attempts were in progress for the longest time and neither went on. */
+    private hasOverlapped = false;
+    /** The attempt whose silence was recorded last. */
+    private lastSilent: StreamAttempt | undefined;
+
+    private constructor(private readonly options: StreamExchangeOptions) {
+        const { response, request, context } = options;
+        this.writer = new StreamWriter(response, request.metadata.lastEventId, () => context.closesConnections());
+    }
+
+    static serve(options: StreamExchangeOptions): Promise<ExchangeResult> {
+        return new StreamExchange(options).run();
+    }
+
+    private async run(): Promise<ExchangeResult> {
+        const { attempts, inputs, endUnsent } = this.options;
+        while (this.failure === undefined || attempts.mayRetry()) {
+            const target = await attempts.nextTarget(inputs);
+            if (target === undefined) break;
+            const attempt = await this.follow(this.start(target));
+            const hadFailed = this.failure !== undefined;
+            const result = await this.recordEnd(attempt);
+            if (result !== undefined) return result;
+            if (attempt.end?.kind === "refused" && attempt.end.metadata.notExecuted && !hadFailed) {
+                if (!attempts.mayTryAnotherTarget()) break;
+            }
+        }
+        return this.failure === undefined ? endUnsent() : this.endBroken(this.failure);
+    }
+
+    private start(target: Target): StreamAttempt {
+        const { context, request, attempts, inputs, releaseInputs, onFirstEvent } = this.options;
+        const { targets, dialect, firstEventTimes } = context;
+        const lastEventId = this.writer.lastDeliveredEventId;
+        return StreamAttempt.start({
+            request,
+            target,
+            promptTokens: attempts.uncachedTokens(target),
+            writer: this.writer,
+            send: signal => attempts.send(target, { inputs, lastEventId, signal }),
+            readResponse: head => {
+                const metadata = dialect.readResponse(head.status, head.headers);
+                targets.recordReport(target, metadata);
+                return metadata;
+            },
+            claim: attempt => this.claim(attempt),
+            onFirstEvent: ({ startedAt, promptTokens }) => {
+                const tookMs = performance.now() - startedAt;
+                attempts.recordServed(startedAt);
+                onFirstEvent(performance.now() - request.receivedAt);
+                firstEventTimes.record(request.route.name, tookMs);
+                targets.recordPromptRead(target, promptTokens);
+                releaseInputs();
+                attempts.recordInputsReleased(inputs);
+                targets.recordSuccess(target, tookMs / request.route.latencyObjectiveMs, request.route.name);
+            },
+        });
+    }
+
+    /** Waits for an attempt to end. While its target is silent, others are tried; returns the attempt that ended. */
+    private async follow(first: StreamAttempt): Promise<StreamAttempt> {
+        const { route } = this.options.request;
+        let current = first;
+        for (;;) {
+            await (route.idempotent ? current.endedOrSilent() : current.ended);
+            if (current.end !== undefined) return current;
+            const other = this.startOther(current);
+            if (other === undefined) await withTimeout(current.ended, RECHECK_MS, undefined);
+            else current = await this.decide(current, other);
+        }
+    }
+
+    /** Sends the request to another target than a silent one, if there is one that may serve it. */
+    private startOther(silent: StreamAttempt): StreamAttempt | undefined {
+        const { attempts, inputs, context } = this.options;
+        if (this.lastSilent !== silent) context.targets.recordSilent(silent.target);
+        this.lastSilent = silent;
+        if (this.hasOverlapped && !this.isGivenUp(silent)) return undefined;
+        const target = attempts.otherTarget(silent.target, inputs);
+        if (target === undefined) return undefined;
+        const fields = { other: target.name, silentMs: Math.round(silent.silentMs) };
+        attempts.logDecision("silent attempt overlapped", silent.target, fields);
+        return this.start(target);
+    }
+
+    /** Lets two attempts run until one of them has an event or ends, and returns the one that goes on. */
+    private async decide(silent: StreamAttempt, other: StreamAttempt): Promise<StreamAttempt> {
+        const won = new Promise<StreamAttempt>(resolve => {
+            this.contest = { attempts: [silent, other], onWon: resolve };
+        });
+        const ended = [silent.ended.then(() => other), other.ended.then(() => silent)];
+        const goesOn = await withTimeout(Promise.race([won, ...ended]), OVERLAP_LIMIT_MS, undefined);
+        this.contest = undefined;
+        if (goesOn === undefined) {
+            this.hasOverlapped = true;
+            const [left, kept] = this.isGivenUp(silent) ? [silent, other] : [other, silent];
+            this.leave(left, "neither target has gone on");
+            return kept;
+        }
+        const ending = goesOn === silent ? other : silent;
+        // An attempt that ends of itself is recorded as any other; one that was left has been recorded.
+        await this.recordEnd(ending, true);
+        return goesOn;
+    }
+
+    /** Whether an attempt may write to the caller. If two are in progress, the other one is left. */
+    private claim(attempt: StreamAttempt): boolean {
+        const { contest } = this;
+        if (contest === undefined) return true;
+        this.contest = undefined;
+        for (const other of contest.attempts) {
+            if (other !== attempt) this.leave(other, `${attempt.target.name} goes on`);
+        }
+        contest.onWon(attempt);
+        return true;
+    }
+
+    /** Whether a silent target is probably lost: it is silent for long, refuses connections, or is no longer registered. */
+    private isGivenUp({ silentMs, target }: StreamAttempt): boolean {
+        return silentMs >= LONG_SILENCE_MS || !this.options.context.targets.isReachable(target);
+    }
+
+    private leave(attempt: StreamAttempt, reason: string): void {
+        const { context, request, attempts } = this.options;
+        const { target, promptTokens, silentMs, isSilent, hasEvent } = attempt;
+        attempt.leave();
+        context.targets.recordPromptRead(target, promptTokens);
+        context.targets.recordEnded(target);
+        if (!hasEvent) attempts.recordLeft(target);
+        if (isSilent) context.targets.recordLeft(target, request.route.name);
+        else context.targets.recordInconclusive(target);
+        attempts.logDecision("attempt left", target, { reason, silentMs: Math.round(silentMs) });
+    }
+
+    /**
+     * Records how an attempt ended. Returns the result of the request, unless it may go on: because it may be retried, or,
+     * with `isOther`, because another attempt is in progress.
+     */
+    private async recordEnd(attempt: StreamAttempt, isOther = false): Promise<ExchangeResult | undefined> {
+        const { context, request, attempts, inputs, reply } = this.options;
+        const { target, end } = attempt;
+        if (end === undefined || end.kind === "left") return undefined;
+        context.targets.recordPromptRead(target, attempt.promptTokens);
+        if (end.kind === "unanswered") return this.recordUnanswered(target, end.outcome, isOther);
+        context.targets.recordEnded(target);
+        switch (end.kind) {
+            case "complete":
+                return { outcome: "answered", status: 200, reason: "complete" };
+            case "misdirected":
+                context.targets.recordFailure(target, request.route.name);
+                this.failure = { outcome: "failed", status: 502, reason: "answer of another" };
+                return undefined;
+            case "refused":
+                if (end.metadata.notExecuted) {
+                    if (end.head.status !== 409) attempts.handleDeclined(target, end.metadata.wrongTarget);
+                    else if (isOther) attempts.recordInputsReleased(inputs);
+                    else return this.endBroken(this.failure ?? inputsGone());
+                    return undefined;
+                }
+                if (end.head.status >= 500) context.targets.recordFailure(target, request.route.name);
+                this.failure = { outcome: "failed", status: end.head.status, reason: "target failed" };
+                if (isOther || this.writer.started || end.outcome.kind !== "complete") return undefined;
+                return attempts.mayRetry() ? undefined : reply.forward(end.head, end.bytes);
+            case "incomplete":
+                return this.recordIncomplete(attempt, end, isOther);
+        }
+    }
+
+    private async recordUnanswered(
+        target: Target,
+        outcome: Extract<StreamAttemptEnd, { kind: "unanswered" }>["outcome"],
+        isOther: boolean,
+    ): Promise<ExchangeResult | undefined> {
+        const result = await this.options.attempts.handleUnanswered(target, outcome);
+        if (result === "again") return undefined;
+        if (isFinal(result)) {
+            if (isOther) return undefined;
+            return this.endBroken(this.failure === undefined ? result : withoutRefusalStatus(result));
+        }
+        this.failure = result;
+        return undefined;
+    }
+
+    private async recordIncomplete(
+        attempt: StreamAttempt,
+        { result }: Extract<StreamAttemptEnd, { kind: "incomplete" }>,
+        isOther: boolean,
+    ): Promise<ExchangeResult | undefined> {
+        const { context, request, attempts } = this.options;
+        const { target } = attempt;
+        if (isFinal(result)) return isOther ? undefined : this.endBroken(result);
+        context.targets.recordFailure(target, request.route.name);
+        attempts.logDecision("stream broken", target, {
+            reason: result.reason,
+            delivered: this.writer.lastDeliveredEventId,
+            parts: attempts.loggedParts,
+        });
+        if (!attempt.hasEvent) await attempts.checkForCrash(target, true);
+        this.failure = result;
+        return undefined;
+    }
+
+    /** Ends an incomplete stream: closes the connection if part of the stream was delivered. */
+    private endBroken(result: ExchangeResult): ExchangeResult {
+        const { response, reply, isCutByStop } = this.options;
+        if (!this.writer.started) return reply.endWith(result);
+        if (isCutByStop()) {
+            // What was written reaches the caller, which can resume the stream from there.
+            response.socket?.destroySoon();
+            return { ...result, outcome: "brokenOff", reason: "gateway stops" };
+        }
+        response.destroy();
+        return result.outcome === "cancelled" ? result : { ...result, outcome: "brokenOff" };
+    }
+}
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -5,43 +5,47 @@
 import type { StreamWriter } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
-import { eventGapTimeoutMs } from "./streamtimeouts.js";
-import type { Target } from "./target.js";
 
 /** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
 const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
 
-/** Callbacks of a stream that is forwarded. */
-export interface StreamCallbacks {
+/** Options of a stream that is forwarded. */
+export interface StreamForwardingOptions {
+    readonly targetName: string;
+    /** Aborted when the caller leaves, or when the stream goes on at another target. */
+    readonly signal: AbortSignal;
+    /** Whether the stream may be written to the caller; asked before each write. */
+    readonly claim: () => boolean;
     readonly onFirstEvent: () => void;
-    /** Whether the stream may be left because its target is silent. */
-    readonly mayAbandon: () => boolean;
+    readonly onChunk: () => void;
+    /** Called when the caller's connection is full, and when it takes more. */
+    readonly onCallerBusy: (isBusy: boolean) => void;
 }
 
 /** Forwards a stream to its end. Returns undefined when the stream is complete, otherwise why it is not. */
 export async function forwardStream(
     request: RoutedRequest,
-    target: Target,
     head: ResponseHead,
     body: ResponseBody,
     writer: StreamWriter,
-    { onFirstEvent, mayAbandon }: StreamCallbacks,
+    { targetName, signal, claim, onFirstEvent, onChunk, onCallerBusy }: StreamForwardingOptions,
 ): Promise<ExchangeResult | undefined> {
     const splitter = EventSplitter.create(writer.lastDeliveredEventId ?? request.metadata.lastEventId);
     let isFirst = true;
-    const { route } = request;
     const outcome = await body.read({
         deadline: request.deadline,
-        signal: request.signal,
-        stallTimeoutMs: route.idempotent ? eventGapTimeoutMs(route) : undefined,
-        mayAbandon,
+        signal,
         onChunk: chunk => {
+            onChunk();
             const events = splitter.push(chunk);
             if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
-            if (events.length === 0) return undefined;
+            if (events.length === 0 || !claim()) return undefined;
             if (isFirst) onFirstEvent();
             isFirst = false;
-            return writer.write(head, events);
+            const written = writer.write(head, events);
+            if (written === undefined) return undefined;
+            onCallerBusy(true);
+            return written.then(() => onCallerBusy(false));
         },
     });
     if (splitter.isMalformed) {
@@ -51,7 +55,7 @@
     if (outcome.kind === "complete" && isFirst && !body.isDelimited) {
         return { outcome: "failed", status: 502, reason: "stream ended before its first event" };
     }
-    if (outcome.kind === "complete" && splitter.pendingBytes === 0) {
+    if (outcome.kind === "complete" && splitter.pendingBytes === 0 && claim()) {
         writer.end(head);
         return undefined;
     }
@@ -66,6 +70,6 @@
         case "complete":
             return { outcome: "failed", status: 502, reason: "stream ended within an event" };
         default:
-            return { outcome: "failed", status: 502, reason: `stream ${outcome.kind} at ${target.name}` };
+            return { outcome: "failed", status: 502, reason: `stream ${outcome.kind} at ${targetName}` };
     }
 }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -280,6 +280,18 @@
         this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
+    /** Records that a request was taken from a target that was silent. Its silence was recorded. */
+    recordLeft(target: Target, route: string): void {
+        this.options.onOutcome?.(target, route, true, undefined);
+        this.recordInconclusive(target);
+    }
+
+    /** Whether a target is registered as it was and has not refused its latest connection. */
+    isReachable(target: Target): boolean {
+        const known = this.targets.get(target.name);
+        return known === target && known.unreachableUntil <= performance.now();
+    }
+
     /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
     recordExpired(target: Target, route = ""): void {
         this.options.onOutcome?.(target, route, true, undefined);
--- /dev/null
+++ b/test/gateway/lostafterleaving.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Streams that are lost because the gateway leaves a silent target before another one serves them. The target may decline,
+ * break or be silent itself, or there may be no time for it, while the first target would have gone on.
+ */
+import { afterEach, describe, expect, it, vi } from "vitest";
+import { Deadline } from "../../src/model/index.js";
+import type { Behaviour } from "../platform/standintarget.js";
+import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
+
+let deployment: Deployment;
+
+afterEach(() => deployment.close());
+
+/** Longer than the timeouts of the route's streams (900 ms), as a working target may be silent. */
+const SILENCE_MS = 1_150;
+/** A target may be at work on a request for so long after the request was sent to another one. */
+const LONGEST_OVERLAP_MS = 400;
+const EVENTS = 4;
+
+type Silence = "before the head" | "before the first event" | "between events";
+
+const SILENCES: readonly Silence[] = ["before the head", "before the first event", "between events"];
+
+function silentStream(silence: Silence, milliseconds = SILENCE_MS): Behaviour {
+    switch (silence) {
+        case "before the head":
+            return { kind: "delayedStream", events: EVENTS, delayMs: milliseconds };
+        case "before the first event":
+            return { kind: "stream", events: EVENTS, silence: { after: "head", milliseconds } };
+        case "between events":
+            return { kind: "stream", events: EVENTS, silence: { after: 2, milliseconds } };
+    }
+}
+
+function expectWholeStream(answer: CallAnswer): void {
+    expect(answer).toMatchObject({ status: 200, complete: true });
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+    expect(ids).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
+}
+
+/** Sets how the engine handles the request that gets it first, and how the others do. */
+function scriptEngines(first: Behaviour, others: Behaviour): void {
+    let arrivals = 0;
+    for (const target of deployment.targets.values()) {
+        target.behaviour = () => {
+            arrivals += 1;
+            return arrivals === 1 ? first : others;
+        };
+    }
+}
+
+interface OtherTargets {
+    readonly others: string;
+    readonly count: number;
+    readonly behaviour: Behaviour;
+}
+
+const OTHERS: readonly OtherTargets[] = [
+    { others: "decline: one", count: 1, behaviour: { kind: "full" } },
+    { others: "decline: two", count: 2, behaviour: { kind: "full" } },
+    { others: "decline: three", count: 3, behaviour: { kind: "full" } },
+    { others: "have lost the inputs", count: 1, behaviour: { kind: "inputsGone" } },
+    { others: "reset the connection", count: 2, behaviour: { kind: "reset" } },
+    { others: "are silent", count: 1, behaviour: { kind: "silent" } },
+    { others: "are silent after the head", count: 1, behaviour: silentStream("before the first event", 5_000) },
+    { others: "take longer to answer", count: 1, behaviour: { kind: "delayedStream", events: EVENTS, delayMs: 700 } },
+    { others: "fail", count: 1, behaviour: { kind: "answer", status: 500 } },
+    { others: "answer another request", count: 1, behaviour: { kind: "otherAnswer" } },
+    { others: "write no HTTP", count: 1, behaviour: { kind: "notHttp" } },
+    { others: "break off within an event", count: 1, behaviour: { kind: "stream", events: 4, cutAfterBytes: 20 } },
+];
+
+const CASES = SILENCES.flatMap(silence => OTHERS.map(other => ({ silence, ...other })));
+
+describe("a stream whose target is silent for a while is whole", () => {
+    it.each(CASES)("when it is silent $silence and the others $others", async ({ silence, count, behaviour }) => {
+        deployment = await Deployment.start({ engines: count + 1 });
+        scriptEngines(silentStream(silence), behaviour);
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+    });
+
+    it.each(SILENCES)("when it is silent %s and a planned stop leaves little time", async silence => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(silentStream(silence), { kind: "stream", events: EVENTS });
+        const answered = deployment.call({ path: "/chat/1" });
+        await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+        deployment.gateways[0]?.gateway.context.shutdown.begin(Deadline.after(1_700));
+        expectWholeStream(await answered);
+    });
+
+    it.each(SILENCES)("when it is silent %s and the other is replaced meanwhile", async silence => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(silentStream(silence), { kind: "full" });
+        const answered = deployment.call({ path: "/chat/1" });
+        await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+        const other = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length === 0);
+        setTimeout(() => deployment.register("engines", other?.id ?? "", { born: 2_000 }), 895);
+        expectWholeStream(await answered);
+    });
+
+    it.each(SILENCES)("when it is silent %s twice as long as its timeout and the others decline", async silence => {
+        deployment = await Deployment.start({ engines: 3 });
+        scriptEngines(silentStream(silence, 1_700), { kind: "full" });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+    });
+});
+
+function arrivalCount(): number {
+    return [...deployment.targets.values()].reduce((sum, { arrivals }) => sum + arrivals.length, 0);
+}
+
+describe("a stream that is sent to a second target", () => {
+    it.each([
+        { others: "answer at once", delayMs: 1 },
+        { others: "answer after a while", delayMs: 250 },
+        { others: "answer late", delayMs: 800 },
+    ])("is at work at both for a short time only, when the others $others", async ({ delayMs }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(silentStream("between events", 5_000), { kind: "delayedStream", events: EVENTS, delayMs });
+        const first = (): number => [...deployment.targets.values()].findIndex(({ abandoned }) => abandoned.length > 0);
+        const answered = deployment.call({ path: "/chat/1", headers: { "x-parsleyrun-deadline-ms": "6000" } });
+        await vi.waitFor(() => expect(arrivalCount()).toBe(2), 3_000);
+        const sentAt = performance.now();
+        await vi.waitFor(() => expect(first()).toBeGreaterThanOrEqual(0), 3_000);
+        expect(performance.now() - sentAt).toBeLessThan(LONGEST_OVERLAP_MS);
+        await answered;
+    });
+
+    it("goes on there although the first one stays silent and the second is slow", async () => {
+        const Routes = CONFIGURATION.Routes.map(route => ({ ...route, TimeoutMs: 8_000 }));
+        deployment = await Deployment.start({ engines: 2 }, 1, { ...CONFIGURATION, Routes });
+        const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 800 };
+        scriptEngines(silentStream("between events", 60_000), slow);
+        const headers = { "x-parsleyrun-deadline-ms": "8000" };
+        expectWholeStream(await deployment.call({ path: "/chat/1", headers }));
+    });
+});
