Count one silence of a target once

Thirty streams on three engines, one of which was silent for 1.2 s: the sound engine was ejected as failing, and the two others got its load for seconds, in which they decline more.

Cause: each attempt that waited recorded a failure of its own, so three streams in one silence sufficed for an ejection.

Evidence: the case "is counted once, however many streams it holds up" failed before with `target ejected`, and passes now.

A silence belongs to the target: it begins when an attempt has waited too long and nothing else was heard from the target meanwhile, it ends with the next byte of any attempt, and it is one failure, or one more for each further 1.5 s. While it lasts, the target gets no request if others can, and for a second after it was last seen, as nobody may be left that would hear it.

--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -43,6 +43,8 @@
     /** Whether the attempt may write to the caller: another attempt may be in progress. */
     readonly claim: (attempt: StreamAttempt) => boolean;
     readonly onFirstEvent: (attempt: StreamAttempt) => void;
+    /** Called when something is received from the target. */
+    readonly onHeard: () => void;
 }
 
 /** An attempt in progress. */
@@ -154,5 +156,6 @@
 
     private recordHeard(): void {
         this.heard = performance.now();
+        this.options.onHeard();
     }
 }
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -60,8 +60,6 @@
     private contest: Contest | undefined;
     /** Whether two attempts were in progress for the longest time and neither went on. */
     private hasOverlapped = false;
-    /** The attempt whose silence was recorded last. */
-    private lastSilent: StreamAttempt | undefined;
 
     private constructor(private readonly options: StreamExchangeOptions) {
         const { response, request, context } = options;
@@ -104,6 +102,7 @@
                 return metadata;
             },
             claim: attempt => this.claim(attempt),
+            onHeard: () => targets.recordHeard(target),
             onFirstEvent: ({ startedAt, promptTokens }) => {
                 const tookMs = performance.now() - startedAt;
                 attempts.recordServed(startedAt);
@@ -133,8 +132,7 @@
     /** Sends the request to another target than a silent one, if there is one that may serve it. */
     private startOther(silent: StreamAttempt): StreamAttempt | undefined {
         const { attempts, inputs, context } = this.options;
-        if (this.lastSilent !== silent) context.targets.recordSilent(silent.target);
-        this.lastSilent = silent;
+        context.targets.recordSilent(silent.target, silent.heardAt);
         if (this.hasOverlapped && !this.isGivenUp(silent)) return undefined;
         const target = attempts.otherTarget(silent.target, inputs);
         if (target === undefined) return undefined;
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -51,6 +51,15 @@
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
 
+/**
+ * A silent target gets no request while others can, until it is heard, and otherwise for this time in milliseconds after
+ * its silence was last seen.
+ */
+const SILENCE_PAUSE_MS = 1_000;
+
+/** Time in milliseconds after which a continued silence counts as a further failure; working targets are silent for less. */
+const SILENCE_FAILURE_INTERVAL_MS = 1_500;
+
 /** Half-life in milliseconds of a reported load. */
 const LOAD_HALF_LIFE_MS = 300;
 
@@ -77,6 +86,12 @@
     coldBucket: TokenBucket | undefined;
     unreachableUntil: number;
     unreachableCount: number;
+    /** Monotonic time in milliseconds at which anything was last received from the target. */
+    heardAt: number;
+    /** Monotonic time in milliseconds until which the target counts as silent unless it is heard. */
+    silentUntil: number;
+    /** Monotonic time in milliseconds at which a silence last counted as a failure. */
+    silenceCountedAt: number;
     /** Requests that this gateway may send to the target while it names a limit. */
     limitBucket: TokenBucket | undefined;
 }
@@ -194,9 +209,12 @@
         );
     }
 
-    /** The eligible targets that may get a request now: working and within their limits. */
+    /** The eligible targets that may get a request now: working, within their limits, and not silent if others are not. */
     usable(service: string): readonly Target[] {
-        return this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
+        const now = performance.now();
+        const usable = this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
+        const heard = usable.filter(target => (target as MutableTarget).silentUntil <= now);
+        return heard.length > 0 ? heard : usable;
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
@@ -254,6 +272,7 @@
     recordReport(target: Target, { load, limitPerSecond, wrongTarget }: TargetReport): void {
         if (wrongTarget) return;
         const known = target as MutableTarget;
+        this.recordHeard(known);
         this.options.onLimit?.(known, limitPerSecond);
         if (load === undefined) return;
         known.load = load;
@@ -275,9 +294,27 @@
         this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
-    /** Records an attempt whose target is silent and that continues. Only its end says whether it failed. */
-    recordSilent(target: Target): void {
-        this.health.recordFailure(target.name, this.eligibleNames(target));
+    /** Records that something was received from a target, which ends its silence. */
+    recordHeard(target: Target): void {
+        const known = target as MutableTarget;
+        known.heardAt = performance.now();
+        known.silentUntil = 0;
+    }
+
+    /**
+     * Records that an attempt has received nothing since a time, on the monotonic clock in milliseconds. If the target has
+     * sent nothing to other attempts either, it counts as silent. One silence is one failure, however many attempts wait.
+     */
+    recordSilent(target: Target, since: number): void {
+        const known = target as MutableTarget;
+        if (known.heardAt > since) return;
+        const now = performance.now();
+        if (known.silentUntil <= now) this.onChange("silent", known.name, { silentMs: Math.round(now - since) });
+        known.silentUntil = now + SILENCE_PAUSE_MS;
+        const isCounted = known.silenceCountedAt > Math.max(known.heardAt, now - SILENCE_FAILURE_INTERVAL_MS);
+        if (isCounted) return;
+        known.silenceCountedAt = now;
+        this.health.recordFailure(known.name, this.eligibleNames(known));
     }
 
     /** Records that a request was taken from a target that was silent. Its silence was recorded. */
@@ -364,6 +401,9 @@
             coldBucket: undefined,
             unreachableUntil: 0,
             unreachableCount: 0,
+            heardAt: 0,
+            silentUntil: 0,
+            silenceCountedAt: Number.NEGATIVE_INFINITY,
             limitBucket: undefined,
         };
         this.targets.set(registration.id, target);
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -135,3 +135,22 @@
         expectWholeStream(await deployment.call({ path: "/chat/1", headers }));
     });
 });
+
+describe("one silence of a target", () => {
+    it("is counted once, however many streams it holds up", async () => {
+        const engines = 3;
+        deployment = await Deployment.start({ engines });
+        const silentUntil = performance.now() + 1_200;
+        const silent = deployment.target("engines-0");
+        silent.behaviour = () => silentStream("between events", silentUntil - performance.now());
+        for (const id of ["engines-1", "engines-2"]) {
+            deployment.target(id).behaviour = () => ({ kind: "stream", events: EVENTS, gapMs: 50 });
+        }
+        const answers = await Promise.all(
+            Array.from({ length: 30 }, (_, index) => deployment.call({ path: "/chat/1", id: `request-${index}` })),
+        );
+        expect(silent.arrivals.length).toBeGreaterThan(3);
+        for (const answer of answers) expectWholeStream(answer);
+        expect(deployment.linesOf("target ejected")).toEqual([]);
+    });
+});
