Shorten the overlap of two attempts to 250 ms

The bound of 400 ms counts from the request at the second target to the close of the first one. Delays of this process's event loop come on top, and 100 ms left little for them.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -22,7 +22,7 @@
  * Time in milliseconds for which a request may be in progress at two targets. A target that works on a request 400 ms
  * after it was sent to another one counts as a second run.
  */
-const OVERLAP_LIMIT_MS = 300;
+const OVERLAP_LIMIT_MS = 250;
 
 /** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
 const LONG_SILENCE_MS = 2_000;
