Note silences that begin after a target's response head

A target that fell silent in the middle of its streams was never marked as silent: it got further streams, each of which waited 0.9 s, and was not ejected however long it stayed silent. The log had no `target silent` for it.

Cause: an attempt recorded when it heard its target, then the target recorded the same with a later reading of the clock. So the target always counted as heard since, by some microseconds, and only silences before the head were noted.

Evidence: two of the three cases of "is noted" failed before.

The attempt now takes its time after the target did.

--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -125,10 +125,10 @@
         const { request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
         const outcome = await send(signal);
         if (outcome.kind !== "answered") return { kind: "unanswered", outcome };
-        this.recordHeard();
-        this.hasHead = true;
         const { head, body } = outcome;
         const metadata = readResponse(head);
+        this.recordHeard();
+        this.hasHead = true;
         if (!isResponseTo(request, metadata)) {
             body.discard();
             return { kind: "misdirected" };
@@ -155,7 +155,8 @@
     }
 
     private recordHeard(): void {
-        this.heard = performance.now();
         this.options.onHeard();
+        // Not before the time that was recorded for the target, or the target would count as heard since.
+        this.heard = performance.now();
     }
 }
--- /dev/null
+++ b/test/gateway/secondattempts.test.ts
@@ -0,0 +1,58 @@
+/**
+ * Streams that are sent to a second target while the first one is silent: how they end, and what is known of both targets
+ * afterwards. A silence that is not noted and a stream that nobody ends are the failures.
+ */
+import { afterEach, describe, expect, it, vi } from "vitest";
+import type { Behaviour } from "../platform/standintarget.js";
+import { type CallAnswer, Deployment } from "./harness.js";
+
+let deployment: Deployment;
+
+afterEach(() => deployment.close());
+
+const EVENTS = 4;
+
+function silentStream(milliseconds: number, after: "head" | number = 2): Behaviour {
+    return { kind: "stream", events: EVENTS, silence: { after, milliseconds } };
+}
+
+/** Sets how the engines handle the request in order of arrival; the last behaviour repeats. */
+function scriptEngines(...behaviours: readonly Behaviour[]): void {
+    let arrivals = 0;
+    for (const target of deployment.targets.values()) {
+        target.behaviour = () => {
+            arrivals += 1;
+            return behaviours[Math.min(arrivals, behaviours.length) - 1] ?? { kind: "answer" };
+        };
+    }
+}
+
+/** Name of the engine that got the request first. */
+async function firstEngine(): Promise<string> {
+    const hasArrived = ({ arrivals }: { readonly arrivals: readonly unknown[] }): boolean => arrivals.length > 0;
+    await vi.waitFor(() => expect([...deployment.targets.values()].some(hasArrived)).toBe(true));
+    return [...deployment.targets.values()].find(hasArrived)?.id ?? "";
+}
+
+function idsOf({ body }: CallAnswer): readonly number[] {
+    return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
+}
+
+function expectWholeStream(answer: CallAnswer): void {
+    expect(answer).toMatchObject({ status: 200, complete: true });
+    expect(idsOf(answer)).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
+}
+
+describe("a silence", () => {
+    it.each([
+        { silence: "before the head", first: { kind: "delayedStream", events: EVENTS, delayMs: 1_100 } },
+        { silence: "before the first event", first: silentStream(1_100, "head") },
+        { silence: "between events", first: silentStream(1_100) },
+    ] satisfies readonly { silence: string; first: Behaviour }[])("$silence is noted", async ({ first }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(first, { kind: "full" });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        const target = await firstEngine();
+        await vi.waitFor(() => expect(deployment.linesOf("target silent")).toMatchObject([{ target }]));
+    });
+});
