End a stream whose silent target was left for one that declines

Callers got two of four events and then nothing: neither the rest nor the end of the connection, however long they waited. Those whose stream had not begun got 503, which says that no target has run the request.

Cause: a silent target that is no longer registered, refuses connections or has been silent for 2 s is left for another one that has taken the request. If that one declines later, no attempt has failed as far as the stream knows, so the request was refused as if it had not been sent, and a refusal writes nothing to a stream that has begun.

Leaving an attempt now counts as a failure of the request, which ends in a status that promises nothing, or by closing the connection.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -187,6 +187,8 @@
         if (!hasEvent) attempts.recordLeft(target);
         if (isSilent) context.targets.recordLeft(target, request.route.name);
         else context.targets.recordInconclusive(target);
+        // The target may have run the request, and its stream may have begun.
+        this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
         attempts.logDecision("attempt left", target, { reason, silentMs: Math.round(silentMs) });
     }
 
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -3,8 +3,10 @@
  * afterwards. A silence that is not noted and a stream that nobody ends are the failures.
  */
 import { afterEach, describe, expect, it, vi } from "vitest";
+import { pause } from "../../src/model/pause.js";
+import { KIND } from "../../src/platform/names.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, Deployment } from "./harness.js";
+import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
 
 let deployment: Deployment;
 
@@ -56,3 +58,21 @@
         await vi.waitFor(() => expect(deployment.linesOf("target silent")).toMatchObject([{ target }]));
     });
 });
+
+describe("a stream whose silent target was left for one that declines", () => {
+    it.each([
+        { begun: "begun", first: silentStream(60_000), expected: { status: 200, complete: false } },
+        { begun: "not begun", first: silentStream(60_000, "head"), expected: { status: 502 } },
+    ])("is ended at once if it has $begun", async ({ first, expected }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        deployment.leaveRetries("engines", 1);
+        scriptEngines(first, { kind: "full", after: pause(1_600) });
+        const answered = deployment.call({ path: "/chat/1" });
+        // A target that is no longer registered is left for another one that has taken the request.
+        deployment.platform.remove(KIND.targets, await firstEngine());
+        expect(await Promise.race([answered, pause(4_000)])).toMatchObject(expected);
+        await vi.waitFor(() => {
+            expect(deployment.linesOf("request ended")).toMatchObject([{ reason: "target was left" }]);
+        });
+    });
+});
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -31,7 +31,7 @@
     | { readonly kind: "delayedStream"; readonly events: number; readonly delayMs: number }
     /** Writes `first`, then `repeated` until the caller closes the connection. */
     | { readonly kind: "endless"; readonly first: string; readonly repeated: string }
-    | { readonly kind: "full" }
+    | { readonly kind: "full"; readonly after?: Promise<void> }
     | { readonly kind: "inputsGone" }
     /** Writes the head of a response; then the target is down for `downMs`, and listens again at its address. */
     | { readonly kind: "crash"; readonly downMs: number }
@@ -161,6 +161,7 @@
                 socket?.write(behaviour.first);
                 return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
             case "full":
+                await behaviour.after;
                 response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
                 return;
             case "inputsGone":
