End a probe however its attempt ends

An ejected target got no more requests although it was sound again, until it started anew: with two engines, half of the service was out for good after one caller had left at the wrong moment.

Cause: one probe is sent at a time, and only some ends of an attempt ended it. A refused connection, a caller that left or a deadline that passed after the head and before the first event, a stream without events, lost inputs, and any other status below 500 did not, so the probe counted as in progress for ever. A machine that goes dark and comes back meets the first of these each time.

These ends now say that the probe was inconclusive, as a refusal does, so that the next request may probe the target.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -278,7 +278,10 @@
                 }
                 continue;
             }
-            if (outcome.kind === "cancelled") return { outcome: "cancelled", status: 0, reason: "caller left" };
+            if (outcome.kind === "cancelled") {
+                this.context.targets.recordInconclusive(target);
+                return { outcome: "cancelled", status: 0, reason: "caller left" };
+            }
             if (outcome.kind !== "complete" || !isOwnResponse) {
                 this.context.targets.recordFailure(target, request.route.name);
                 if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -205,12 +205,14 @@
         context.targets.recordEnded(target);
         switch (end.kind) {
             case "complete":
+                if (!attempt.hasEvent) context.targets.recordInconclusive(target);
                 return { outcome: "answered", status: 200, reason: "complete" };
             case "misdirected":
                 context.targets.recordFailure(target, request.route.name);
                 this.failure = { outcome: "failed", status: 502, reason: "answer of another" };
                 return undefined;
             case "refused":
+                if (end.head.status < 500) context.targets.recordInconclusive(target);
                 if (end.metadata.notExecuted) {
                     if (end.head.status !== 409) attempts.handleDeclined(target, end.metadata.wrongTarget);
                     else if (isOther) attempts.recordInputsReleased(inputs);
@@ -248,7 +250,10 @@
     ): Promise<ExchangeResult | undefined> {
         const { context, request, attempts } = this.options;
         const { target } = attempt;
-        if (isFinal(result)) return isOther ? undefined : this.endBroken(result);
+        if (isFinal(result)) {
+            if (!attempt.hasEvent) context.targets.recordInconclusive(target);
+            return isOther ? undefined : this.endBroken(result);
+        }
         context.targets.recordFailure(target, request.route.name);
         attempts.logDecision("stream broken", target, {
             reason: result.reason,
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -347,6 +347,7 @@
         const pause = UNREACHABLE_PAUSE_MS * 2 ** Math.min(6, known.unreachableCount - 1);
         known.unreachableUntil = performance.now() + Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause);
         this.extendColdPeriod(known, this.configuration()?.service(known.registration.service)?.coldStartMs ?? 0);
+        this.health.recordInconclusive(known.name);
         this.onChange("unreachable", known.name, { pauseMs: Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause) });
     }
 
