Keep a silent attempt although its target is no longer registered

A stream whose silent target was taken from the store meanwhile got part of its events and the end of its connection, although the target would have sent the rest: some targets are removed without notice and go on serving for seconds before they leave.

Cause: a missing registration counted as a sign that the target is lost, like a refused connection, so the stream was left for a target that had not begun and declined later.

Evidence: three of three cases "removed from the store" of lostafterleaving.test.ts failed before and pass now. Signs that remain are another incarnation under the same id and a refused connection.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -173,7 +173,7 @@
         return true;
     }
 
-    /** Whether a silent target is probably lost: it is silent for long, refuses connections, or is no longer registered. */
+    /** Whether a silent target is probably lost: it is silent for long, refuses connections, or has started anew. */
     private isGivenUp({ silentMs, target }: StreamAttempt): boolean {
         return silentMs >= LONG_SILENCE_MS || !this.options.context.targets.isReachable(target);
     }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -323,10 +323,13 @@
         this.recordInconclusive(target);
     }
 
-    /** Whether a target is registered as it was and has not refused its latest connection. */
+    /**
+     * Whether a target may still respond: it has not started anew, and has taken its latest connection. One that is no
+     * longer registered may go on until it leaves.
+     */
     isReachable(target: Target): boolean {
-        const known = this.targets.get(target.name);
-        return known === target && known.unreachableUntil <= performance.now();
+        const hasRestarted = (this.targets.get(target.name) ?? target) !== target;
+        return !hasRestarted && (target as MutableTarget).unreachableUntil <= performance.now();
     }
 
     /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -4,6 +4,8 @@
  */
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { Deadline } from "../../src/model/index.js";
+import { pause } from "../../src/model/pause.js";
+import { KIND } from "../../src/platform/names.js";
 import type { Behaviour } from "../platform/standintarget.js";
 import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
 
@@ -98,6 +100,19 @@
         expectWholeStream(await answered);
     });
 
+    it.each(SILENCES)(
+        "when it is silent %s and is removed from the store, as targets are before they leave",
+        async silence => {
+            deployment = await Deployment.start({ engines: 2 });
+            scriptEngines(silentStream(silence, 1_400), { kind: "full", after: pause(1_800) });
+            const answered = deployment.call({ path: "/chat/1" });
+            await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+            const first = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length === 1);
+            deployment.platform.remove(KIND.targets, first?.id ?? "");
+            expectWholeStream(await answered);
+        },
+    );
+
     it.each(SILENCES)("when it is silent %s twice as long as its timeout and the others decline", async silence => {
         deployment = await Deployment.start({ engines: 3 });
         scriptEngines(silentStream(silence, 1_700), { kind: "full" });
