Keep connections after responses that have no body

Callers saw their connection closed after each 204 and 304 without a length, and after responses to HEAD that have no length or come in chunks; the latter also got the made-up length 0, which is not that of the body for which the response stands.

Cause: a response without Content-Length and Transfer-Encoding was taken for one whose body is delimited by the end of the connection. These responses end with their head.

keptconnections.test.ts: 5 of 7 cases failed before (four with connection: close, one with content-length: 0), none now. 204, 304 and responses to HEAD are now sent as heads, with the target's own length or none, so Node keeps the connection.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -28,6 +28,11 @@
     bytes: Buffer,
     closesConnection: boolean,
 ): void {
+    if (hasNoBody(response, head)) {
+        response.writeHead(head.status, head.statusText, callerHeaders(head, closesConnection));
+        response.end();
+        return;
+    }
     const isDelimited = head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
     const headers = callerHeaders(head, closesConnection || !isDelimited);
     if (!isDelimited) response.useChunkedEncodingByDefault = false;
@@ -38,6 +43,11 @@
     response.end(isDelimited ? bytes : undefined);
 }
 
+/** Whether a response ends with its head. A length in it is that of a body which is not sent, so none may be added. */
+function hasNoBody(response: ServerResponse, { status }: ResponseHead): boolean {
+    return response.req.method === "HEAD" || status === 204 || status === 304;
+}
+
 /** A response of the gateway itself. */
 export interface GatewayResponse {
     readonly status: number;
