Keep connections after refusals of requests without a body

Callers without a body that were refused at once (404, 401, 431, 503) got connection: close and had to connect again for the next request.

Cause: Node reports a request as complete only after it was passed on, and these refusals are sent in that moment. Such a connection is closed because the rest of the body could follow, but without a body nothing of the request follows.

A request counts as read when its head says that it has no body.

--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -42,8 +42,14 @@
     /** Sends the gateway's own response. */
     respond(outcome: ExchangeResult["outcome"], status: number, reason: string, retryAfterMs?: number): ExchangeResult {
         // What follows on the connection could otherwise be the rest of this request.
-        const closesConnection = this.closesConnections() || !this.request.complete;
+        const isRead = this.request.complete || !hasBody(this.request);
+        const closesConnection = this.closesConnections() || !isRead;
         sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
         return { outcome, status, reason };
     }
 }
+
+/** Whether a request has a body. Node reports one without a body as complete only after it was passed on. */
+function hasBody({ headers }: IncomingMessage): boolean {
+    return headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
+}
--- a/test/gateway/keptconnections.test.ts
+++ b/test/gateway/keptconnections.test.ts
@@ -55,3 +55,28 @@
         expect(lengths.exec(response)?.[0]).toBe(lengths.exec(head)?.[0]);
     });
 });
+
+describe("a connection is kept after the refusal of a request without a body:", () => {
+    it.each<{
+        case: string;
+        status: number;
+        method?: string;
+        path?: string;
+        headers?: Record<string, string | number>;
+    }>([
+        { case: "an unknown route", status: 404, path: "/gone/1" },
+        {
+            case: "an unknown route, with a length of 0",
+            status: 404,
+            method: "POST",
+            path: "/gone/1",
+            headers: { "content-length": 0 },
+        },
+        { case: "an unknown key", status: 401, headers: { authorization: "Token gone" } },
+        { case: "a long head", status: 431, headers: { filler: "x".repeat(5_000) } },
+    ])("$case ($status)", async ({ status, method = "GET", path = "/check/1", headers }) => {
+        await start();
+        caller.write(requestHead(method, path, "request-1", headers));
+        expect(await expectKept()).toMatch(new RegExp(`^HTTP/1\\.1 ${status} `));
+    });
+});
