Reject a malformed body at once

A caller whose chunked body was malformed waited until the deadline of its request and then got 408, which says that the body was late. Behind another request it was the same.

Cause: an error of the parser while a request is served only marked the connection, and the reader of the body went on waiting for the rest.

The error is passed to the reader of the body, when it occurs or, behind another request, when the turn of this one comes. A body whose chunk extensions are too long gets 413, as it does between requests.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -55,8 +55,10 @@
     /** Pipelined requests that are served once the response before theirs has ended. */
     private waiting: ReceivedRequest[] = [];
     private isClosing = false;
-    /** Whether what followed the requests was no request, so that nothing more can be read. */
+    /** Whether what followed the requests was no request, or not in time. */
     private isMalformed = false;
+    /** The error after which the parser reads nothing more. */
+    private parserError: NodeJS.ErrnoException | undefined;
     private idleSince = 0;
     private announcedIdleMs = 0;
 
@@ -125,6 +127,7 @@
             return;
         }
         if (code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+            this.parserError ??= error;
             this.reject(code);
             return;
         }
@@ -136,14 +139,25 @@
     }
 
     private reject(code: string): void {
-        if (this.isClosing || this.isMalformed) return;
+        if (this.isClosing) return;
         this.isMalformed = true;
-        if (this.isServing || this.waiting.length > 0) return;
+        if (this.isServing) {
+            this.failUnreadBody();
+            return;
+        }
         const status = REJECTIONS[code] ?? "400 Bad Request";
         this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
         this.closeInOrder();
     }
 
+    /** Tells the reader of a body that the rest of it cannot be read. */
+    private failUnreadBody(): void {
+        const { request, parserError } = this;
+        if (request === undefined || request.complete || parserError === undefined) return;
+        // Without a listener, nobody waits for the body, and the error would be thrown here.
+        if (request.listenerCount("error") > 0) request.emit("error", parserError);
+    }
+
     private pauseIfFull(): void {
         if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) this.socket.pause();
     }
@@ -164,6 +178,7 @@
             else this.serveNext();
         });
         this.options.serve(request, response, receivedAt);
+        this.failUnreadBody();
     }
 
     /** Whether the caller may have sent more than was read. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -125,6 +125,7 @@
         if (body === "cut") return { outcome: "cancelled", status: 0, reason: STOPPING };
         if (body === "tooLong") return this.reply.reject(413, "body is too long");
         if (body === "late") return this.reply.respond("refused", 408, "body did not arrive in time");
+        if (body === "malformed") return this.reply.reject(400, "body is malformed");
         if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
         const service = chooseService(route.services, Math.random);
         if (service === undefined) return this.reply.refuse("route has no service", NO_TARGET_RETRY_MS);
--- a/src/gateway/requestbody.ts
+++ b/src/gateway/requestbody.ts
@@ -4,7 +4,13 @@
 import { startTimeout } from "../model/timeout.js";
 
 /** The body, or why it was not read. */
-export type RequestBody = Buffer | "tooLong" | "late" | "broken";
+export type RequestBody = Buffer | "tooLong" | "late" | "malformed" | "broken";
+
+/** Why a body could not be read to its end, by an error of its connection or of the parser. */
+function outcomeOfError({ code = "" }: NodeJS.ErrnoException): RequestBody {
+    if (code === "HPE_CHUNK_EXTENSIONS_OVERFLOW") return "tooLong";
+    return code.startsWith("HPE_") ? "malformed" : "broken";
+}
 
 /** Reads a body of at most `maximumBytes` bytes. */
 export function readRequestBody(
@@ -32,7 +38,7 @@
         const cancelTimeout = startTimeout(() => finish("late"), deadline.remainingMs());
         request.on("data", keep);
         request.on("end", () => finish(Buffer.concat(chunks)));
-        request.on("error", () => finish("broken"));
+        request.on("error", error => finish(outcomeOfError(error)));
         request.on("close", () => finish("broken"));
     });
 }
--- a/test/gateway/malformedrequests.test.ts
+++ b/test/gateway/malformedrequests.test.ts
@@ -112,3 +112,45 @@
         expect((await caller.read(1)).map(response => response.status)).toEqual([200]);
     });
 });
+
+const chunkedHead = (id: string): string => requestHead("POST", "/book/1", id, { "transfer-encoding": "chunked" });
+
+describe("a request whose body is malformed is rejected at once, not at its deadline:", () => {
+    const bodies: readonly { readonly case: string; readonly parts: readonly string[]; readonly status: number }[] = [
+        { case: "a size that is no number", parts: ["xyz\r\n"], status: 400 },
+        { case: "a size that is no number, after a chunk", parts: ["4\r\nbody\r\n", "xyz\r\n"], status: 400 },
+        { case: "a chunk that is longer than its size", parts: ["4\r\nbody and more\r\n"], status: 400 },
+        { case: "a long extension of a chunk", parts: [`4;${"x".repeat(60_000)}\r\nbody\r\n`], status: 413 },
+    ];
+
+    it.each(bodies)("$case ($status)", async ({ parts, status }) => {
+        await start();
+        caller.write(chunkedHead("first"));
+        for (const part of parts) {
+            await pause(30);
+            caller.write(part);
+        }
+        expect((await caller.read(1)).map(response => response.status)).toEqual([status]);
+        expect(await caller.ended()).toBe("end");
+        expect(deployment.target("bookings-0").arrivals).toEqual([]);
+        const ended = (): unknown => deployment.linesOf("request ended", "first");
+        await vi.waitFor(() => expect(ended()).toMatchObject([{ outcome: "rejected", status }]));
+    });
+
+    it.each(bodies)("$case, behind another request ($status)", async ({ parts, status }) => {
+        await start();
+        let answer = (): void => undefined;
+        const after = new Promise<void>(resolve => (answer = resolve));
+        deployment.target("bookings-0").behaviour = () => ({ kind: "answer", after });
+        caller.write(requestHead("GET", "/check/1", "first") + chunkedHead("second"));
+        for (const part of parts) {
+            await pause(30);
+            caller.write(part);
+        }
+        await pause(100);
+        answer();
+        expect((await caller.read(2)).map(response => response.status)).toEqual([200, status]);
+        expect(await caller.ended()).toBe("end");
+        expect(deployment.target("bookings-0").arrivals.map(({ id }) => id)).toEqual(["first"]);
+    });
+});
