Read on after each response that closes its connection

A caller that had sent half of its next head when a response closed the connection (connection: close in the request, a response without a length, a gateway that drains) could lose that response: the rest of the head met a closed socket, and the reset discarded what the caller had not read yet.

Cause: the connection was closed in order only if the request was not read in whole, requests waited, or bytes were no request. A part of a head is none of these, and bytes that are still on their way are not known.

After its last response, each connection is closed for writing first, and what arrives is discarded until the caller closes it, for 5 s at most. A caller that reads its response only after that time still gets it (tested).

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -73,13 +73,10 @@
         const connection = new Connection(socket, server, options);
         // Node resumes reading after each request that it has read.
         socket.on("resume", () => connection.pauseIfFull());
-        const destroySoon = socket.destroySoon.bind(socket);
-        // Node calls this when a response that closes the connection has ended.
+        // Node calls this when a response that closes the connection has ended. Bytes of a next request may always be on
+        // their way, or have been read as part of its head.
         socket.destroySoon = (): void => {
-            if (connection.isClosing) return;
-            connection.isClosing = true;
-            if (connection.expectsBytes) connection.closeInOrder();
-            else destroySoon();
+            if (!connection.isClosing) connection.closeInOrder();
         };
         return connection;
     }
@@ -181,11 +178,6 @@
         this.failUnreadBody();
     }
 
-    /** Whether the caller may have sent more than was read. */
-    private get expectsBytes(): boolean {
-        return this.request?.complete === false || this.waiting.length > 0 || this.isMalformed;
-    }
-
     private closeInOrder(): void {
         this.isClosing = true;
         for (const { request } of this.waiting) request.resume();
--- a/test/gateway/malformedrequests.test.ts
+++ b/test/gateway/malformedrequests.test.ts
@@ -154,3 +154,48 @@
         expect(deployment.target("bookings-0").arrivals.map(({ id }) => id)).toEqual(["first"]);
     });
 });
+
+describe("a response that closes the connection reaches a caller that", () => {
+    it("reads it only after the time for which the connection is kept to read the rest", async () => {
+        await start();
+        const body = "x".repeat(3_000_000);
+        deployment.target("bookings-0").behaviour = () => ({ kind: "answer", body });
+        caller.write(requestHead("GET", "/check/1", "first", { connection: "close" }));
+        await caller.readHeads(1);
+        caller.stopReading();
+        await pause(6_000);
+        caller.continueReading();
+        expect(await caller.ended()).toBe("end");
+        expect(caller.text.endsWith(`\r\n\r\n${body}`)).toBe(true);
+    }, 15_000);
+
+    const closing: readonly { readonly case: string; readonly draining: boolean; readonly path: string }[] = [
+        { case: "from a gateway that drains", draining: true, path: "/check/1" },
+        { case: "without a length", draining: false, path: "/check/unframed" },
+        { case: "to a request that asks for it", draining: false, path: "/check/1" },
+    ];
+
+    it.each(closing)("is in the middle of its next head ($case)", async ({ draining, path }) => {
+        await start();
+        if (draining) deployment.gateways[0]?.gateway.enterPhase("draining");
+        let answer = (): void => undefined;
+        const after = new Promise<void>(resolve => (answer = resolve));
+        deployment.target("bookings-0").behaviour = ({ path: unframed }) =>
+            unframed === "/check/unframed" ? { kind: "unframed" } : { kind: "answer", after };
+        caller.stopReading();
+        const next = requestHead("GET", "/check/2", "second", { filler: "x".repeat(3_000) });
+        const headers = draining ? {} : { connection: "close" };
+        caller.write(requestHead("GET", path, "first", headers) + next.slice(0, 1_000));
+        await vi.waitFor(() => expect(deployment.target("bookings-0").arrivals).toHaveLength(1));
+        answer();
+        for (let sent = 1_000; sent < next.length; sent += 500) {
+            await pause(30);
+            caller.write(next.slice(sent, sent + 500));
+        }
+        await pause(100);
+        caller.continueReading();
+        expect(await caller.ended()).toBe("end");
+        expect(caller.responses.map(response => response.status)).toEqual([200]);
+        expect(deployment.target("bookings-0").arrivals.map(({ id }) => id)).toEqual(["first"]);
+    });
+});
