Answer CONNECT, after the requests before it

A caller that sent CONNECT found its connection closed without an answer. Behind a request that was being served, the close also ended that request: it got no answer, and its target worked in vain.

Cause: Node closes the connection on CONNECT if nothing listens for it.

CONNECT gets 501 once the requests before it have their responses, and the connection is then closed in order. The parser and its listeners are gone by then, so what they did for the response in progress is done here: errors, the end of the caller's side, and the drain event.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -39,6 +39,9 @@
     ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
+/** Status line of the response to CONNECT; connections to other servers are not offered. */
+const CONNECT_REJECTION = "501 Not Implemented";
+
 interface ReceivedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
@@ -49,8 +52,9 @@
 
 /** One connection and its requests. */
 export class Connection {
-    /** The request that is being served, or was served last. */
+    /** The request that is being served, or was served last, and its response. */
     private request: IncomingMessage | undefined;
+    private response: ServerResponse | undefined;
     private isServing = false;
     /** Pipelined requests that are served once the response before theirs has ended. */
     private waiting: ReceivedRequest[] = [];
@@ -59,6 +63,8 @@
     private isMalformed = false;
     /** The error after which the parser reads nothing more. */
     private parserError: NodeJS.ErrnoException | undefined;
+    /** Status line of the rejection that follows the last response. */
+    private lastRejection: string | undefined;
     private idleSince = 0;
     private announcedIdleMs = 0;
 
@@ -99,6 +105,18 @@
         else this.serveNext();
     }
 
+    /** Answers CONNECT after the requests before it. Node has taken the parser and its listeners off the connection. */
+    handleConnect(): void {
+        this.socket.on("error", error => this.handleError(error));
+        this.socket.on("end", () => this.socket.end());
+        this.socket.on("drain", () => this.response?.emit("drain"));
+        this.socket.resume();
+        if (this.isClosing) return;
+        this.isMalformed = true;
+        this.lastRejection = CONNECT_REJECTION;
+        if (!this.isServing) this.endWithRejection();
+    }
+
     /** Closes the connection if it has been idle for as long as was announced and is configured now. */
     handleIdleTimeout(): void {
         const idleTimeoutMs = Math.max(this.announcedIdleMs, this.options.idleTimeoutMs()) + IDLE_MARGIN_MS;
@@ -142,8 +160,15 @@
             this.failUnreadBody();
             return;
         }
-        const status = REJECTIONS[code] ?? "400 Bad Request";
-        this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+        this.lastRejection = REJECTIONS[code] ?? "400 Bad Request";
+        this.endWithRejection();
+    }
+
+    private endWithRejection(): void {
+        const status = this.lastRejection;
+        if (status !== undefined) {
+            this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+        }
         this.closeInOrder();
     }
 
@@ -165,13 +190,14 @@
         if (this.waiting.length < MAXIMUM_WAITING_REQUESTS) this.socket.resume();
         const { request, response, receivedAt, announcedIdleMs } = next;
         this.request = request;
+        this.response = response;
         this.isServing = true;
         response.once("close", () => {
             this.isServing = false;
             this.idleSince = performance.now();
             this.announcedIdleMs = announcedIdleMs;
             if (this.isClosing || this.socket.destroyed) return;
-            if (this.isMalformed && this.waiting.length === 0) this.closeInOrder();
+            if (this.isMalformed && this.waiting.length === 0) this.endWithRejection();
             else this.serveNext();
         });
         this.options.serve(request, response, receivedAt);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -58,6 +58,10 @@
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
             this.connections.get(request.socket)?.receive(request, response);
         });
+        // Without such a listener, Node closes the connection, also while an earlier request is served.
+        server.on("connect", (_request, socket) => {
+            this.connections.get(socket as Socket)?.handleConnect();
+        });
         server.on("clientError", (error: Error, socket) => {
             this.connections.get(socket as Socket)?.handleError(error);
         });
--- a/test/gateway/malformedrequests.test.ts
+++ b/test/gateway/malformedrequests.test.ts
@@ -199,3 +199,64 @@
         expect(deployment.target("bookings-0").arrivals.map(({ id }) => id)).toEqual(["first"]);
     });
 });
+
+const CONNECT = "CONNECT desk.example:443 HTTP/1.1\r\nhost: desk.example:443\r\n\r\n";
+
+describe("CONNECT", () => {
+    it.each([
+        { case: "alone", text: CONNECT },
+        { case: "with bytes for the other end", text: `${CONNECT}${"x".repeat(20_000)}` },
+    ])("is answered: $case", async ({ text }) => {
+        await start();
+        caller.stopReading();
+        caller.write(text);
+        await pause(50);
+        caller.write("more bytes for the other end");
+        await pause(100);
+        caller.continueReading();
+        expect((await caller.read(1)).map(({ status }) => status)).toEqual([501]);
+        expect(await caller.ended()).toBe("end");
+    });
+
+    it("is answered after the requests before it", async () => {
+        await start();
+        let answer = (): void => undefined;
+        const after = new Promise<void>(resolve => (answer = resolve));
+        deployment.target("bookings-0").behaviour = () => ({ kind: "answer", after });
+        caller.write(requestHead("GET", "/check/1", "first") + requestHead("GET", "/check/2", "second") + CONNECT);
+        await vi.waitFor(() => expect(deployment.target("bookings-0").arrivals).toHaveLength(1));
+        await pause(100);
+        expect(caller.ending).toBeUndefined();
+        answer();
+        expect((await caller.read(3)).map(({ status }) => status)).toEqual([200, 200, 501]);
+        expect(await caller.ended()).toBe("end");
+    });
+
+    it("does not stop the stream before it, whose caller reads slowly", async () => {
+        await start();
+        const events = Array.from({ length: 2_000 }, (_, index) => `id: ${index + 1}\ndata: ${"x".repeat(4_000)}\n\n`);
+        const head =
+            "x-parsleyrun-request-id: first\r\nx-parsleyrun-server-stamp: s\r\ncontent-type: text/event-stream";
+        deployment.target("engines-0").behaviour = () => ({
+            kind: "raw",
+            text: `HTTP/1.1 200 OK\r\n${head}\r\nconnection: close\r\n\r\n${events.join("")}`,
+        });
+        caller.write(requestHead("POST", "/draft/1", "first", { "content-length": 0 }) + CONNECT);
+        await caller.readHeads(1);
+        caller.stopReading();
+        await pause(300);
+        caller.continueReading();
+        expect(await caller.ended(5_000)).toBe("end");
+        expect(caller.text).toContain("id: 2000\n");
+        expect(caller.text).toMatch(/\r\n0\r\n\r\nHTTP\/1\.1 501 /);
+    });
+
+    it("does not hide that its caller has left", async () => {
+        await start();
+        deployment.target("bookings-0").behaviour = () => ({ kind: "silent" });
+        caller.write(requestHead("GET", "/check/1", "first") + CONNECT);
+        await vi.waitFor(() => expect(deployment.target("bookings-0").arrivals).toHaveLength(1));
+        caller.close();
+        await vi.waitFor(() => expect(deployment.target("bookings-0").abandoned).toEqual(["first"]));
+    });
+});
