Notice that a caller leaves while its requests wait

When a caller left while 16 or more of its requests, or one with a long body, waited behind one that was being served, the target went on working for nobody until that request had ended.

Cause: the connection is not read while 16 requests wait, and Node stops reading it once the body of a waiting request fills its buffer. Only a connection that is read shows that the other side has closed it.

pipelinedrequests.test.ts: with 20 and 50 requests, and with one and two bodies of 90 KB, the target was not left within 1,000 ms (4 of 4 cases failed; the request ended with its deadline, after 2,000 ms), now it is in all four. Up to 64 requests and 256 KB are read in advance; one read of a socket could bring several hundred small requests before, so the memory for a connection grows by 192 KB at most. A caller that has more than that on its way when it leaves is still noticed late.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -14,8 +14,12 @@
 /** Interval in milliseconds at which the bytes that were discarded are compared with their limit. */
 const DISCARD_CHECK_MS = 50;
 
-/** Number of requests that may wait behind another one before the connection is no longer read. */
-const MAXIMUM_WAITING_REQUESTS = 16;
+/**
+ * Requests that may wait behind another one, and the bytes since the first of them was read, before the connection is no
+ * longer read. Only while it is read is it noticed that the caller has left.
+ */
+const MAXIMUM_WAITING_REQUESTS = 64;
+const MAXIMUM_WAITING_BYTES = 262_144;
 
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse, receivedAt: number) => void;
@@ -48,6 +52,8 @@
     readonly receivedAt: number;
     /** The time that Node announces in the response for the idle connection. */
     readonly announcedIdleMs: number;
+    /** Number of bytes that had been read from the connection when the head was read. */
+    readonly bytesRead: number;
 }
 
 /** One connection and its requests. */
@@ -79,6 +85,8 @@
         const connection = new Connection(socket, server, options);
         // Node resumes reading after each request that it has read.
         socket.on("resume", () => connection.pauseIfFull());
+        // Node pauses reading once it has read a part of the body of a request that waits.
+        socket.on("pause", () => setImmediate(() => connection.resumeUnlessFull()));
         // Node calls this when a response that closes the connection has ended. Bytes of a next request may always be on
         // their way, or have been read as part of its head.
         socket.destroySoon = (): void => {
@@ -100,7 +108,8 @@
             return;
         }
         const { keepAliveTimeout: announcedIdleMs } = this.server;
-        this.waiting.push({ request, response, receivedAt: performance.now(), announcedIdleMs });
+        const { bytesRead } = this.socket;
+        this.waiting.push({ request, response, receivedAt: performance.now(), announcedIdleMs, bytesRead });
         if (this.isServing) this.pauseIfFull();
         else this.serveNext();
     }
@@ -181,13 +190,26 @@
     }
 
     private pauseIfFull(): void {
-        if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) this.socket.pause();
+        if (this.isFull) this.socket.pause();
+    }
+
+    private resumeUnlessFull(): void {
+        // While the caller does not read, its departure shows when the response is written.
+        if (this.waiting.length > 0 && !this.isFull && !this.socket.writableNeedDrain) this.socket.resume();
+    }
+
+    /** Whether as many requests wait as are read in advance. */
+    private get isFull(): boolean {
+        const [first] = this.waiting;
+        if (first === undefined) return false;
+        const waitingBytes = this.socket.bytesRead - first.bytesRead;
+        return this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= MAXIMUM_WAITING_BYTES;
     }
 
     private serveNext(): void {
         const next = this.waiting.shift();
         if (next === undefined) return;
-        if (this.waiting.length < MAXIMUM_WAITING_REQUESTS) this.socket.resume();
+        if (!this.isFull) this.socket.resume();
         const { request, response, receivedAt, announcedIdleMs } = next;
         this.request = request;
         this.response = response;
--- a/test/gateway/pipelinedrequests.test.ts
+++ b/test/gateway/pipelinedrequests.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { Deployment } from "./harness.js";
+import { CONFIGURATION, Deployment } from "./harness.js";
 import { RawCaller, requestHead } from "./rawcaller.js";
 
 let deployment: Deployment;
@@ -13,8 +13,8 @@
     await deployment.close();
 });
 
-async function start(): Promise<void> {
-    deployment = await Deployment.start({ bookings: 1 });
+async function start(configuration: unknown = CONFIGURATION): Promise<void> {
+    deployment = await Deployment.start({ bookings: 1 }, 1, configuration);
     caller = await RawCaller.connect(deployment.callers[0] ?? "");
 }
 
@@ -84,6 +84,49 @@
     });
 });
 
+describe("a caller that leaves while its requests wait", () => {
+    it.each([
+        { case: "20 requests", count: 20, bodyBytes: 0 },
+        { case: "50 requests", count: 50, bodyBytes: 0 },
+        { case: "a request with a long body", count: 1, bodyBytes: 90_000 },
+        { case: "two requests with long bodies", count: 2, bodyBytes: 90_000 },
+    ])("is noticed: $case", async ({ count, bodyBytes }) => {
+        const Limits = { ...CONFIGURATION.Limits, MaxBodyBytes: 100_000 };
+        await start({ ...CONFIGURATION, Limits });
+        const target = deployment.target("bookings-0");
+        target.behaviour = () => ({ kind: "silent" });
+        caller.write(post("/check/1", "first", "a"));
+        await vi.waitFor(() => expect(target.arrivals).toHaveLength(1));
+        for (let index = 0; index < count; index += 1) {
+            caller.write(post("/check/1", `waiting-${index}`, "x".repeat(bodyBytes)));
+            await pause(5);
+        }
+        await pause(100);
+        caller.close();
+        // The time of the first request ends after 2,000 ms.
+        await vi.waitFor(() => expect(target.abandoned).toEqual(["first"]), 1_000);
+        expect(deployment.linesOf("request ended", "first")).toMatchObject([{ outcome: "cancelled" }]);
+        await pause(100);
+        expect(arrivals()).toEqual(["first"]);
+        expect(await openRequests()).toBe(0);
+    });
+
+    it("long bodies that wait are passed on whole", async () => {
+        await start({ ...CONFIGURATION, Limits: { ...CONFIGURATION.Limits, MaxBodyBytes: 100_000 } });
+        let answerFirst = (): void => undefined;
+        const first = new Promise<void>(resolve => (answerFirst = resolve));
+        const target = deployment.target("bookings-0");
+        target.behaviour = ({ id }) => (id === "first" ? { kind: "answer", after: first } : { kind: "answer" });
+        const bodies = Array.from({ length: 8 }, (_, index) => String(index).repeat(90_000));
+        caller.write(post("/check/1", "first", "a"));
+        bodies.forEach((body, index) => caller.write(post("/check/1", `long-${index}`, body)));
+        await pause(200);
+        answerFirst();
+        expect(await caller.read(9)).toHaveLength(9);
+        expect(target.arrivals.slice(1).map(({ body }) => body)).toEqual(bodies);
+    });
+});
+
 describe("many pipelined requests", () => {
     const COUNT = 600;
 
