Bound exceptions after a response to their request

An exception while stage results were released cut the stream that its caller was getting, though the response does not depend on the release. One after the end of a request, when its times are recorded or its end is logged, was an unhandled rejection, which ends the process with all open requests. One in the release of its attempts replaced a whole response's result in the log by a failure.

That a daemon ends by them follows from the runtime's default and was not run. What a response does not depend on is contained where it is done, and the remaining exceptions are caught where callers' requests are served. A response that has ended is not destroyed.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -71,8 +71,9 @@
     response.end(body);
 }
 
-/** Ends a response after an exception: with status 500, which promises nothing, or by closing one that has begun. */
+/** Ends a response after an exception, unless it has ended: with status 500, which promises nothing, or by closing it. */
 export function failResponse(response: ServerResponse, reason: string): void {
+    if (response.writableEnded) return;
     if (response.headersSent) response.destroy();
     else sendGatewayResponse(response, { status: 500, reason, retryAfterMs: undefined }, true);
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -78,7 +78,7 @@
         const id = context.dialect.readRequest(request.headers).requestId;
         const handled = await exchange.handle().catch((error: unknown) => exchange.endAfterException(id, error));
         const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
-        if (result.outcome === "answered") exchange.attempts?.recordTimes();
+        if (result.outcome === "answered") exchange.contain(() => exchange.attempts?.recordTimes());
         context.onRequestEnd(
             {
                 id,
@@ -162,6 +162,16 @@
         return result;
     }
 
+    /** Does what the response does not depend on: an exception in it is logged, and the request goes on. */
+    private contain(task: () => void): void {
+        try {
+            task();
+        } catch (error) {
+            const id = this.context.dialect.readRequest(this.incoming.headers).requestId;
+            this.context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
+        }
+    }
+
     private deadlineOf(metadata: RequestMetadata, route: Route): Deadline {
         const spent = performance.now() - this.receivedAt;
         const longest = Math.min(metadata.deadlineMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -174,7 +184,7 @@
         try {
             return await this.prepareAndSend(request, attempts);
         } finally {
-            attempts.end();
+            this.contain(() => attempts.end());
         }
     }
 
@@ -225,7 +235,7 @@
             expectedMs: stage => this.context.expectedStageMs(route, stage),
             zone: attempts.preferredZone(),
             make: this.context.makePieces,
-            release: this.context.releaseResults,
+            release: (...results) => this.contain(() => this.context.releaseResults(...results)),
             signal: request.signal,
         });
         this.stagesMs = performance.now() - startedAt;
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -116,7 +116,12 @@
     return Listener.listen(server, address, {
         serve: (request, response, receivedAt) => {
             applyLimits(server, limits());
-            void Exchange.serve(gateway.context, request, response, receivedAt);
+            const { context } = gateway;
+            Exchange.serve(context, request, response, receivedAt).catch((error: unknown) => {
+                const id = context.dialect.readRequest(request.headers).requestId;
+                context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
+                failResponse(response, "unexpected error");
+            });
         },
         maximumDiscardedBytes: () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
         idleTimeoutMs: () => {
--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -3,6 +3,7 @@
 import { NEWS_PATH } from "../../src/gateway/gossip.js";
 import { OBSERVATIONS_PATH } from "../../src/gateway/rolloutcontroller.js";
 import type { Gateway } from "../../src/gateway/index.js";
+import { RequestRetries } from "../../src/gateway/requestretries.js";
 import { PEER_PATHS } from "../../src/stages/index.js";
 import { Deployment } from "./harness.js";
 
@@ -88,6 +89,55 @@
     });
 });
 
+describe("an exception after the answer", () => {
+    it.each<{ name: string; path: string; arrange: () => void; ends: boolean }>([
+        {
+            name: "as its stream has ended",
+            path: "/draft/1",
+            arrange: () => vi.spyOn(gateway.targets, "recordEnded").mockImplementationOnce(fail),
+            ends: false,
+        },
+        {
+            name: "in the release of stage results",
+            path: "/staged/1",
+            arrange: () => vi.spyOn(gateway.pieceRouter, "release").mockImplementation(fail),
+            ends: true,
+        },
+        {
+            name: "in the release of its retries",
+            path: "/book/1",
+            arrange: () => vi.spyOn(RequestRetries.prototype, "end").mockImplementationOnce(fail),
+            ends: true,
+        },
+        {
+            name: "as its times are recorded",
+            path: "/book/1",
+            arrange: () => vi.spyOn(gateway.context.requestTimes, "record").mockImplementation(fail),
+            ends: true,
+        },
+        {
+            name: "as its end is logged",
+            path: "/book/1",
+            arrange: () => vi.spyOn(gateway.context, "onRequestEnd").mockImplementationOnce(fail),
+            ends: false,
+        },
+    ])("$name neither changes it nor ends the process", async ({ path, arrange, ends }) => {
+        deployment.target("engines-0").behaviour = () => ({ kind: "stream", events: 3, gapMs: 5 });
+        arrange();
+        const headers = { "x-parsleyrun-pieces": "1,1", "x-parsleyrun-piece-key": "k" };
+        const answer = await deployment.call({ path, id: "odd", body: "b", headers });
+        expect(answer).toMatchObject({ status: 200, complete: true });
+        const logged = (): unknown => deployment.linesOf("request failed unexpectedly", "odd")[0];
+        await vi.waitFor(() => expect(logged()).toMatchObject({ error: expect.stringContaining(ERROR.message) }));
+        if (ends) {
+            const ended = (): unknown => deployment.linesOf("request ended", "odd");
+            await vi.waitFor(() => expect(ended()).toMatchObject([{ outcome: "answered", status: 200 }]));
+        }
+        vi.restoreAllMocks();
+        expect((await deployment.call({ path: "/check/1", id: "next" })).status).toBe(200);
+    });
+});
+
 describe("an exception in a call of another gateway", () => {
     it.each<{ path: string; body: string; arrange: () => void }>([
         { path: NEWS_PATH, body: "{}", arrange: () => vi.spyOn(gateway.gossip, "receive").mockImplementation(fail) },
