Respond to requests that wait behind another one before a planned stop closes their connection

Callers that had sent further requests on a connection got no response to them when the gateway stopped: the response to the first one told them to close, and the connection ended behind it, although the others had been read, some seconds before.

Cause: a response decides whether it closes the connection from the phase of the gateway only.

Ruled out: requests that are sent behind such a response. They cross it, nothing passes them on, and callers repeat them.

Change: while requests wait on the connection, the response before them does not close it. Each is served or refused, and the last one closes the connection.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -17,8 +17,16 @@
 /** Number of requests that may wait behind another one before the connection is no longer read. */
 const MAXIMUM_WAITING_REQUESTS = 16;
 
-/** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse, receivedAt: number) => void;
+/**
+ * Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. `hasWaiting` says whether
+ * requests wait behind it now; a response that closes the connection leaves them without one.
+ */
+export type RequestHandler = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    receivedAt: number,
+    hasWaiting: () => boolean,
+) => void;
 
 /** Time in milliseconds for which an idle connection is kept beyond the announced time, in which a request may arrive. */
 const IDLE_MARGIN_MS = 1_000;
@@ -163,7 +171,7 @@
             if (this.isMalformed && this.waiting.length === 0) this.closeInOrder();
             else this.serveNext();
         });
-        this.options.serve(request, response, receivedAt);
+        this.options.serve(request, response, receivedAt, () => this.waiting.length > 0);
     }
 
     /** Whether the caller may have sent more than was read. */
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -110,9 +110,11 @@
     const limits = (): ConnectionLimits | undefined => gateway.configuration?.content.limits;
     server.on("connection", () => applyLimits(server, limits()));
     return Listener.listen(server, address, {
-        serve: (request, response, receivedAt) => {
+        serve: (request, response, receivedAt, hasWaiting) => {
             applyLimits(server, limits());
-            void Exchange.serve(gateway.context, request, response, receivedAt);
+            // Requests that were read get responses before a planned stop closes their connection.
+            const closesConnections = (): boolean => gateway.context.closesConnections() && !hasWaiting();
+            void Exchange.serve({ ...gateway.context, closesConnections }, request, response, receivedAt);
         },
         maximumDiscardedBytes: () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
         idleTimeoutMs: () => {
