Test signals to a gateway process while callers keep using their connections

Guards against SIGHUPs, alone, in series, with changed or unreadable settings, and overlapping with SIGTERM and changes of the configuration, that cut open streams or calls or leave requests on kept connections without a response; and against a stop that closes idle connections on requests that it had time to read.

Change: the gateway process between stand-ins moves from plannedstop.test.ts to a module of its own. No code changes.

--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -62,6 +62,8 @@
 
     private constructor(
         readonly name: string,
+        /** The settings file. */
+        readonly file: string,
         private readonly child: ChildProcess,
     ) {
         for (const stream of [child.stdout, child.stderr]) {
@@ -85,7 +87,7 @@
         const child = spawn(process.execPath, [...nodeArguments, main, ...operands], {
             stdio: ["ignore", kind === "gateway" ? "pipe" : "ignore", "pipe"],
         });
-        return new Daemon(name, child);
+        return new Daemon(name, file, child);
     }
 
     /** What the process wrote to standard error, and a gateway to standard output; without the oldest part when it is long. */
--- a/test/processes/plannedstop.test.ts
+++ b/test/processes/plannedstop.test.ts
@@ -2,101 +2,14 @@
 import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it } from "vitest";
 import { encodeOrder } from "../../src/stages/order.js";
 import { Deadline } from "../../src/model/index.js";
-import { CONFIGURATION } from "../gateway/harness.js";
-import { StandInPlatform } from "../platform/standinplatform.js";
-import { StandInTarget } from "../platform/standintarget.js";
-import { type Daemon, freeAddress, pause, ProcessGroup, until } from "./daemons.js";
-import { type RawAnswer, RawCaller } from "./rawcaller.js";
+import { pause, until } from "./daemons.js";
+import type { RawAnswer, RawCaller } from "./rawcaller.js";
+import { GRACE_MS, Stage, STAGE_MS } from "./stage.js";
 
-/** Grace period, and when requests come early and late in it. */
-const GRACE_MS = 4_000;
+/** When requests come early and late in the grace period. */
 const EARLY_MS = 300;
 const LATE_MS = 2_800;
 
-/** Duration of a call for pieces: longer than new requests are served after the signal. */
-const STAGE_MS = 3_100;
-
-const SERVICES = ["bookings", "engines", "encode"];
-
-/** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
-class Stage {
-    callers = "";
-    peers = "";
-    private readonly group = ProcessGroup.create();
-    private readonly targets: StandInTarget[] = [];
-    private readonly open: RawCaller[] = [];
-    gateway!: Daemon;
-
-    private constructor(readonly platform: StandInPlatform) {}
-
-    static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
-        const stage = new Stage(await StandInPlatform.start());
-        const routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs: 15_000 }));
-        const services = CONFIGURATION.Services.map(service =>
-            service.Name === "encode" ? { ...service, Segments: { ...service.Segments, CallMs: STAGE_MS } } : service,
-        );
-        stage.platform.put("config", "main", { ...CONFIGURATION, Routes: routes, Services: services });
-        for (const service of SERVICES) {
-            const target = await StandInTarget.start(`${service}-0`);
-            target.behaviour = ({ id }) => {
-                if (id.startsWith("silent")) return { kind: "silent" };
-                if (id.startsWith("events")) return { kind: "stream", events: 1_000, gapMs: 100 };
-                return service === "engines" ? { kind: "stream", events: 2 } : { kind: "answer" };
-            };
-            stage.targets.push(target);
-            const record = { Service: service, Address: target.address, Zone: "east", Version: "v1", Slots: 64 };
-            const state = { State: "available", ColdRemainingMs: 0, Seqno: 1, born: 1_000 };
-            stage.platform.put("servers", target.id, { ...record, ...state });
-        }
-        stage.callers = await freeAddress();
-        stage.peers = await freeAddress();
-        const readiness = await freeAddress();
-        const settings = {
-            name: "gateway-1",
-            zone: "east",
-            callerAddress: stage.callers,
-            readinessAddress: readiness,
-            peerAddress: stage.peers,
-            store: { address: stage.platform.address, timeoutMilliseconds: 300 },
-            stopGraceSeconds: GRACE_MS / 1_000,
-        };
-        stage.gateway = stage.group.spawn("gateway", "gateway", settings, nodeArguments);
-        await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
-        return stage;
-    }
-
-    target(service: string): StandInTarget {
-        const found = this.targets.find(({ id }) => id === `${service}-0`);
-        if (found === undefined) throw new Error(`no target of ${service}`);
-        return found;
-    }
-
-    /** The requests with an id that reached targets. */
-    arrivals(id: string): StandInTarget["arrivals"] {
-        return this.targets.flatMap(target => target.arrivals.filter(arrival => arrival.id === id));
-    }
-
-    async connect(): Promise<RawCaller> {
-        const caller = await RawCaller.open(this.callers);
-        this.open.push(caller);
-        return caller;
-    }
-
-    /** Opens a connection that has carried a request. */
-    async connectKept(): Promise<RawCaller> {
-        const caller = await this.connect();
-        expect((await caller.send("/public/1", "kept")).status).toBe(200);
-        return caller;
-    }
-
-    async close(): Promise<void> {
-        for (const caller of this.open) caller.close();
-        await this.group.close();
-        this.platform.close();
-        for (const target of this.targets) target.close();
-    }
-}
-
 type Moment = "before" | "early" | "late";
 
 /** A request during a planned stop. */
--- a/test/processes/rawcaller.ts
+++ b/test/processes/rawcaller.ts
@@ -10,18 +10,24 @@
     readonly complete: boolean;
     /** Whether the connection was reset. */
     readonly reset: boolean;
+    /** Time in milliseconds from the last byte of the request to the end of the connection; undefined while it is open. */
+    readonly closedAfterMs: number | undefined;
 }
 
 /** A connection to a gateway. */
 export class RawCaller {
     private received = "";
     private closed = false;
+    private closedAt: number | undefined;
     private reset = false;
 
     private constructor(private readonly socket: Socket) {
         socket.setEncoding("latin1").on("data", (text: string) => (this.received += text));
         socket.on("error", (error: NodeJS.ErrnoException) => (this.reset ||= error.code === "ECONNRESET"));
-        socket.once("close", () => (this.closed = true));
+        socket.once("close", () => {
+            this.closed = true;
+            this.closedAt = performance.now();
+        });
     }
 
     static async open(address: string): Promise<RawCaller> {
@@ -44,13 +50,19 @@
             "Content-Length: 4",
         ];
         this.write(`${head.join("\r\n")}\r\n\r\n${"body".slice(0, 4 - heldBack)}`);
+        const sentAt = performance.now();
         await until(`a response to ${id} or the end`, () => this.closed || this.isComplete());
         const [statusLine = "", ...lines] = (this.received.split("\r\n\r\n")[0] ?? "").split("\r\n");
         const headers = Object.fromEntries(
             lines.map(line => [line.slice(0, line.indexOf(":")).toLowerCase(), line.slice(line.indexOf(":") + 2)]),
         );
         const status = this.received === "" ? undefined : Number(statusLine.split(" ")[1]);
-        return { status, headers, complete: this.isComplete(), reset: this.reset };
+        const closedAfterMs = this.closedAt === undefined ? undefined : this.closedAt - sentAt;
+        return { status, headers, complete: this.isComplete(), reset: this.reset, closedAfterMs };
+    }
+
+    get isClosed(): boolean {
+        return this.closed;
     }
 
     write(text: string): void {
