Read what has arrived before a planned stop closes connections

Callers whose requests arrived while the gateway was delayed at the end of a stop saw their connection reset without a response.

Cause: the stop ends on timers, and timers run before sockets are read. After a delay of the process, requests that had arrived meanwhile were never read.

Change: the process ends only once nothing is open and some turns of the event loop have brought no connection and no request. They are refused like all that come after the drain.

Evidence: a process that is stopped with SIGSTOP for 0.6 s around the end of its drain, 20 requests each on kept and on new connections sent meanwhile.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -10,7 +10,7 @@
     listenForMetrics,
     listenForPeers,
     listenForReadiness,
-    waitUntil,
+    waitUntilQuiet,
 } from "../gateway/index.js";
 import {
     DecisionLog,
@@ -184,9 +184,9 @@
         const unregistration = peers.unregister(store);
         await pause(Math.max(0, requestedAt + drainMs - performance.now()));
         gateway.enterPhase("stopping");
-        // Requests of other gateways wait for the pieces that this one gathers.
-        await waitUntil(() => callers.openRequests + peerCalls.openRequests === 0, deadline.remainingMs());
         await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
+        // Requests of other gateways wait for the pieces that this one gathers.
+        await waitUntilQuiet([callers, peerCalls], deadline);
         log.writeUnthrottled("stopped", { openRequests: callers.openRequests });
         await kill();
         await pause(LAST_WRITES_MS / 4);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -39,23 +39,33 @@
 /** Maximum size in bytes of an order for pieces from another gateway. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
+/** Interval in milliseconds at which open requests are counted at the end of a stop. */
+const OPEN_CHECK_MS = 20;
+
+/** Turns of the event loop without an arrival after which everything was read; a turn accepts, the next one reads. */
+const READ_TURNS = 3;
+
 /** Time in milliseconds for an order to arrive; its sender gives up sooner. */
 const ORDER_TIMEOUT_MS = 2_000;
 
 /** An HTTP server that tracks its connections and open requests. */
 export class Listener {
     private readonly connections = new Map<Socket, Connection>();
+    /** Number of connections and requests that have arrived. */
+    arrivals = 0;
 
     private constructor(
         readonly server: Server,
         options: ConnectionOptions,
     ) {
         server.on("connection", socket => {
+            this.arrivals += 1;
             this.connections.set(socket, Connection.of(socket, server, options));
             socket.setNoDelay(true);
             socket.once("close", () => this.connections.delete(socket));
         });
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+            this.arrivals += 1;
             this.connections.get(request.socket)?.receive(request, response);
         });
         server.on("clientError", (error: Error, socket) => {
@@ -220,8 +230,21 @@
     response.end(JSON.stringify({ results, waitMs: gateway.pieceRouter.queueWaitMs(order.service) }));
 }
 
-/** Waits until a condition holds or a time has passed. */
-export async function waitUntil(condition: () => boolean, milliseconds: number): Promise<void> {
-    const end = performance.now() + milliseconds;
-    while (!condition() && performance.now() < end) await pause(Math.min(20, milliseconds));
+/**
+ * Waits until nothing is open, also once everything that has arrived was read, or until a deadline. Timers run before
+ * sockets are read, so after a delay of this process requests may have arrived long ago.
+ */
+export async function waitUntilQuiet(listeners: readonly Listener[], deadline: Deadline): Promise<void> {
+    const sumOf = (count: (listener: Listener) => number): number =>
+        listeners.reduce((sum, listener) => sum + count(listener), 0);
+    for (let quietTurns = 0; quietTurns < READ_TURNS && !deadline.passed();) {
+        if (sumOf(({ openRequests }) => openRequests) > 0) {
+            quietTurns = 0;
+            await pause(Math.min(OPEN_CHECK_MS, deadline.remainingMs()));
+            continue;
+        }
+        const before = sumOf(({ arrivals }) => arrivals);
+        await new Promise(resolve => setImmediate(resolve));
+        quietTurns = sumOf(({ arrivals }) => arrivals) === before ? quietTurns + 1 : 0;
+    }
 }
--- a/test/processes/signals.test.ts
+++ b/test/processes/signals.test.ts
@@ -18,6 +18,9 @@
 /** Longest time in milliseconds for which a request may be on its way while the other side closes the connection. */
 const CROSSING_MS = 50;
 
+/** Time in milliseconds after SIGTERM for which the gateway takes new requests: half of its grace period. */
+const DRAIN_MS = GRACE_MS / 2;
+
 interface SentRequest {
     readonly id: string;
     readonly answer: RawAnswer;
@@ -170,4 +173,32 @@
         },
         30_000,
     );
+
+    // Guards against a stop that ends on a timer before it has read what arrived while the process was delayed.
+    it.each([{ connections: "kept" }, { connections: "new" }])(
+        "responds to requests on $connections connections that arrive while it is frozen at the end of a stop",
+        async ({ connections }) => {
+            stage = await Stage.start();
+            const connect = (): Promise<readonly RawCaller[]> =>
+                Promise.all(
+                    Array.from({ length: 20 }, () => (connections === "kept" ? stage.connectKept() : stage.connect())),
+                );
+            const kept = connections === "kept" ? await connect() : [];
+            terminate();
+            await stage.gateway.logged('"stopping"');
+            // Without open requests, the process ends once it takes no new ones.
+            await pause(DRAIN_MS - 300);
+            stage.gateway.signal("SIGSTOP");
+            const callers = connections === "kept" ? kept : await connect();
+            const answers = callers.map((caller, index) => caller.send("/check/1", `frozen-${index}`));
+            await pause(600);
+            stage.gateway.signal("SIGCONT");
+            for (const answer of await Promise.all(answers)) {
+                expect([200, 503]).toContain(answer.status);
+                expect(answer).toMatchObject({ complete: true, headers: { connection: "close" } });
+            }
+            expect(await stage.gateway.ended).toEqual({ code: 0, signal: null });
+        },
+        20_000,
+    );
 });
