Give back the pieces of other gateways that are still open at the end of a planned stop

A gateway whose order was open when its gatherer's grace period ended logged "gatherer unreachable" for a gateway that had stopped in order. Its request was served by another gatherer.

Cause: the connection of the order was closed in the middle of the answer, as when a gateway crashes.

Change: at the end of the time for responses, the gatherer answers that it gives the pieces back, as it does with those that wait when the stop begins.

--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import {
     decodeOrder,
     decodeRelease,
+    GIVEN_BACK,
     OpenOrders,
     PEER_PATHS,
     type PieceResult,
@@ -221,10 +222,18 @@
     // Spaces before the JSON text show the other gateway that this one is still working on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
+    let giveBack = (): void => undefined;
+    const givenBack = new Promise<readonly PieceResult[]>(resolve => {
+        giveBack = (): void => resolve(order.jobs.map(() => GIVEN_BACK));
+    });
+    // The other gateway would take this one for unreachable if its connection were closed instead.
+    const cancelGiveBack = gateway.shutdown.onDue(giveBack);
     let results: readonly PieceResult[];
     try {
-        results = await openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
+        const made = openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
+        results = await Promise.race([made, givenBack]);
     } finally {
+        cancelGiveBack();
         clearInterval(progress);
     }
     response.end(JSON.stringify({ results, waitMs: gateway.pieceRouter.queueWaitMs(order.service) }));
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -57,7 +57,8 @@
 /** An order without pieces, which a gatherer answers at once. */
 const PROBE: PeerOrder = { service: "", jobs: [] };
 
-const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
+/** Result of a piece that another gatherer is to make. */
+export const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What a router depends on. */
 export interface PieceRouterEnvironment {
--- a/test/gateway/gathererhandover.test.ts
+++ b/test/gateway/gathererhandover.test.ts
@@ -14,6 +14,9 @@
 /** Configured duration of a call; inputs count as read after half of it. */
 const CALL_MS = 300;
 
+/** Time in milliseconds of the grace period of 8 s that has passed when a stop begins late. */
+const SPENT_GRACE_MS = 6_500;
+
 /** Results so large that a holder of one is short of memory. */
 const RESULT_BYTES = 200_000;
 
@@ -85,3 +88,34 @@
         20_000,
     );
 });
+
+describe("an order of another gateway that is still open at the end of a planned stop", () => {
+    // Guards against an order whose connection is cut, for which its sender takes the gateway for unreachable.
+    it.each([{ gateways: 2 }, { gateways: 3 }])(
+        "goes to another gatherer of $gateways, and its request is served",
+        async ({ gateways }) => {
+            deployment = await Deployment.start({ engines: 1, encode: 1, rank: 1 }, gateways, {
+                ...configuration,
+                // A stream would not wait for stages that are expected to take this long.
+                Routes: configuration.Routes.map(route => ("Phases" in route ? { ...route, Kind: "safe" } : route)),
+                Services: configuration.Services.map(service =>
+                    "Segments" in service ? { ...service, Segments: { ...service.Segments, CallMs: 2_000 } } : service,
+                ),
+            });
+            const gatherer = deployment.gateways.findIndex(
+                ({ gateway }) => gateway.pieceRouter.gathererOf("encode") === undefined,
+            );
+            const encode = deployment.target("encode-0");
+            encode.callMs = 60_000;
+            const served = callStaged("request-1", (gatherer + 1) % gateways);
+            await vi.waitFor(() => expect(encode.pieceCalls).toHaveLength(1));
+            encode.callMs = 20;
+            await deployment.gateways[gatherer]?.stop(performance.now() - SPENT_GRACE_MS);
+            await served;
+            expect(encode.pieceCalls).toHaveLength(2);
+            expect(deployment.linesOf("gatherer unreachable")).toEqual([]);
+            expect(deployment.linesOf("stopped")).toMatchObject([{ openRequests: 0 }]);
+        },
+        20_000,
+    );
+});
