Leave a silent target of a stage only for something better

A request whose target was silent for 1.2 s and then went on failed after 400 ms if the retry budget was empty (retriesExhausted). Without another target its attempt was cancelled and sent to the same target again, which did the work from the start: 2 runs and 1,600 ms instead of 1 and 1,200 ms, and 4 runs in 4 s at a target that stays silent.

Cause: the inactivity timeout ended the attempt before it was known whether a retry is possible.

When the timeout has passed, the stage is asked: the attempt ends if a retry is granted and there is another target, or the same one answers other attempts, so that only this attempt is stuck. Otherwise it goes on, and the question is asked again after the same time. A target that refused before may be chosen again then. An attempt that stays for want of a retry counts once against its target, so that other requests avoid it.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -32,6 +32,11 @@
     readonly signal?: AbortSignal | undefined;
     /** Called with tokens in the order of arrival. */
     readonly onTokens?: ((firstIndex: number, tokens: readonly string[]) => void) | undefined;
+    /**
+     * Asked when the inactivity timeout has passed, with whether the target has answered other attempts meanwhile. If it
+     * returns false, the attempt goes on, and it is asked again after another timeout. Without it, the attempt ends.
+     */
+    readonly mayLeave?: ((answersOthers: boolean) => boolean) | undefined;
     /** Called on each message from the target with the milliseconds since the one before it, or since the start. */
     readonly onAnswer?: ((gapMilliseconds: number) => void) | undefined;
 }
@@ -124,8 +129,11 @@
     private watchInactivity(milliseconds: number): void {
         this.cancelInactivityTimeout = startTimeout(() => {
             const left = this.inactivityEndsAt() - performance.now();
+            const { inactivityMilliseconds, mayLeave } = this.limits;
             if (left > 0) this.watchInactivity(left);
-            else this.giveUp({ kind: "silent", message: `no answer for ${this.limits.inactivityMilliseconds} ms` });
+            else if (mayLeave?.(this.targetAnsweredAt() > this.lastAnswerAt) === false) {
+                this.watchInactivity(inactivityMilliseconds);
+            } else this.giveUp({ kind: "silent", message: `no answer for ${inactivityMilliseconds} ms` });
         }, milliseconds);
     }
 
--- a/src/entry/idempotentstage.ts
+++ b/src/entry/idempotentstage.ts
@@ -2,7 +2,8 @@
  * Runs an idempotent stage: tries one target after another until an attempt completes.
  *
  * A refused attempt was not run and costs nothing, so the next target is tried at once. An attempt that failed, was
- * lost or timed out is retried at another target within the retry budget and the deadline.
+ * lost or timed out is retried at another target within the retry budget and the deadline. A silent attempt is left only
+ * for such a retry, since its target may go on.
  */
 import { failedStage, refusedStage, type FailureReason, type Stage, type StageOutcome } from "../model/index.js";
 import { pause } from "../model/pause.js";
@@ -167,12 +168,20 @@
         const { requestRun, stage, tokens } = this;
         const key = `${stage.service}/${stage.operation}`;
         let longestGap = 0;
+        let isDenied = false;
         const attempt: Attempt | undefined = target.startAttempt(
             { ...requestRun.stageMessage(stage, this.payload), resumeAfter: tokens.receivedCount },
             {
                 deadline: requestRun.deadline,
                 signal: requestRun.signal,
                 inactivityMilliseconds: requestRun.context.timeouts.timeout(key, stage.costMilliseconds),
+                mayLeave: answersOthers => {
+                    if (!this.mayRetrySilent(target, answersOthers)) return false;
+                    if (requestRun.context.retries.take(requestRun.account.name, stage.service)) return true;
+                    if (!isDenied) this.recordDenied(target);
+                    isDenied = true;
+                    return false;
+                },
                 onAnswer: gap => {
                     longestGap = Math.max(longestGap, gap);
                 },
@@ -222,7 +231,9 @@
             case "lost":
                 return this.retry(target, outcome.message);
             case "silent":
-                return this.retry(target, outcome.message);
+                // The retry was taken when the attempt was left.
+                context.health.recordFailure(target.name, this.usableNames());
+                return this.countFailure(outcome.message);
             case "abandoned":
                 context.health.recordInconclusive(target.name);
                 return failedStage(outcome.cause, `given up in stage ${this.stage.name}`);
@@ -267,6 +278,25 @@
         return failedStage("retriesExhausted", `${reason}: ${message}`);
     }
 
+    /**
+     * Whether a retry of a silent attempt may be made elsewhere, or again at a target that answers other attempts.
+     * Otherwise nothing is better than to wait: the target may go on and complete the attempt.
+     */
+    private mayRetrySilent(target: TargetLink, answersOthers: boolean): boolean {
+        if (this.failedAttempts + 1 >= MAXIMUM_FAILED_ATTEMPTS) return false;
+        // Targets that refused before the silence may have room now.
+        this.tried.clear();
+        this.tried.add(target.name);
+        return answersOthers || this.chooseTarget() !== undefined;
+    }
+
+    /** Records that an attempt stays at a silent target for want of a retry; others are to avoid the target. */
+    private recordDenied(target: TargetLink): void {
+        const { context } = this.requestRun;
+        context.health.recordFailure(target.name, this.usableNames());
+        context.metrics.increment("retry.denied", 1, { service: this.stage.service });
+    }
+
     private countFailure(message: string): StageEnd | undefined {
         this.failedAttempts += 1;
         if (this.failedAttempts < MAXIMUM_FAILED_ATTEMPTS) return undefined;
--- /dev/null
+++ b/test/entry/silenttargets.test.ts
@@ -0,0 +1,154 @@
+/**
+ * Targets that are silent for 1.2 s and go on, and targets that are silent for good. An inactivity timeout may end an
+ * attempt only if there is something better to do than to wait; otherwise work that would have been finished is lost.
+ */
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { Entry } from "../../src/entry/index.js";
+import { RetryBudgets } from "../../src/routing/index.js";
+import { Deployment, echo, request, type Script, type ScriptedAgent, Submission } from "./harness.js";
+
+const SILENCE_MS = 1_200;
+
+let deployment: Deployment;
+let entry: Entry;
+
+beforeEach(async () => {
+    vi.useFakeTimers();
+    deployment = new Deployment();
+    entry = await deployment.startEntry("e1");
+});
+
+afterEach(() => {
+    deployment.end();
+    vi.restoreAllMocks();
+    vi.useRealTimers();
+});
+
+async function startAgents(service: string, scripts: readonly Script[]): Promise<readonly ScriptedAgent[]> {
+    const agents = await deployment.startAgents(service, scripts.length);
+    agents.forEach((agent, index) => (agent.script = scripts[index] ?? echo));
+    await deployment.pass(50);
+    return agents;
+}
+
+/** Each attempt is answered after a silence. */
+const goesOn: Script = reply => void setTimeout(() => echo(reply), SILENCE_MS);
+
+/** A target that is silent once; all its answers come when the silence ends. */
+function pausesOnce(): Script {
+    let endsAt: number | undefined;
+    return reply => {
+        endsAt ??= performance.now() + SILENCE_MS;
+        setTimeout(() => echo(reply), Math.max(0, endsAt - performance.now()));
+    };
+}
+
+const silent: Script = () => undefined;
+
+const count = (agents: readonly ScriptedAgent[], list: "runs" | "cancelled"): number =>
+    agents.reduce((sum, agent) => sum + agent[list].length, 0);
+
+describe("an attempt at a silent target goes on", () => {
+    it.each<{ case: string; scripts: () => readonly Script[]; hasRetries: boolean }>([
+        { case: "if it is the only target", scripts: () => [goesOn], hasRetries: true },
+        { case: "if it is the only target, which is silent once", scripts: () => [pausesOnce()], hasRetries: true },
+        { case: "without a retry for the other target", scripts: () => [goesOn, goesOn], hasRetries: false },
+    ])("$case, and completes", async ({ scripts, hasRetries }) => {
+        await startAgents("generate-service", [echo]);
+        const agents = await startAgents("encode-service", scripts());
+        if (!hasRetries) vi.spyOn(RetryBudgets.prototype, "take").mockReturnValue(false);
+        const submission = new Submission(entry, request("ask"));
+        await deployment.pass(SILENCE_MS + 50);
+        expect(submission.outcome).toMatchObject({ kind: "done" });
+        expect([count(agents, "runs"), count(agents, "cancelled")]).toEqual([1, 0]);
+    });
+
+    it("in the middle of its stream, if it is the only target", async () => {
+        await startAgents("encode-service", [echo]);
+        const agents = await startAgents("generate-service", [
+            reply => {
+                reply.accept();
+                reply.tokens(0, ["a", "b"]);
+                setTimeout(() => {
+                    reply.tokens(2, ["c"]);
+                    reply.complete('"abc"', 3);
+                }, SILENCE_MS);
+            },
+        ]);
+        const submission = new Submission(entry, request("ask"));
+        await deployment.pass(SILENCE_MS + 50);
+        expect(submission.outcome).toMatchObject({ kind: "done", output: "abc" });
+        expect(submission.tokens).toEqual(["0:a", "1:b", "2:c"]);
+        expect([count(agents, "runs"), count(agents, "cancelled")]).toEqual([1, 0]);
+    });
+
+    it("until the deadline, and is then cancelled", async () => {
+        const agents = await startAgents("encode-service", [silent]);
+        const submission = new Submission(entry, request("ask"));
+        await deployment.pass(3_900);
+        expect(submission.outcome).toBeUndefined();
+        await deployment.pass(200);
+        expect(submission.outcome).toMatchObject({ kind: "failed", reason: "deadline" });
+        expect([count(agents, "runs"), count(agents, "cancelled")]).toEqual([1, 1]);
+    });
+
+    it("until another target is there", async () => {
+        await startAgents("generate-service", [echo]);
+        const agents = await startAgents("encode-service", [silent]);
+        const submission = new Submission(entry, request("ask"));
+        await deployment.pass(1_000);
+        await deployment.startAgents("encode-service", 1, { version: "v2" });
+        await deployment.pass(1_000);
+        expect(submission.outcome).toMatchObject({ kind: "done" });
+        expect([count(agents, "runs"), count(agents, "cancelled")]).toEqual([1, 1]);
+    });
+});
+
+describe("an attempt at a silent target is left", () => {
+    it("for a target that refused before the silence", async () => {
+        await startAgents("generate-service", [echo]);
+        let isFull = true;
+        const full: Script = reply => (isFull ? reply.refuse("overloaded") : echo(reply));
+        const agents = await startAgents("encode-service", [silent, full, full]);
+        const submissions = Array.from({ length: 6 }, (_, index) => {
+            return new Submission(entry, request("ask", { input: { prompt: `prompt ${index}` } }));
+        });
+        await deployment.pass(100);
+        isFull = false;
+        await deployment.pass(1_000);
+        expect(submissions.map(({ outcome }) => outcome?.kind)).toEqual(Array(6).fill("done"));
+        expect(agents[0]?.cancelled).toHaveLength(agents[0]?.runs.length ?? -1);
+    });
+
+    it("for another one at the same target, if that answers other attempts", async () => {
+        await startAgents("generate-service", [echo]);
+        let isFirst = true;
+        const [agent] = await startAgents("encode-service", [
+            reply => {
+                if (!isFirst) echo(reply);
+                isFirst = false;
+            },
+        ]);
+        const stuck = new Submission(entry, request("ask"));
+        for (let index = 0; index < 30; index += 1) {
+            await deployment.pass(100);
+            void new Submission(entry, request("ask", { input: { prompt: `prompt ${index}` } }));
+        }
+        await deployment.pass(50);
+        expect(stuck.outcome).toMatchObject({ kind: "done" });
+        expect(agent?.runs).toHaveLength(32);
+        expect(agent?.cancelled).toHaveLength(1);
+    });
+});
+
+describe("a non-idempotent stage", () => {
+    it("whose owner is silent once gets the result of its only run", async () => {
+        await startAgents("encode-service", [echo]);
+        const [owner] = await startAgents("book-service", [pausesOnce()]);
+        if (owner !== undefined) deployment.own(owner);
+        const submission = new Submission(entry, request("book", { idempotencyKey: "key" }));
+        await deployment.pass(SILENCE_MS + 150);
+        expect(submission.outcome).toMatchObject({ kind: "done" });
+        expect(owner?.cancelled).toEqual([]);
+    });
+});
