--- a/test/gateway/stoppingconnections.test.ts
+++ b/test/gateway/stoppingconnections.test.ts
@@ -5,7 +5,7 @@
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import type { GatewayPhase } from "../../src/gateway/gateway.js";
-import { Deployment } from "./harness.js";
+import { CONFIGURATION, Deployment } from "./harness.js";
 import { RawCaller, requestHead } from "./rawcaller.js";
 
 let deployment: Deployment;
@@ -18,8 +18,15 @@
 
 const post = (path: string, id: string): string => requestHead("POST", path, id, { "content-length": 4 }) + "body";
 
+/** Time in milliseconds of the grace period of 8 s that has passed when a stop begins late. */
+const SPENT_GRACE_MS = 6_500;
+
+const LONG_DEADLINE = { "x-parsleyrun-deadline-ms": 10_000 };
+
+const Routes = CONFIGURATION.Routes.map(route => ({ ...route, TimeoutMs: 10_000 }));
+
 async function start(): Promise<() => void> {
-    deployment = await Deployment.start({ bookings: 1, engines: 1 });
+    deployment = await Deployment.start({ bookings: 1, engines: 1 }, 1, { ...CONFIGURATION, Routes });
     caller = await RawCaller.connect(deployment.callers[0] ?? "");
     let answerFirst = (): void => undefined;
     const held = new Promise<void>(resolve => (answerFirst = resolve));
@@ -85,4 +92,18 @@
         expect(caller.text).toContain("event 3 of first");
         expect(caller.text).toContain("answer to second");
     });
+
+    // Guards against a stop that ends with the response to the first request and leaves those behind it without one.
+    it("have responses when the time for the one before them is over", async () => {
+        await start();
+        deployment.target("bookings-0").behaviour = () => ({ kind: "silent" });
+        caller.write(requestHead("GET", "/check/1", "first", LONG_DEADLINE));
+        caller.write(requestHead("GET", "/check/2", "second", LONG_DEADLINE));
+        await vi.waitFor(() => expect(deployment.target("bookings-0").arrivals).toHaveLength(1));
+        const stopped = deployment.gateways[0]?.stop(performance.now() - SPENT_GRACE_MS);
+        expect(await caller.ended(5_000)).toBe("end");
+        expect(caller.responses.map(({ status }) => status)).toEqual([504, 503]);
+        await stopped;
+        expect(deployment.linesOf("stopped")).toMatchObject([{ openRequests: 0 }]);
+    }, 20_000);
 });
