Count the silence of a target from the sending of the request

After a delay of the gateway's own event loop, or a connection that took 0.3 s, a request went to a second target 0.9 s after it was chosen for the first one, however short that had had it, and the silence counted against the first. And when the first target went on before the second one had a connection, the second counted as one that may have run the request: the retry was used up, and a later break of the stream found no attempt left.

Cause: an attempt took its start for the time of sending, and leaving it asked only for events, not whether anything was sent.

Evidence: both cases of "a stream whose connection takes long" failed before, with two requests sent instead of one, and two attempts instead of one.

The attempt now knows when its connection is open. Until then its target cannot be silent and has not run the request.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -45,6 +45,8 @@
     readonly lastEventId?: string | undefined;
     /** Ends the attempt; by default the signal of the request. */
     readonly signal?: AbortSignal;
+    /** Called when the connection is open and the request is about to be sent. */
+    readonly onConnected?: () => void;
 }
 
 /** The attempts of one request. */
@@ -269,6 +271,12 @@
         this.leftNames.add(target.name);
     }
 
+    /** Records that the latest attempt was left before it had a connection. */
+    recordLeftUnsent(target: Target): void {
+        this.recordNotRun(target);
+        this.retries.recordNothingSent();
+    }
+
     /** Another target than a silent one, to which the request may be sent as well; the request then holds a retry. */
     otherTarget(silent: Target, inputs: readonly StageResult[]): Target | undefined {
         const found = this.findOtherTarget(silent, inputs);
@@ -313,7 +321,7 @@
     }
 
     /** Sends the request to a target. */
-    send(target: Target, { inputs, lastEventId, signal }: AttemptOptions): Promise<AttemptOutcome> {
+    send(target: Target, { inputs, lastEventId, signal, onConnected }: AttemptOptions): Promise<AttemptOutcome> {
         const { context, request } = this;
         const { route, metadata, body } = request;
         const headers = context.dialect.attemptHeaders(request.rawHeaders, {
@@ -343,6 +351,7 @@
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
             signal: signal ?? request.signal,
+            ...(onConnected === undefined ? {} : { onConnected }),
         });
     }
 
--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -38,7 +38,8 @@
     /** Prompt tokens that the target has to process. */
     readonly promptTokens: number;
     readonly writer: StreamWriter;
-    readonly send: (signal: AbortSignal) => Promise<AttemptOutcome>;
+    /** `onConnected` is to be called when the connection is open and the request is about to be sent. */
+    readonly send: (signal: AbortSignal, onConnected: () => void) => Promise<AttemptOutcome>;
     readonly readResponse: (head: ResponseHead) => ResponseMetadata;
     /** Whether the attempt may write to the caller: another attempt may be in progress. */
     readonly claim: (attempt: StreamAttempt) => boolean;
@@ -52,6 +53,7 @@
     readonly startedAt = performance.now();
     readonly ended: Promise<void>;
     private heard = performance.now();
+    private isSentValue = false;
     private hasHead = false;
     /** Whether the caller's connection is full, so that nothing is read from the target. */
     private isCallerBusy = false;
@@ -83,6 +85,11 @@
         return this.endValue;
     }
 
+    /** Whether the request was sent; until then the target cannot have run it. */
+    get isSent(): boolean {
+        return this.isSentValue;
+    }
+
     /** Whether an event was received. */
     get hasEvent(): boolean {
         return this.hasEventValue;
@@ -123,7 +130,11 @@
 
     private async run(signal: AbortSignal): Promise<StreamAttemptEnd> {
         const { request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
-        const outcome = await send(signal);
+        const outcome = await send(signal, () => {
+            this.isSentValue = true;
+            // Until now the target could not answer, though the connection may have taken long, or this process to see it.
+            this.heard = performance.now();
+        });
         if (outcome.kind !== "answered") return { kind: "unanswered", outcome };
         const { head, body } = outcome;
         const metadata = readResponse(head);
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -95,7 +95,7 @@
             target,
             promptTokens: attempts.uncachedTokens(target),
             writer: this.writer,
-            send: signal => attempts.send(target, { inputs, lastEventId, signal }),
+            send: (signal, onConnected) => attempts.send(target, { inputs, lastEventId, signal, onConnected }),
             readResponse: head => {
                 const metadata = dialect.readResponse(head.status, head.headers);
                 targets.recordReport(target, metadata);
@@ -180,15 +180,16 @@
 
     private leave(attempt: StreamAttempt, reason: string): void {
         const { context, request, attempts } = this.options;
-        const { target, promptTokens, silentMs, isSilent, hasEvent } = attempt;
+        const { target, promptTokens, silentMs, isSilent, isSent, hasEvent } = attempt;
         attempt.leave();
         context.targets.recordPromptRead(target, promptTokens);
         context.targets.recordEnded(target);
-        if (!hasEvent) attempts.recordLeft(target);
+        if (!isSent) attempts.recordLeftUnsent(target);
+        else if (!hasEvent) attempts.recordLeft(target);
         if (isSilent) context.targets.recordLeft(target, request.route.name);
         else context.targets.recordInconclusive(target);
         // The target may have run the request, and its stream may have begun.
-        this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
+        if (isSent) this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
         attempts.logDecision("attempt left", target, { reason, silentMs: Math.round(silentMs) });
     }
 
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -1,12 +1,16 @@
 /**
  * Streams that are sent to a second target while the first one is silent: how they end, and what is known of both targets
- * afterwards. A silence that is not noted and a stream that nobody ends are the failures.
+ * afterwards. A silence that is not noted, a request that is sent twice without need, a retry that nothing was sent for and
+ * a stream that nobody ends are the failures.
  */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import { KIND } from "../../src/platform/names.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
+import { type CallAnswer, Deployment } from "./harness.js";
 
 let deployment: Deployment;
 
@@ -76,3 +80,70 @@
         });
     });
 });
+
+/** A process that listens and accepts nothing. Once its queue is full, connections to it are neither made nor refused. */
+class UnconnectableListener {
+    private constructor(
+        private readonly process: ChildProcess,
+        readonly address: string,
+        private readonly queued: readonly Socket[],
+    ) {}
+
+    static async start(): Promise<UnconnectableListener> {
+        const script = `const server = require("node:net").createServer().listen(0, "127.0.0.1", 1, () => {
+            require("node:fs").writeSync(1, String(server.address().port));
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20_000);
+        });`;
+        const child = spawn(process.execPath, ["-e", script], { stdio: ["ignore", "pipe", "inherit"] });
+        const [port] = (await once(child.stdout, "data")) as [Buffer];
+        const queued = Array.from({ length: 4 }, () => connect(Number(port.toString()), "127.0.0.1"));
+        for (const socket of queued) socket.on("error", () => undefined);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        return new UnconnectableListener(child, `127.0.0.1:${port.toString()}`, queued);
+    }
+
+    close(): void {
+        for (const socket of this.queued) socket.destroy();
+        this.process.kill("SIGKILL");
+    }
+}
+
+function blockEventLoop(milliseconds: number): void {
+    const until = performance.now() + milliseconds;
+    while (performance.now() < until);
+}
+
+describe("a stream whose connection takes long", () => {
+    it("is not sent to a second target when the gateway was delayed before it sent the request", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines({ kind: "stream", events: EVENTS });
+        const targets = deployment.gateways[0]?.gateway.targets;
+        if (targets === undefined) throw new Error("no gateway");
+        const recordSent = targets.recordSent.bind(targets);
+        const spy = vi.spyOn(targets, "recordSent").mockImplementationOnce((target, promptTokens) => {
+            recordSent(target, promptTokens);
+            // The connection is open long before the gateway learns of it.
+            queueMicrotask(() => blockEventLoop(1_000));
+        });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(spy).toHaveBeenCalledTimes(1);
+    });
+
+    it("keeps its attempt and its retry when the first target goes on before the second has a connection", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        deployment.leaveRetries("engines", 1);
+        scriptEngines(silentStream(1_000));
+        const listener = await UnconnectableListener.start();
+        try {
+            const answered = deployment.call({ path: "/chat/1" });
+            await firstEngine();
+            await deployment.addTarget("engines", "engines-1", { Address: listener.address });
+            expectWholeStream(await answered);
+        } finally {
+            listener.close();
+        }
+        await vi.waitFor(() => expect(deployment.linesOf("request ended")).toMatchObject([{ attempts: 1 }]));
+        expect(deployment.linesOf("attempt left")).toMatchObject([{ target: "engines-1" }]);
+        expect(deployment.gateways[0]?.gateway.context.retryBudgetOf("engines").available()).toBe(true);
+    });
+});
