Let a broken stream go on at a target that was left

Callers got part of a stream and the end of the connection, although a second target, to which the request had been sent for 0.3 s, would have resumed it: their first target was silent, went on to be the one that is kept, and then broke.

Cause: an attempt that was left counts as one that may have run the request, so no attempt remained after the first one broke. The limit is on targets, though, and the one that was left may get the request again, as it may when the first one stays silent.

Evidence: the case "goes on at the second target" failed before with two of four events.

A retry now considers the targets that were left once all attempts are used. Each send takes a target off that list.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -240,13 +240,13 @@
         for (;;) {
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
-            const untried = usable.filter(target => !this.triedNames.has(target.name));
+            const candidates = this.candidates(usable);
             const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
-            const chosen = this.bestTarget(untried.length > 0 ? untried : usable, inputs);
+            const chosen = this.bestTarget(candidates, inputs);
             if (chosen !== undefined) return chosen;
             if (performance.now() >= waitUntil) {
                 if (this.count > 0) this.logNoFurtherAttempt("no target");
@@ -256,6 +256,13 @@
         }
     }
 
+    /** The usable targets to which the request may be sent: untried ones, if more targets may run it and there are any. */
+    private candidates(usable: readonly Target[]): readonly Target[] {
+        if (!this.mayRunAtMoreTargets()) return usable.filter(({ name }) => this.leftNames.has(name));
+        const untried = usable.filter(({ name }) => !this.triedNames.has(name));
+        return untried.length > 0 ? untried : usable;
+    }
+
     /** The best of the given targets, of those that roll-outs allow. */
     private bestTarget(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
         const { request, context } = this;
@@ -338,6 +345,7 @@
         this.markSent();
         this.triedNames.add(target.name);
         this.runNames.add(target.name);
+        this.leftNames.delete(target.name);
         context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
         if (route.streaming) context.prefixCaches.recordSent(target.name, metadata.promptParts);
@@ -430,10 +438,15 @@
     /** Whether a request that a target may have run may be sent once more, within the retry budget. */
     private hasAttemptLeft(): boolean {
         const { route } = this.request;
-        if (!route.idempotent || this.areInputsReleased || this.count >= route.maximumAttempts) return false;
+        if (!route.idempotent || this.areInputsReleased) return false;
+        if (!this.mayRunAtMoreTargets() && this.leftNames.size === 0) return false;
         return this.hasTimeLeft();
     }
 
+    private mayRunAtMoreTargets(): boolean {
+        return this.count < this.request.route.maximumAttempts;
+    }
+
     private hasTimeLeft(): boolean {
         const { signal, deadline } = this.request;
         return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -18,7 +18,7 @@
 
 const EVENTS = 4;
 
-function silentStream(milliseconds: number, after: "head" | number = 2): Behaviour {
+function silentStream(milliseconds: number, after: "head" | number = 2): Extract<Behaviour, { kind: "stream" }> {
     return { kind: "stream", events: EVENTS, silence: { after, milliseconds } };
 }
 
@@ -81,6 +81,16 @@
     });
 });
 
+describe("a stream whose silent target breaks it after the second one was left", () => {
+    it("goes on at the second target", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const broken: Behaviour = { ...silentStream(1_350), cutAfterBytes: 80 };
+        const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 700 };
+        scriptEngines(broken, slow, { kind: "stream", events: EVENTS });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+    });
+});
+
 /** A process that listens and accepts nothing. Once its queue is full, connections to it are neither made nor refused. */
 class UnconnectableListener {
     private constructor(
