Use a silent target if a roll-out allows no other

While the old target of a service was silent for a moment and its new version was on trial or had just been stopped, requests were refused with 503 after a quarter of their time, although the old target was registered, healthy and about to go on.

Cause: silent targets were filtered out wherever there were others, before the roll-out was asked. It allows no new target to stand in for old ones, so nothing was left.

Evidence: the case "gets requests if a roll-out leaves no other" failed before with 503.

The choice of a target now prefers those that are not silent among those that are allowed, and falls back to all.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -240,13 +240,15 @@
         for (;;) {
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
-            const candidates = this.candidates(usable);
             const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
-            const chosen = this.bestTarget(candidates, inputs);
+            const heard = context.targets.withoutSilent(usable);
+            // A silent target is better than none, also if those that are not silent are not allowed by a roll-out.
+            const chosen =
+                this.bestTarget(this.candidates(heard), inputs) ?? this.bestTarget(this.candidates(usable), inputs);
             if (chosen !== undefined) return chosen;
             if (performance.now() >= waitUntil) {
                 if (this.count > 0) this.logNoFurtherAttempt("no target");
@@ -315,7 +317,9 @@
         const untried = others.filter(({ name }) => !this.triedNames.has(name));
         const left = others.filter(({ name }) => this.leftNames.has(name));
         const isAttemptLeft = this.runNames.size < request.route.maximumAttempts;
-        const target = this.bestTarget(isAttemptLeft && untried.length > 0 ? untried : left, inputs);
+        const candidates = isAttemptLeft && untried.length > 0 ? untried : left;
+        const heard = context.targets.withoutSilent(candidates);
+        const target = this.bestTarget(heard, inputs) ?? this.bestTarget(candidates, inputs);
         if (target !== undefined) return { kind: "found", target };
         return none(isAttemptLeft ? "no other target" : "no attempt is left");
     }
@@ -324,7 +328,11 @@
     preferredZone(): string {
         const { request, context } = this;
         const usable = context.targets.usable(request.service);
-        return cheapestEngine(usable, this.placementInput([]), context.prefixCaches)?.registration.zone ?? context.zone;
+        const heard = context.targets.withoutSilent(usable);
+        return (
+            cheapestEngine(heard.length > 0 ? heard : usable, this.placementInput([]), context.prefixCaches)
+                ?.registration.zone ?? context.zone
+        );
     }
 
     /** Sends the request to a target. */
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -209,12 +209,15 @@
         );
     }
 
-    /** The eligible targets that may get a request now: working, within their limits, and not silent if others are not. */
+    /** The eligible targets that may get a request now: working and within their limits. */
     usable(service: string): readonly Target[] {
+        return this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
+    }
+
+    /** Those of the targets that are not silent. */
+    withoutSilent(targets: readonly Target[]): readonly Target[] {
         const now = performance.now();
-        const usable = this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
-        const heard = usable.filter(target => (target as MutableTarget).silentUntil <= now);
-        return heard.length > 0 ? heard : usable;
+        return targets.filter(target => (target as MutableTarget).silentUntil <= now);
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -91,6 +91,24 @@
     });
 });
 
+describe("a target that is silent", () => {
+    it("gets requests if a roll-out leaves no other", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        await deployment.addTarget("engines", "engines-1", { Version: "v2" });
+        scriptEngines({ kind: "stream", events: EVENTS });
+        const context = deployment.gateways[0]?.gateway.context;
+        await vi.waitFor(() => expect(context?.targets.usable("engines")).toHaveLength(2));
+        const rollout = { service: "engines", version: "v2", durationMs: 60_000, state: undefined, revision: 1 };
+        context?.rollouts.put(rollout);
+        context?.rollouts.stop(rollout);
+        const silent = context?.targets.findByAddress(deployment.target("engines-0").address);
+        if (silent === undefined) throw new Error("target is not registered");
+        context?.targets.recordSilent(silent, performance.now());
+        expectWholeStream(await deployment.call({ path: "/draft/1" }));
+        expect(deployment.target("engines-0").arrivals).toHaveLength(1);
+    });
+});
+
 /** A process that listens and accepts nothing. Once its queue is full, connections to it are neither made nor refused. */
 class UnconnectableListener {
     private constructor(
