Do not take a comment for the progress of a second target

Callers got part of a stream and then waited until the deadline, although their first target went on after a second of silence.

Cause: whichever of two targets writes first goes on, and a comment, which a server sends to keep its connection open, counted as an event. So the first target was left for one that had not begun to generate and could still decline, break or be silent. In the same way a comment counted as the first event of a stream: the results of its stages were released and its target counted as sound.

Comments of two attempts in progress are now dropped, and only an event is a first event.

--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -9,6 +9,8 @@
     readonly bytes: Buffer;
     /** Value of its `id` field, if it has one. */
     readonly id: string | undefined;
+    /** Whether it consists of comments, which say only that the connection is open. */
+    readonly isComment: boolean;
 }
 
 const LINE_FEED = 0x0a;
@@ -61,7 +63,7 @@
             this.malformed = id === undefined ? !this.mayLackId(text) : !isAfter(id, this.lastId);
             if (this.malformed) break;
             this.lastId = id ?? this.lastId;
-            events.push({ bytes, id });
+            events.push({ bytes, id, isComment: COMMENT.test(text) });
             start = end;
         }
         this.buffered = this.buffered.subarray(start);
--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -41,8 +41,8 @@
     /** `onConnected` is to be called when the connection is open and the request is about to be sent. */
     readonly send: (signal: AbortSignal, onConnected: () => void) => Promise<AttemptOutcome>;
     readonly readResponse: (head: ResponseHead) => ResponseMetadata;
-    /** Whether the attempt may write to the caller: another attempt may be in progress. */
-    readonly claim: (attempt: StreamAttempt) => boolean;
+    /** Whether the attempt may write an event, or else a comment, to the caller: another attempt may be in progress. */
+    readonly claim: (attempt: StreamAttempt, isEvent: boolean) => boolean;
     readonly onFirstEvent: (attempt: StreamAttempt) => void;
     /** Called when something is received from the target. */
     readonly onHeard: () => void;
@@ -151,7 +151,7 @@
         const result = await forwardStream(request, head, body, writer, {
             targetName: target.name,
             signal,
-            claim: () => this.end === undefined && claim(this),
+            claim: isEvent => this.end === undefined && claim(this, isEvent),
             onFirstEvent: () => {
                 this.hasEventValue = true;
                 onFirstEvent(this);
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -101,7 +101,7 @@
                 targets.recordReport(target, metadata);
                 return metadata;
             },
-            claim: attempt => this.claim(attempt),
+            claim: (attempt, isEvent) => this.claim(attempt, isEvent),
             onHeard: () => targets.recordHeard(target),
             onFirstEvent: ({ startedAt, promptTokens }) => {
                 const tookMs = performance.now() - startedAt;
@@ -161,10 +161,12 @@
         return goesOn;
     }
 
-    /** Whether an attempt may write to the caller. If two are in progress, the other one is left. */
-    private claim(attempt: StreamAttempt): boolean {
+    /** Whether an attempt may write to the caller. If two are in progress and it has an event, the other one is left. */
+    private claim(attempt: StreamAttempt, isEvent: boolean): boolean {
         const { contest } = this;
         if (contest === undefined) return true;
+        // Comments are no progress: their target may still decline or break before it has an event.
+        if (!isEvent) return false;
         this.contest = undefined;
         for (const other of contest.attempts) {
             if (other !== attempt) this.leave(other, `${attempt.target.name} goes on`);
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -14,8 +14,8 @@
     readonly targetName: string;
     /** Aborted when the caller leaves, or when the stream goes on at another target. */
     readonly signal: AbortSignal;
-    /** Whether the stream may be written to the caller; asked before each write. */
-    readonly claim: () => boolean;
+    /** Whether the stream may be written to the caller; asked before each write. `isEvent` is false for comments. */
+    readonly claim: (isEvent: boolean) => boolean;
     readonly onFirstEvent: () => void;
     readonly onChunk: () => void;
     /** Called when the caller's connection is full, and when it takes more. */
@@ -39,9 +39,10 @@
             onChunk();
             const events = splitter.push(chunk);
             if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
-            if (events.length === 0 || !claim()) return undefined;
-            if (isFirst) onFirstEvent();
-            isFirst = false;
+            const hasEvent = events.some(({ isComment }) => !isComment);
+            if (events.length === 0 || !claim(hasEvent)) return undefined;
+            if (isFirst && hasEvent) onFirstEvent();
+            isFirst &&= !hasEvent;
             const written = writer.write(head, events);
             if (written === undefined) return undefined;
             onCallerBusy(true);
@@ -55,7 +56,7 @@
     if (outcome.kind === "complete" && isFirst && !body.isDelimited) {
         return { outcome: "failed", status: 502, reason: "stream ended before its first event" };
     }
-    if (outcome.kind === "complete" && splitter.pendingBytes === 0 && claim()) {
+    if (outcome.kind === "complete" && splitter.pendingBytes === 0 && claim(true)) {
         writer.end(head);
         return undefined;
     }
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -63,6 +63,16 @@
     { others: "reset the connection", count: 2, behaviour: { kind: "reset" } },
     { others: "are silent", count: 1, behaviour: { kind: "silent" } },
     { others: "are silent after the head", count: 1, behaviour: silentStream("before the first event", 5_000) },
+    {
+        others: "send a comment and are silent",
+        count: 1,
+        behaviour: {
+            kind: "stream",
+            events: EVENTS,
+            silence: { after: "head", milliseconds: 5_000 },
+            hasComment: true,
+        },
+    },
     { others: "take longer to answer", count: 1, behaviour: { kind: "delayedStream", events: EVENTS, delayMs: 700 } },
     { others: "fail", count: 1, behaviour: { kind: "answer", status: 500 } },
     { others: "answer another request", count: 1, behaviour: { kind: "otherAnswer" } },
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -25,6 +25,8 @@
           readonly events: number;
           readonly gapMs?: number;
           readonly cutAfterBytes?: number;
+          /** Whether a comment follows the head. */
+          readonly hasComment?: boolean;
           /** A silence in the stream: after its head, or after the event with this id. */
           readonly silence?: { readonly after: "head" | number; readonly milliseconds: number };
       }
@@ -235,6 +237,7 @@
         });
         const { silence } = behaviour;
         const first = Number(arrival.headers["last-event-id"] ?? 0) + 1;
+        if (behaviour.hasComment === true) response.write(": in progress\n\n");
         if (silence?.after === "head") {
             response.flushHeaders();
             await new Promise(resolve => setTimeout(resolve, silence.milliseconds));
