Count the prompt of a stream once when it ends

An engine with long prompts in its queue got more of them as soon as any of its streams ended, as they no longer counted, while others were idle.

Cause: the tokens of a prompt were taken off the count of waiting ones with its first event, and once more when its stream ended or was left. The second time they were those of other requests.

Only an attempt without an event takes its tokens off at its end.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -184,7 +184,7 @@
         const { context, request, attempts } = this.options;
         const { target, promptTokens, silentMs, isSilent, isSent, hasEvent } = attempt;
         attempt.leave();
-        context.targets.recordPromptRead(target, promptTokens);
+        if (!hasEvent) context.targets.recordPromptRead(target, promptTokens);
         context.targets.recordEnded(target);
         if (!isSent) attempts.recordLeftUnsent(target);
         else if (!hasEvent) attempts.recordLeft(target);
@@ -203,7 +203,7 @@
         const { context, request, attempts, inputs, reply } = this.options;
         const { target, end } = attempt;
         if (end === undefined || end.kind === "left") return undefined;
-        context.targets.recordPromptRead(target, attempt.promptTokens);
+        if (!attempt.hasEvent) context.targets.recordPromptRead(target, attempt.promptTokens);
         if (end.kind === "unanswered") return this.recordUnanswered(target, end.outcome, isOther);
         context.targets.recordEnded(target);
         switch (end.kind) {
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -1,7 +1,7 @@
 /**
  * Streams that are sent to a second target while the first one is silent: how they end, and what is known of both targets
- * afterwards. A silence that is not noted, a request that is sent twice without need, a retry that nothing was sent for and
- * a stream that nobody ends are the failures.
+ * afterwards. A silence that is not noted, a request that is sent twice without need, a retry that nothing was sent for, a
+ * stream that nobody ends and a wrong count of waiting prompts are the failures.
  */
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
@@ -109,6 +109,31 @@
     });
 });
 
+describe("the prompts that wait at a target", () => {
+    it.each([
+        { end: "another stream has ended", second: undefined },
+        { end: "another stream was left", second: { kind: "stream", events: EVENTS } },
+    ] satisfies readonly { end: string; second: Behaviour | undefined }[])(
+        "still count after $end",
+        async ({ second }) => {
+            deployment = await Deployment.start({ engines: 1 });
+            scriptEngines(silentStream(second === undefined ? 300 : 60_000), { kind: "silent" });
+            const headers = { "x-parsleyrun-token-count": "1000,10" };
+            const answered = deployment.call({ path: "/chat/1", id: "first", headers });
+            await firstEngine();
+            await pause(100);
+            void deployment.call({ path: "/draft/1", id: "second", headers }).catch(() => undefined);
+            const targets = deployment.gateways[0]?.gateway.targets;
+            const waiting = (): number | undefined =>
+                targets?.findByAddress(deployment.target("engines-0").address)?.pendingPromptTokens;
+            await vi.waitFor(() => expect(waiting()).toBe(1_000));
+            if (second !== undefined) (await deployment.addTarget("engines", "engines-1")).behaviour = () => second;
+            expectWholeStream(await answered);
+            expect(waiting()).toBe(1_000);
+        },
+    );
+});
+
 /** A process that listens and accepts nothing. Once its queue is full, connections to it are neither made nor refused. */
 class UnconnectableListener {
     private constructor(
