Judge a version once by a silence of its target

A good new version could be taken back because one of its targets was silent for a second: with 40 good answers, six requests that were taken from it in one silence are enough.

Cause: each request that is taken from a silent target counted as a failed answer of the version, though all were held up by the same silence.

A silence of the target itself now counts once, and once more for each further 1.5 s, as it does for the target's health. A request to which a target is slow while it answers others counts as before, since that is how a slow version shows.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -182,13 +182,13 @@
 
     private leave(attempt: StreamAttempt, reason: string): void {
         const { context, request, attempts } = this.options;
-        const { target, promptTokens, silentMs, isSilent, isSent, hasEvent } = attempt;
+        const { target, promptTokens, silentMs, heardAt, isSilent, isSent, hasEvent } = attempt;
         attempt.leave();
         if (!hasEvent) context.targets.recordPromptRead(target, promptTokens);
         context.targets.recordEnded(target);
         if (!isSent) attempts.recordLeftUnsent(target);
         else if (!hasEvent) attempts.recordLeft(target);
-        if (isSilent) context.targets.recordLeft(target, request.route.name);
+        if (isSilent) context.targets.recordLeft(target, request.route.name, heardAt);
         else context.targets.recordInconclusive(target);
         // The target may have run the request, and its stream may have begun.
         if (isSent) this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -92,6 +92,8 @@
     silentUntil: number;
     /** Monotonic time in milliseconds at which a silence last counted as a failure. */
     silenceCountedAt: number;
+    /** Monotonic time in milliseconds at which a request that was taken from the silent target last counted as failed. */
+    leftAt: number;
     /** Requests that this gateway may send to the target while it names a limit. */
     limitBucket: TokenBucket | undefined;
 }
@@ -320,10 +322,21 @@
         this.health.recordFailure(known.name, this.eligibleNames(known));
     }
 
-    /** Records that a request was taken from a target that was silent. Its silence was recorded. */
-    recordLeft(target: Target, route: string): void {
-        this.options.onOutcome?.(target, route, true, undefined);
-        this.recordInconclusive(target);
+    /**
+     * Records that a request was taken from a target that had sent it nothing since a time, on the monotonic clock in
+     * milliseconds. The silence was recorded. If the target sends nothing to other requests either, that says as much about
+     * its version as one failed answer, however many requests are taken from it.
+     */
+    recordLeft(target: Target, route: string, since: number): void {
+        const known = target as MutableTarget;
+        const now = performance.now();
+        // The streams of a target that stops have got their last events shortly after each other.
+        const isSilent = now - known.heardAt > (now - since) / 2;
+        const isCounted = isSilent && known.leftAt > Math.max(known.heardAt, now - SILENCE_FAILURE_INTERVAL_MS);
+        this.recordInconclusive(known);
+        if (isCounted) return;
+        if (isSilent) known.leftAt = now;
+        this.options.onOutcome?.(known, route, true, undefined);
     }
 
     /** Whether a target is registered as it was and has not refused its latest connection. */
@@ -408,6 +421,7 @@
             heardAt: 0,
             silentUntil: 0,
             silenceCountedAt: Number.NEGATIVE_INFINITY,
+            leftAt: Number.NEGATIVE_INFINITY,
             limitBucket: undefined,
         };
         this.targets.set(registration.id, target);
