Leave a target that stays silent while the caller still waits

Where engines take more than 0.3 s to their first event, the streams of an engine that went dark were lost: their callers leave after two seconds without an event, and the stream went on elsewhere after 2.3 s and the time to the event.

Cause: the second target is left after 0.3 s if it has not begun, and the silent one was kept for 2 s, whatever the caller's wait.

Evidence: the three cases "goes on there before its caller leaves" failed before with half a stream or none.

The silent target is now given up 0.7 s before the caller leaves: at the earliest after 1.3 s, and it is left 0.3 s after that, so a silence of up to 1.6 s still ends no attempt.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -16,6 +16,7 @@
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamAttempt, type StreamAttemptEnd } from "./streamattempt.js";
+import { longSilenceMs } from "./streamtimeouts.js";
 import type { Target } from "./target.js";
 
 /**
@@ -24,9 +25,6 @@
  */
 const OVERLAP_LIMIT_MS = 300;
 
-/** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
-const LONG_SILENCE_MS = 2_000;
-
 /** Interval in milliseconds at which a silent attempt looks for another target. */
 const RECHECK_MS = 100;
 
@@ -177,7 +175,8 @@
 
     /** Whether a silent target is probably lost: it is silent for long, refuses connections, or is no longer registered. */
     private isGivenUp({ silentMs, target }: StreamAttempt): boolean {
-        return silentMs >= LONG_SILENCE_MS || !this.options.context.targets.isReachable(target);
+        const { context, request } = this.options;
+        return silentMs >= longSilenceMs(request.route) || !context.targets.isReachable(target);
     }
 
     private leave(attempt: StreamAttempt, reason: string): void {
--- a/src/gateway/streamtimeouts.ts
+++ b/src/gateway/streamtimeouts.ts
@@ -14,7 +14,12 @@
 const CALLER_WAIT_LATENCY_RATIO = 4;
 const CALLER_WAIT_EVENT_GAP_RATIO = 8;
 
-/** Time in milliseconds for which a caller waits for the first event of its stream. */
+/** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
+const LONG_SILENCE_MS = 2_000;
+/** Time in milliseconds in which most targets have their first event ready, with a margin for its way to the caller. */
+const OTHER_FIRST_EVENT_MS = 700;
+
+/** Time in milliseconds for which a caller waits for the first event of its stream, or for the next one. */
 export function callerWaitLimitMs({
     latencyObjectiveMs: targetLatencyMs,
     eventGapLimitMs: pauseLimitMs,
@@ -37,3 +42,11 @@
     if (pauseLimitMs === undefined) return DEFAULT_EVENT_GAP_TIMEOUT_MS;
     return Math.max(pauseLimitMs * EVENT_GAP_TIMEOUT_RATIO, firstEventTimeoutMs(route));
 }
+
+/**
+ * Silence in milliseconds after which a target may be left for another one that has not begun to answer: the other one has
+ * to have its first event while the caller still waits.
+ */
+export function longSilenceMs(route: Route): number {
+    return Math.min(LONG_SILENCE_MS, callerWaitLimitMs(route) - OTHER_FIRST_EVENT_MS);
+}
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -144,6 +144,15 @@
         const headers = { "x-parsleyrun-deadline-ms": "8000" };
         expectWholeStream(await deployment.call({ path: "/chat/1", headers }));
     });
+
+    it.each(SILENCES)("goes on there before its caller leaves when the first one stays silent %s", async silence => {
+        deployment = await Deployment.start({ engines: 2 });
+        const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 350 };
+        scriptEngines(silentStream(silence, 60_000), slow);
+        // Callers of this route leave when they have waited 2 s for an event.
+        const answer = deployment.call({ path: "/chat/1", leaveAfterMs: 2_000 }).catch(() => undefined);
+        expectWholeStream((await answer) ?? { status: 0, headers: {}, body: "", complete: false });
+    });
 });
 
 describe("one silence of a target", () => {
