Send one request at a time to a target that was silent

While an engine was dark, each second or two several streams went to it at once and were all held up.

Cause: when nobody waits at a silent target any more, it counts as usable again after a second, as its silence would otherwise last for ever. With nothing outstanding it then looks the least loaded, so it gets every request until the first of them notes the silence.

Evidence: the case "has a request by which it may be heard" failed before.

Until something is heard from it, such a target is preferred only while no request is in progress there.

--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -216,10 +216,16 @@
         return this.working(service).filter(target => this.limitBucketOf(target)?.available() ?? true);
     }
 
-    /** Those of the targets that are not silent. */
+    /**
+     * Those of the targets that are not silent. A target that was silent, and has not been heard since, gets one request at
+     * a time.
+     */
     withoutSilent(targets: readonly Target[]): readonly Target[] {
         const now = performance.now();
-        return targets.filter(target => (target as MutableTarget).silentUntil <= now);
+        return targets.filter(target => {
+            const { silentUntil, outstanding } = target as MutableTarget;
+            return silentUntil === 0 || (silentUntil <= now && outstanding === 0);
+        });
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -1,9 +1,15 @@
 /**
  * What a silence says about its target and about the target's version. One silence that counts once for each request that it
- * holds up ejects a sound target, or takes back a good version.
+ * holds up ejects a sound target, or takes back a good version. A silent target that gets many requests before it is heard
+ * holds all of them up.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { TargetDirectory, type TargetRegistration } from "../../src/gateway/target.js";
+import {
+    type Target,
+    TargetDirectory,
+    type TargetDirectoryOptions,
+    type TargetRegistration,
+} from "../../src/gateway/target.js";
 
 beforeEach(() => {
     vi.useFakeTimers();
@@ -16,6 +22,22 @@
 const EVENT_GAP_MS = 5;
 const SILENCE_MS = 1_000;
 
+function directoryWithTarget(options: TargetDirectoryOptions = {}): {
+    readonly directory: TargetDirectory;
+    readonly target: Target;
+} {
+    const directory = TargetDirectory.create(
+        () => undefined,
+        () => 1,
+        () => undefined,
+        options,
+    );
+    directory.put({ id: "target", incarnation: 1, address: "127.0.0.1:1" } as TargetRegistration);
+    const target = directory.findByAddress("127.0.0.1:1");
+    if (target === undefined) throw new Error("target is not registered");
+    return { directory, target };
+}
+
 interface SilenceCase {
     readonly silence: string;
     /** Whether others of its requests are answered meanwhile. */
@@ -33,16 +55,9 @@
 describe("the version of a target from which requests are taken", () => {
     it.each(CASES)("is judged by $outcomes failed answers after $silence", ({ isHeard, silences, outcomes }) => {
         let failures = 0;
-        const options = { onOutcome: (...[, , failed]: readonly unknown[]) => void (failures += Number(failed)) };
-        const directory = TargetDirectory.create(
-            () => undefined,
-            () => 1,
-            () => undefined,
-            options,
-        );
-        directory.put({ id: "target", incarnation: 1, address: "127.0.0.1:1" } as TargetRegistration);
-        const target = directory.findByAddress("127.0.0.1:1");
-        if (target === undefined) throw new Error("target is not registered");
+        const { directory, target } = directoryWithTarget({
+            onOutcome: (_target, _route, failed) => (failures += Number(failed)),
+        });
         for (let silence = 0; silence < silences; silence += 1) {
             const lastEvents = Array.from({ length: REQUESTS }, () => {
                 directory.recordHeard(target);
@@ -61,3 +76,25 @@
         expect(failures).toBe(outcomes);
     });
 });
+
+describe("a target that was silent", () => {
+    it.each([
+        { state: "is silent", pauseMs: 500, isSent: false, isHeard: false, isPreferred: false },
+        { state: "may have gone on", pauseMs: 1_100, isSent: false, isHeard: false, isPreferred: true },
+        {
+            state: "has a request by which it may be heard",
+            pauseMs: 1_100,
+            isSent: true,
+            isHeard: false,
+            isPreferred: false,
+        },
+        { state: "was heard", pauseMs: 0, isSent: true, isHeard: true, isPreferred: true },
+    ])("gets a request beside others: $isPreferred, when it $state", ({ pauseMs, isSent, isHeard, isPreferred }) => {
+        const { directory, target } = directoryWithTarget();
+        directory.recordSilent(target, performance.now());
+        vi.advanceTimersByTime(pauseMs);
+        if (isSent) directory.recordSent(target);
+        if (isHeard) directory.recordHeard(target);
+        expect(directory.withoutSilent([target])).toEqual(isPreferred ? [target] : []);
+    });
+});
