Send a silent stream to the next start of its target

The stream of a target that crashed without closing its connections was lost at its deadline, although the target was back under its id and no other one could take it.

Cause: the targets that have had a request were remembered by name, so the new start counted as one that had.

Evidence: the three cases "has started anew under its id" of silenttargets.test.ts failed before with the end of the connection or 504.

Attempts now remember targets by registration; each start of a target has its own.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -53,17 +53,17 @@
 export class Attempts {
     /** Number of attempts that a target may have run. */
     count = 0;
-    private readonly triedNames = new Set<string>();
+    private readonly tried = new Set<Target>();
     private declinedCount = 0;
     private trial: Extract<Admission, { kind: "trial" }> | undefined;
     private hasBeenServed = false;
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
     private readonly retries: RequestRetries;
-    /** Names of the targets that may have run the request. */
-    private readonly runNames = new Set<string>();
-    /** Names of those that were left before they had begun to answer, and that may get the request again. */
-    private readonly leftNames = new Set<string>();
+    /** The targets that may have run the request. */
+    private readonly mayHaveRun = new Set<Target>();
+    /** Those that were left before they had begun to answer, and that may get the request again. */
+    private readonly left = new Set<Target>();
     /** Whether results that every attempt needs are gone. */
     private areInputsReleased = false;
     /** What was last in the way of another attempt beside a silent one. */
@@ -85,7 +85,7 @@
 
     /** Names of the targets to which the request was sent. */
     get triedTargets(): readonly string[] {
-        return [...this.triedNames];
+        return [...new Set([...this.tried].map(({ name }) => name))];
     }
 
     /** Why the request was not sent although there are targets; undefined if it was. */
@@ -260,8 +260,8 @@
 
     /** The usable targets to which the request may be sent: untried ones, if more targets may run it and there are any. */
     private candidates(usable: readonly Target[]): readonly Target[] {
-        if (!this.mayRunAtMoreTargets()) return usable.filter(({ name }) => this.leftNames.has(name));
-        const untried = usable.filter(({ name }) => !this.triedNames.has(name));
+        if (!this.mayRunAtMoreTargets()) return usable.filter(target => this.left.has(target));
+        const untried = usable.filter(target => !this.tried.has(target));
         return untried.length > 0 ? untried : usable;
     }
 
@@ -277,7 +277,7 @@
 
     /** Records that an attempt was left for another one, before its target had begun to answer. */
     recordLeft(target: Target): void {
-        this.leftNames.add(target.name);
+        this.left.add(target);
     }
 
     /** Records that the latest attempt was left before it had a connection. */
@@ -314,9 +314,9 @@
         const { kind } = context.suspects.admission(request.traits);
         if (kind !== "admitted" && this.trial === undefined) return none("request may crash targets");
         const others = context.targets.usable(request.service).filter(target => target !== silent);
-        const untried = others.filter(({ name }) => !this.triedNames.has(name));
-        const left = others.filter(({ name }) => this.leftNames.has(name));
-        const isAttemptLeft = this.runNames.size < request.route.maximumAttempts;
+        const untried = others.filter(target => !this.tried.has(target));
+        const left = others.filter(target => this.left.has(target));
+        const isAttemptLeft = this.mayHaveRun.size < request.route.maximumAttempts;
         const candidates = isAttemptLeft && untried.length > 0 ? untried : left;
         const heard = context.targets.withoutSilent(candidates);
         const target = this.bestTarget(heard, inputs) ?? this.bestTarget(candidates, inputs);
@@ -351,9 +351,9 @@
         this.count += 1;
         this.retries.recordAttempt();
         this.markSent();
-        this.triedNames.add(target.name);
-        this.runNames.add(target.name);
-        this.leftNames.delete(target.name);
+        this.tried.add(target);
+        this.mayHaveRun.add(target);
+        this.left.delete(target);
         context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
         if (route.streaming) context.prefixCaches.recordSent(target.name, metadata.promptParts);
@@ -430,7 +430,7 @@
 
     private recordNotRun(target: Target): void {
         this.count -= 1;
-        this.runNames.delete(target.name);
+        this.mayHaveRun.delete(target);
     }
 
     /** Whether a request that no target has run may be sent to another one; if so, it holds a retry. */
@@ -447,7 +447,7 @@
     private hasAttemptLeft(): boolean {
         const { route } = this.request;
         if (!route.idempotent || this.areInputsReleased) return false;
-        if (!this.mayRunAtMoreTargets() && this.leftNames.size === 0) return false;
+        if (!this.mayRunAtMoreTargets() && this.left.size === 0) return false;
         return this.hasTimeLeft();
     }
 
--- a/test/gateway/silenttargets.test.ts
+++ b/test/gateway/silenttargets.test.ts
@@ -122,6 +122,16 @@
         expect(arrivalCount()).toBe(2);
     });
 
+    it.each(SILENCES)("$silence moves on when its target has started anew under its id", async ({ silence }) => {
+        deployment = await Deployment.start({ engines: 1 });
+        scriptEngines([silentStream(silence, ENDLESS_MS), { kind: "stream", events: EVENTS }]);
+        const answered = deployment.call({ path: "/chat/1" });
+        await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+        deployment.register("engines", "engines-0", { born: 2_000 });
+        expectWholeStream(await answered);
+        expect(arrivalCount()).toBe(2);
+    });
+
     it.each(SILENCES)("$silence ends at its deadline when there is no other", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 1 });
         scriptEngines([silentStream(silence, ENDLESS_MS)]);
