--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -16,6 +16,7 @@
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamAttempt, type StreamAttemptEnd } from "./streamattempt.js";
+import { longSilenceMs } from "./streamtimeouts.js";
 import type { Target } from "./target.js";
 
 /**
@@ -24,9 +25,6 @@
  */
 const OVERLAP_LIMIT_MS = 250;
 
-/** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
-const LONG_SILENCE_MS = 2_000;
-
 /** Interval in milliseconds at which a silent attempt looks for another target. */
 const RECHECK_MS = 100;
 
@@ -95,13 +93,13 @@
             target,
             promptTokens: attempts.uncachedTokens(target),
             writer: this.writer,
-            send: signal => attempts.send(target, { inputs, lastEventId, signal }),
+            send: (signal, onConnected) => attempts.send(target, { inputs, lastEventId, signal, onConnected }),
             readResponse: head => {
                 const metadata = dialect.readResponse(head.status, head.headers);
                 targets.recordReport(target, metadata);
                 return metadata;
             },
-            claim: attempt => this.claim(attempt),
+            claim: (attempt, isEvent) => this.claim(attempt, isEvent),
             onHeard: () => targets.recordHeard(target),
             onFirstEvent: ({ startedAt, promptTokens }) => {
                 const tookMs = performance.now() - startedAt;
@@ -161,10 +159,12 @@
         return goesOn;
     }
 
-    /** Whether an attempt may write to the caller. If two are in progress, the other one is left. */
-    private claim(attempt: StreamAttempt): boolean {
+    /** Whether an attempt may write to the caller. If two are in progress and it has an event, the other one is left. */
+    private claim(attempt: StreamAttempt, isEvent: boolean): boolean {
         const { contest } = this;
         if (contest === undefined) return true;
+        // Comments are no progress: their target may still decline or break before it has an event.
+        if (!isEvent) return false;
         this.contest = undefined;
         for (const other of contest.attempts) {
             if (other !== attempt) this.leave(other, `${attempt.target.name} goes on`);
@@ -175,20 +175,22 @@
 
     /** Whether a silent target is probably lost: it is silent for long, refuses connections, or has started anew. */
     private isGivenUp({ silentMs, target }: StreamAttempt): boolean {
-        return silentMs >= LONG_SILENCE_MS || !this.options.context.targets.isReachable(target);
+        const { context, request } = this.options;
+        return silentMs >= longSilenceMs(request.route) || !context.targets.isReachable(target);
     }
 
     private leave(attempt: StreamAttempt, reason: string): void {
         const { context, request, attempts } = this.options;
-        const { target, promptTokens, silentMs, isSilent, hasEvent } = attempt;
+        const { target, promptTokens, silentMs, heardAt, isSilent, isSent, hasEvent } = attempt;
         attempt.leave();
-        context.targets.recordPromptRead(target, promptTokens);
+        if (!hasEvent) context.targets.recordPromptRead(target, promptTokens);
         context.targets.recordEnded(target);
-        if (!hasEvent) attempts.recordLeft(target);
-        if (isSilent) context.targets.recordLeft(target, request.route.name);
+        if (!isSent) attempts.recordLeftUnsent(target);
+        else if (!hasEvent) attempts.recordLeft(target);
+        if (isSilent) context.targets.recordLeft(target, request.route.name, heardAt);
         else context.targets.recordInconclusive(target);
         // The target may have run the request, and its stream may have begun.
-        this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
+        if (isSent) this.failure ??= { outcome: "failed", status: 502, reason: "target was left" };
         attempts.logDecision("attempt left", target, { reason, silentMs: Math.round(silentMs) });
     }
 
@@ -200,7 +202,7 @@
         const { context, request, attempts, inputs, reply } = this.options;
         const { target, end } = attempt;
         if (end === undefined || end.kind === "left") return undefined;
-        context.targets.recordPromptRead(target, attempt.promptTokens);
+        if (!attempt.hasEvent) context.targets.recordPromptRead(target, attempt.promptTokens);
         if (end.kind === "unanswered") return this.recordUnanswered(target, end.outcome, isOther);
         context.targets.recordEnded(target);
         switch (end.kind) {
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -1,7 +1,11 @@
 /**
  * Streams that are sent to a second target while the first one is silent: how they end, and what is known of both targets
- * afterwards. A silence that is not noted and a stream that nobody ends are the failures.
+ * afterwards. A silence that is not noted, a request that is sent twice without need, a retry that nothing was sent for, a
+ * stream that nobody ends and a wrong count of waiting prompts are the failures.
  */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
@@ -13,7 +17,7 @@
 
 const EVENTS = 4;
 
-function silentStream(milliseconds: number, after: "head" | number = 2): Behaviour {
+function silentStream(milliseconds: number, after: "head" | number = 2): Extract<Behaviour, { kind: "stream" }> {
     return { kind: "stream", events: EVENTS, silence: { after, milliseconds } };
 }
 
@@ -75,3 +79,123 @@
         });
     });
 });
+
+describe("a stream whose silent target breaks it after the second one was left", () => {
+    it("goes on at the second target", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const broken: Behaviour = { ...silentStream(1_350), cutAfterBytes: 80 };
+        const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 700 };
+        scriptEngines(broken, slow, { kind: "stream", events: EVENTS });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+    });
+});
+
+describe("a target that is silent", () => {
+    it("gets requests if a roll-out leaves no other", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        await deployment.addTarget("engines", "engines-1", { Version: "v2" });
+        scriptEngines({ kind: "stream", events: EVENTS });
+        const context = deployment.gateways[0]?.gateway.context;
+        await vi.waitFor(() => expect(context?.targets.usable("engines")).toHaveLength(2));
+        const rollout = { service: "engines", version: "v2", durationMs: 60_000, state: undefined, revision: 1 };
+        context?.rollouts.put(rollout);
+        context?.rollouts.stop(rollout);
+        const silent = context?.targets.findByAddress(deployment.target("engines-0").address);
+        if (silent === undefined) throw new Error("target is not registered");
+        context?.targets.recordSilent(silent, performance.now());
+        expectWholeStream(await deployment.call({ path: "/draft/1" }));
+        expect(deployment.target("engines-0").arrivals).toHaveLength(1);
+    });
+});
+
+describe("the prompts that wait at a target", () => {
+    it.each([
+        { end: "another stream has ended", second: undefined },
+        { end: "another stream was left", second: { kind: "stream", events: EVENTS } },
+    ] satisfies readonly { end: string; second: Behaviour | undefined }[])(
+        "still count after $end",
+        async ({ second }) => {
+            deployment = await Deployment.start({ engines: 1 });
+            scriptEngines(silentStream(second === undefined ? 300 : 60_000), { kind: "silent" });
+            const headers = { "x-parsleyrun-token-count": "1000,10" };
+            const answered = deployment.call({ path: "/chat/1", id: "first", headers });
+            await firstEngine();
+            await pause(100);
+            void deployment.call({ path: "/draft/1", id: "second", headers }).catch(() => undefined);
+            const targets = deployment.gateways[0]?.gateway.targets;
+            const waiting = (): number | undefined =>
+                targets?.findByAddress(deployment.target("engines-0").address)?.pendingPromptTokens;
+            await vi.waitFor(() => expect(waiting()).toBe(1_000));
+            if (second !== undefined) (await deployment.addTarget("engines", "engines-1")).behaviour = () => second;
+            expectWholeStream(await answered);
+            expect(waiting()).toBe(1_000);
+        },
+    );
+});
+
+/** A process that listens and accepts nothing. Once its queue is full, connections to it are neither made nor refused. */
+class UnconnectableListener {
+    private constructor(
+        private readonly process: ChildProcess,
+        readonly address: string,
+        private readonly queued: readonly Socket[],
+    ) {}
+
+    static async start(): Promise<UnconnectableListener> {
+        const script = `const server = require("node:net").createServer().listen(0, "127.0.0.1", 1, () => {
+            require("node:fs").writeSync(1, String(server.address().port));
+            Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20_000);
+        });`;
+        const child = spawn(process.execPath, ["-e", script], { stdio: ["ignore", "pipe", "inherit"] });
+        const [port] = (await once(child.stdout, "data")) as [Buffer];
+        const queued = Array.from({ length: 4 }, () => connect(Number(port.toString()), "127.0.0.1"));
+        for (const socket of queued) socket.on("error", () => undefined);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        return new UnconnectableListener(child, `127.0.0.1:${port.toString()}`, queued);
+    }
+
+    close(): void {
+        for (const socket of this.queued) socket.destroy();
+        this.process.kill("SIGKILL");
+    }
+}
+
+function blockEventLoop(milliseconds: number): void {
+    const until = performance.now() + milliseconds;
+    while (performance.now() < until);
+}
+
+describe("a stream whose connection takes long", () => {
+    it("is not sent to a second target when the gateway was delayed before it sent the request", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines({ kind: "stream", events: EVENTS });
+        const targets = deployment.gateways[0]?.gateway.targets;
+        if (targets === undefined) throw new Error("no gateway");
+        const recordSent = targets.recordSent.bind(targets);
+        const spy = vi.spyOn(targets, "recordSent").mockImplementationOnce((target, promptTokens) => {
+            recordSent(target, promptTokens);
+            // The connection is open long before the gateway learns of it.
+            queueMicrotask(() => blockEventLoop(1_000));
+        });
+        expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        expect(spy).toHaveBeenCalledTimes(1);
+    });
+
+    it("keeps its attempt and its retry when the first target goes on before the second has a connection", async () => {
+        deployment = await Deployment.start({ engines: 1 });
+        deployment.leaveRetries("engines", 1);
+        scriptEngines(silentStream(1_000));
+        const listener = await UnconnectableListener.start();
+        try {
+            const answered = deployment.call({ path: "/chat/1" });
+            await firstEngine();
+            await deployment.addTarget("engines", "engines-1", { Address: listener.address });
+            expectWholeStream(await answered);
+        } finally {
+            listener.close();
+        }
+        await vi.waitFor(() => expect(deployment.linesOf("request ended")).toMatchObject([{ attempts: 1 }]));
+        expect(deployment.linesOf("attempt left")).toMatchObject([{ target: "engines-1" }]);
+        expect(deployment.gateways[0]?.gateway.context.retryBudgetOf("engines").available()).toBe(true);
+    });
+});
