Throw in the middle of a stream in the test of exceptions

The case "within its stream" threw at the second update of the waiting prompts, which ended streams no longer make since, so the exception never came. It now comes with the first bytes after the first event, and what is checked is unchanged.

--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -54,11 +54,14 @@
         {
             name: "within its stream",
             path: "/draft/1",
-            arrange: () =>
-                vi
-                    .spyOn(gateway.targets, "recordPromptRead")
-                    .mockImplementationOnce(() => undefined)
-                    .mockImplementationOnce(fail),
+            arrange: () => {
+                const success = vi.spyOn(gateway.targets, "recordSuccess");
+                const heard = vi.spyOn(gateway.targets, "recordHeard").mockImplementation(() => {
+                    if (success.mock.calls.length === 0) return;
+                    heard.mockRestore();
+                    fail();
+                });
+            },
             status: 200,
         },
         {
