Keep calls of a stage open while their target is silent

Callers got 503 (`stage failed`, or `stage late`) although the targets of the stage made every piece: the gateway closed each call at its timeout, which follows from the configured duration, and after two or three such calls the pieces were lost.

Cause: a timeout was taken for the end of a call. A sound target may be silent for a second or so and go on, and one that is slower than configured answers as well.

A call that outlasts its timeout now stays open until the deadline of its pieces. They are queued once more, for other targets and within the retry budget; the same target gets a piece again only after 2 s, when the answer may be lost. The first result counts, later ones are released at their holder, and a piece leaves the queue when any call answers. It is lost only if no call is in progress and none is left, or if it is late; one whose inputs are gone elsewhere waits for a call that may have read them, but no longer than a sound target is silent. The slot of a silent call is free at once. A call that waits behind another at a silent target is closed when its pieces are settled, since the target drops it then. Refused and reset connections end a call as before.

One silence no longer makes a target slow: its slowness is what it was before, and a single piece shows whether it is fast. Only a second silent call in a row counts as slowness. Targets that do not answer get probes 1, 2 and 4 s apart instead of one directly after the other, and a call that its deadline ends counts as a failure only if nothing was answered for 2 s. Inputs of probes are not released early. Pieces of cancelled requests are settled at once, and their results released on arrival.

--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -14,18 +14,26 @@
 /** Outcome of a call. The target has run no piece of a call that ended as `notSent` or `full`. */
 export type CallOutcome =
     | { readonly kind: "answered"; readonly answers: readonly PieceAnswer[] }
-    | { readonly kind: "notSent" | "full" | "failed" | "gaveUp"; readonly reason: string };
+    | { readonly kind: "notSent" | "full" | "failed" | "gaveUp"; readonly reason: string }
+    /** The call was aborted. */
+    | { readonly kind: "cancelled" };
 
-/**
- * Asks a target to make pieces. The answers are in the order of the pieces. `onSent` is called when the connection is
- * established.
- */
+/** Limits and callbacks of a call for pieces. */
+export interface PieceCallLimits {
+    /** Time until which the call waits for its answer. */
+    readonly deadline: Deadline;
+    /** Closes the call. */
+    readonly signal: AbortSignal;
+    /** Called when the connection is established. */
+    readonly onSent: () => void;
+}
+
+/** Asks a target to make pieces. The answers are in the order of the pieces. */
 export async function callForPieces(
     { dialect, targets }: { readonly dialect: Dialect; readonly targets: TargetDirectory },
     target: Target,
     pieces: readonly PieceJob[],
-    timeoutMs: number,
-    onSent: () => void,
+    { deadline, signal, onSent }: PieceCallLimits,
 ): Promise<CallOutcome> {
     const orders = pieces.map(piece => ({
         requestId: piece.requestId,
@@ -35,11 +43,12 @@
         key: piece.key,
         inputs: piece.inputs,
     }));
-    const limits = { deadline: Deadline.after(timeoutMs), signal: NEVER_ABORTED };
+    const limits = { deadline, signal };
     const call = dialect.pieceCall(target.registration.id, orders);
     const order = { ...call, address: target.registration.address };
     const sent = await sendAttempt(order, { ...limits, onConnected: onSent });
     if (sent.kind === "unreachable" || sent.kind === "unsendable") return { kind: "notSent", reason: sent.reason };
+    if (sent.kind === "cancelled") return { kind: "cancelled" };
     if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
     if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
     const facts = dialect.readResponse(sent.head.status, sent.head.headers);
@@ -47,6 +56,7 @@
     const { outcome, bytes } = await readBody(sent.body, limits, MAXIMUM_ANSWER_BYTES);
     if (facts.wrongTarget) return { kind: "notSent", reason: "another target has the address" };
     if (facts.notExecuted) return { kind: "full", reason: "target is full" };
+    if (outcome.kind === "cancelled") return { kind: "cancelled" };
     if (outcome.kind === "expired") return { kind: "gaveUp", reason: "answer not complete in time" };
     if (outcome.kind !== "complete") return { kind: "failed", reason: `answer ${outcome.kind}` };
     const answers = sent.head.status === 200 ? dialect.readPieces(bytes.toString(), pieces.length) : undefined;
@@ -79,15 +89,3 @@
         return kind === "made" ? [] : [{ id: requestId, kind }];
     });
 }
-
-/** Handles of results whose request was cancelled during the call. */
-export function abandonedResults(
-    pieces: readonly { readonly signal: AbortSignal }[],
-    outcome: CallOutcome,
-): readonly string[] {
-    if (outcome.kind !== "answered") return [];
-    return pieces.flatMap((piece, index) => {
-        const answer = outcome.answers[index];
-        return piece.signal.aborted && answer?.kind === "made" ? [answer.handle] : [];
-    });
-}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -1,11 +1,11 @@
 /**
  * The queue of one stage service at the gateway that gathers its pieces.
  *
- * Pieces of all requests and gateways wait here for a free target and are batched into calls. If a call fails, its
- * pieces are queued again, also for other targets: making a piece twice does no harm. Late pieces may be dropped.
+ * Pieces of all requests and gateways wait here for a free target and are batched into calls. If a call fails or is silent,
+ * its pieces are queued again, also for other targets: making a piece twice does no harm. A piece is lost only if no call of
+ * it is in progress and none is left, or if it is late.
  */
 import type { StageCapacity } from "../gateway/configuration.js";
-import type { PieceAnswer } from "../gateway/dialect.js";
 import type { Target } from "../gateway/target.js";
 import { runInBackground } from "../model/background.js";
 import { RetryBudget } from "../routing/index.js";
@@ -21,15 +21,15 @@
     shouldDrop,
     waitsForCloserTarget,
 } from "./batch.js";
-import { InputUse } from "./inputuse.js";
 import { Overload } from "./overload.js";
-import { abandonedResults, unmadePieces } from "./piececall.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
+import { LONGEST_SOUND_SILENCE_MS, mayAsk, type QueuedPiece } from "./queuedpiece.js";
 import type { StageQueueEnvironment } from "./queueenvironment.js";
 import { ReleaseBatcher } from "./releasebatcher.js";
-import { TargetTracker } from "./targettracker.js";
+import { type PieceFailure, StageCalls } from "./stagecalls.js";
+import { TargetTrackers } from "./targettracker.js";
 
-/** Number of unsuccessful calls after which a piece is lost. */
+/** Number of failed or silent calls after which a piece is lost. */
 const MAXIMUM_CALLS_PER_PIECE = 3;
 
 /** Retries that each piece adds to the budget; a service that fails more often gets no more load from retries. */
@@ -41,35 +41,20 @@
 /** Interval in milliseconds at which waiting pieces are checked against deadlines and usable targets. */
 const RECHECK_INTERVAL_MS = 25;
 
-/** Time in milliseconds for which a target that reported itself full gets no call. */
-const FULL_PAUSE_MS = 60;
-
 /** Shortest retry time in milliseconds for a caller whose pieces were dropped as late. */
 const MINIMUM_LATE_RETRY_MS = 500;
 
-/** Fraction of a call's fixed time after which its inputs have been read; targets read them before they start work. */
-const INPUT_READ_SHARE = 0.5;
-
 /** Bytes between zones that weigh as much as one unit of slowness, which is the expected duration once more. */
 const BYTES_PER_SLOWNESS = 100_000_000;
 
-interface QueuedPiece extends PieceJob {
-    /** Unsuccessful calls so far. */
-    calls: number;
-    /** Cache of bytes moved between zones, by the target's zone; shared by the pieces of one stage of a request. */
-    readonly crossZoneBytesByZone: Map<string, number>;
-    readonly queuedAt: number;
-    readonly signal: AbortSignal;
-    readonly resolve: (result: PieceResult) => void;
-}
+const CANCELLED: PieceResult = { kind: "lost", reason: "cancelled", retryAfterMs: 0 };
 
 /** The queue of one stage service. */
 export class StageQueue {
     private waiting: QueuedPiece[] = [];
-    /** One tracker for each registration of a target; a restarted target holds no results. */
-    private readonly trackers = new WeakMap<Target, TargetTracker>();
+    private readonly trackers = TargetTrackers.create();
     private readonly releases: ReleaseBatcher;
-    private readonly inputUse = InputUse.create();
+    private readonly calls: StageCalls;
     private recheckTimer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
     private readonly retryBudget = RetryBudget.create({
@@ -85,9 +70,21 @@
         this.releases = ReleaseBatcher.create({
             ...environment,
             service,
-            trackerOf: target => this.trackerOf(target),
+            trackerOf: target => this.trackers.of(target),
             onReleased: () => this.dispatch(),
         });
+        this.calls = StageCalls.create({
+            ...environment,
+            service,
+            trackerOf: target => this.trackers.of(target),
+            release: handles => this.release(handles),
+            run: task => this.run(task),
+            onMade: (piece, handle) => this.settle(piece, { kind: "made", handle }),
+            onNotMade: (piece, failure) => this.handleFailure(piece, failure),
+            onDeclined: pieces => this.queueDeclined(pieces),
+            onSilent: pieces => this.queueSilent(pieces),
+            onSlotFreed: () => this.dispatch(),
+        });
     }
 
     static create(service: string, environment: StageQueueEnvironment): StageQueue {
@@ -107,6 +104,7 @@
 
     /** Makes the pieces of one stage of a request. */
     make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<readonly PieceResult[]> {
+        if (signal.aborted) return Promise.resolve(jobs.map(() => CANCELLED));
         const refusal = this.refusalFor(jobs);
         if (refusal !== undefined) return Promise.resolve(jobs.map(() => refusal));
         const crossZoneBytesByZone = new Map<string, number>();
@@ -118,6 +116,9 @@
                     this.waiting.push({
                         ...job,
                         calls: 0,
+                        callsInProgress: new Set(),
+                        isSettled: false,
+                        hasUnusedRetry: false,
                         crossZoneBytesByZone,
                         queuedAt,
                         signal,
@@ -127,12 +128,15 @@
         );
         signal.addEventListener("abort", () => this.dropCancelled(), { once: true });
         this.dispatch();
-        return Promise.all(results).finally(() => jobs.slice(0, 1).forEach(job => this.inputUse.forget(job)));
+        return Promise.all(results).finally(() => jobs.slice(0, 1).forEach(job => this.calls.forgetInputs(job)));
     }
 
     /** Returns all pieces that are not in a call to their senders, so that another gateway can make them. */
     giveBack(): void {
-        for (const piece of this.waiting.splice(0)) this.lose(piece, "givenBack");
+        for (const piece of this.waiting.splice(0)) {
+            if (piece.callsInProgress.size === 0) this.lose(piece, "givenBack");
+            else this.returnUnusedRetry(piece);
+        }
     }
 
     /** Releases results that are no longer needed. */
@@ -153,7 +157,7 @@
         const callsPerSecond = 1_000 / fullCallMs(capacity);
         const speeds = directory.working(this.service).map(target => {
             const limitedSpeed = directory.limitPartOf(target) / capacity.slots / callsPerSecond;
-            return Math.min(1 / this.slownessOf(target), limitedSpeed);
+            return Math.min(1 / this.trackers.slownessOf(target), limitedSpeed);
         });
         const targets = speeds.reduce((sum, speed) => sum + speed, 0) * capacity.slots;
         return { targets, batch: capacity.batch, callMs: capacity.callMs, pieceMs: capacity.pieceMs };
@@ -181,21 +185,40 @@
     }
 
     private dropCancelled(): void {
-        this.waiting = this.waiting.filter(piece => {
-            if (!piece.signal.aborted) return true;
-            this.lose(piece, "cancelled");
-            return false;
-        });
+        const cancelled = [...this.waiting, ...this.calls.pieces()].filter(({ signal }) => signal.aborted);
+        for (const piece of cancelled) this.lose(piece, "cancelled");
     }
 
     private lose(piece: QueuedPiece, reason: PieceLossReason): void {
+        if (piece.isSettled) return;
         const { requestId, stage, index, calls } = piece;
         if (reason !== "cancelled" && reason !== "givenBack") {
             this.environment.onDecision("piece lost", { id: requestId, stage, index, calls, reason });
         }
         const retryAfterMs =
             reason === "late" ? this.overload.recordRefusal(performance.now(), MINIMUM_LATE_RETRY_MS) : 0;
-        piece.resolve({ kind: "lost", reason, retryAfterMs });
+        this.settle(piece, { kind: "lost", reason, retryAfterMs });
+    }
+
+    /** Gives a piece its result and takes it out of the queue. */
+    private settle(piece: QueuedPiece, result: PieceResult): void {
+        if (piece.isSettled) return;
+        piece.isSettled = true;
+        this.withdraw(piece);
+        this.calls.closeUnneeded(piece);
+        piece.resolve(result);
+    }
+
+    /** Takes a piece out of the queue, if it waits there. */
+    private withdraw(piece: QueuedPiece): void {
+        const position = this.waiting.indexOf(piece);
+        if (position >= 0) this.waiting.splice(position, 1);
+        this.returnUnusedRetry(piece);
+    }
+
+    private returnUnusedRetry(piece: QueuedPiece): void {
+        if (piece.hasUnusedRetry) this.retryBudget.giveBack();
+        piece.hasUnusedRetry = false;
     }
 
     /** Sends calls as long as pieces wait and targets are free. */
@@ -208,7 +231,7 @@
 
     private sendCalls(capacity: StageCapacity): void {
         const usable = this.environment.targets.usable(this.service);
-        let free = usable.filter(target => this.trackerOf(target).isFree(capacity.slots));
+        let free = usable.filter(target => this.trackers.of(target).isFree(capacity.slots));
         while (free.length > 0 && this.waiting.length > 0) {
             const target = this.bestTarget(free, capacity);
             free = free.filter(other => other !== target);
@@ -216,9 +239,10 @@
             if (pieces.length === 0) continue;
             const taken = new Set(pieces);
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
+            for (const piece of pieces) piece.hasUnusedRetry = false;
             this.run(async () => {
                 try {
-                    await this.call(target, pieces, capacity);
+                    await this.calls.send(target, pieces, capacity);
                 } catch (error) {
                     for (const piece of pieces) this.lose(piece, "failed");
                     throw error;
@@ -231,22 +255,23 @@
     private bestTarget(free: readonly Target[], capacity: StageCapacity): Target {
         const urgent = mostUrgent(this.waiting, performance.now(), fullCallMs(capacity));
         const costOf = (target: Target): number =>
-            this.slownessOf(target) * BYTES_PER_SLOWNESS +
+            this.trackers.slownessOf(target) * BYTES_PER_SLOWNESS +
             (urgent === undefined ? 0 : this.crossZoneBytesTo(urgent, target.registration.zone));
         return free.reduce((best, target) => (costOf(target) < costOf(best) ? target : best));
     }
 
     /** The pieces of the next call to a target; none if the waiting pieces should be made elsewhere. */
     private piecesFor(target: Target, usable: readonly Target[], capacity: StageCapacity): readonly QueuedPiece[] {
-        const tracker = this.trackerOf(target);
+        const tracker = this.trackers.of(target);
         const freeBytes = tracker.freeBytes(capacity);
         if (this.waiting.every(({ resultBytes }) => resultBytes > freeBytes)) return [];
         const ordered = this.rankFor(target, usable, capacity);
-        const allSlow = usable.every(other => this.trackerOf(other).isSlow);
-        if (allSlow || (!tracker.isSlow && !tracker.isProbeOnly)) return fillBatch(ordered, capacity.batch, freeBytes);
+        const allImpaired = usable.every(other => this.trackers.of(other).isImpaired);
+        if (allImpaired || !tracker.isImpaired) return fillBatch(ordered, capacity.batch, freeBytes);
         const earliestEnd = performance.now() + fullCallMs(capacity) * tracker.measuredSlowness;
         const onTimePieces = ordered.filter(({ piece }) => piece.targetTime.at >= earliestEnd);
         if (!tracker.isProbeOnly) return fillBatch(onTimePieces, capacity.batch, freeBytes);
+        if (!tracker.isProbeDue) return [];
         // A probe may fail, so it takes the piece that can wait longest.
         return fillBatch((onTimePieces.length > 0 ? onTimePieces : ordered).slice(-1), 1, freeBytes);
     }
@@ -263,6 +288,7 @@
         // When more than a full call waits, holding pieces back would leave calls partly empty.
         const canHoldBack = this.waiting.length <= capacity.batch;
         const candidates = this.waiting.filter(piece => {
+            if (!mayAsk(piece, target, now)) return false;
             if (!canHoldBack) return true;
             const leastBytes = Math.min(...zones.map(other => this.crossZoneBytesTo(piece, other)));
             return !waitsForCloserTarget(piece, now, callMs, this.crossZoneBytesTo(piece, zone), leastBytes);
@@ -299,135 +325,67 @@
         if (this.waiting.length === 0) return;
         const capacity = this.usableCapacity();
         const onTimeCount = capacity === undefined ? 0 : this.countOnTime(capacity);
-        this.waiting = this.waiting.filter(piece => {
-            const isForecast = capacity !== undefined && capacity.targets > 0;
-            const isDroppable = isForecast && shouldDrop(piece, now, onTimeCount, capacity);
-            if (!piece.deadline.passed() && !isDroppable) return true;
-            this.lose(piece, "late");
-            return false;
-        });
+        const isForecast = capacity !== undefined && capacity.targets > 0;
+        for (const piece of [...this.waiting]) {
+            // A piece with a call in progress is not dropped: that call may still make it, and pieces on time go first.
+            const isDroppable = isForecast && piece.callsInProgress.size === 0;
+            if (piece.deadline.passed() || (isDroppable && shouldDrop(piece, now, onTimeCount, capacity))) {
+                this.lose(piece, "late");
+            }
+        }
     }
 
-    private async call(target: Target, pieces: readonly QueuedPiece[], capacity: StageCapacity): Promise<void> {
-        const { callForPieces, targets } = this.environment;
-        const tracker = this.trackerOf(target);
-        const bytes = pieces.reduce((sum, piece) => sum + piece.resultBytes, 0);
-        const expectedMs = capacity.callMs + pieces.length * capacity.pieceMs;
-        const startedAt = performance.now();
-        tracker.callStarted(bytes);
-        targets.recordSent(target);
-        const readMs = capacity.callMs * INPUT_READ_SHARE * tracker.slowness;
-        let readTimer: NodeJS.Timeout | undefined;
-        const outcome = await callForPieces(target, pieces, tracker.callTimeoutMs(expectedMs), () => {
-            readTimer = setTimeout(() => this.recordInputsRead(pieces), readMs);
-        });
-        clearTimeout(readTimer);
-        targets.recordEnded(target);
-        tracker.callEnded(bytes);
-        const tookMs = performance.now() - startedAt;
-        if (outcome.kind === "answered") {
-            tracker.recordAnswer(tookMs / expectedMs);
-            targets.recordSuccess(target, tookMs / expectedMs);
-            this.logUnmade(target, pieces, outcome.answers, tracker.freeBytes(capacity));
-            const until = performance.now() + capacity.resultLifetimeMs;
-            pieces.forEach((piece, index) => {
-                const answer = outcome.answers[index];
-                if (answer?.kind === "made") tracker.addResult(answer.handle, piece.resultBytes, until);
-                this.settle(piece, answer);
-            });
-            if (outcome.answers.some(answer => answer.kind === "noRoom")) tracker.recordNoRoom(capacity);
-        } else {
-            this.environment.onDecision("stage call failed", {
-                service: this.service,
-                target: target.name,
-                ids: pieces.map(piece => piece.requestId),
-                reason: outcome.reason,
-                tookMs: Math.round(tookMs),
-                expectedMs: Math.round(expectedMs),
-                slowness: Math.round(tracker.slowness * 10) / 10,
-            });
-            if (outcome.kind === "full") {
-                targets.recordInconclusive(target);
-                tracker.blockedUntil = performance.now() + FULL_PAUSE_MS;
-                for (const piece of pieces) this.waiting.push(piece);
-            } else {
-                if (outcome.kind === "gaveUp") {
-                    targets.recordFailure(target);
-                    tracker.recordTimeout(tookMs, expectedMs);
-                } else {
-                    targets.recordUnreachable(target);
-                }
-                for (const piece of pieces) this.retry(piece, "failed", outcome.kind === "notSent");
-            }
+    /** Queues the pieces of a silent call once more, as far as calls and the retry budget allow. Returns how many. */
+    private queueSilent(pieces: readonly QueuedPiece[]): number {
+        let moved = 0;
+        for (const piece of pieces) {
+            if (piece.isSettled) continue;
+            piece.calls += 1;
+            if (!this.isWaiting(piece) && this.retry(piece, false)) moved += 1;
         }
-        // Results of cancelled requests must not occupy their holder's memory.
-        this.release(abandonedResults(pieces, outcome));
-        this.dispatch();
+        return moved;
     }
 
-    private recordInputsRead(pieces: readonly QueuedPiece[]): void {
-        const handles = this.inputUse.recordRead(pieces);
-        if (handles.length > 0) this.environment.onInputsRead(handles);
+    private queueDeclined(pieces: readonly QueuedPiece[]): void {
+        for (const piece of pieces) if (!piece.isSettled && !this.isWaiting(piece)) this.waiting.push(piece);
     }
 
-    /** Logs one line for a call in which some pieces were not made. */
-    private logUnmade(
-        target: Target,
-        pieces: readonly QueuedPiece[],
-        answers: readonly PieceAnswer[],
-        freeBytes: number,
-    ): void {
-        const unmade = unmadePieces(pieces, answers);
-        if (unmade.length === 0) return;
-        this.environment.onDecision("pieces not made", {
-            service: this.service,
-            target: target.name,
-            asked: pieces.length,
-            unmade: unmade.length,
-            reasons: [...new Set(unmade.map(({ kind }) => kind))],
-            ids: [...new Set(unmade.map(({ id }) => id))],
-            freeBytes: Math.round(freeBytes),
-        });
+    /** Queues a piece again that a call has not made, or loses it if that was its last call. */
+    private handleFailure(piece: QueuedPiece, { reason, isCounted, isBudgetExempt }: PieceFailure): void {
+        if (piece.isSettled) return;
+        if (reason === "late" || piece.deadline.passed()) return this.lose(piece, "late");
+        if (!isCounted) piece.calls += 1;
+        else if (piece.callsInProgress.size > 0) return;
+        if (this.isWaiting(piece)) return;
+        if (reason === "inputGone") return this.awaitCallsInProgress(piece);
+        if (!this.retry(piece, isBudgetExempt) && piece.callsInProgress.size === 0) this.lose(piece, reason);
     }
 
-    private settle(piece: QueuedPiece, answer: PieceAnswer | undefined): void {
-        switch (answer?.kind) {
-            case "made":
-                return piece.resolve({ kind: "made", handle: answer.handle });
-            case "late":
-                return this.lose(piece, "late");
-            case "inputGone":
-                return this.lose(piece, "inputGone");
-            case "noRoom":
-                return this.retry(piece, "noRoom", true);
-            default:
-                return this.retry(piece, "failed", false);
-        }
+    /**
+     * Leaves a piece whose inputs are gone to the calls that are in progress, which may have read them before. It is lost if
+     * these are silent for longer than a sound target.
+     */
+    private awaitCallsInProgress(piece: QueuedPiece): void {
+        const startedAt = [...piece.callsInProgress].map(call => call.startedAt);
+        const latest = Math.max(Number.NEGATIVE_INFINITY, ...startedAt) + LONGEST_SOUND_SILENCE_MS;
+        const waitMs = latest - performance.now();
+        if (waitMs <= 0) this.lose(piece, "inputGone");
+        else setTimeout(() => this.run(() => this.lose(piece, "inputGone")), waitMs);
     }
 
     /** Queues a piece again if it has calls left and, unless it is exempt, the retry budget allows it. */
-    private retry(piece: QueuedPiece, reason: PieceLossReason, isBudgetExempt: boolean): void {
-        if (piece.signal.aborted) return this.lose(piece, "cancelled");
-        piece.calls += 1;
-        if (piece.calls >= MAXIMUM_CALLS_PER_PIECE) return this.lose(piece, reason);
+    private retry(piece: QueuedPiece, isBudgetExempt: boolean): boolean {
+        if (piece.calls >= MAXIMUM_CALLS_PER_PIECE) return false;
         if (!isBudgetExempt) {
-            if (!this.retryBudget.available()) return this.lose(piece, reason);
+            if (!this.retryBudget.available()) return false;
             this.retryBudget.take();
         }
+        piece.hasUnusedRetry = !isBudgetExempt;
         this.waiting.push(piece);
+        return true;
     }
 
-    /** Slowness of a slow target, and 1 for others, so that small differences do not affect the choice. */
-    private slownessOf(target: Target): number {
-        const tracker = this.trackerOf(target);
-        return tracker.isSlow ? tracker.slowness : 1;
-    }
-
-    private trackerOf(target: Target): TargetTracker {
-        const existing = this.trackers.get(target);
-        if (existing !== undefined) return existing;
-        const created = TargetTracker.create();
-        this.trackers.set(target, created);
-        return created;
+    private isWaiting(piece: QueuedPiece): boolean {
+        return this.waiting.includes(piece);
     }
 }
--- /dev/null
+++ b/src/stages/queuedpiece.ts
@@ -0,0 +1,41 @@
+/**
+ * A piece in a stage queue. Several calls may work on it: one that is silent stays open while the piece is queued again for
+ * another target. The first result counts.
+ */
+import type { Target } from "../gateway/target.js";
+import type { PieceJob, PieceResult } from "./piece.js";
+
+/**
+ * Time in milliseconds within which a sound target answers although it was silent for a moment. After that the answer may
+ * be lost, and the same target may get the piece again.
+ */
+export const LONGEST_SOUND_SILENCE_MS = 2_000;
+
+/** What a piece needs to know of a call that works on it. */
+export interface CallOfPiece {
+    readonly target: Target;
+    readonly startedAt: number;
+}
+
+/** A piece from its arrival in the queue to its result. */
+export interface QueuedPiece extends PieceJob {
+    /** Calls that failed or became silent. */
+    calls: number;
+    readonly callsInProgress: Set<CallOfPiece>;
+    /** Whether the piece has its result, or is lost. */
+    isSettled: boolean;
+    /** Whether the piece was queued again at the cost of a retry that no call has used yet. */
+    hasUnusedRetry: boolean;
+    /** Cache of bytes moved between zones, by the target's zone; shared by the pieces of one stage of a request. */
+    readonly crossZoneBytesByZone: Map<string, number>;
+    readonly queuedAt: number;
+    readonly signal: AbortSignal;
+    readonly resolve: (result: PieceResult) => void;
+}
+
+/** Whether a target may get a piece: it is not working on it, or has been for so long that its answer may be lost. */
+export function mayAsk(piece: Pick<QueuedPiece, "callsInProgress">, target: Target, now: number): boolean {
+    return [...piece.callsInProgress].every(
+        call => call.target !== target || now - call.startedAt >= LONGEST_SOUND_SILENCE_MS,
+    );
+}
--- a/src/stages/queueenvironment.ts
+++ b/src/stages/queueenvironment.ts
@@ -2,17 +2,16 @@
 import type { StageCapacity } from "../gateway/configuration.js";
 import type { Target, TargetDirectory } from "../gateway/target.js";
 import type { PieceJob } from "./piece.js";
-import type { CallOutcome } from "./piececall.js";
+import type { CallOutcome, PieceCallLimits } from "./piececall.js";
 
 /** What a queue depends on. */
 export interface StageQueueEnvironment {
     readonly targets: TargetDirectory;
-    /** Asks a target to make pieces. `onSent` is called when the connection is established. */
+    /** Asks a target to make pieces. */
     readonly callForPieces: (
         target: Target,
         pieces: readonly PieceJob[],
-        timeoutMs: number,
-        onSent: () => void,
+        limits: PieceCallLimits,
     ) => Promise<CallOutcome>;
     /** Tells a target that results are no longer needed. Resolves to the reason of a failure. */
     readonly releaseResults: (target: Target, handles: readonly string[]) => Promise<string | undefined>;
--- a/src/stages/targettracker.ts
+++ b/src/stages/targettracker.ts
@@ -3,10 +3,14 @@
  *
  * A target that takes several times as long as configured makes whole calls late. It gets only pieces that are on time
  * in spite of that, and later single pieces as probes that show whether it is fast again. A target that did not answer
- * in time may be slow or unresponsive; it gets only single pieces until it answers. Health (src/routing) ejects targets
- * altogether; this applies to the others.
+ * in time may be slow, unresponsive, or silent for a moment; it gets only single pieces until it answers in time. Health
+ * (src/routing) ejects targets altogether; this applies to the others.
+ *
+ * One silence says nothing about the speed of a target. Once it has ended, the target counts as fast as before; if the next
+ * call takes as long again, it is slow.
  */
 import type { StageCapacity } from "../gateway/configuration.js";
+import type { Target } from "../gateway/target.js";
 import { halfLifeWeight } from "../model/decay.js";
 
 /** Factor by which results may exceed their configured size; memory is kept free for that. */
@@ -34,10 +38,30 @@
 const CALL_TIMEOUT_RATIO = 2.5;
 const CALL_TIMEOUT_SLACK_MS = 400;
 
+/**
+ * Time in milliseconds from a silence being noticed to the first probe. Most silences have ended by then, and the answers to
+ * the calls in progress show it at no risk to another piece. The time doubles with each probe that is silent as well.
+ */
+const FIRST_PROBE_PAUSE_MS = 1_000;
+
+/** Longest time in milliseconds between probes; the decayed slowness of an unresponsive target is still high by then. */
+const LONGEST_PROBE_PAUSE_MS = 4_000;
+
+/** A silence of a target: calls outlast their timeouts, and nothing is answered. */
+interface Silence {
+    /** When the latest probe, or else the first call, was found to be silent. */
+    readonly noticedAt: number;
+    /** Number of calls that were sent into the silence, each after the one before had been found silent. */
+    readonly calls: number;
+    /** What was known of the slowness before. */
+    readonly slownessBefore: number;
+    readonly measuredBefore: number;
+}
+
 /** Tracks one target of a stage service. */
 export class TargetTracker {
     /** The target gets no call before this time on the monotonic clock. */
-    blockedUntil = 0;
+    private blockedUntil = 0;
     private callsInProgress = 0;
     private reservedBytes = 0;
     private readonly results = new Map<string, { readonly bytes: number; readonly until: number }>();
@@ -49,6 +73,11 @@
     private latestSlowness = 1;
     private measuredAt = 0;
     private lastCallTimedOut = false;
+    private silence: Silence | undefined;
+    /** Silences since a call was last answered in time, and the end of the last one. */
+    private endedSilences = 0;
+    private silenceEndedAt = Number.NEGATIVE_INFINITY;
+    private lastAnswerAt = Number.NEGATIVE_INFINITY;
 
     private constructor() {}
 
@@ -74,6 +103,14 @@
         return this.slowness >= SLOW_RATIO;
     }
 
+    /** Whether a target that gets only probes may get the next one. */
+    get isProbeDue(): boolean {
+        if (this.silence === undefined) return true;
+        const { noticedAt, calls } = this.silence;
+        const pauseMs = Math.min(LONGEST_PROBE_PAUSE_MS, FIRST_PROBE_PAUSE_MS * 2 ** (calls - 1));
+        return performance.now() >= noticedAt + pauseMs;
+    }
+
     /**
      * Whether the target gets only single pieces: its last call timed out, or its slowness has decayed since it was
      * slow.
@@ -82,6 +119,11 @@
         return this.lastCallTimedOut || (this.latestSlowness >= SLOW_RATIO && !this.isSlow);
     }
 
+    /** Whether the target does not get calls like others: it is slow, or gets only probes. */
+    get isImpaired(): boolean {
+        return this.isSlow || this.isProbeOnly;
+    }
+
     isFree(slots: number): boolean {
         return this.callsInProgress < slots && this.blockedUntil <= performance.now();
     }
@@ -124,24 +166,65 @@
         this.reservedBytes += bytes;
     }
 
-    callEnded(bytes: number): void {
-        this.callsInProgress -= 1;
+    /** Records the end of a call. One that was silent had its slot taken away then. */
+    callEnded(bytes: number, wasSilent: boolean): void {
+        if (!wasSilent) this.callsInProgress -= 1;
         this.reservedBytes -= bytes;
     }
 
-    /** Records an answered call. `ratio` is its duration relative to the expected one. */
-    recordAnswer(ratio: number): void {
+    hasAnsweredSince(time: number): boolean {
+        return this.lastAnswerAt >= time;
+    }
+
+    /**
+     * Records an answered call. `ratio` is its duration relative to the expected one. Returns the slowness that the answer
+     * shows: for a call that was held up by a single silence, the one that was known before.
+     */
+    recordAnswer(startedAt: number, ratio: number, wasSilent: boolean): number {
+        this.lastAnswerAt = performance.now();
+        const wasSentBeforeEnd = startedAt < this.silenceEndedAt;
+        if (this.silence !== undefined) this.endSilence(this.silence);
+        const isHeldUp = wasSilent && (wasSentBeforeEnd || this.endedSilences === 1);
+        if (isHeldUp) return this.slowness;
+        if (!wasSilent) this.endedSilences = 0;
         this.lastCallTimedOut = false;
         this.setSlowness(this.slowness + SLOWNESS_WEIGHT * (ratio - this.slowness));
+        return ratio;
     }
 
     /**
-     * Records a timed-out call. The target may still be busy with it, so it gets no other for the expected duration.
+     * Records that a call has outlasted its timeout. Its slot is free again, and its memory remains reserved until it ends.
+     * The target may still be busy with it, so it gets no other for the expected duration.
      */
-    recordTimeout(tookMs: number, expectedMs: number): void {
+    recordSilent(startedAt: number, expectedMs: number): void {
+        const now = performance.now();
+        this.callsInProgress -= 1;
+        this.blockedUntil = now + expectedMs;
+        // Further calls that were in progress when the silence was noticed belong to it.
+        if (this.silence !== undefined && startedAt <= this.silence.noticedAt) return;
+        const { slownessBefore, measuredBefore, calls } = this.silence ?? {
+            slownessBefore: this.latestSlowness,
+            measuredBefore: this.measuredAt,
+            calls: 0,
+        };
+        this.silence = { noticedAt: now, calls: calls + 1, slownessBefore, measuredBefore };
         this.lastCallTimedOut = true;
-        this.setSlowness(Math.max(this.slowness, tookMs / expectedMs));
-        this.blockedUntil = performance.now() + expectedMs;
+        this.setSlowness(Math.max(this.slowness, (now - startedAt) / expectedMs));
+    }
+
+    /** Records that the target is full. It gets no call for a time. */
+    recordDeclined(pauseMs: number): void {
+        this.lastAnswerAt = performance.now();
+        this.blockedUntil = this.lastAnswerAt + pauseMs;
+        if (this.silence !== undefined) this.endSilence(this.silence);
+    }
+
+    private endSilence({ slownessBefore, measuredBefore }: Silence): void {
+        this.silence = undefined;
+        this.endedSilences += 1;
+        this.silenceEndedAt = performance.now();
+        this.latestSlowness = slownessBefore;
+        this.measuredAt = measuredBefore;
     }
 
     addResult(handle: string, bytes: number, until: number): void {
@@ -167,3 +250,28 @@
         this.measuredAt = performance.now();
     }
 }
+
+/** The trackers of the targets of one service: one for each registration, since a restarted target holds no results. */
+export class TargetTrackers {
+    private readonly trackers = new WeakMap<Target, TargetTracker>();
+
+    private constructor() {}
+
+    static create(): TargetTrackers {
+        return new TargetTrackers();
+    }
+
+    of(target: Target): TargetTracker {
+        const existing = this.trackers.get(target);
+        if (existing !== undefined) return existing;
+        const created = TargetTracker.create();
+        this.trackers.set(target, created);
+        return created;
+    }
+
+    /** Slowness of a slow target, and 1 for others, so that small differences do not affect the choice. */
+    slownessOf(target: Target): number {
+        const tracker = this.of(target);
+        return tracker.isSlow ? tracker.slowness : 1;
+    }
+}
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { pause } from "../../src/model/pause.js";
 import { listen, readAll } from "./listening.js";
 
 /** A request as a target received it. */
@@ -73,6 +74,10 @@
     endlessClosed = 0;
     /** Duration of one call for pieces, in milliseconds. */
     callMs = 20;
+    /** Duration of one call for pieces, by its number from 1; undefined for `callMs`. */
+    callMsOf: (call: number) => number | undefined = () => undefined;
+    /** A silence that begins when the call for pieces with this number arrives: all answers wait for its end. */
+    pieceSilence: { readonly call: number; readonly milliseconds: number } | undefined;
     /** Reason to return instead of results, by number of the call from 1; undefined for results. */
     pieceReasons: (call: number) => string | undefined = () => undefined;
     private readonly sockets = new Set<Socket>();
@@ -80,6 +85,7 @@
     mostCallsAtOnce = 0;
     private callsInProgress = 0;
     private madeCount = 0;
+    private silence: Promise<void> = Promise.resolve();
 
     private constructor(
         readonly id: string,
@@ -260,8 +266,11 @@
         this.pieceCalls.push(order);
         this.callsInProgress += 1;
         this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
-        const reason = this.pieceReasons(this.pieceCalls.length);
-        await new Promise(resolve => setTimeout(resolve, this.callMs));
+        const call = this.pieceCalls.length;
+        const reason = this.pieceReasons(call);
+        if (this.pieceSilence?.call === call) this.silence = pause(this.pieceSilence.milliseconds);
+        await pause(this.callMsOf(call) ?? this.callMs);
+        await this.silence;
         this.callsInProgress -= 1;
         const entries = order.Entries.map(() => {
             this.madeCount += 1;
--- a/test/stages/load.test.ts
+++ b/test/stages/load.test.ts
@@ -1,89 +1,11 @@
 /** Requests with stages under load, in a simulated deployment whose stage services are near their capacity. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { type Load, type LoadRoute, type LoadService, simulateLoad } from "./load.js";
-
-const SECONDS = 10;
-const SEED = 20_261_204;
+import { type Load, type Silence, simulateLoad } from "./load.js";
+import { load, SERVICES } from "./loads.js";
 
 beforeEach(() => vi.useFakeTimers({ toFake: ["setTimeout", "clearTimeout", "performance"] }));
 afterEach(() => vi.useRealTimers());
 
-interface ServiceShape {
-    readonly batch: number;
-    readonly pieceMs: number;
-    readonly megabytes: number;
-}
-
-/** A service with one target for each letter; the letter is the zone of the target. */
-function service(zones: string, { batch, pieceMs, megabytes }: ServiceShape): LoadService {
-    const rest = { slots: 1, callMs: 200, resultLifetimeMs: 4_000 };
-    return { ...rest, batch, pieceMs, memoryBytes: megabytes * 1_000_000, zones: [...zones] };
-}
-
-const SERVICES = {
-    reader: service("abc", { batch: 8, pieceMs: 12, megabytes: 18 }),
-    notifier: service("aabbc", { batch: 14, pieceMs: 12, megabytes: 1.8 }),
-    reviewer: service("aabbc", { batch: 34, pieceMs: 5, megabytes: 0.45 }),
-};
-
-function stage(name: string, after: readonly number[], resultBytes: number): LoadRoute["stages"][number] {
-    return { service: name, after, resultBytes };
-}
-
-/** A random integer between half and one and a half times a mean, and at least 1. */
-function around(mean: number, random: () => number): number {
-    return Math.max(1, Math.round(mean * (0.5 + random())));
-}
-
-/** Routes at a multiple of the normal load. */
-function routes(multiple: number): readonly LoadRoute[] {
-    const common = { lateShare: 0.15 };
-    return [
-        {
-            ...common,
-            name: "draft",
-            worth: 3.2,
-            targetMs: 2_000,
-            deadlineMs: 6_000,
-            priority: 1,
-            perSecond: () => 8 * multiple,
-            stages: [
-                stage("reader", [], 1_500_000),
-                stage("reader", [], 8_000),
-                stage("notifier", [1], 60_000),
-                stage("reviewer", [2], 6_000),
-            ],
-            pieces: random => [random() < 0.4 ? around(1.5, random) : 0, 1, 4, around(10, random)],
-        },
-        {
-            ...common,
-            name: "review",
-            worth: 2,
-            targetMs: 1_900,
-            deadlineMs: 6_000,
-            priority: 0,
-            perSecond: () => 8.5 * multiple,
-            stages: [stage("reader", [], 8_000), stage("notifier", [0], 60_000), stage("reviewer", [1], 6_000)],
-            pieces: random => [1, 4, around(10, random)],
-        },
-        {
-            ...common,
-            name: "summary",
-            worth: 0.8,
-            targetMs: 910,
-            deadlineMs: 10_000,
-            priority: 2,
-            perSecond: () => 4.2 * multiple,
-            stages: [stage("reader", [], 1_500_000)],
-            pieces: random => [random() < 0.7 ? around(2.5, random) : 0],
-        },
-    ];
-}
-
-function load(multiple: number, services: Load["services"] = SERVICES): Load {
-    return { seed: SEED, seconds: SECONDS, services, routes: routes(multiple) };
-}
-
 describe("requests with stages", () => {
     it("are served on time under normal load", async () => {
         const { worth, unanswered } = await simulateLoad(load(1));
@@ -91,6 +13,23 @@
         expect(worth).toBeGreaterThan(0.95);
     });
 
+    it.each<[string, readonly Silence[]]>([
+        [
+            "targets that are silent once for 1.2 s",
+            ["reader-0", "notifier-1", "reviewer-2", "reader-1"].map((target, index) => ({
+                target,
+                at: 1_500 + 2_000 * index,
+                milliseconds: 1_200,
+            })),
+        ],
+        ["a target that is silent for good", [{ target: "reader-0", at: 3_000, milliseconds: 1_000_000 }]],
+    ])("are served beside %s", async (_, silences) => {
+        const { worth, unanswered, pieces, madeAgain } = await simulateLoad({ ...load(1), silences });
+        expect(unanswered).toBe(0);
+        expect(worth).toBeGreaterThan(0.9);
+        expect(madeAgain).toBeLessThan(0.02 * pieces);
+    });
+
     it("lose little to the limited memory of targets at twice that load", async () => {
         const ample = Object.entries(SERVICES).map(([name, each]) => [name, { ...each, memoryBytes: 1_000_000_000 }]);
         const limited = await simulateLoad(load(2));
--- a/test/stages/load.ts
+++ b/test/stages/load.ts
@@ -11,7 +11,13 @@
 import { type TargetRegistration, TargetDirectory } from "../../src/gateway/target.js";
 import { Deadline } from "../../src/model/index.js";
 import { pause, withTimeout } from "../../src/model/pause.js";
-import { type CallOutcome, type PieceJob, StageQueue, StageSchedule } from "../../src/stages/index.js";
+import {
+    type CallOutcome,
+    type PieceCallLimits,
+    type PieceJob,
+    StageQueue,
+    StageSchedule,
+} from "../../src/stages/index.js";
 import { runStages } from "../../src/stages/run.js";
 import { RecentWaits } from "../../src/stages/waits.js";
 
@@ -41,6 +47,15 @@
     readonly seconds: number;
     readonly services: Readonly<Record<string, LoadService>>;
     readonly routes: readonly LoadRoute[];
+    readonly silences?: readonly Silence[];
+}
+
+/** A time in which a target sends nothing; calls in progress and later ones go on after it. */
+export interface Silence {
+    readonly target: string;
+    /** Milliseconds from the start of the load. */
+    readonly at: number;
+    readonly milliseconds: number;
 }
 
 /** Outcome of a simulated load. */
@@ -54,6 +69,8 @@
     /** Calls to targets, and pieces requested in them. */
     readonly calls: number;
     readonly pieces: number;
+    /** Pieces made beyond the first of each. */
+    readonly madeAgain: number;
 }
 
 /** Time in milliseconds from a caller to its gateway, and from there to the queue: network and processing. */
@@ -81,6 +98,9 @@
 class LoadTarget {
     calls = 0;
     pieces = 0;
+    readonly made: string[] = [];
+    private silentFrom = Number.POSITIVE_INFINITY;
+    private silentUntil = Number.POSITIVE_INFINITY;
     private readonly results = new Map<string, { readonly bytes: number; readonly until: number }>();
     private lastCall: Promise<void> = Promise.resolve();
     private madeCount = 0;
@@ -98,22 +118,49 @@
         return this.results.has(handle);
     }
 
+    fallSilent(from: number, milliseconds: number): void {
+        this.silentFrom = from;
+        this.silentUntil = from + milliseconds;
+    }
+
     async call(
         pieces: readonly PieceJob[],
-        timeoutMs: number,
+        { deadline, signal }: PieceCallLimits,
         holdsInput: (handle: string) => boolean,
     ): Promise<CallOutcome> {
         this.calls += 1;
         this.pieces += pieces.length;
-        const answered = this.work(pieces, holdsInput);
-        return withTimeout(answered, timeoutMs, { kind: "gaveUp", reason: "no answer in time" });
+        const call = { isClosed: false };
+        const gaveUp = { kind: "gaveUp", reason: "no answer in time" } as const;
+        const closed = new Promise<CallOutcome>(resolve =>
+            signal.addEventListener("abort", () => resolve({ kind: "cancelled" })),
+        );
+        const answered = Promise.race([this.work(pieces, holdsInput, call), closed]);
+        const outcome = await withTimeout(answered, deadline.remainingMs(), gaveUp);
+        call.isClosed = true;
+        return outcome;
+    }
+
+    private async waitForEndOfSilence(): Promise<void> {
+        const now = performance.now();
+        if (now >= this.silentFrom && now < this.silentUntil) await pause(this.silentUntil - now);
     }
 
-    private async work(pieces: readonly PieceJob[], holdsInput: (handle: string) => boolean): Promise<CallOutcome> {
+    private async work(
+        pieces: readonly PieceJob[],
+        holdsInput: (handle: string) => boolean,
+        call: { readonly isClosed: boolean },
+    ): Promise<CallOutcome> {
         const before = this.lastCall;
         let end = (): void => undefined;
         this.lastCall = new Promise(resolve => (end = resolve));
         await before;
+        await this.waitForEndOfSilence();
+        // A call whose connection is closed while it waits is dropped.
+        if (call.isClosed) {
+            end();
+            return { kind: "failed", reason: "closed" };
+        }
         // Inputs are fetched and memory is reserved when the call starts.
         const answers = pieces.map(({ inputs, resultBytes }) => {
             if (!inputs.every(holdsInput)) return { kind: "inputGone" } as const;
@@ -124,6 +171,10 @@
             return { kind: "made", handle } as const;
         });
         await pause(this.capacity.callMs + pieces.length * this.capacity.pieceMs);
+        await this.waitForEndOfSilence();
+        pieces.forEach(({ requestId, stage, index }, position) => {
+            if (answers[position]?.kind === "made") this.made.push(`${requestId} ${stage} ${index}`);
+        });
         const until = performance.now() + this.capacity.resultLifetimeMs;
         for (const answer of answers) {
             const result = answer.kind === "made" ? this.results.get(answer.handle) : undefined;
@@ -201,11 +252,11 @@
         const target = (id: string): LoadTarget => this.targets.get(id) ?? new LoadTarget("", capacity);
         return StageQueue.create(service, {
             targets: directory,
-            callForPieces: ({ name }, pieces, timeoutMs, onSent) => {
-                onSent();
+            callForPieces: ({ name }, pieces, limits) => {
+                limits.onSent();
                 const holdsInput = (handle: string): boolean =>
                     target(holderAddressOf(handle).split(":")[0] ?? "").holds(handle);
-                return target(name).call(pieces, timeoutMs, holdsInput);
+                return target(name).call(pieces, limits, holdsInput);
             },
             releaseResults: async ({ name }, handles) => {
                 await pause(1);
@@ -230,9 +281,12 @@
 }
 
 /** Simulates a load. The clock must be paused. */
-export async function simulateLoad({ seed, seconds, services, routes }: Load): Promise<LoadResult> {
+export async function simulateLoad({ seed, seconds, services, routes, silences = [] }: Load): Promise<LoadResult> {
     const random = createRandom(seed);
     const stages = new StageServices(services);
+    for (const { target, at, milliseconds } of silences) {
+        stages.targets.get(target)?.fallSilent(performance.now() + at, milliseconds);
+    }
     const engines = FirstEventTimes.create();
     const zones = [...new Set(Object.values(services).flatMap(service => service.zones))];
     const counts = { onTime: 0, late: 0, unanswered: 0 };
@@ -296,7 +350,9 @@
     const targets = [...stages.targets.values()];
     const calls = targets.reduce((sum, target) => sum + target.calls, 0);
     const pieces = targets.reduce((sum, target) => sum + target.pieces, 0);
-    return { worth: earned / total, ...counts, unanswered: counts.unanswered + pending, calls, pieces };
+    const made = targets.flatMap(target => target.made);
+    const madeAgain = made.length - new Set(made).size;
+    return { worth: earned / total, ...counts, unanswered: counts.unanswered + pending, calls, pieces, madeAgain };
 }
 
 /** Arrival times of a route's requests in milliseconds from the start. */
--- a/test/stages/piececall.test.ts
+++ b/test/stages/piececall.test.ts
@@ -1,6 +1,7 @@
 /** Calls from a stage queue to a target on the loopback address. */
 import { afterEach, describe, expect, it } from "vitest";
 import { type Target, TargetDirectory } from "../../src/gateway/target.js";
+import { Deadline } from "../../src/model/index.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { callForPieces, releaseResults } from "../../src/stages/index.js";
 import { StandInTarget } from "../platform/standintarget.js";
@@ -74,8 +75,11 @@
             prepare(target);
             const environment = { dialect: platformDialect, targets };
             let isSent = false;
-            const onSent = (): void => void (isSent = true);
-            const result = await callForPieces(environment, registered(id, target.address), PIECES, timeoutMs, onSent);
+            const result = await callForPieces(environment, registered(id, target.address), PIECES, {
+                deadline: Deadline.after(timeoutMs),
+                signal: new AbortController().signal,
+                onSent: () => (isSent = true),
+            });
             expect(isSent).toBe(sent);
             expect(result.kind).toBe(outcome);
             expect(result.kind === "answered" ? result.answers.map(({ kind }) => kind) : undefined).toEqual(answers);
