Keep an order open while its gatherer is silent

A request whose pieces were ordered from another gateway was lost, or late, when that gateway was silent for a second and then went on: after 0.7 s without progress the order was closed, which cancelled the work on it, and the next gatherer began again. If that one could not make the pieces in time, the caller got 503 although the first gatherer had the results.

Cause: silence was taken for the end of an order, and the order was closed before the next gatherer had anything to give.

An order whose gatherer is silent now stays open while the next gatherer is asked for the same pieces. The first result of a piece counts. When all pieces have one, the other orders are closed, and results that still come are released. Any progress of an order ends the belief that its gatherer is unreachable; before, only a probe did, one second later. A gateway that is heard on other connections gets the order again as before, on a new connection.

--- a/src/stages/peercalls.ts
+++ b/src/stages/peercalls.ts
@@ -32,6 +32,8 @@
 export interface PeerCallLimits extends AttemptLimits {
     /** Longest silence in milliseconds within an answer; undefined for no limit but the deadline. */
     readonly stallTimeoutMs?: number | undefined;
+    /** Called when anything of the answer was received. */
+    readonly onProgress?: () => void;
 }
 
 /** Outcome of a call. */
@@ -69,12 +71,12 @@
             const isSilent = attempt.kind === "expired" || reason === NO_ANSWER_IN_TIME;
             return { kind: "failed", reason, isSilent };
         }
-        this.recordHeard(address);
-        const { outcome, bytes } = await readBody(
-            attempt.body,
-            { ...limits, onBytes: () => this.recordHeard(address) },
-            MAXIMUM_ANSWER_BYTES,
-        );
+        const onBytes = (): void => {
+            this.recordHeard(address);
+            limits.onProgress?.();
+        };
+        onBytes();
+        const { outcome, bytes } = await readBody(attempt.body, { ...limits, onBytes }, MAXIMUM_ANSWER_BYTES);
         if (outcome.kind === "stalled") this.closeIdle(address);
         if (outcome.kind !== "complete") {
             const isSilent = outcome.kind === "stalled" || outcome.kind === "expired";
@@ -90,6 +92,11 @@
         return performance.now() - (this.heardAt.get(address) ?? Number.NEGATIVE_INFINITY);
     }
 
+    /** Closes the idle connections to a gateway, which may be dead. */
+    renew({ address }: GatewayPeer): void {
+        this.closeIdle(address);
+    }
+
     /** Closes all idle connections. */
     close(): void {
         for (const address of [...this.agents.keys()]) this.closeIdle(address);
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -3,7 +3,8 @@
  *
  * If each gateway batched only its own pieces, targets would get many small calls. All gateways choose the gatherer from
  * the same registrations (`gateway/coordinator`), so no agreement is needed. A gatherer that cannot be reached is skipped;
- * a gateway that reaches no other one gathers its pieces itself.
+ * a gateway that reaches no other one gathers its pieces itself. One that is silent is skipped by new orders, and those that
+ * it works on stay open, since it may go on (`stages/stageorders`).
  *
  * A gateway that stops, or sees that another one is now the gatherer of a service, gives the waiting pieces back to
  * their senders. Two gatherers would each forecast from their own queue alone, admit too much work for the targets that
@@ -22,9 +23,10 @@
     type PeerOrder,
     type ReleaseOrder,
 } from "./order.js";
-import type { PeerCalls } from "./peercalls.js";
+import type { PeerCallLimits, PeerCalls } from "./peercalls.js";
 import type { PieceJob, PieceResult } from "./piece.js";
 import type { StageQueue } from "./queue.js";
+import { type OrderEvent, StageOrders, type UnansweredCall } from "./stageorders.js";
 import { RecentWaits } from "./waits.js";
 
 /** Paths of the interface between gateways. */
@@ -33,9 +35,12 @@
 /** Interval in milliseconds at which a gatherer sends progress while it works on an order. */
 export const PROGRESS_INTERVAL_MS = 200;
 
-/** Silence in milliseconds after which a gatherer counts as unreachable: three missed progress intervals. */
+/** Silence in milliseconds after which another gatherer is asked as well: three missed progress intervals. */
 const PROGRESS_TIMEOUT_MS = 700;
 
+/** Time in milliseconds by which a timer may be early, so that what the silent order received last is no sign of life. */
+const TIMER_SLACK_MS = 5;
+
 /** Factor by which the timeout of an order grows when it is sent again to a gatherer that is alive but slow. */
 const RESEND_TIMEOUT_RATIO = 2;
 
@@ -51,6 +56,9 @@
 /** An order without pieces, which a gatherer answers at once. */
 const PROBE: PeerOrder = { service: "", jobs: [] };
 
+/** Reason of an order whose gatherer is silent. */
+const NO_PROGRESS = "no progress in time";
+
 const GIVEN_BACK: PieceResult = { kind: "lost", reason: "givenBack", retryAfterMs: 0 };
 
 /** What a router depends on. */
@@ -71,18 +79,10 @@
     readonly eventLoopDelayMs: () => number;
 }
 
-/** A call to a gateway that was not answered. */
-interface UnansweredCall {
-    readonly reason: string;
-    readonly waitedMs: number;
-    /** Whether the order was not answered in time although the gateway was heard on other connections meanwhile. */
-    readonly isPeerAlive: boolean;
-}
-
 /** Sends pieces and releases to the gatherer of their service, which may be this gateway. */
 export class PieceRouter {
-    /** Names of gateways that could not be reached. */
-    private readonly unreachable = new Set<string>();
+    /** Gateways that could not be reached, by name, with the time on the monotonic clock since when. */
+    private readonly unreachableSince = new Map<string, number>();
     /** Time on the monotonic clock until which a gateway is skipped for a service, by service and gateway. */
     private readonly skippedUntil = new Map<string, number>();
     private stopped = false;
@@ -96,37 +96,70 @@
         return new PieceRouter(environment);
     }
 
-    /** Makes the pieces of one stage of a request at their gatherer; those given back or unanswered go to another. */
+    /**
+     * Makes the pieces of one stage of a request at their gatherer; those given back or unanswered go to another. While a
+     * gatherer is silent, the next one is asked as well.
+     */
     async make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<readonly PieceResult[]> {
         const service = jobs[0]?.service ?? "";
-        const results = new Map<PieceJob, PieceResult>();
-        let remainingJobs = jobs;
-        let timeoutMs = PROGRESS_TIMEOUT_MS;
         const latest = Math.max(0, ...jobs.map(({ deadline }) => deadline.at));
-        while (remainingJobs.length > 0 && !signal.aborted && performance.now() < latest) {
-            const gatherer = this.gathererOf(service);
-            this.logGatherer(service, gatherer?.name ?? this.environment.self.name);
-            const order = { service, jobs: remainingJobs };
-            const answers =
-                gatherer === undefined
-                    ? await this.makeHere(order, signal)
-                    : await this.sendOrder(gatherer, order, signal, timeoutMs);
-            if ("results" in answers) this.recentWaits.record(service, answers.waitMs);
-            const unanswered = remainingJobs.filter((job, position) => {
-                const answer = "results" in answers ? answers.results[position] : undefined;
-                if (answer !== undefined && !isGivenBack(answer)) results.set(job, answer);
-                return !results.has(job);
-            });
-            if (unanswered.length > 0 && gatherer !== undefined && !signal.aborted) {
-                if ("reason" in answers) {
-                    if (answers.isPeerAlive) timeoutMs *= RESEND_TIMEOUT_RATIO;
-                    this.recordUnanswered(gatherer, jobs, answers);
-                } else this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
+        let silenceMs = PROGRESS_TIMEOUT_MS;
+        const orders = StageOrders.create(
+            jobs,
+            (gatherer, orderedJobs, options) => {
+                const order = { service, jobs: orderedJobs };
+                return gatherer === undefined
+                    ? this.makeHere(order, options.signal)
+                    : this.sendOrder(gatherer, order, options);
+            },
+            handles => this.release(service, handles),
+        );
+        try {
+            while (!orders.isSettled && !signal.aborted && performance.now() < latest) {
+                const unattended = orders.unattended();
+                if (unattended.length > 0) {
+                    const gatherer = this.gathererOf(service);
+                    this.logGatherer(service, gatherer?.name ?? this.environment.self.name);
+                    orders.start(gatherer, unattended, silenceMs);
+                }
+                for (const event of await orders.nextEvents(signal)) {
+                    const isResent = !signal.aborted && this.handleEvent(service, jobs[0], event);
+                    if (isResent) silenceMs *= RESEND_TIMEOUT_RATIO;
+                }
+            }
+        } finally {
+            orders.end();
+        }
+        return orders.results(signal.aborted ? "cancelled" : "late");
+    }
+
+    /** Handles what happened to an order. Returns whether the order is sent to the same gatherer again. */
+    private handleEvent(service: string, job: PieceJob | undefined, event: OrderEvent): boolean {
+        const { gatherer, waitedMs } = event;
+        if (event.kind === "threw") throw event.error;
+        if (event.kind === "answered") this.recentWaits.record(service, event.waitMs);
+        if (gatherer === undefined) return false;
+        switch (event.kind) {
+            case "overdue":
+                return false;
+            case "answered":
+                if (!event.hasGivenBack) return false;
+                this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
+                return false;
+            case "resumed":
+                this.recordReachable(gatherer);
+                return false;
+            case "silent": {
+                const { peerCalls } = this.environment;
+                const isPeerAlive = peerCalls.silentMs(gatherer) < PROGRESS_TIMEOUT_MS - TIMER_SLACK_MS;
+                peerCalls.renew(gatherer);
+                this.recordUnanswered(gatherer, job, { reason: NO_PROGRESS, waitedMs, isPeerAlive });
+                return isPeerAlive;
             }
-            remainingJobs = unanswered;
+            case "unanswered":
+                this.recordUnanswered(gatherer, job, { reason: event.reason, waitedMs, isPeerAlive: false });
+                return false;
         }
-        const reason = signal.aborted ? "cancelled" : "late";
-        return jobs.map(job => results.get(job) ?? { kind: "lost", reason, retryAfterMs: 0 });
     }
 
     /** Makes the pieces of another gateway's order, or gives them back if this gateway stops and another gathers. */
@@ -194,7 +227,7 @@
         const now = performance.now();
         const { self, isGathering, otherGateways } = this.environment;
         const others = otherGateways().filter(
-            ({ name }) => !this.unreachable.has(name) && (this.skippedUntil.get(`${service} ${name}`) ?? 0) <= now,
+            ({ name }) => !this.unreachableSince.has(name) && (this.skippedUntil.get(`${service} ${name}`) ?? 0) <= now,
         );
         const chosen = chooseCoordinator(service, isGathering() ? [self, ...others] : others);
         return chosen === self ? undefined : chosen;
@@ -210,17 +243,22 @@
      * pieces are not used as probes, since each would be late. To one that is alive the order is sent again: a second
      * gatherer would plan for the same targets, and both would send calls that wait for each other.
      */
-    private recordUnanswered(peer: GatewayPeer, jobs: readonly PieceJob[], call: UnansweredCall): void {
+    private recordUnanswered(
+        peer: GatewayPeer,
+        job: PieceJob | undefined,
+        call: { readonly reason: string; readonly waitedMs: number; readonly isPeerAlive: boolean },
+    ): void {
         const { reason, waitedMs, isPeerAlive } = call;
-        if (this.unreachable.has(peer.name)) return;
+        if (this.unreachableSince.has(peer.name)) return;
         if (!isPeerAlive) {
-            this.unreachable.add(peer.name);
-            this.run("probe of a gateway", () => this.waitUntilReachable(peer, performance.now()));
+            const since = performance.now();
+            this.unreachableSince.set(peer.name, since);
+            this.run("probe of a gateway", () => this.waitUntilReachable(peer, since));
         }
         this.environment.onDecision(isPeerAlive ? "order sent again" : "gatherer unreachable", {
             peer: peer.name,
-            id: jobs[0]?.requestId,
-            service: jobs[0]?.service,
+            id: job?.requestId,
+            service: job?.service,
             reason,
             waitedMs: Math.round(waitedMs),
             eventLoopDelayMs: Math.round(this.environment.eventLoopDelayMs()),
@@ -233,13 +271,24 @@
         for (;;) {
             await new Promise(resolve => setTimeout(resolve, PROBE_INTERVAL_MS).unref());
             const peer = registered();
-            if (this.stopped) return;
-            if (peer === undefined) break;
-            if ("results" in (await this.sendOrder(peer, PROBE, NEVER_ABORTED, PROGRESS_TIMEOUT_MS))) break;
+            // An order in progress may have shown meanwhile that the gateway is back.
+            if (this.stopped || this.unreachableSince.get(unreachablePeer.name) !== since) return;
+            if (peer === undefined || (await this.answersProbe(peer))) break;
         }
-        this.unreachable.delete(unreachablePeer.name);
+        if (this.unreachableSince.get(unreachablePeer.name) === since) this.recordReachable(unreachablePeer);
+    }
+
+    private async answersProbe(peer: GatewayPeer): Promise<boolean> {
+        const limits = { headTimeoutMs: PROGRESS_TIMEOUT_MS, stallTimeoutMs: PROGRESS_TIMEOUT_MS };
+        return "results" in (await this.sendOrder(peer, PROBE, { ...limits, signal: NEVER_ABORTED }));
+    }
+
+    private recordReachable({ name }: GatewayPeer): void {
+        const since = this.unreachableSince.get(name);
+        if (since === undefined) return;
+        this.unreachableSince.delete(name);
         const afterMs = Math.round(performance.now() - since);
-        this.environment.onDecision("gatherer reachable again", { peer: unreachablePeer.name, afterMs });
+        this.environment.onDecision("gatherer reachable again", { peer: name, afterMs });
     }
 
     private run(task: string, run: () => Promise<void>): void {
@@ -250,26 +299,17 @@
     private async sendOrder(
         peer: GatewayPeer,
         { service, jobs }: PeerOrder,
-        signal: AbortSignal,
-        timeoutMs: number,
+        limits: Omit<PeerCallLimits, "deadline">,
     ): Promise<PeerAnswer | UnansweredCall> {
-        const { peerCalls } = this.environment;
         const sentAt = performance.now();
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remainingMs()));
-        const answer = await peerCalls.call(peer, PEER_PATHS.make, encodeOrder(service, jobs), {
+        const answer = await this.environment.peerCalls.call(peer, PEER_PATHS.make, encodeOrder(service, jobs), {
+            ...limits,
             deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS),
-            signal,
-            headTimeoutMs: timeoutMs,
-            stallTimeoutMs: timeoutMs,
         });
-        const waitedMs = performance.now() - sentAt;
-        this.environment.onPeerCall(answer.kind, waitedMs);
-        if (answer.kind === "failed") {
-            const isPeerAlive = answer.isSilent && peerCalls.silentMs(peer) < PROGRESS_TIMEOUT_MS;
-            return { reason: answer.reason, waitedMs, isPeerAlive };
-        }
-        const unreadable = { reason: "unreadable answer", waitedMs, isPeerAlive: false };
-        return decodeAnswer(answer.text, jobs.length) ?? unreadable;
+        this.environment.onPeerCall(answer.kind, performance.now() - sentAt);
+        if (answer.kind === "failed") return { reason: answer.reason };
+        return decodeAnswer(answer.text, jobs.length) ?? { reason: "unreadable answer" };
     }
 
     private logGatherer(service: string, gatherer: string): void {
@@ -287,7 +327,3 @@
         this.releaseHere(order);
     }
 }
-
-function isGivenBack(result: PieceResult): boolean {
-    return result.kind === "lost" && result.reason === "givenBack";
-}
