Do not hold failures against the next start of a target

A target that had started anew under its id was ejected for what its earlier start had done: the requests that were still open there broke or stayed silent.

Cause: health is kept by id, and the ends of attempts were recorded by id whatever start they belonged to. Since silences are noted while they last, a machine that went dark and came back would meet this with every stream that was open.

Evidence: both cases of "a target that has started anew" failed before; the new start was ejected after three of them.

Only attempts at the registration that holds change the health of an id.

--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -259,7 +259,7 @@
         known.pendingPromptTokens += promptTokens;
         if (this.isCold(known)) known.coldBucket?.take();
         this.takeFromLimit(known);
-        this.health.recordSent(known.name);
+        if (this.isRegistered(known)) this.health.recordSent(known.name);
     }
 
     /** Counts a call to a target against its limit. */
@@ -296,13 +296,15 @@
     recordSuccess(target: Target, slowness: number, route = ""): void {
         this.options.onOutcome?.(target, route, false, this.isCold(target) ? undefined : slowness);
         (target as MutableTarget).unreachableCount = 0;
-        this.health.recordSuccess(target.name, slowness, this.comparableNames(target));
+        if (this.isRegistered(target)) {
+            this.health.recordSuccess(target.name, slowness, this.comparableNames(target));
+        }
     }
 
     /** Records an attempt that failed because of the target. */
     recordFailure(target: Target, route = ""): void {
         this.options.onOutcome?.(target, route, true, undefined);
-        this.health.recordFailure(target.name, this.eligibleNames(target));
+        if (this.isRegistered(target)) this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
     /** Records that something was received from a target, which ends its silence. */
@@ -318,7 +320,7 @@
      */
     recordSilent(target: Target, since: number): void {
         const known = target as MutableTarget;
-        if (known.heardAt > since) return;
+        if (known.heardAt > since || !this.isRegistered(known)) return;
         const now = performance.now();
         if (known.silentUntil <= now) this.onChange("silent", known.name, { silentMs: Math.round(now - since) });
         known.silentUntil = now + SILENCE_PAUSE_MS;
@@ -347,8 +349,12 @@
 
     /** Whether a target is registered as it was and has not refused its latest connection. */
     isReachable(target: Target): boolean {
-        const known = this.targets.get(target.name);
-        return known === target && known.unreachableUntil <= performance.now();
+        return this.isRegistered(target) && (target as MutableTarget).unreachableUntil <= performance.now();
+    }
+
+    /** Whether this is the registration of its id that holds. Attempts at an earlier one say nothing about the later one. */
+    private isRegistered(target: Target): boolean {
+        return this.targets.get(target.name) === target;
     }
 
     /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
@@ -359,7 +365,7 @@
 
     /** Records an attempt that says nothing about the target's health. */
     recordInconclusive(target: Target): void {
-        this.health.recordInconclusive(target.name);
+        if (this.isRegistered(target)) this.health.recordInconclusive(target.name);
     }
 
     /** Records a refused or reset connection. The target may have restarted, so it counts as cold. */
@@ -369,7 +375,7 @@
         const pause = UNREACHABLE_PAUSE_MS * 2 ** Math.min(6, known.unreachableCount - 1);
         known.unreachableUntil = performance.now() + Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause);
         this.extendColdPeriod(known, this.configuration()?.service(known.registration.service)?.coldStartMs ?? 0);
-        this.health.recordInconclusive(known.name);
+        this.recordInconclusive(known);
         this.onChange("unreachable", known.name, { pauseMs: Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause) });
     }
 
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -77,6 +77,31 @@
     });
 });
 
+describe("a target that has started anew", () => {
+    const OUTCOMES: readonly {
+        readonly outcome: string;
+        readonly record: (to: TargetDirectory, from: Target) => void;
+    }[] = [
+        { outcome: "fail", record: (directory, target) => directory.recordFailure(target) },
+        {
+            outcome: "are silent",
+            record: (directory, target) => {
+                vi.advanceTimersByTime(2_000);
+                directory.recordSilent(target, performance.now());
+            },
+        },
+    ];
+
+    it.each(OUTCOMES)("is not ejected because requests at its earlier start $outcome", ({ record }) => {
+        const { directory, target } = directoryWithTarget();
+        for (const id of ["target", "other"]) {
+            directory.put({ id, incarnation: 2, address: "127.0.0.1:2", state: "available" } as TargetRegistration);
+        }
+        for (let failure = 0; failure < 3; failure += 1) record(directory, target);
+        expect(directory.working(target.registration.service).map(({ name }) => name)).toEqual(["target", "other"]);
+    });
+});
+
 describe("a target that was silent", () => {
     it.each([
         { state: "is silent", pauseMs: 500, isSent: false, isHeard: false, isPreferred: false },
