Test an exception at the end of a stream at a call that is made once

The case "within its stream" of exceptions.test.ts threw at the second call of `recordPromptRead` for one stream. That second call was the fault by which a prompt was counted twice, and is no longer made. `recordEnded` follows it at once and is called once for each attempt, so the exception still comes after the events of the stream were written, and the case expects the same.

--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -53,11 +53,7 @@
         {
             name: "within its stream",
             path: "/draft/1",
-            arrange: () =>
-                vi
-                    .spyOn(gateway.targets, "recordPromptRead")
-                    .mockImplementationOnce(() => undefined)
-                    .mockImplementationOnce(fail),
+            arrange: () => vi.spyOn(gateway.targets, "recordEnded").mockImplementationOnce(fail),
             status: 200,
         },
         {
