End both attempts of a stream after an exception

After an exception in one of two attempts, which is a fault of the program, the other one stayed at its target until the deadline, and the target counted one more request in progress for as long as it was registered.

Whatever is in progress when the stream's handling ends is ended with it.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -56,6 +56,7 @@
     private readonly writer: StreamWriter;
     private failure: ExchangeResult | undefined;
     private contest: Contest | undefined;
+    private readonly started: StreamAttempt[] = [];
     /** Whether two attempts were in progress for the longest time and neither went on. */
     private hasOverlapped = false;
 
@@ -64,8 +65,22 @@
         this.writer = new StreamWriter(response, request.metadata.lastEventId, () => context.closesConnections());
     }
 
-    static serve(options: StreamExchangeOptions): Promise<ExchangeResult> {
-        return new StreamExchange(options).run();
+    static async serve(options: StreamExchangeOptions): Promise<ExchangeResult> {
+        const exchange = new StreamExchange(options);
+        try {
+            return await exchange.run();
+        } finally {
+            exchange.endAll();
+        }
+    }
+
+    /** Ends what is still in progress, as it is after an exception. */
+    private endAll(): void {
+        for (const attempt of this.started) {
+            if (attempt.end !== undefined) continue;
+            attempt.leave();
+            this.options.context.targets.recordEnded(attempt.target);
+        }
     }
 
     private async run(): Promise<ExchangeResult> {
@@ -88,7 +103,7 @@
         const { context, request, attempts, inputs, releaseInputs, onFirstEvent } = this.options;
         const { targets, dialect, firstEventTimes } = context;
         const lastEventId = this.writer.lastDeliveredEventId;
-        return StreamAttempt.start({
+        const attempt = StreamAttempt.start({
             request,
             target,
             promptTokens: attempts.uncachedTokens(target),
@@ -112,6 +127,8 @@
                 targets.recordSuccess(target, tookMs / request.route.latencyObjectiveMs, request.route.name);
             },
         });
+        this.started.push(attempt);
+        return attempt;
     }
 
     /** Waits for an attempt to end. While its target is silent, others are tried; returns the attempt that ended. */
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -109,6 +109,25 @@
     });
 });
 
+describe("an exception in one of two attempts", () => {
+    it("ends the other one", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines({ kind: "silent" }, { kind: "stream", events: EVENTS });
+        const targets = deployment.gateways[0]?.gateway.targets;
+        if (targets === undefined) throw new Error("no gateway");
+        vi.spyOn(targets, "recordReport").mockImplementationOnce(() => {
+            throw new Error("odd response");
+        });
+        const answered = deployment.call({ path: "/chat/1" });
+        const first = deployment.target(await firstEngine());
+        expect((await answered).status).toBe(500);
+        await vi.waitFor(() => expect(first.abandoned).toHaveLength(1), 300);
+        for (const { address } of deployment.targets.values()) {
+            expect(targets.findByAddress(address)?.outstanding).toBe(0);
+        }
+    });
+});
+
 describe("the prompts that wait at a target", () => {
     it.each([
         { end: "another stream has ended", second: undefined },
