Ask a target again that declined the request of a silent one

A stream was lost at its deadline although the only other engine was full for a moment only: its own engine stayed silent.

Cause: a target that had declined the request was never asked again, although it had not run it.

Evidence: both cases "goes on there when it was declined" failed before with two of four events.

Once no untried target is left, those that have not run the request are asked again, 0.3 s after the last refusal at the earliest and within the limits on refusals and retries.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -23,6 +23,9 @@
 /** Number of targets that may decline a request before it is refused. */
 const MAXIMUM_DECLINES = 2;
 
+/** Time in milliseconds after a refusal before a target that has declined the request is asked again. */
+const DECLINE_PAUSE_MS = 300;
+
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
@@ -55,6 +58,7 @@
     count = 0;
     private readonly tried = new Set<Target>();
     private declinedCount = 0;
+    private lastDeclinedAt = Number.NEGATIVE_INFINITY;
     private trial: Extract<Admission, { kind: "trial" }> | undefined;
     private hasBeenServed = false;
     private lastHoldBack: HoldBack | undefined;
@@ -315,9 +319,10 @@
         if (kind !== "admitted" && this.trial === undefined) return none("request may crash targets");
         const others = context.targets.usable(request.service).filter(target => target !== silent);
         const untried = others.filter(target => !this.tried.has(target));
-        const left = others.filter(target => this.left.has(target));
         const isAttemptLeft = this.mayHaveRun.size < request.route.maximumAttempts;
-        const candidates = isAttemptLeft && untried.length > 0 ? untried : left;
+        const mayAskAgain = isAttemptLeft && performance.now() - this.lastDeclinedAt >= DECLINE_PAUSE_MS;
+        const again = others.filter(target => this.left.has(target) || (mayAskAgain && !this.mayHaveRun.has(target)));
+        const candidates = isAttemptLeft && untried.length > 0 ? untried : again;
         const heard = context.targets.withoutSilent(candidates);
         const target = this.bestTarget(heard, inputs) ?? this.bestTarget(candidates, inputs);
         if (target !== undefined) return { kind: "found", target };
@@ -423,6 +428,7 @@
     handleDeclined(target: Target, wrongTarget: boolean): void {
         this.recordNotRun(target);
         this.declinedCount += 1;
+        this.lastDeclinedAt = performance.now();
         this.context.targets.recordInconclusive(target);
         if (wrongTarget) this.context.targets.recordUnreachable(target);
         this.logDecision("attempt declined", target, { wrongTarget });
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -109,6 +109,20 @@
     });
 });
 
+describe("a stream whose target stays silent while the others are full for a moment", () => {
+    it.each([
+        { declined: "once", behaviours: [{ kind: "full" }] },
+        { declined: "twice", behaviours: [{ kind: "full" }, { kind: "full" }] },
+    ] satisfies readonly { declined: string; behaviours: readonly Behaviour[] }[])(
+        "goes on there when it was declined $declined",
+        async ({ behaviours }) => {
+            deployment = await Deployment.start({ engines: 2 });
+            scriptEngines(silentStream(60_000), ...behaviours, { kind: "stream", events: EVENTS });
+            expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        },
+    );
+});
+
 describe("an exception in one of two attempts", () => {
     it("ends the other one", async () => {
         deployment = await Deployment.start({ engines: 2 });
