Keep a silent target that is not registered or cannot be connected to

Callers got part of a stream although their target was silent for 1.4 s only: it was left after 1.2 s for another one that had taken the request, and that one declined it.

Cause: a target counted as lost, however short its silence, when its registration was gone or a connection to it had failed. But some targets leave without a report and serve what they have, registrations expire while the store is down, and a target that is silent or busy for a moment cannot be connected to either.

Only a new start under its id now says that a target has lost its requests. Everything else waits for a long silence.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -190,10 +190,13 @@
         return true;
     }
 
-    /** Whether a silent target is probably lost: it is silent for long, refuses connections, or is no longer registered. */
+    /**
+     * Whether a silent target is probably lost: it is silent for long or has started anew. A target that is no longer
+     * registered may still serve its requests, and one to which a connection cannot be made may only be silent.
+     */
     private isGivenUp({ silentMs, target }: StreamAttempt): boolean {
         const { context, request } = this.options;
-        return silentMs >= longSilenceMs(request.route) || !context.targets.isReachable(target);
+        return silentMs >= longSilenceMs(request.route) || context.targets.hasStartedAnew(target);
     }
 
     private leave(attempt: StreamAttempt, reason: string): void {
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -347,9 +347,9 @@
         this.options.onOutcome?.(known, route, true, undefined);
     }
 
-    /** Whether a target is registered as it was and has not refused its latest connection. */
-    isReachable(target: Target): boolean {
-        return this.isRegistered(target) && (target as MutableTarget).unreachableUntil <= performance.now();
+    /** Whether a target has started anew under its id, so that its earlier start has ended. */
+    hasStartedAnew(target: Target): boolean {
+        return this.targets.has(target.name) && !this.isRegistered(target);
     }
 
     /** Whether this is the registration of its id that holds. Attempts at an earlier one say nothing about the later one. */
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -4,6 +4,8 @@
  */
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { Deadline } from "../../src/model/index.js";
+import { pause } from "../../src/model/pause.js";
+import { KIND } from "../../src/platform/names.js";
 import type { Behaviour } from "../platform/standintarget.js";
 import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
 
@@ -108,6 +110,32 @@
         expectWholeStream(await answered);
     });
 
+    it.each(SILENCES)(
+        "when it is silent %s, is not registered any more, and the other declines late",
+        async silence => {
+            deployment = await Deployment.start({ engines: 2 });
+            scriptEngines(silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
+            const answered = deployment.call({ path: "/chat/1" });
+            await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+            const first = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length > 0);
+            deployment.platform.remove(KIND.targets, first?.id ?? "");
+            expectWholeStream(await answered);
+        },
+    );
+
+    it.each(SILENCES)("when it is silent %s, a connection to it fails, and the other declines late", async silence => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
+        const answered = deployment.call({ path: "/chat/1" });
+        await vi.waitFor(() => expect(arrivalCount()).toBe(1));
+        const first = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length > 0);
+        await pause(1_000);
+        const targets = deployment.gateways[0]?.gateway.targets;
+        const target = targets?.findByAddress(first?.address ?? "");
+        if (target !== undefined) targets?.recordUnreachable(target);
+        expectWholeStream(await answered);
+    });
+
     it.each(SILENCES)("when it is silent %s twice as long as its timeout and the others decline", async silence => {
         deployment = await Deployment.start({ engines: 3 });
         scriptEngines(silentStream(silence, 1_700), { kind: "full" });
