--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -9,7 +9,7 @@
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, Deployment } from "./harness.js";
+import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
 
 let deployment: Deployment;
 
@@ -122,6 +122,41 @@
     );
 });
 
+describe("a stream that goes on at a second target", () => {
+    const whole: Behaviour = { kind: "stream", events: EVENTS };
+
+    it.each([
+        { which: "its caller resumes", first: silentStream(60_000, "head"), lastEventId: "2", ids: [3, 4] },
+        { which: "has all its events and no end", first: silentStream(60_000, EVENTS), ids: [1, 2, 3, 4] },
+        {
+            which: "its caller resumes after the last event",
+            first: silentStream(60_000, "head"),
+            lastEventId: "4",
+            ids: [],
+        },
+    ])("is whole when it is one that $which", async ({ first, lastEventId, ids }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(first, whole);
+        const headers = lastEventId === undefined ? {} : { "last-event-id": lastEventId };
+        const answer = await deployment.call({ path: "/chat/1", headers });
+        expect(answer).toMatchObject({ status: 200, complete: true });
+        expect(idsOf(answer)).toEqual(ids);
+    });
+
+    it.each([
+        { silent: "the first", behaviours: [silentStream(60_000), whole] },
+        { silent: "the first two", behaviours: [silentStream(60_000), { kind: "silent" }, whole] },
+    ] satisfies readonly { silent: string; behaviours: readonly Behaviour[] }[])(
+        "is whole when $silent of three are silent",
+        async ({ behaviours }) => {
+            const Routes = CONFIGURATION.Routes.map(route => ({ ...route, MaxAttempts: 3 }));
+            deployment = await Deployment.start({ engines: 3 }, 1, { ...CONFIGURATION, Routes });
+            scriptEngines(...behaviours);
+            expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        },
+    );
+});
+
 describe("an exception in one of two attempts", () => {
     it("ends the other one", async () => {
         deployment = await Deployment.start({ engines: 2 });
