--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -9,7 +9,7 @@
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, Deployment } from "./harness.js";
+import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
 
 let deployment: Deployment;
 
@@ -108,6 +108,74 @@
     });
 });
 
+describe("a stream whose target stays silent while the others are full for a moment", () => {
+    it.each([
+        { declined: "once", behaviours: [{ kind: "full" }] },
+        { declined: "twice", behaviours: [{ kind: "full" }, { kind: "full" }] },
+    ] satisfies readonly { declined: string; behaviours: readonly Behaviour[] }[])(
+        "goes on there when it was declined $declined",
+        async ({ behaviours }) => {
+            deployment = await Deployment.start({ engines: 2 });
+            scriptEngines(silentStream(60_000), ...behaviours, { kind: "stream", events: EVENTS });
+            expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        },
+    );
+});
+
+describe("a stream that goes on at a second target", () => {
+    const whole: Behaviour = { kind: "stream", events: EVENTS };
+
+    it.each([
+        { which: "its caller resumes", first: silentStream(60_000, "head"), lastEventId: "2", ids: [3, 4] },
+        { which: "has all its events and no end", first: silentStream(60_000, EVENTS), ids: [1, 2, 3, 4] },
+        {
+            which: "its caller resumes after the last event",
+            first: silentStream(60_000, "head"),
+            lastEventId: "4",
+            ids: [],
+        },
+    ])("is whole when it is one that $which", async ({ first, lastEventId, ids }) => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(first, whole);
+        const headers = lastEventId === undefined ? {} : { "last-event-id": lastEventId };
+        const answer = await deployment.call({ path: "/chat/1", headers });
+        expect(answer).toMatchObject({ status: 200, complete: true });
+        expect(idsOf(answer)).toEqual(ids);
+    });
+
+    it.each([
+        { silent: "the first", behaviours: [silentStream(60_000), whole] },
+        { silent: "the first two", behaviours: [silentStream(60_000), { kind: "silent" }, whole] },
+    ] satisfies readonly { silent: string; behaviours: readonly Behaviour[] }[])(
+        "is whole when $silent of three are silent",
+        async ({ behaviours }) => {
+            const Routes = CONFIGURATION.Routes.map(route => ({ ...route, MaxAttempts: 3 }));
+            deployment = await Deployment.start({ engines: 3 }, 1, { ...CONFIGURATION, Routes });
+            scriptEngines(...behaviours);
+            expectWholeStream(await deployment.call({ path: "/chat/1" }));
+        },
+    );
+});
+
+describe("an exception in one of two attempts", () => {
+    it("ends the other one", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines({ kind: "silent" }, { kind: "stream", events: EVENTS });
+        const targets = deployment.gateways[0]?.gateway.targets;
+        if (targets === undefined) throw new Error("no gateway");
+        vi.spyOn(targets, "recordReport").mockImplementationOnce(() => {
+            throw new Error("odd response");
+        });
+        const answered = deployment.call({ path: "/chat/1" });
+        const first = deployment.target(await firstEngine());
+        expect((await answered).status).toBe(500);
+        await vi.waitFor(() => expect(first.abandoned).toHaveLength(1), 300);
+        for (const { address } of deployment.targets.values()) {
+            expect(targets.findByAddress(address)?.outstanding).toBe(0);
+        }
+    });
+});
+
 describe("the prompts that wait at a target", () => {
     it.each([
         { end: "another stream has ended", second: undefined },
