--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -106,7 +106,7 @@
         );
         const gateways = watchPrefix(source.gatewayPrefix, SLOW_WATCH_TIMEOUT_MS, event => {
             options.peers.apply(event);
-            options.gateway.pieceRouter.handleGathererChange();
+            options.gateway.pieceRouter.giveBack();
         });
         const rollouts = watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event));
         this.views = [configuration, targets, closedZones, gateways, rollouts];
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -240,7 +240,7 @@
     /** Enters a later phase. */
     enterPhase(phase: GatewayPhase): void {
         this.currentPhase = phase;
-        this.pieceRouter.handleGathererChange();
+        this.pieceRouter.giveBack();
     }
 
     /** Ends what runs beside requests and closes idle connections to other gateways. */
@@ -299,12 +299,8 @@
         return created;
     }
 
-    /**
-     * Tells the gatherers of the holders that results have been read for the last time. When they were read is estimated
-     * from the start of the call, which is known only if no other gateway calls the same targets.
-     */
+    /** Tells the gatherers of the holders that results have been read for the last time. */
     private releaseEarly(handles: readonly string[]): void {
-        if (!this.pieceRouter.gathersAlone) return;
         const byService = new Map<string, string[]>();
         for (const handle of handles) {
             const service = this.holderOf(handle)?.registration.service;
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -42,12 +42,6 @@
 /** Time in milliseconds for which a gatherer that gave pieces back is skipped; by then the store reports the change. */
 const GIVEN_BACK_SKIP_MS = 1_500;
 
-/**
- * Time in milliseconds after a change of gatherers in which two may call the same targets: until all gateways know of the
- * change, and the calls that the earlier gatherer had sent have ended.
- */
-const HANDOVER_MS = 1_500;
-
 /** Interval in milliseconds at which an unreachable gatherer is probed. */
 const PROBE_INTERVAL_MS = 1_000;
 
@@ -93,8 +87,6 @@
     /** Time on the monotonic clock until which a gateway is skipped for a service, by service and gateway. */
     private readonly skippedUntil = new Map<string, number>();
     private stopped = false;
-    /** Time on the monotonic clock at which the gatherers may have changed last. */
-    private gatherersChangedAt = performance.now();
     private readonly recentWaits = RecentWaits.create();
     /** Name of the last gatherer of each service, for the log. */
     private readonly lastGatherers = new Map<string, string>();
@@ -145,9 +137,8 @@
         return mustGiveBack ? jobs.map(() => GIVEN_BACK) : this.environment.queueOf(service).make(jobs, signal);
     }
 
-    /** Called when gatherers may have changed: gives back the waiting pieces of services that another gateway now gathers. */
-    handleGathererChange(): void {
-        this.gatherersChangedAt = performance.now();
+    /** Gives back the waiting pieces of services that another gateway now gathers. */
+    giveBack(): void {
         for (const [service, queue] of this.environment.queues()) {
             const gatherer = queue.length === 0 ? undefined : this.gathererOf(service);
             if (gatherer === undefined) continue;
@@ -160,14 +151,6 @@
         }
     }
 
-    /**
-     * Whether no other gateway calls the targets that this one calls. A call to a shared target may wait behind the call
-     * of another gatherer. Gateways that stop at the same time each gather their own pieces.
-     */
-    get gathersAlone(): boolean {
-        return this.environment.isGathering() && performance.now() - this.gatherersChangedAt >= HANDOVER_MS;
-    }
-
     /** Recent queueing time of a service in milliseconds, decayed since it was reported. */
     recentWaitMs(service: string): number {
         return this.recentWaits.waitMs(service);
@@ -233,7 +216,6 @@
         if (this.unreachable.has(peer.name)) return;
         if (!isPeerAlive) {
             this.unreachable.add(peer.name);
-            this.gatherersChangedAt = performance.now();
             this.run("probe of a gateway", () => this.waitUntilReachable(peer, performance.now()));
         }
         this.environment.onDecision(isPeerAlive ? "order sent again" : "gatherer unreachable", {
@@ -257,7 +239,6 @@
             if ("results" in (await this.sendOrder(peer, PROBE, NEVER_ABORTED, PROGRESS_TIMEOUT_MS))) break;
         }
         this.unreachable.delete(unreachablePeer.name);
-        this.gatherersChangedAt = performance.now();
         const afterMs = Math.round(performance.now() - since);
         this.environment.onDecision("gatherer reachable again", { peer: unreachablePeer.name, afterMs });
     }
