Resume a begun stream during a planned stop whatever its usual time

Callers whose stream broke at its target while the gateway stopped got the part that had arrived, although another target would have sent the rest within the grace period.

Cause: an attempt is held back if the usual time of its route does not fit into what the stop leaves. That suits a request that can be refused, but a begun stream has no other end than to be cut.

Change: a stream that has delivered an event is not held back. Its deadline is limited to the time for responses as before.

Result: 2 of 3 cases of streamsinstop.test.ts ended after two of four events before, those whose usual time is unknown or longer than what is left; all three are complete now.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -163,7 +163,9 @@
             if (!(await this.waitForAdmission())) return undefined;
             const target = await this.chooseTarget(inputs);
             const stopHoldBack = this.stopHoldBack(this.context.attemptTimes.usualMs(this.request.route.name));
-            if (stopHoldBack !== undefined) {
+            // A begun stream would be cut otherwise, so that a try loses nothing.
+            const isBegunStream = this.request.route.streaming && this.hasBeenServed;
+            if (stopHoldBack !== undefined && !isBegunStream) {
                 if (this.count > 0) this.logNoFurtherAttempt(stopHoldBack.reason);
                 this.lastHoldBack = stopHoldBack;
                 return undefined;
