Let stand-ins and the fault proxy fall silent and go on

Cause: the soak knew losses, delays, cuts and resets, but no silence after which everything goes on, as when a target is held up for a second. A stand-in target now stops reading and writing for a time, and the proxy holds connections up without losing a byte or an end. Targets report when a request ended or its sender left, and the stand-in store can put a proxy in front of the addresses that gateways register.

--- a/test/platform/standinplatform.ts
+++ b/test/platform/standinplatform.ts
@@ -30,6 +30,8 @@
     readonly refusedKinds = new Set<string>();
     /** Whether writes are applied and their answers lost. */
     loseWriteAnswers = false;
+    /** Replaces what callers write, by kind; tests put proxies in front of registered addresses with it. */
+    replaceWritten: (kind: string, spec: unknown) => unknown = (_, spec) => spec;
     readonly calls: string[] = [];
     private readonly objects = new Map<string, Map<string, StoredEntry>>();
     private history: Change[] = [];
@@ -155,7 +157,7 @@
                 const created = sent?.Metadata?.Name ?? "";
                 const conflicting = this.objects.get(kind)?.get(created);
                 return conflicting === undefined
-                    ? answer(201, this.put(kind, created, sent?.Spec))
+                    ? answer(201, this.put(kind, created, this.replaceWritten(kind, sent?.Spec)))
                     : answer(409, conflicting);
             }
             case "PUT":
@@ -163,7 +165,7 @@
                 if (revision !== 0 && revision !== existing.Metadata.Revision) return answer(409, existing);
                 return part === "status"
                     ? answer(200, this.put(kind, name ?? "", existing.Spec, sent?.Status))
-                    : answer(200, this.put(kind, name ?? "", sent?.Spec, existing.Status));
+                    : answer(200, this.put(kind, name ?? "", this.replaceWritten(kind, sent?.Spec), existing.Status));
             default:
                 if (existing !== undefined && revision !== 0 && revision !== existing.Metadata.Revision) {
                     return answer(409, existing);
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -68,6 +68,8 @@
     /** Called when the target is back after a crash. */
     onRestart: () => void = () => undefined;
     behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
+    /** Called when the response to a request has ended or its connection has closed. */
+    onEnd: (arrival: Arrival) => void = () => undefined;
     /** Bytes of endless answers that were written, and the number of their connections that callers closed. */
     endlessBytes = 0;
     endlessClosed = 0;
@@ -75,6 +77,10 @@
     callMs = 20;
     /** Reason to return instead of results, by number of the call from 1; undefined for results. */
     pieceReasons: (call: number) => string | undefined = () => undefined;
+    /** Called when a call for pieces is read. */
+    onPieceCall: (entries: readonly Readonly<Record<string, unknown>>[]) => void = () => undefined;
+    /** Resolves when the target is not silent. */
+    private speaking: Promise<void> = Promise.resolve();
     private readonly sockets = new Set<Socket>();
     /** Largest number of calls for pieces that were in progress at the same time. */
     mostCallsAtOnce = 0;
@@ -103,6 +109,16 @@
         for (const socket of this.sockets) socket.destroy();
     }
 
+    /**
+     * Reads no request and writes nothing for a time, then goes on, like a process that is held up. It reads a request that
+     * came meanwhile even if its sender has left. Without a time, it stays silent.
+     */
+    fallSilent(milliseconds?: number): void {
+        this.speaking = new Promise(resolve => {
+            if (milliseconds !== undefined) setTimeout(resolve, milliseconds);
+        });
+    }
+
     private limitHeader(): Readonly<Record<string, string>> {
         return this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) };
     }
@@ -119,6 +135,7 @@
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readAll(request);
+        await this.speaking;
         const expected = request.headers["x-parsleyrun-expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
@@ -134,10 +151,14 @@
         const { url: path = "", method = "", headers } = request;
         const arrival = { id, path, method, headers, body, at: performance.now() };
         this.arrivals.push(arrival);
-        response.once("close", () => {
+        const behaviour = this.behaviour(arrival);
+        const end = (): void => {
             if (!response.writableFinished) this.abandoned.push(id);
-        });
-        await this.behave(this.behaviour(arrival), arrival, response);
+            this.onEnd(arrival);
+        };
+        if (response.closed) end();
+        else response.once("close", end);
+        await this.behave(behaviour, arrival, response);
     }
 
     private async behave(behaviour: Behaviour, arrival: Arrival, response: ServerResponse): Promise<void> {
@@ -150,6 +171,7 @@
         switch (behaviour.kind) {
             case "answer":
                 await behaviour.after;
+                await this.speaking;
                 response.writeHead(behaviour.status ?? 200, headers).end(behaviour.body ?? `answer to ${arrival.id}`);
                 return;
             case "stream":
@@ -248,20 +270,24 @@
                 return;
             }
             bytesLeft -= event.length;
+            await this.speaking;
             response.write(event);
             const gapMs = silence?.after === id ? silence.milliseconds : (behaviour.gapMs ?? 1);
             await new Promise(resolve => setTimeout(resolve, gapMs));
         }
+        await this.speaking;
         response.end();
     }
 
     private async makePieces(body: string, response: ServerResponse): Promise<void> {
         const order = JSON.parse(body) as { readonly Entries: readonly Record<string, unknown>[] };
         this.pieceCalls.push(order);
+        this.onPieceCall(order.Entries);
         this.callsInProgress += 1;
         this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
         const reason = this.pieceReasons(this.pieceCalls.length);
         await new Promise(resolve => setTimeout(resolve, this.callMs));
+        await this.speaking;
         this.callsInProgress -= 1;
         const entries = order.Entries.map(() => {
             this.madeCount += 1;
--- a/test/soak/proxy.ts
+++ b/test/soak/proxy.ts
@@ -15,9 +15,21 @@
     return { host, port: Number(port) };
 }
 
+interface Connection {
+    readonly caller: Socket;
+    readonly callee: Socket;
+}
+
+function holdUp({ caller, callee }: Connection): void {
+    caller.pause();
+    callee.pause();
+}
+
 export class FaultProxy {
     mode: ProxyMode = "pass";
     private readonly sockets = new Set<Socket>();
+    private readonly connections = new Set<Connection>();
+    private holdsNewConnections = false;
 
     private constructor(
         readonly address: string,
@@ -32,6 +44,22 @@
         return proxy;
     }
 
+    /**
+     * Holds up the open connections for which `isHeld` returns true, and new ones if `holdsNew`: nothing passes in either
+     * direction, not even the end of a connection. Returns a function that lets everything pass which came meanwhile.
+     */
+    hold(isHeld: () => boolean, holdsNew: boolean): () => void {
+        this.holdsNewConnections = holdsNew;
+        for (const connection of this.connections) if (isHeld()) holdUp(connection);
+        return () => {
+            this.holdsNewConnections = false;
+            for (const { caller, callee } of this.connections) {
+                caller.resume();
+                callee.resume();
+            }
+        };
+    }
+
     /** Resets all open connections. */
     reset(): void {
         for (const socket of this.sockets) socket.resetAndDestroy();
@@ -48,8 +76,12 @@
             return;
         }
         const callee = connect(addressOf(backend));
+        const connection = { caller, callee };
+        this.connections.add(connection);
+        caller.once("close", () => this.connections.delete(connection));
         this.forward(caller, callee, () => this.mode === "silent");
         this.forward(callee, caller, () => this.mode === "silent" || this.mode === "oneWay");
+        if (this.holdsNewConnections) holdUp(connection);
     }
 
     private forward(from: Socket, to: Socket, isLost: () => boolean): void {
