--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -14,8 +14,12 @@
 /** Interval in milliseconds at which the bytes that were discarded are compared with their limit. */
 const DISCARD_CHECK_MS = 50;
 
-/** Number of requests that may wait behind another one before the connection is no longer read. */
-const MAXIMUM_WAITING_REQUESTS = 16;
+/**
+ * Requests that may wait behind another one, and the bytes since the first of them was read, before the connection is no
+ * longer read. Only while it is read is it noticed that the caller has left.
+ */
+const MAXIMUM_WAITING_REQUESTS = 64;
+const MAXIMUM_WAITING_BYTES = 262_144;
 
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse, receivedAt: number) => void;
@@ -39,24 +43,34 @@
     ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
+/** Status line of the response to CONNECT; connections to other servers are not offered. */
+const CONNECT_REJECTION = "501 Not Implemented";
+
 interface ReceivedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly receivedAt: number;
     /** The time that Node announces in the response for the idle connection. */
     readonly announcedIdleMs: number;
+    /** Number of bytes that had been read from the connection when the head was read. */
+    readonly bytesRead: number;
 }
 
 /** One connection and its requests. */
 export class Connection {
-    /** The request that is being served, or was served last. */
+    /** The request that is being served, or was served last, and its response. */
     private request: IncomingMessage | undefined;
+    private response: ServerResponse | undefined;
     private isServing = false;
     /** Pipelined requests that are served once the response before theirs has ended. */
     private waiting: ReceivedRequest[] = [];
     private isClosing = false;
-    /** Whether what followed the requests was no request, so that nothing more can be read. */
+    /** Whether what followed the requests was no request, or not in time. */
     private isMalformed = false;
+    /** The error after which the parser reads nothing more. */
+    private parserError: NodeJS.ErrnoException | undefined;
+    /** Status line of the rejection that follows the last response. */
+    private lastRejection: string | undefined;
     private idleSince = 0;
     private announcedIdleMs = 0;
 
@@ -71,13 +85,12 @@
         const connection = new Connection(socket, server, options);
         // Node resumes reading after each request that it has read.
         socket.on("resume", () => connection.pauseIfFull());
-        const destroySoon = socket.destroySoon.bind(socket);
-        // Node calls this when a response that closes the connection has ended.
+        // Node pauses reading once it has read a part of the body of a request that waits.
+        socket.on("pause", () => setImmediate(() => connection.resumeUnlessFull()));
+        // Node calls this when a response that closes the connection has ended. Bytes of a next request may always be on
+        // their way, or have been read as part of its head.
         socket.destroySoon = (): void => {
-            if (connection.isClosing) return;
-            connection.isClosing = true;
-            if (connection.expectsBytes) connection.closeInOrder();
-            else destroySoon();
+            if (!connection.isClosing) connection.closeInOrder();
         };
         return connection;
     }
@@ -95,11 +108,24 @@
             return;
         }
         const { keepAliveTimeout: announcedIdleMs } = this.server;
-        this.waiting.push({ request, response, receivedAt: performance.now(), announcedIdleMs });
+        const { bytesRead } = this.socket;
+        this.waiting.push({ request, response, receivedAt: performance.now(), announcedIdleMs, bytesRead });
         if (this.isServing) this.pauseIfFull();
         else this.serveNext();
     }
 
+    /** Answers CONNECT after the requests before it. Node has taken the parser and its listeners off the connection. */
+    handleConnect(): void {
+        this.socket.on("error", error => this.handleError(error));
+        this.socket.on("end", () => this.socket.end());
+        this.socket.on("drain", () => this.response?.emit("drain"));
+        this.socket.resume();
+        if (this.isClosing) return;
+        this.isMalformed = true;
+        this.lastRejection = CONNECT_REJECTION;
+        if (!this.isServing) this.endWithRejection();
+    }
+
     /** Closes the connection if it has been idle for as long as was announced and is configured now. */
     handleIdleTimeout(): void {
         const idleTimeoutMs = Math.max(this.announcedIdleMs, this.options.idleTimeoutMs()) + IDLE_MARGIN_MS;
@@ -125,6 +151,7 @@
             return;
         }
         if (code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+            this.parserError ??= error;
             this.reject(code);
             return;
         }
@@ -136,39 +163,67 @@
     }
 
     private reject(code: string): void {
-        if (this.isClosing || this.isMalformed) return;
+        if (this.isClosing) return;
         this.isMalformed = true;
-        if (this.isServing || this.waiting.length > 0) return;
-        const status = REJECTIONS[code] ?? "400 Bad Request";
-        this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+        if (this.isServing) {
+            this.failUnreadBody();
+            return;
+        }
+        this.lastRejection = REJECTIONS[code] ?? "400 Bad Request";
+        this.endWithRejection();
+    }
+
+    private endWithRejection(): void {
+        const status = this.lastRejection;
+        if (status !== undefined) {
+            this.socket.write(`HTTP/1.1 ${status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n`);
+        }
         this.closeInOrder();
     }
 
+    /** Tells the reader of a body that the rest of it cannot be read. */
+    private failUnreadBody(): void {
+        const { request, parserError } = this;
+        if (request === undefined || request.complete || parserError === undefined) return;
+        // Without a listener, nobody waits for the body, and the error would be thrown here.
+        if (request.listenerCount("error") > 0) request.emit("error", parserError);
+    }
+
     private pauseIfFull(): void {
-        if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) this.socket.pause();
+        if (this.isFull) this.socket.pause();
+    }
+
+    private resumeUnlessFull(): void {
+        // While the caller does not read, its departure shows when the response is written.
+        if (this.waiting.length > 0 && !this.isFull && !this.socket.writableNeedDrain) this.socket.resume();
+    }
+
+    /** Whether as many requests wait as are read in advance. */
+    private get isFull(): boolean {
+        const [first] = this.waiting;
+        if (first === undefined) return false;
+        const waitingBytes = this.socket.bytesRead - first.bytesRead;
+        return this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= MAXIMUM_WAITING_BYTES;
     }
 
     private serveNext(): void {
         const next = this.waiting.shift();
         if (next === undefined) return;
-        if (this.waiting.length < MAXIMUM_WAITING_REQUESTS) this.socket.resume();
+        if (!this.isFull) this.socket.resume();
         const { request, response, receivedAt, announcedIdleMs } = next;
         this.request = request;
+        this.response = response;
         this.isServing = true;
         response.once("close", () => {
             this.isServing = false;
             this.idleSince = performance.now();
             this.announcedIdleMs = announcedIdleMs;
             if (this.isClosing || this.socket.destroyed) return;
-            if (this.isMalformed && this.waiting.length === 0) this.closeInOrder();
+            if (this.isMalformed && this.waiting.length === 0) this.endWithRejection();
             else this.serveNext();
         });
         this.options.serve(request, response, receivedAt);
-    }
-
-    /** Whether the caller may have sent more than was read. */
-    private get expectsBytes(): boolean {
-        return this.request?.complete === false || this.waiting.length > 0 || this.isMalformed;
+        this.failUnreadBody();
     }
 
     private closeInOrder(): void {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -58,6 +58,10 @@
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
             this.connections.get(request.socket)?.receive(request, response);
         });
+        // Without such a listener, Node closes the connection, also while an earlier request is served.
+        server.on("connect", (_request, socket) => {
+            this.connections.get(socket as Socket)?.handleConnect();
+        });
         server.on("clientError", (error: Error, socket) => {
             this.connections.get(socket as Socket)?.handleError(error);
         });
@@ -112,7 +116,12 @@
     return Listener.listen(server, address, {
         serve: (request, response, receivedAt) => {
             applyLimits(server, limits());
-            void Exchange.serve(gateway.context, request, response, receivedAt);
+            const { context } = gateway;
+            Exchange.serve(context, request, response, receivedAt).catch((error: unknown) => {
+                const id = context.dialect.readRequest(request.headers).requestId;
+                context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
+                failResponse(response, "unexpected error");
+            });
         },
         maximumDiscardedBytes: () => Math.max(MINIMUM_DISCARD_LIMIT_BYTES, limits()?.bodyBytes ?? 0),
         idleTimeoutMs: () => {
