Let engines of the soak report their load

Cause: with 16 gateways and as many engines, seven engines got no request at all, and many requests were refused while others had free places: gateways see only their own requests, and the stand-in engines declined more than their slots without reporting a load, as real ones do.

--- a/test/soak/deployment.ts
+++ b/test/soak/deployment.ts
@@ -201,6 +201,9 @@
             const { eventGapMs: gapMs } = this.options;
             return service === "engines" ? { kind: "stream", events: STREAM_EVENTS, gapMs } : { kind: "answer" };
         };
+        if (service === "engines" && this.options.hasFullEngines) {
+            standIn.load = () => `${worksInProgress},0,${ENGINE_SLOTS}`;
+        }
         standIn.onEnd = arrival => {
             worksInProgress -= 1;
             const observation = this.arrivals.get(arrival);
