--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -21,8 +21,16 @@
 const MAXIMUM_WAITING_REQUESTS = 64;
 const MAXIMUM_WAITING_BYTES = 262_144;
 
-/** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
-export type RequestHandler = (request: IncomingMessage, response: ServerResponse, receivedAt: number) => void;
+/**
+ * Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. `hasWaiting` says whether
+ * requests wait behind it now; a response that closes the connection leaves them without one.
+ */
+export type RequestHandler = (
+    request: IncomingMessage,
+    response: ServerResponse,
+    receivedAt: number,
+    hasWaiting: () => boolean,
+) => void;
 
 /** Time in milliseconds for which an idle connection is kept beyond the announced time, in which a request may arrive. */
 const IDLE_MARGIN_MS = 1_000;
@@ -222,7 +230,7 @@
             if (this.isMalformed && this.waiting.length === 0) this.endWithRejection();
             else this.serveNext();
         });
-        this.options.serve(request, response, receivedAt);
+        this.options.serve(request, response, receivedAt, () => this.waiting.length > 0);
         this.failUnreadBody();
     }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -7,6 +7,7 @@
 import {
     decodeOrder,
     decodeRelease,
+    GIVEN_BACK,
     OpenOrders,
     PEER_PATHS,
     type PieceResult,
@@ -39,23 +40,33 @@
 /** Maximum size in bytes of an order for pieces from another gateway. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
+/** Interval in milliseconds at which open requests are counted at the end of a stop. */
+const OPEN_CHECK_MS = 20;
+
+/** Turns of the event loop without an arrival after which everything was read; a turn accepts, the next one reads. */
+const READ_TURNS = 3;
+
 /** Time in milliseconds for an order to arrive; its sender gives up sooner. */
 const ORDER_TIMEOUT_MS = 2_000;
 
 /** An HTTP server that tracks its connections and open requests. */
 export class Listener {
     private readonly connections = new Map<Socket, Connection>();
+    /** Number of connections and requests that have arrived. */
+    arrivals = 0;
 
     private constructor(
         readonly server: Server,
         options: ConnectionOptions,
     ) {
         server.on("connection", socket => {
+            this.arrivals += 1;
             this.connections.set(socket, Connection.of(socket, server, options));
             socket.setNoDelay(true);
             socket.once("close", () => this.connections.delete(socket));
         });
         server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+            this.arrivals += 1;
             this.connections.get(request.socket)?.receive(request, response);
         });
         // Without such a listener, Node closes the connection, also while an earlier request is served.
@@ -114,9 +125,11 @@
     const limits = (): ConnectionLimits | undefined => gateway.configuration?.content.limits;
     server.on("connection", () => applyLimits(server, limits()));
     return Listener.listen(server, address, {
-        serve: (request, response, receivedAt) => {
+        serve: (request, response, receivedAt, hasWaiting) => {
             applyLimits(server, limits());
-            const { context } = gateway;
+            // Requests that were read get responses before a planned stop closes their connection.
+            const closesConnections = (): boolean => gateway.context.closesConnections() && !hasWaiting();
+            const context = { ...gateway.context, closesConnections };
             Exchange.serve(context, request, response, receivedAt).catch((error: unknown) => {
                 const id = context.dialect.readRequest(request.headers).requestId;
                 context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
@@ -218,17 +231,38 @@
     // Spaces before the JSON text show the other gateway that this one is still working on its order.
     response.write(" ");
     const progress = setInterval(() => response.write(" "), PROGRESS_INTERVAL_MS);
+    let giveBack = (): void => undefined;
+    const givenBack = new Promise<readonly PieceResult[]>(resolve => {
+        giveBack = (): void => resolve(order.jobs.map(() => GIVEN_BACK));
+    });
+    // The other gateway would take this one for unreachable if its connection were closed instead.
+    const cancelGiveBack = gateway.shutdown.onDue(giveBack);
     let results: readonly PieceResult[];
     try {
-        results = await openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
+        const made = openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
+        results = await Promise.race([made, givenBack]);
     } finally {
+        cancelGiveBack();
         clearInterval(progress);
     }
     response.end(JSON.stringify({ results, waitMs: gateway.pieceRouter.queueWaitMs(order.service) }));
 }
 
-/** Waits until a condition holds or a time has passed. */
-export async function waitUntil(condition: () => boolean, milliseconds: number): Promise<void> {
-    const end = performance.now() + milliseconds;
-    while (!condition() && performance.now() < end) await pause(Math.min(20, milliseconds));
+/**
+ * Waits until nothing is open, also once everything that has arrived was read, or until a deadline. Timers run before
+ * sockets are read, so after a delay of this process requests may have arrived long ago.
+ */
+export async function waitUntilQuiet(listeners: readonly Listener[], deadline: Deadline): Promise<void> {
+    const sumOf = (count: (listener: Listener) => number): number =>
+        listeners.reduce((sum, listener) => sum + count(listener), 0);
+    for (let quietTurns = 0; quietTurns < READ_TURNS && !deadline.passed();) {
+        if (sumOf(({ openRequests }) => openRequests) > 0) {
+            quietTurns = 0;
+            await pause(Math.min(OPEN_CHECK_MS, deadline.remainingMs()));
+            continue;
+        }
+        const before = sumOf(({ arrivals }) => arrivals);
+        await new Promise(resolve => setImmediate(resolve));
+        quietTurns = sumOf(({ arrivals }) => arrivals) === before ? quietTurns + 1 : 0;
+    }
 }
