--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -45,23 +45,25 @@
     readonly lastEventId?: string | undefined;
     /** Ends the attempt; by default the signal of the request. */
     readonly signal?: AbortSignal;
+    /** Called when the connection is open and the request is about to be sent. */
+    readonly onConnected?: () => void;
 }
 
 /** The attempts of one request. */
 export class Attempts {
     /** Number of attempts that a target may have run. */
     count = 0;
-    private readonly triedNames = new Set<string>();
+    private readonly tried = new Set<Target>();
     private declinedCount = 0;
     private trial: Extract<Admission, { kind: "trial" }> | undefined;
     private hasBeenServed = false;
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
     private readonly retries: RequestRetries;
-    /** Names of the targets that may have run the request. */
-    private readonly runNames = new Set<string>();
-    /** Names of those that were left before they had begun to answer, and that may get the request again. */
-    private readonly leftNames = new Set<string>();
+    /** The targets that may have run the request. */
+    private readonly mayHaveRun = new Set<Target>();
+    /** Those that were left before they had begun to answer, and that may get the request again. */
+    private readonly left = new Set<Target>();
     /** Whether results that every attempt needs are gone. */
     private areInputsReleased = false;
     /** What was last in the way of another attempt beside a silent one. */
@@ -83,7 +85,7 @@
 
     /** Names of the targets to which the request was sent. */
     get triedTargets(): readonly string[] {
-        return [...this.triedNames];
+        return [...new Set([...this.tried].map(({ name }) => name))];
     }
 
     /** Why the request was not sent although there are targets; undefined if it was. */
@@ -238,13 +240,15 @@
         for (;;) {
             if (request.signal.aborted || request.deadline.remainingMs() < SHORTEST_ATTEMPT_MS) return undefined;
             const usable = context.targets.usable(request.service);
-            const untried = usable.filter(target => !this.triedNames.has(target.name));
             const limitWaitMs = usable.length === 0 ? context.limitQueue.waitMs(request.service, 0) : undefined;
             if (limitWaitMs !== undefined && performance.now() + limitWaitMs > waitUntil) {
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
-            const chosen = this.bestTarget(untried.length > 0 ? untried : usable, inputs);
+            const heard = context.targets.withoutSilent(usable);
+            // A silent target is better than none, also if those that are not silent are not allowed by a roll-out.
+            const chosen =
+                this.bestTarget(this.candidates(heard), inputs) ?? this.bestTarget(this.candidates(usable), inputs);
             if (chosen !== undefined) return chosen;
             if (performance.now() >= waitUntil) {
                 if (this.count > 0) this.logNoFurtherAttempt("no target");
@@ -254,6 +258,13 @@
         }
     }
 
+    /** The usable targets to which the request may be sent: untried ones, if more targets may run it and there are any. */
+    private candidates(usable: readonly Target[]): readonly Target[] {
+        if (!this.mayRunAtMoreTargets()) return usable.filter(target => this.left.has(target));
+        const untried = usable.filter(target => !this.tried.has(target));
+        return untried.length > 0 ? untried : usable;
+    }
+
     /** The best of the given targets, of those that roll-outs allow. */
     private bestTarget(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
         const { request, context } = this;
@@ -266,7 +277,13 @@
 
     /** Records that an attempt was left for another one, before its target had begun to answer. */
     recordLeft(target: Target): void {
-        this.leftNames.add(target.name);
+        this.left.add(target);
+    }
+
+    /** Records that the latest attempt was left before it had a connection. */
+    recordLeftUnsent(target: Target): void {
+        this.recordNotRun(target);
+        this.retries.recordNothingSent();
     }
 
     /** Another target than a silent one, to which the request may be sent as well; the request then holds a retry. */
@@ -297,10 +314,12 @@
         const { kind } = context.suspects.admission(request.traits);
         if (kind !== "admitted" && this.trial === undefined) return none("request may crash targets");
         const others = context.targets.usable(request.service).filter(target => target !== silent);
-        const untried = others.filter(({ name }) => !this.triedNames.has(name));
-        const left = others.filter(({ name }) => this.leftNames.has(name));
-        const isAttemptLeft = this.runNames.size < request.route.maximumAttempts;
-        const target = this.bestTarget(isAttemptLeft && untried.length > 0 ? untried : left, inputs);
+        const untried = others.filter(target => !this.tried.has(target));
+        const left = others.filter(target => this.left.has(target));
+        const isAttemptLeft = this.mayHaveRun.size < request.route.maximumAttempts;
+        const candidates = isAttemptLeft && untried.length > 0 ? untried : left;
+        const heard = context.targets.withoutSilent(candidates);
+        const target = this.bestTarget(heard, inputs) ?? this.bestTarget(candidates, inputs);
         if (target !== undefined) return { kind: "found", target };
         return none(isAttemptLeft ? "no other target" : "no attempt is left");
     }
@@ -309,11 +328,15 @@
     preferredZone(): string {
         const { request, context } = this;
         const usable = context.targets.usable(request.service);
-        return cheapestEngine(usable, this.placementInput([]), context.prefixCaches)?.registration.zone ?? context.zone;
+        const heard = context.targets.withoutSilent(usable);
+        return (
+            cheapestEngine(heard.length > 0 ? heard : usable, this.placementInput([]), context.prefixCaches)
+                ?.registration.zone ?? context.zone
+        );
     }
 
     /** Sends the request to a target. */
-    send(target: Target, { inputs, lastEventId, signal }: AttemptOptions): Promise<AttemptOutcome> {
+    send(target: Target, { inputs, lastEventId, signal, onConnected }: AttemptOptions): Promise<AttemptOutcome> {
         const { context, request } = this;
         const { route, metadata, body } = request;
         const headers = context.dialect.attemptHeaders(request.rawHeaders, {
@@ -328,8 +351,9 @@
         this.count += 1;
         this.retries.recordAttempt();
         this.markSent();
-        this.triedNames.add(target.name);
-        this.runNames.add(target.name);
+        this.tried.add(target);
+        this.mayHaveRun.add(target);
+        this.left.delete(target);
         context.rollouts.recordSent(target);
         context.targets.recordSent(target, route.streaming ? this.uncachedTokens(target) : 0);
         if (route.streaming) context.prefixCaches.recordSent(target.name, metadata.promptParts);
@@ -343,6 +367,7 @@
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
             signal: signal ?? request.signal,
+            ...(onConnected === undefined ? {} : { onConnected }),
         });
     }
 
@@ -405,7 +430,7 @@
 
     private recordNotRun(target: Target): void {
         this.count -= 1;
-        this.runNames.delete(target.name);
+        this.mayHaveRun.delete(target);
     }
 
     /** Whether a request that no target has run may be sent to another one; if so, it holds a retry. */
@@ -421,10 +446,15 @@
     /** Whether a request that a target may have run may be sent once more, within the retry budget. */
     private hasAttemptLeft(): boolean {
         const { route } = this.request;
-        if (!route.idempotent || this.areInputsReleased || this.count >= route.maximumAttempts) return false;
+        if (!route.idempotent || this.areInputsReleased) return false;
+        if (!this.mayRunAtMoreTargets() && this.left.size === 0) return false;
         return this.hasTimeLeft();
     }
 
+    private mayRunAtMoreTargets(): boolean {
+        return this.count < this.request.route.maximumAttempts;
+    }
+
     private hasTimeLeft(): boolean {
         const { signal, deadline } = this.request;
         return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -65,6 +65,16 @@
     { others: "reset the connection", count: 2, behaviour: { kind: "reset" } },
     { others: "are silent", count: 1, behaviour: { kind: "silent" } },
     { others: "are silent after the head", count: 1, behaviour: silentStream("before the first event", 5_000) },
+    {
+        others: "send a comment and are silent",
+        count: 1,
+        behaviour: {
+            kind: "stream",
+            events: EVENTS,
+            silence: { after: "head", milliseconds: 5_000 },
+            hasComment: true,
+        },
+    },
     { others: "take longer to answer", count: 1, behaviour: { kind: "delayedStream", events: EVENTS, delayMs: 700 } },
     { others: "fail", count: 1, behaviour: { kind: "answer", status: 500 } },
     { others: "answer another request", count: 1, behaviour: { kind: "otherAnswer" } },
@@ -149,6 +159,15 @@
         const headers = { "x-parsleyrun-deadline-ms": "8000" };
         expectWholeStream(await deployment.call({ path: "/chat/1", headers }));
     });
+
+    it.each(SILENCES)("goes on there before its caller leaves when the first one stays silent %s", async silence => {
+        deployment = await Deployment.start({ engines: 2 });
+        const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 350 };
+        scriptEngines(silentStream(silence, 60_000), slow);
+        // Callers of this route leave when they have waited 2 s for an event.
+        const answer = deployment.call({ path: "/chat/1", leaveAfterMs: 2_000 }).catch(() => undefined);
+        expectWholeStream((await answer) ?? { status: 0, headers: {}, body: "", complete: false });
+    });
 });
 
 describe("one silence of a target", () => {
