--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -66,11 +66,15 @@
     address = "";
     /** Requests a second that the target names as its limit; undefined for none. */
     limitPerSecond: number | undefined;
+    /** Running requests, waiting requests and slots, comma-separated, as the target reports them; undefined for no report. */
+    load: () => string | undefined = () => undefined;
     /** Number of times that the target has crashed. */
     crashCount = 0;
     /** Called when the target is back after a crash. */
     onRestart: () => void = () => undefined;
     behaviour: (arrival: Arrival) => Behaviour = () => ({ kind: "answer" });
+    /** Called when the response to a request has ended or its connection has closed. */
+    onEnd: (arrival: Arrival) => void = () => undefined;
     /** Bytes of endless answers that were written, and the number of their connections that callers closed. */
     endlessBytes = 0;
     endlessClosed = 0;
@@ -82,12 +86,15 @@
     pieceSilence: { readonly call: number; readonly milliseconds: number } | undefined;
     /** Reason to return instead of results, by number of the call from 1; undefined for results. */
     pieceReasons: (call: number) => string | undefined = () => undefined;
+    /** Called when a call for pieces is read. */
+    onPieceCall: (entries: readonly Readonly<Record<string, unknown>>[]) => void = () => undefined;
+    /** Resolves when the target is not silent. */
+    private speaking: Promise<void> = Promise.resolve();
     private readonly sockets = new Set<Socket>();
     /** Largest number of calls for pieces that were in progress at the same time. */
     mostCallsAtOnce = 0;
     private callsInProgress = 0;
     private madeCount = 0;
-    private silence: Promise<void> = Promise.resolve();
 
     private constructor(
         readonly id: string,
@@ -111,8 +118,22 @@
         for (const socket of this.sockets) socket.destroy();
     }
 
-    private limitHeader(): Readonly<Record<string, string>> {
-        return this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) };
+    /**
+     * Reads no request and writes nothing for a time, then goes on, like a process that is held up. It reads a request that
+     * came meanwhile even if its sender has left. Without a time, it stays silent.
+     */
+    fallSilent(milliseconds?: number): void {
+        this.speaking = new Promise(resolve => {
+            if (milliseconds !== undefined) setTimeout(resolve, milliseconds);
+        });
+    }
+
+    private reportHeaders(): Readonly<Record<string, string>> {
+        const load = this.load();
+        return {
+            ...(this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) }),
+            ...(load === undefined ? {} : { "x-parsleyrun-server-load": load }),
+        };
     }
 
     /** Closes the listener and resets all connections; listens again after a time. */
@@ -127,6 +148,7 @@
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const body = await readAll(request);
+        await this.speaking;
         const expected = request.headers["x-parsleyrun-expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
@@ -142,22 +164,27 @@
         const { url: path = "", method = "", headers } = request;
         const arrival = { id, path, method, headers, body, at: performance.now() };
         this.arrivals.push(arrival);
-        response.once("close", () => {
+        const behaviour = this.behaviour(arrival);
+        const end = (): void => {
             if (!response.writableFinished) this.abandoned.push(id);
-        });
-        await this.behave(this.behaviour(arrival), arrival, response);
+            this.onEnd(arrival);
+        };
+        if (response.closed) end();
+        else response.once("close", end);
+        await this.behave(behaviour, arrival, response);
     }
 
     private async behave(behaviour: Behaviour, arrival: Arrival, response: ServerResponse): Promise<void> {
         const headers = {
             "x-parsleyrun-request-id": arrival.id,
             "x-parsleyrun-server-stamp": `stamp-${this.id}`,
-            ...this.limitHeader(),
+            ...this.reportHeaders(),
         };
         const socket = response.socket;
         switch (behaviour.kind) {
             case "answer":
                 await behaviour.after;
+                await this.speaking;
                 response.writeHead(behaviour.status ?? 200, headers).end(behaviour.body ?? `answer to ${arrival.id}`);
                 return;
             case "stream":
@@ -170,7 +197,7 @@
                 return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
             case "full":
                 await behaviour.after;
-                response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
+                response.writeHead(503, { ...this.reportHeaders(), "x-parsleyrun-not-executed": "1" }).end();
                 return;
             case "inputsGone":
                 response.writeHead(409, { "x-parsleyrun-not-executed": "1" }).end();
@@ -239,7 +266,7 @@
             "content-type": "text/event-stream",
             "x-parsleyrun-request-id": arrival.id,
             "x-parsleyrun-server-stamp": `stamp-${this.id}`,
-            ...this.limitHeader(),
+            ...this.reportHeaders(),
         });
         const { silence } = behaviour;
         const first = Number(arrival.headers["last-event-id"] ?? 0) + 1;
@@ -258,30 +285,33 @@
                 return;
             }
             bytesLeft -= event.length;
+            await this.speaking;
             response.write(event);
             const gapMs = silence?.after === id ? silence.milliseconds : (behaviour.gapMs ?? 1);
             await new Promise(resolve => setTimeout(resolve, gapMs));
         }
+        await this.speaking;
         response.end();
     }
 
     private async makePieces(body: string, response: ServerResponse): Promise<void> {
         const order = JSON.parse(body) as { readonly Entries: readonly Record<string, unknown>[] };
         this.pieceCalls.push(order);
+        this.onPieceCall(order.Entries);
         this.callsInProgress += 1;
         this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
         const call = this.pieceCalls.length;
         const reason = this.pieceReasons(call);
-        if (this.pieceSilence?.call === call) this.silence = pause(this.pieceSilence.milliseconds);
+        if (this.pieceSilence?.call === call) this.fallSilent(this.pieceSilence.milliseconds);
         await pause(this.callMsOf(call) ?? this.callMs);
-        await this.silence;
+        await this.speaking;
         this.callsInProgress -= 1;
         const entries = order.Entries.map(() => {
             this.madeCount += 1;
             return reason === undefined ? { Handle: `${this.address}/${this.madeCount}` } : { Reason: reason };
         });
         const headers = { "content-type": "application/json", "x-parsleyrun-server-load": "1,0,1" };
-        response.writeHead(200, { ...headers, ...this.limitHeader() });
+        response.writeHead(200, { ...headers, ...this.reportHeaders() });
         response.end(JSON.stringify({ Entries: entries }));
     }
 }
