Read from targets' answers that they leave and that they want a pause

A target that says `Server-Leaving` went on getting requests until the store reported it, and for ever where the store was away or the target never wrote it; requests that it had not finished ended with it. A target that turned a request away with `Retry-After` got the next one at once, and callers were refused without a true time to return.

Cause: no code read either header. Ruled out: that the registration covers the first. A heartbeat written before the target decided to leave makes it available again, and some targets never report it.

Leaving is the state `draining` of the target, by whichever way it becomes known, and lasts until another incarnation. A pause is a time until which the target is not usable; it does not count against its health, is at most 60 s, and an unreadable one is logged. Not covered: pieces that wait when the last target of their service begins a pause are refused only as late.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -26,6 +26,9 @@
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
+/** Time in milliseconds over which requests come back after all targets have paused. */
+const PAUSE_RETURN_SPREAD_MS = 1_000;
+
 /** Reason of a request that a planned stop leaves no time for. */
 export const STOPPING = "stopping";
 
@@ -109,9 +112,13 @@
         if (stopHoldBack !== undefined) return stopHoldBack;
         const admission = context.suspects.admission(request.traits);
         if (admission.kind === "refused") return this.suspectHoldBack(admission, admission.retryAfterMs);
+        const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
+        const pauseHoldBack =
+            this.pauseHoldBack(request.service, longestWaitMs) ??
+            this.stagePauseHoldBack(request.deadline.remainingMs());
+        if (pauseHoldBack !== undefined) return pauseHoldBack;
         const ahead = context.limitQueue.unsentRequests(request.service) - 1;
         const waitMs = context.limitQueue.waitMs(request.service, ahead);
-        const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
         return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitHoldBack(waitMs);
     }
 
@@ -139,6 +146,29 @@
         return { reason: "request may crash targets", retryAfterMs };
     }
 
+    private stagePauseHoldBack(longestWaitMs: number): HoldBack | undefined {
+        const { route, metadata } = this.request;
+        return route.stages
+            .filter((_, index) => (metadata.pieces[index] ?? 0) > 0)
+            .map(({ service }) => this.pauseHoldBack(service, longestWaitMs))
+            .find(holdBack => holdBack !== undefined);
+    }
+
+    /** Holds a request back if all targets of a service have requested pauses that last longer than it can wait. */
+    private pauseHoldBack(service: string, longestWaitMs: number): HoldBack | undefined {
+        const { request, context } = this;
+        const pauseMs = context.targets.pauseMs(service);
+        if (pauseMs === undefined || pauseMs <= longestWaitMs) return undefined;
+        const retryAfterMs = pauseMs + Math.random() * PAUSE_RETURN_SPREAD_MS;
+        context.onDecision("targets paused", {
+            id: request.metadata.requestId,
+            service,
+            pauseMs: Math.round(pauseMs),
+            retryAfterMs: Math.round(retryAfterMs),
+        });
+        return { reason: "targets pause", retryAfterMs };
+    }
+
     private limitHoldBack(waitMs: number): HoldBack {
         const { request, context } = this;
         const retryAfterMs = context.limitQueue.returnMs(request.service, waitMs);
@@ -244,6 +274,11 @@
                 this.lastHoldBack = this.limitHoldBack(limitWaitMs);
                 return undefined;
             }
+            const pauseHoldBack = this.pauseHoldBack(request.service, waitUntil - performance.now());
+            if (usable.length === 0 && pauseHoldBack !== undefined) {
+                this.lastHoldBack = pauseHoldBack;
+                return undefined;
+            }
             const chosen = this.bestTarget(untried.length > 0 ? untried : usable, inputs);
             if (chosen !== undefined) return chosen;
             if (performance.now() >= waitUntil) {
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -49,6 +49,10 @@
     readonly slots: number;
 }
 
+/** Time for which a target wants no requests of this gateway. */
+export type RequestedPause =
+    { readonly kind: "time"; readonly milliseconds: number } | { readonly kind: "unreadable"; readonly text: string };
+
 /** Metadata of a response, from the target's headers. */
 export interface ResponseMetadata {
     /** Id of the request that the response belongs to, as echoed by the target. */
@@ -60,6 +64,10 @@
     readonly load: TargetLoad | undefined;
     /** Requests a second that the target takes from all gateways together; undefined if it names no limit. */
     readonly limitPerSecond: number | undefined;
+    /** Whether the target says that it leaves. */
+    readonly isLeaving: boolean;
+    /** Pause that a target requests as it turns a request away. */
+    readonly pause: RequestedPause | undefined;
 }
 
 /** Request to a target for one piece of a stage. */
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -7,7 +7,7 @@
 import { halfLifeWeight } from "../model/decay.js";
 import { Health, TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
-import type { ResponseMetadata, TargetLoad } from "./dialect.js";
+import type { RequestedPause, ResponseMetadata, TargetLoad } from "./dialect.js";
 
 /** A target's registration. */
 export interface TargetRegistration {
@@ -60,6 +60,15 @@
 /** Time in milliseconds after which a continued silence counts as a further failure; working targets are silent for less. */
 const SILENCE_FAILURE_INTERVAL_MS = 1_500;
 
+/** Longest pause in milliseconds that a target can request at once. */
+const LONGEST_PAUSE_MS = 60_000;
+
+/** Number of targets of which is remembered that they leave. */
+const MAXIMUM_LEAVING = 2_000;
+
+/** Length to which an unreadable value is logged. */
+const MAXIMUM_LOGGED_LENGTH = 40;
+
 /** Half-life in milliseconds of a reported load. */
 const LOAD_HALF_LIFE_MS = 300;
 
@@ -88,6 +97,8 @@
     unreachableCount: number;
     /** Monotonic time in milliseconds at which anything was last received from the target. */
     heardAt: number;
+    /** Monotonic time in milliseconds until which the target wants no requests of this gateway. */
+    pausedUntil: number;
     /** Monotonic time in milliseconds until which the target counts as silent unless it is heard. */
     silentUntil: number;
     /** Monotonic time in milliseconds at which a silence last counted as a failure. */
@@ -97,7 +108,7 @@
 }
 
 /** What a response says about its target. */
-export type TargetReport = Pick<ResponseMetadata, "load" | "limitPerSecond" | "wrongTarget">;
+export type TargetReport = Pick<ResponseMetadata, "load" | "limitPerSecond" | "wrongTarget" | "isLeaving" | "pause">;
 
 /** Receives changes of targets, for the log. */
 export type TargetChangeListener = (change: string, target: string, detail: Readonly<Record<string, unknown>>) => void;
@@ -121,6 +132,8 @@
     private readonly targets = new Map<string, MutableTarget>();
     private readonly byService = new Map<string, Set<MutableTarget>>();
     private readonly byAddress = new Map<string, MutableTarget>();
+    /** Incarnations that have said that they leave, by target; the store may not know of it, or have lost it. */
+    private readonly leavingIncarnations = new Map<string, number>();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -152,7 +165,9 @@
      * Adds a target or updates its registration. Registrations of earlier incarnations are ignored, and so are those that
      * may be older than the report that a target is draining: draining ends only with the incarnation.
      */
-    put(registration: TargetRegistration, mayBeOlder = false): void {
+    put(stored: TargetRegistration, mayBeOlder = false): void {
+        const isLeaving = this.leavingIncarnations.get(stored.id) === stored.incarnation;
+        const registration: TargetRegistration = isLeaving ? { ...stored, state: "draining" } : stored;
         const known = this.targets.get(registration.id);
         if (known !== undefined && registration.incarnation < known.registration.incarnation) return;
         const isSameIncarnation = known?.registration.incarnation === registration.incarnation;
@@ -221,10 +236,21 @@
     working(service: string): readonly Target[] {
         const now = performance.now();
         const admitted = this.health.withoutEjected(this.eligible(service)) as readonly MutableTarget[];
-        const reachable = admitted.filter(target => target.unreachableUntil <= now);
+        const reachable = admitted.filter(target => target.unreachableUntil <= now && target.pausedUntil <= now);
         return reachable.filter(target => !this.isCold(target) || (target.coldBucket?.available() ?? true));
     }
 
+    /**
+     * Milliseconds until the first target of a service ends the pause that it has requested; undefined unless all eligible
+     * targets have requested one.
+     */
+    pauseMs(service: string): number | undefined {
+        const eligible = this.eligible(service) as readonly MutableTarget[];
+        const firstEnd = Math.min(...eligible.map(({ pausedUntil }) => pausedUntil));
+        const milliseconds = firstEnd - performance.now();
+        return eligible.length > 0 && milliseconds > 0 ? milliseconds : undefined;
+    }
+
     /** This gateway's part of the limit that a target names, in requests a second; infinite without a limit. */
     limitPartOf(target: Target): number {
         return this.options.limitPartOf?.(target) ?? Number.POSITIVE_INFINITY;
@@ -268,12 +294,14 @@
         known.outstanding = Math.max(0, known.outstanding - 1);
     }
 
-    /** Records what a response says about its target's load and limit, unless another target has sent it. */
-    recordReport(target: Target, { load, limitPerSecond, wrongTarget }: TargetReport): void {
+    /** Records what a response says about its target, unless another target has sent it. */
+    recordReport(target: Target, { load, limitPerSecond, wrongTarget, isLeaving, pause }: TargetReport): void {
         if (wrongTarget) return;
         const known = target as MutableTarget;
         this.recordHeard(known);
         this.options.onLimit?.(known, limitPerSecond);
+        if (isLeaving) this.recordLeaving(known);
+        if (pause !== undefined) this.recordPause(known, pause);
         if (load === undefined) return;
         known.load = load;
         known.loadReportedAt = performance.now();
@@ -294,6 +322,33 @@
         this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
+    /** Records that a target says that it leaves: it is draining, whatever its registration says. */
+    private recordLeaving(known: MutableTarget): void {
+        const { id, incarnation, state } = known.registration;
+        if (this.leavingIncarnations.get(id) === incarnation) return;
+        this.leavingIncarnations.set(id, incarnation);
+        for (const oldest of this.leavingIncarnations.keys()) {
+            if (this.leavingIncarnations.size <= MAXIMUM_LEAVING) break;
+            this.leavingIncarnations.delete(oldest);
+        }
+        known.registration = { ...known.registration, state: "draining" };
+        if (state === "available") this.onChange("draining", id, { source: "response" });
+    }
+
+    /** Records the pause that a target requests. It says nothing about the target's health and ends by itself. */
+    private recordPause(known: MutableTarget, pause: RequestedPause): void {
+        if (pause.kind === "unreadable") {
+            this.onChange("pause ignored", known.name, { text: pause.text.slice(0, MAXIMUM_LOGGED_LENGTH) });
+            return;
+        }
+        const now = performance.now();
+        const milliseconds = Math.min(LONGEST_PAUSE_MS, pause.milliseconds);
+        if (known.pausedUntil <= now) {
+            this.onChange("paused", known.name, { requestedMs: pause.milliseconds, pauseMs: milliseconds });
+        }
+        known.pausedUntil = Math.max(known.pausedUntil, now + milliseconds);
+    }
+
     /** Records that something was received from a target, which ends its silence. */
     recordHeard(target: Target): void {
         const known = target as MutableTarget;
@@ -402,6 +457,7 @@
             unreachableUntil: 0,
             unreachableCount: 0,
             heardAt: 0,
+            pausedUntil: 0,
             silentUntil: 0,
             silenceCountedAt: Number.NEGATIVE_INFINITY,
             limitBucket: undefined,
--- a/src/platform/dialect.ts
+++ b/src/platform/dialect.ts
@@ -8,6 +8,7 @@
     PieceAnswer,
     PieceRequest,
     PromptPart,
+    RequestedPause,
     RequestMetadata,
     TargetCall,
     TargetLoad,
@@ -50,6 +51,8 @@
 
 const API_KEY_AUTHORIZATION = /^Token +(\S+)$/i;
 
+const PAUSE_SECONDS = /^\d+(\.\d*)?$/;
+
 const pieceAnswersSchema = z.object({
     Entries: z.array(z.object({ Handle: z.string().optional(), Reason: z.string().optional() })),
 });
@@ -97,6 +100,8 @@
             wrongTarget: status === 421,
             load: readLoad(firstValue(headers[HEADER.targetLoad])),
             limitPerSecond: readNumber(firstValue(headers[HEADER.targetLimit])),
+            isLeaving: firstValue(headers[HEADER.targetLeaving])?.trim() === "1",
+            pause: status === 503 ? readPause(firstValue(headers[HEADER.retryAfter])) : undefined,
         };
     },
 
@@ -161,6 +166,14 @@
     return Number.isFinite(number) && number >= 0 ? number : undefined;
 }
 
+/** A pause in whole or fractional seconds. */
+function readPause(value: string | undefined): RequestedPause | undefined {
+    if (value === undefined) return undefined;
+    const text = value.trim();
+    if (!PAUSE_SECONDS.test(text)) return { kind: "unreadable", text };
+    return { kind: "time", milliseconds: Number(text) * 1_000 };
+}
+
 function readNumbers(value: string | string[] | undefined): readonly number[] {
     const text = firstValue(value);
     if (text === undefined || text === "") return [];
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -14,6 +14,9 @@
     targetLoad: "x-parsleyrun-server-load",
     /** Requests a second that a target takes from all gateways together. */
     targetLimit: "server-limit",
+    /** In all answers of a target that leaves. */
+    targetLeaving: "server-leaving",
+    retryAfter: "retry-after",
     notExecuted: "x-parsleyrun-not-executed",
     model: "x-parsleyrun-model",
     /** Number of prompt tokens and maximum number of output tokens, comma-separated. */
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -185,7 +185,15 @@
         const seen: (number | undefined)[] = [];
         const directory = directoryWith(1, 0, (_, perSecond) => seen.push(perSecond));
         const [target] = directory.working("engines");
-        if (target !== undefined) directory.recordReport(target, { load: undefined, limitPerSecond: 3, wrongTarget });
+        if (target !== undefined) {
+            directory.recordReport(target, {
+                load: undefined,
+                limitPerSecond: 3,
+                wrongTarget,
+                isLeaving: false,
+                pause: undefined,
+            });
+        }
         expect(seen).toEqual(limits);
     });
 });
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -63,6 +63,10 @@
     address = "";
     /** Requests a second that the target names as its limit; undefined for none. */
     limitPerSecond: number | undefined;
+    /** Whether the target says that it leaves, in all its answers. */
+    isLeaving = false;
+    /** `Retry-After` of responses that turn a request away. */
+    retryAfter: string | undefined;
     /** Number of times that the target has crashed. */
     crashCount = 0;
     /** Called when the target is back after a crash. */
@@ -104,7 +108,19 @@
     }
 
     private limitHeader(): Readonly<Record<string, string>> {
-        return this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) };
+        return {
+            ...(this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) }),
+            ...(this.isLeaving ? { "server-leaving": "1" } : {}),
+        };
+    }
+
+    /** Headers of a response that turns a request away. */
+    private refusalHeaders(): Readonly<Record<string, string>> {
+        return {
+            "x-parsleyrun-not-executed": "1",
+            ...this.limitHeader(),
+            ...(this.retryAfter === undefined ? {} : { "retry-after": this.retryAfter }),
+        };
     }
 
     /** Closes the listener and resets all connections; listens again after a time. */
@@ -161,7 +177,7 @@
                 socket?.write(behaviour.first);
                 return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
             case "full":
-                response.writeHead(503, { "x-parsleyrun-not-executed": "1" }).end();
+                response.writeHead(503, this.refusalHeaders()).end();
                 return;
             case "inputsGone":
                 response.writeHead(409, { "x-parsleyrun-not-executed": "1" }).end();
@@ -260,6 +276,11 @@
         this.pieceCalls.push(order);
         this.callsInProgress += 1;
         this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
+        if (this.retryAfter !== undefined) {
+            this.callsInProgress -= 1;
+            response.writeHead(503, this.refusalHeaders()).end();
+            return;
+        }
         const reason = this.pieceReasons(this.pieceCalls.length);
         await new Promise(resolve => setTimeout(resolve, this.callMs));
         this.callsInProgress -= 1;
