--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -68,6 +68,10 @@
     limitPerSecond: number | undefined;
     /** Running requests, waiting requests and slots, comma-separated, as the target reports them; undefined for no report. */
     load: () => string | undefined = () => undefined;
+    /** Whether the target says that it leaves, in all its answers. */
+    isLeaving = false;
+    /** `Retry-After` of responses that turn a request away. */
+    retryAfter: string | undefined;
     /** Number of times that the target has crashed. */
     crashCount = 0;
     /** Called when the target is back after a crash. */
@@ -133,6 +137,16 @@
         return {
             ...(this.limitPerSecond === undefined ? {} : { "server-limit": String(this.limitPerSecond) }),
             ...(load === undefined ? {} : { "x-parsleyrun-server-load": load }),
+            ...(this.isLeaving ? { "server-leaving": "1" } : {}),
+        };
+    }
+
+    /** Headers of a response that turns a request away. */
+    private refusalHeaders(): Readonly<Record<string, string>> {
+        return {
+            "x-parsleyrun-not-executed": "1",
+            ...this.reportHeaders(),
+            ...(this.retryAfter === undefined ? {} : { "retry-after": this.retryAfter }),
         };
     }
 
@@ -197,7 +211,7 @@
                 return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
             case "full":
                 await behaviour.after;
-                response.writeHead(503, { ...this.reportHeaders(), "x-parsleyrun-not-executed": "1" }).end();
+                response.writeHead(503, this.refusalHeaders()).end();
                 return;
             case "inputsGone":
                 response.writeHead(409, { "x-parsleyrun-not-executed": "1" }).end();
@@ -300,6 +314,11 @@
         this.onPieceCall(order.Entries);
         this.callsInProgress += 1;
         this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.callsInProgress);
+        if (this.retryAfter !== undefined) {
+            this.callsInProgress -= 1;
+            response.writeHead(503, this.refusalHeaders()).end();
+            return;
+        }
         const call = this.pieceCalls.length;
         const reason = this.pieceReasons(call);
         if (this.pieceSilence?.call === call) this.fallSilent(this.pieceSilence.milliseconds);
