Refuse pieces where they are gathered while all targets pause

Callers saw: a request whose stage has only pausing targets waited up to its deadline, if another gateway gathers the pieces of that service.

Cause: pauses are known to the gateway whose call was turned away. Only the gatherer calls the targets of a stage, but the gateway of the request looked at its own beliefs to decide whether to refuse.

Change: the queue of the service refuses pieces that cannot wait for the end of the first pause, both as they arrive and as they wait, with the time to come back. The check in the gateway of the request is gone. The bounds of pauses are in a module of their own. What leaves is kept by target and incarnation, so that a restart under an old id does not forget it.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -11,6 +11,7 @@
 import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
 import type { Target } from "./target.js";
+import { pauseReturnMs } from "./targetpause.js";
 
 /** Fraction of the remaining time for which a request waits for a usable target. */
 const TARGET_WAIT_SHARE = 0.25;
@@ -29,9 +30,6 @@
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
-/** Time in milliseconds over which requests come back after all targets have paused. */
-const PAUSE_RETURN_SPREAD_MS = 1_000;
-
 /** Reason of a request that a planned stop leaves no time for. */
 export const STOPPING = "stopping";
 
@@ -119,9 +117,7 @@
         const admission = context.suspects.admission(request.traits);
         if (admission.kind === "refused") return this.suspectHoldBack(admission, admission.retryAfterMs);
         const longestWaitMs = preparationMs + (request.deadline.remainingMs() - preparationMs) * TARGET_WAIT_SHARE;
-        const pauseHoldBack =
-            this.pauseHoldBack(request.service, longestWaitMs) ??
-            this.stagePauseHoldBack(request.deadline.remainingMs());
+        const pauseHoldBack = this.pauseHoldBack(request.service, longestWaitMs);
         if (pauseHoldBack !== undefined) return pauseHoldBack;
         const ahead = context.limitQueue.unsentRequests(request.service) - 1;
         const waitMs = context.limitQueue.waitMs(request.service, ahead);
@@ -152,25 +148,17 @@
         return { reason: "request may crash targets", retryAfterMs };
     }
 
-    private stagePauseHoldBack(longestWaitMs: number): HoldBack | undefined {
-        const { route, metadata } = this.request;
-        return route.stages
-            .filter((_, index) => (metadata.pieces[index] ?? 0) > 0)
-            .map(({ service }) => this.pauseHoldBack(service, longestWaitMs))
-            .find(holdBack => holdBack !== undefined);
-    }
-
     /** Holds a request back if all targets of a service have requested pauses that last longer than it can wait. */
     private pauseHoldBack(service: string, longestWaitMs: number): HoldBack | undefined {
         const { request, context } = this;
         const pauseMs = context.targets.pauseMs(service);
         if (pauseMs === undefined || pauseMs <= longestWaitMs) return undefined;
-        const retryAfterMs = pauseMs + Math.random() * PAUSE_RETURN_SPREAD_MS;
+        const retryAfterMs = pauseReturnMs(pauseMs);
         context.onDecision("targets paused", {
             id: request.metadata.requestId,
             service,
             pauseMs: Math.round(pauseMs),
-            retryAfterMs: Math.round(retryAfterMs),
+            retryAfterMs,
         });
         return { reason: "targets pause", retryAfterMs };
     }
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -8,6 +8,7 @@
 import { Health, TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
 import type { RequestedPause, ResponseMetadata, TargetLoad } from "./dialect.js";
+import { decidePause } from "./targetpause.js";
 
 /** A target's registration. */
 export interface TargetRegistration {
@@ -60,15 +61,9 @@
 /** Time in milliseconds after which a continued silence counts as a further failure; working targets are silent for less. */
 const SILENCE_FAILURE_INTERVAL_MS = 1_500;
 
-/** Longest pause in milliseconds that a target can request at once. */
-const LONGEST_PAUSE_MS = 60_000;
-
 /** Number of targets of which is remembered that they leave. */
 const MAXIMUM_LEAVING = 2_000;
 
-/** Length to which an unreadable value is logged. */
-const MAXIMUM_LOGGED_LENGTH = 40;
-
 /** Half-life in milliseconds of a reported load. */
 const LOAD_HALF_LIFE_MS = 300;
 
@@ -134,8 +129,8 @@
     private readonly targets = new Map<string, MutableTarget>();
     private readonly byService = new Map<string, Set<MutableTarget>>();
     private readonly byAddress = new Map<string, MutableTarget>();
-    /** Incarnations that have said that they leave, by target; the store may not know of it, or have lost it. */
-    private readonly leavingIncarnations = new Map<string, number>();
+    /** Targets, each with its incarnation, that have said that they leave; the store may not know of it, or have lost it. */
+    private readonly leavingIncarnations = new Set<string>();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -168,7 +163,7 @@
      * may be older than the report that a target is draining: draining ends only with the incarnation.
      */
     put(stored: TargetRegistration, mayBeOlder = false): void {
-        const isLeaving = this.leavingIncarnations.get(stored.id) === stored.incarnation;
+        const isLeaving = this.leavingIncarnations.has(incarnationKey(stored));
         const registration: TargetRegistration = isLeaving ? { ...stored, state: "draining" } : stored;
         const known = this.targets.get(registration.id);
         if (known !== undefined && registration.incarnation < known.registration.incarnation) return;
@@ -337,10 +332,11 @@
 
     /** Records that a target says that it leaves: it is draining, whatever its registration says. */
     private recordLeaving(known: MutableTarget): void {
-        const { id, incarnation, state } = known.registration;
-        if (this.leavingIncarnations.get(id) === incarnation) return;
-        this.leavingIncarnations.set(id, incarnation);
-        for (const oldest of this.leavingIncarnations.keys()) {
+        const { id, state } = known.registration;
+        const key = incarnationKey(known.registration);
+        if (this.leavingIncarnations.has(key)) return;
+        this.leavingIncarnations.add(key);
+        for (const oldest of this.leavingIncarnations) {
             if (this.leavingIncarnations.size <= MAXIMUM_LEAVING) break;
             this.leavingIncarnations.delete(oldest);
         }
@@ -350,15 +346,14 @@
 
     /** Records the pause that a target requests. It says nothing about the target's health and ends by itself. */
     private recordPause(known: MutableTarget, pause: RequestedPause): void {
-        if (pause.kind === "unreadable") {
-            this.onChange("pause ignored", known.name, { text: pause.text.slice(0, MAXIMUM_LOGGED_LENGTH) });
+        const decision = decidePause(pause);
+        if (decision.kind === "ignored") {
+            this.onChange("pause ignored", known.name, { text: decision.text });
             return;
         }
+        const { milliseconds, requestedMs } = decision;
         const now = performance.now();
-        const milliseconds = Math.min(LONGEST_PAUSE_MS, pause.milliseconds);
-        if (known.pausedUntil <= now) {
-            this.onChange("paused", known.name, { requestedMs: pause.milliseconds, pauseMs: milliseconds });
-        }
+        if (known.pausedUntil <= now) this.onChange("paused", known.name, { requestedMs, pauseMs: milliseconds });
         known.pausedUntil = Math.max(known.pausedUntil, now + milliseconds);
     }
 
@@ -518,3 +513,7 @@
         this.onChange("cold", target.name, { remainingMs, perSecond: gatewayRate });
     }
 }
+
+function incarnationKey({ id, incarnation }: TargetRegistration): string {
+    return `${id} ${incarnation}`;
+}
--- a/src/platform/dialect.ts
+++ b/src/platform/dialect.ts
@@ -101,7 +101,7 @@
             load: readLoad(firstValue(headers[HEADER.targetLoad])),
             limitPerSecond: readNumber(firstValue(headers[HEADER.targetLimit])),
             isLeaving: firstValue(headers[HEADER.targetLeaving])?.trim() === "1",
-            pause: status === 503 ? readPause(firstValue(headers[HEADER.retryAfter])) : undefined,
+            pause: status === 503 ? readPause(headers["retry-after"]) : undefined,
         };
     },
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -16,7 +16,6 @@
     targetLimit: "server-limit",
     /** In all answers of a target that leaves. */
     targetLeaving: "server-leaving",
-    retryAfter: "retry-after",
     notExecuted: "x-parsleyrun-not-executed",
     model: "x-parsleyrun-model",
     /** Number of prompt tokens and maximum number of output tokens, comma-separated. */
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -7,6 +7,7 @@
  */
 import type { StageCapacity } from "../gateway/configuration.js";
 import type { Target } from "../gateway/target.js";
+import { pauseReturnMs } from "../gateway/targetpause.js";
 import { runInBackground } from "../model/background.js";
 import { RetryBudget } from "../routing/index.js";
 import {
@@ -165,6 +166,10 @@
 
     /** The refusal of a request whose pieces cannot be made in time; undefined for one that is admitted. */
     private refusalFor(jobs: readonly PieceJob[]): PieceResult | undefined {
+        const pauseMs = this.environment.targets.pauseMs(this.service);
+        if (pauseMs !== undefined && jobs.every(({ deadline }) => pauseMs >= deadline.remainingMs())) {
+            return this.pauseRefusal(jobs[0], pauseMs);
+        }
         const capacity = this.usableCapacity();
         if (capacity === undefined) return undefined;
         const admission = admit(this.waiting, jobs, capacity, performance.now());
@@ -184,6 +189,30 @@
         return { kind: "lost", reason: "overloaded", retryAfterMs };
     }
 
+    /** The refusal of a piece whose targets have all requested pauses that outlast its deadline. */
+    private pauseRefusal(job: PieceJob | undefined, pauseMs: number): PieceResult {
+        const { requestId: id, stage } = job ?? {};
+        const retryAfterMs = pauseReturnMs(pauseMs);
+        this.environment.onDecision("targets paused", {
+            id,
+            service: this.service,
+            stage,
+            pauseMs: Math.round(pauseMs),
+            retryAfterMs,
+        });
+        return { kind: "lost", reason: "noTarget", retryAfterMs };
+    }
+
+    /** Refuses waiting pieces whose deadline comes before the first pause of a target ends. */
+    private refusePaused(): void {
+        const pauseMs = this.environment.targets.pauseMs(this.service);
+        if (pauseMs === undefined) return;
+        for (const piece of [...this.waiting]) {
+            if (piece.callsInProgress.size > 0 || piece.deadline.remainingMs() > pauseMs) continue;
+            this.settle(piece, this.pauseRefusal(piece, pauseMs));
+        }
+    }
+
     private dropCancelled(): void {
         const cancelled = [...this.waiting, ...this.calls.pieces()].filter(({ signal }) => signal.aborted);
         for (const piece of cancelled) this.lose(piece, "cancelled");
@@ -224,6 +253,7 @@
     /** Sends calls as long as pieces wait and targets are free. */
     private dispatch(): void {
         this.dropLate();
+        this.refusePaused();
         const capacity = this.environment.capacity();
         if (capacity !== undefined && this.waiting.length > 0) this.sendCalls(capacity);
         if (this.waiting.length > 0) this.recheckTimer ??= setTimeout(() => this.recheck(), RECHECK_INTERVAL_MS);
--- a/test/gateway/pausingtargets.test.ts
+++ b/test/gateway/pausingtargets.test.ts
@@ -17,8 +17,8 @@
     return target.arrivals.length + target.pieceCalls.length;
 }
 
-async function start(): Promise<void> {
-    deployment = await Deployment.start({ bookings: 2, engines: 2, encode: 2, rank: 1 });
+async function start(gateways = 1): Promise<void> {
+    deployment = await Deployment.start({ bookings: 2, engines: 2, encode: 2, rank: 1 }, gateways);
     for (const [id, target] of deployment.targets) {
         if (id.startsWith("engines")) target.behaviour = () => ({ kind: "stream", events: 2 });
     }
@@ -84,11 +84,22 @@
     });
 });
 
+/** Far less than the deadline of a request. */
+const AT_ONCE_MS = 1_000;
+
 describe("a request whose targets all pause for longer than it can wait", () => {
-    it.each(KINDS)(
-        "is refused at once, with the time at which there is room: $kind",
-        async ({ service, path, headers }) => {
-            await start();
+    /** The pieces of all gateways are gathered at one of them, which alone knows of the pauses. */
+    const cases = [
+        ...KINDS.map(kind => ({ ...kind, gateways: 1 })),
+        ...KINDS.filter(({ service }) => service === "encode").flatMap(kind =>
+            [2, 3].map(gateways => ({ ...kind, gateways })),
+        ),
+    ];
+
+    it.each(cases)(
+        "is refused at once, with the time at which there is room: $kind of $gateways gateways",
+        async ({ service, path, headers, gateways }) => {
+            await start(gateways);
             const ids = [`${service}-0`, `${service}-1`];
             turnAway(ids, "5");
             for (let index = 0; ids.some(id => requestCount(id) === 0) && index < 40; index += 1) {
@@ -96,9 +107,13 @@
             }
             const before = ids.map(requestCount);
             const otherPieces = requestCount("rank-0");
+            const startedAt = performance.now();
             const answers = await Promise.all(
-                Array.from({ length: 8 }, (_, index) => deployment.call({ path, id: `next-${index}`, headers })),
+                Array.from({ length: 8 }, (_, index) =>
+                    deployment.call({ path, id: `next-${index}`, headers }, index % gateways),
+                ),
             );
+            expect(performance.now() - startedAt).toBeLessThan(AT_ONCE_MS);
             expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 503));
             expect(ids.map(requestCount)).toEqual(before);
             expect(requestCount("rank-0")).toBe(otherPieces);
@@ -110,4 +125,14 @@
             expect(new Set(returnTimes).size).toBeGreaterThan(4);
         },
     );
+
+    it("is refused at once also if the last one pauses while its pieces wait", async () => {
+        await start();
+        turnAway(["encode-0", "encode-1"], "5");
+        const startedAt = performance.now();
+        const answer = await deployment.call({ path: "/staged/1", headers: STAGES });
+        expect(performance.now() - startedAt).toBeLessThan(AT_ONCE_MS);
+        expect(answer.status).toBe(503);
+        expect(Number(answer.headers["retry-after"])).toBeGreaterThan(4);
+    });
 });
