Probe a target that was silent with requests that can move

Callers saw: while one engine was silent for good, each second one stream that cannot be resumed, or that had no retry left, was sent there to find out whether it had gone on, and ended with 504 at its deadline.

Cause: a silence ends after a second without a new sign, and the next request, whatever it was, was the probe.

Ruled out: sending no probe, as then only a request without a choice would find out; ejection alone, which begins after three counted silences and readmits with probes of its own.

Change: requests that can go on elsewhere (streams that can be resumed, while a retry is left) are sent there at once after the second, others only five seconds later. Without other targets nothing changes.

Result: the case of the table with a request that cannot move failed before and passes.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -274,7 +274,7 @@
                 this.lastHoldBack = pauseHoldBack;
                 return undefined;
             }
-            const heard = context.targets.withoutSilent(usable);
+            const heard = context.targets.withoutSilent(usable, this.canMove());
             // A silent target is better than none, also if those that are not silent are not allowed by a roll-out.
             const chosen =
                 this.bestTarget(this.candidates(heard), inputs) ?? this.bestTarget(this.candidates(usable), inputs);
@@ -294,6 +294,12 @@
         return untried.length > 0 ? untried : usable;
     }
 
+    /** Whether the request can go on at another target if its target is silent. */
+    private canMove(): boolean {
+        const { streaming, idempotent } = this.request.route;
+        return streaming && idempotent && this.retries.available();
+    }
+
     /** The best of the given targets, of those that roll-outs allow. */
     private bestTarget(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
         const { request, context } = this;
@@ -348,7 +354,7 @@
         const mayAskAgain = isAttemptLeft && performance.now() - this.lastDeclinedAt >= DECLINE_PAUSE_MS;
         const again = others.filter(target => this.left.has(target) || (mayAskAgain && !this.mayHaveRun.has(target)));
         const candidates = isAttemptLeft && untried.length > 0 ? untried : again;
-        const heard = context.targets.withoutSilent(candidates);
+        const heard = context.targets.withoutSilent(candidates, this.canMove());
         const target = this.bestTarget(heard, inputs) ?? this.bestTarget(candidates, inputs);
         if (target !== undefined) return { kind: "found", target };
         return none(isAttemptLeft ? "no other target" : "no attempt is left");
@@ -358,7 +364,7 @@
     preferredZone(): string {
         const { request, context } = this;
         const usable = context.targets.usable(request.service);
-        const heard = context.targets.withoutSilent(usable);
+        const heard = context.targets.withoutSilent(usable, this.canMove());
         return (
             cheapestEngine(heard.length > 0 ? heard : usable, this.placementInput([]), context.prefixCaches)
                 ?.registration.zone ?? context.zone
--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -58,6 +58,9 @@
  */
 const SILENCE_PAUSE_MS = 1_000;
 
+/** Further time in milliseconds in which a target that was silent gets only requests that can move to another target. */
+const SILENCE_PROBE_DELAY_MS = 5_000;
+
 /** Time in milliseconds after which a continued silence counts as a further failure; working targets are silent for less. */
 const SILENCE_FAILURE_INTERVAL_MS = 1_500;
 
@@ -228,13 +231,13 @@
 
     /**
      * Those of the targets that are not silent. A target that was silent, and has not been heard since, gets one request at
-     * a time.
+     * a time, preferably one that can move to another target.
      */
-    withoutSilent(targets: readonly Target[]): readonly Target[] {
-        const now = performance.now();
+    withoutSilent(targets: readonly Target[], canMove: boolean): readonly Target[] {
+        const latestEnd = performance.now() - (canMove ? 0 : SILENCE_PROBE_DELAY_MS);
         return targets.filter(target => {
             const { silentUntil, outstanding } = target as MutableTarget;
-            return silentUntil === 0 || (silentUntil <= now && outstanding === 0);
+            return silentUntil === 0 || (silentUntil <= latestEnd && outstanding === 0);
         });
     }
 
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -103,23 +103,36 @@
 });
 
 describe("a target that was silent", () => {
-    it.each([
-        { state: "is silent", pauseMs: 500, isSent: false, isHeard: false, isPreferred: false },
-        { state: "may have gone on", pauseMs: 1_100, isSent: false, isHeard: false, isPreferred: true },
+    interface PreferenceCase {
+        readonly state: string;
+        readonly pauseMs: number;
+        readonly isSent?: boolean;
+        readonly isHeard?: boolean;
+        readonly canMove?: boolean;
+        readonly isPreferred: boolean;
+    }
+
+    it.each<PreferenceCase>([
+        { state: "is silent", pauseMs: 500, isPreferred: false },
+        { state: "may have gone on", pauseMs: 1_100, isPreferred: true },
+        { state: "may have gone on, and the request cannot move", pauseMs: 1_100, canMove: false, isPreferred: false },
+        { state: "was long ago, and the request cannot move", pauseMs: 6_100, canMove: false, isPreferred: true },
+        { state: "has a request by which it may be heard", pauseMs: 1_100, isSent: true, isPreferred: false },
+        { state: "was heard", pauseMs: 0, isSent: true, isHeard: true, isPreferred: true },
         {
-            state: "has a request by which it may be heard",
-            pauseMs: 1_100,
-            isSent: true,
-            isHeard: false,
-            isPreferred: false,
+            state: "was heard, and the request cannot move",
+            pauseMs: 0,
+            isHeard: true,
+            canMove: false,
+            isPreferred: true,
         },
-        { state: "was heard", pauseMs: 0, isSent: true, isHeard: true, isPreferred: true },
-    ])("gets a request beside others: $isPreferred, when it $state", ({ pauseMs, isSent, isHeard, isPreferred }) => {
+    ])("gets a request beside others: $isPreferred, when it $state", options => {
+        const { pauseMs, isSent = false, isHeard = false, canMove = true, isPreferred } = options;
         const { directory, target } = directoryWithTarget();
         directory.recordSilent(target, performance.now());
         vi.advanceTimersByTime(pauseMs);
         if (isSent) directory.recordSent(target);
         if (isHeard) directory.recordHeard(target);
-        expect(directory.withoutSilent([target])).toEqual(isPreferred ? [target] : []);
+        expect(directory.withoutSilent([target], canMove)).toEqual(isPreferred ? [target] : []);
     });
 });
