Note the silence of targets whose streams cannot be resumed

Callers saw: streams of a route whose streams cannot be resumed went on being sent to a target that was silent for good, and ended with 504 at their deadlines while another target was free.

Cause: only streams that can be resumed watched for silences, so that a target which had only the others was never believed to be silent before the first deadline.

Change: each stream notes the silence of its target. One that cannot be resumed still stays with it, and the log says why: "silent attempt continues" with the reason "stream cannot be resumed".

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -341,6 +341,7 @@
     ): { readonly kind: "found"; readonly target: Target } | { readonly kind: "none"; readonly obstacle: string } {
         const { request, context } = this;
         const none = (obstacle: string) => ({ kind: "none", obstacle }) as const;
+        if (!request.route.idempotent) return none("stream cannot be resumed");
         if (this.areInputsReleased) return none("results of stages are released");
         if (!this.hasTimeLeft()) return none("no time is left");
         if (!this.retries.available()) return none("no retry is left");
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -133,10 +133,9 @@
 
     /** Waits for an attempt to end. While its target is silent, others are tried; returns the attempt that ended. */
     private async follow(first: StreamAttempt): Promise<StreamAttempt> {
-        const { route } = this.options.request;
         let current = first;
         for (;;) {
-            await (route.idempotent ? current.endedOrSilent() : current.ended);
+            await current.endedOrSilent();
             if (current.end !== undefined) return current;
             const other = this.startOther(current);
             if (other === undefined) await withTimeout(current.ended, RECHECK_MS, undefined);
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -62,6 +62,28 @@
     });
 });
 
+describe("a target that is silent for good", () => {
+    it("gets one stream that cannot be resumed, and the next ones go to the other", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        const dark = deployment.target("engines-0");
+        dark.behaviour = () => ({ kind: "silent" });
+        deployment.target("engines-1").behaviour = () => ({ kind: "stream", events: EVENTS });
+        const send = (index: number): Promise<CallAnswer> =>
+            deployment.call({ path: "/draft/1", id: `draft-${index}` });
+        const first: Promise<CallAnswer>[] = [];
+        for (let index = 0; dark.arrivals.length === 0 && index < 20; index += 1) {
+            first.push(send(index));
+            await pause(20);
+        }
+        await vi.waitFor(() => expect(deployment.linesOf("target silent")).toHaveLength(1), 2_000);
+        for (let index = 100; index < 112; index += 1) expectWholeStream(await send(index));
+        await Promise.all(first);
+        await pause(1_200);
+        for (let index = 200; index < 212; index += 1) expectWholeStream(await send(index));
+        expect(dark.arrivals).toHaveLength(1);
+    });
+});
+
 describe("a stream whose silent target was left for one that declines", () => {
     it.each([
         { begun: "begun", first: silentStream(60_000), expected: { status: 200, complete: false } },
