Share the silent streams of three test files

Three test files had their own copies of the streams that fall silent, of the script of the engines and of the check for a whole stream. They are in `test/gateway/silentstreams.ts` now.

--- a/test/gateway/lostafterleaving.test.ts
+++ b/test/gateway/lostafterleaving.test.ts
@@ -7,7 +7,8 @@
 import { pause } from "../../src/model/pause.js";
 import { KIND } from "../../src/platform/names.js";
 import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
+import { CONFIGURATION, Deployment } from "./harness.js";
+import { EVENTS, expectWholeStream, scriptEngines, SILENCES, silentStream } from "./silentstreams.js";
 
 let deployment: Deployment;
 
@@ -17,39 +18,6 @@
 const SILENCE_MS = 1_150;
 /** A target may be at work on a request for so long after the request was sent to another one. */
 const LONGEST_OVERLAP_MS = 400;
-const EVENTS = 4;
-
-type Silence = "before the head" | "before the first event" | "between events";
-
-const SILENCES: readonly Silence[] = ["before the head", "before the first event", "between events"];
-
-function silentStream(silence: Silence, milliseconds = SILENCE_MS): Behaviour {
-    switch (silence) {
-        case "before the head":
-            return { kind: "delayedStream", events: EVENTS, delayMs: milliseconds };
-        case "before the first event":
-            return { kind: "stream", events: EVENTS, silence: { after: "head", milliseconds } };
-        case "between events":
-            return { kind: "stream", events: EVENTS, silence: { after: 2, milliseconds } };
-    }
-}
-
-function expectWholeStream(answer: CallAnswer): void {
-    expect(answer).toMatchObject({ status: 200, complete: true });
-    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-    expect(ids).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
-}
-
-/** Sets how the engine handles the request that gets it first, and how the others do. */
-function scriptEngines(first: Behaviour, others: Behaviour): void {
-    let arrivals = 0;
-    for (const target of deployment.targets.values()) {
-        target.behaviour = () => {
-            arrivals += 1;
-            return arrivals === 1 ? first : others;
-        };
-    }
-}
 
 interface OtherTargets {
     readonly others: string;
@@ -87,13 +55,13 @@
 describe("a stream whose target is silent for a while is whole", () => {
     it.each(CASES)("when it is silent $silence and the others $others", async ({ silence, count, behaviour }) => {
         deployment = await Deployment.start({ engines: count + 1 });
-        scriptEngines(silentStream(silence), behaviour);
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS), behaviour);
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
     });
 
     it.each(SILENCES)("when it is silent %s and a planned stop leaves little time", async silence => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(silentStream(silence), { kind: "stream", events: EVENTS });
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS), { kind: "stream", events: EVENTS });
         const answered = deployment.call({ path: "/chat/1" });
         await vi.waitFor(() => expect(arrivalCount()).toBe(1));
         deployment.gateways[0]?.gateway.context.shutdown.begin(Deadline.after(1_700));
@@ -102,7 +70,7 @@
 
     it.each(SILENCES)("when it is silent %s and the other is replaced meanwhile", async silence => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(silentStream(silence), { kind: "full" });
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS), { kind: "full" });
         const answered = deployment.call({ path: "/chat/1" });
         await vi.waitFor(() => expect(arrivalCount()).toBe(1));
         const other = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length === 0);
@@ -114,7 +82,7 @@
         "when it is silent %s, is not registered any more, and the other declines late",
         async silence => {
             deployment = await Deployment.start({ engines: 2 });
-            scriptEngines(silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
+            scriptEngines(deployment, silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
             const answered = deployment.call({ path: "/chat/1" });
             await vi.waitFor(() => expect(arrivalCount()).toBe(1));
             const first = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length > 0);
@@ -125,7 +93,7 @@
 
     it.each(SILENCES)("when it is silent %s, a connection to it fails, and the other declines late", async silence => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
+        scriptEngines(deployment, silentStream(silence, 1_400), { kind: "full", after: pause(1_600) });
         const answered = deployment.call({ path: "/chat/1" });
         await vi.waitFor(() => expect(arrivalCount()).toBe(1));
         const first = [...deployment.targets.values()].find(({ arrivals }) => arrivals.length > 0);
@@ -138,7 +106,7 @@
 
     it.each(SILENCES)("when it is silent %s twice as long as its timeout and the others decline", async silence => {
         deployment = await Deployment.start({ engines: 3 });
-        scriptEngines(silentStream(silence, 1_700), { kind: "full" });
+        scriptEngines(deployment, silentStream(silence, 1_700), { kind: "full" });
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
     });
 });
@@ -154,7 +122,11 @@
         { others: "answer late", delayMs: 800 },
     ])("is at work at both for a short time only, when the others $others", async ({ delayMs }) => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(silentStream("between events", 5_000), { kind: "delayedStream", events: EVENTS, delayMs });
+        scriptEngines(deployment, silentStream("between events", 5_000), {
+            kind: "delayedStream",
+            events: EVENTS,
+            delayMs,
+        });
         const first = (): number => [...deployment.targets.values()].findIndex(({ abandoned }) => abandoned.length > 0);
         const answered = deployment.call({ path: "/chat/1", headers: { "x-parsleyrun-deadline-ms": "6000" } });
         await vi.waitFor(() => expect(arrivalCount()).toBe(2), 3_000);
@@ -168,7 +140,7 @@
         const Routes = CONFIGURATION.Routes.map(route => ({ ...route, TimeoutMs: 8_000 }));
         deployment = await Deployment.start({ engines: 2 }, 1, { ...CONFIGURATION, Routes });
         const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 800 };
-        scriptEngines(silentStream("between events", 60_000), slow);
+        scriptEngines(deployment, silentStream("between events", 60_000), slow);
         const headers = { "x-parsleyrun-deadline-ms": "8000" };
         expectWholeStream(await deployment.call({ path: "/chat/1", headers }));
     });
@@ -176,7 +148,7 @@
     it.each(SILENCES)("goes on there before its caller leaves when the first one stays silent %s", async silence => {
         deployment = await Deployment.start({ engines: 2 });
         const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 350 };
-        scriptEngines(silentStream(silence, 60_000), slow);
+        scriptEngines(deployment, silentStream(silence, 60_000), slow);
         // Callers of this route leave when they have waited 2 s for an event.
         const answer = deployment.call({ path: "/chat/1", leaveAfterMs: 2_000 }).catch(() => undefined);
         expectWholeStream((await answer) ?? { status: 0, headers: {}, body: "", complete: false });
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -10,28 +10,17 @@
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
 import { type CallAnswer, CONFIGURATION, Deployment } from "./harness.js";
+import { EVENTS, expectWholeStream, idsOf, scriptEngines } from "./silentstreams.js";
 
 let deployment: Deployment;
 
 afterEach(() => deployment.close());
 
-const EVENTS = 4;
-
-function silentStream(milliseconds: number, after: "head" | number = 2): Extract<Behaviour, { kind: "stream" }> {
+/** A stream that is silent for a time after its head or after that many events. */
+function silentAfter(milliseconds: number, after: "head" | number = 2): Extract<Behaviour, { kind: "stream" }> {
     return { kind: "stream", events: EVENTS, silence: { after, milliseconds } };
 }
 
-/** Sets how the engines handle the request in order of arrival; the last behaviour repeats. */
-function scriptEngines(...behaviours: readonly Behaviour[]): void {
-    let arrivals = 0;
-    for (const target of deployment.targets.values()) {
-        target.behaviour = () => {
-            arrivals += 1;
-            return behaviours[Math.min(arrivals, behaviours.length) - 1] ?? { kind: "answer" };
-        };
-    }
-}
-
 /** Name of the engine that got the request first. */
 async function firstEngine(): Promise<string> {
     const hasArrived = ({ arrivals }: { readonly arrivals: readonly unknown[] }): boolean => arrivals.length > 0;
@@ -39,23 +28,14 @@
     return [...deployment.targets.values()].find(hasArrived)?.id ?? "";
 }
 
-function idsOf({ body }: CallAnswer): readonly number[] {
-    return [...body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-}
-
-function expectWholeStream(answer: CallAnswer): void {
-    expect(answer).toMatchObject({ status: 200, complete: true });
-    expect(idsOf(answer)).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
-}
-
 describe("a silence", () => {
     it.each([
         { silence: "before the head", first: { kind: "delayedStream", events: EVENTS, delayMs: 1_100 } },
-        { silence: "before the first event", first: silentStream(1_100, "head") },
-        { silence: "between events", first: silentStream(1_100) },
+        { silence: "before the first event", first: silentAfter(1_100, "head") },
+        { silence: "between events", first: silentAfter(1_100) },
     ] satisfies readonly { silence: string; first: Behaviour }[])("$silence is noted", async ({ first }) => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(first, { kind: "full" });
+        scriptEngines(deployment, first, { kind: "full" });
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         const target = await firstEngine();
         await vi.waitFor(() => expect(deployment.linesOf("target silent")).toMatchObject([{ target }]));
@@ -86,12 +66,12 @@
 
 describe("a stream whose silent target was left for one that declines", () => {
     it.each([
-        { begun: "begun", first: silentStream(60_000), expected: { status: 200, complete: false } },
-        { begun: "not begun", first: silentStream(60_000, "head"), expected: { status: 502 } },
+        { begun: "begun", first: silentAfter(60_000), expected: { status: 200, complete: false } },
+        { begun: "not begun", first: silentAfter(60_000, "head"), expected: { status: 502 } },
     ])("is ended at once if it has $begun", async ({ first, expected }) => {
         deployment = await Deployment.start({ engines: 2 });
         deployment.leaveRetries("engines", 1);
-        scriptEngines(first, { kind: "full", after: pause(1_600) });
+        scriptEngines(deployment, first, { kind: "full", after: pause(1_600) });
         const answered = deployment.call({ path: "/chat/1" });
         // A target that has started anew is left for another one that has taken the request.
         deployment.register("engines", await firstEngine(), { born: 2_000 });
@@ -105,9 +85,9 @@
 describe("a stream whose silent target breaks it after the second one was left", () => {
     it("goes on at the second target", async () => {
         deployment = await Deployment.start({ engines: 2 });
-        const broken: Behaviour = { ...silentStream(1_350), cutAfterBytes: 80 };
+        const broken: Behaviour = { ...silentAfter(1_350), cutAfterBytes: 80 };
         const slow: Behaviour = { kind: "delayedStream", events: EVENTS, delayMs: 700 };
-        scriptEngines(broken, slow, { kind: "stream", events: EVENTS });
+        scriptEngines(deployment, broken, slow, { kind: "stream", events: EVENTS });
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
     });
 });
@@ -116,7 +96,7 @@
     it("gets requests if a roll-out leaves no other", async () => {
         deployment = await Deployment.start({ engines: 1 });
         await deployment.addTarget("engines", "engines-1", { Version: "v2" });
-        scriptEngines({ kind: "stream", events: EVENTS });
+        scriptEngines(deployment, { kind: "stream", events: EVENTS });
         const context = deployment.gateways[0]?.gateway.context;
         await vi.waitFor(() => expect(context?.targets.usable("engines")).toHaveLength(2));
         const rollout = { service: "engines", version: "v2", durationMs: 60_000, state: undefined, revision: 1 };
@@ -138,7 +118,7 @@
         "goes on there when it was declined $declined",
         async ({ behaviours }) => {
             deployment = await Deployment.start({ engines: 2 });
-            scriptEngines(silentStream(60_000), ...behaviours, { kind: "stream", events: EVENTS });
+            scriptEngines(deployment, silentAfter(60_000), ...behaviours, { kind: "stream", events: EVENTS });
             expectWholeStream(await deployment.call({ path: "/chat/1" }));
         },
     );
@@ -148,17 +128,17 @@
     const whole: Behaviour = { kind: "stream", events: EVENTS };
 
     it.each([
-        { which: "its caller resumes", first: silentStream(60_000, "head"), lastEventId: "2", ids: [3, 4] },
-        { which: "has all its events and no end", first: silentStream(60_000, EVENTS), ids: [1, 2, 3, 4] },
+        { which: "its caller resumes", first: silentAfter(60_000, "head"), lastEventId: "2", ids: [3, 4] },
+        { which: "has all its events and no end", first: silentAfter(60_000, EVENTS), ids: [1, 2, 3, 4] },
         {
             which: "its caller resumes after the last event",
-            first: silentStream(60_000, "head"),
+            first: silentAfter(60_000, "head"),
             lastEventId: "4",
             ids: [],
         },
     ])("is whole when it is one that $which", async ({ first, lastEventId, ids }) => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines(first, whole);
+        scriptEngines(deployment, first, whole);
         const headers = lastEventId === undefined ? {} : { "last-event-id": lastEventId };
         const answer = await deployment.call({ path: "/chat/1", headers });
         expect(answer).toMatchObject({ status: 200, complete: true });
@@ -166,14 +146,14 @@
     });
 
     it.each([
-        { silent: "the first", behaviours: [silentStream(60_000), whole] },
-        { silent: "the first two", behaviours: [silentStream(60_000), { kind: "silent" }, whole] },
+        { silent: "the first", behaviours: [silentAfter(60_000), whole] },
+        { silent: "the first two", behaviours: [silentAfter(60_000), { kind: "silent" }, whole] },
     ] satisfies readonly { silent: string; behaviours: readonly Behaviour[] }[])(
         "is whole when $silent of three are silent",
         async ({ behaviours }) => {
             const Routes = CONFIGURATION.Routes.map(route => ({ ...route, MaxAttempts: 3 }));
             deployment = await Deployment.start({ engines: 3 }, 1, { ...CONFIGURATION, Routes });
-            scriptEngines(...behaviours);
+            scriptEngines(deployment, ...behaviours);
             expectWholeStream(await deployment.call({ path: "/chat/1" }));
         },
     );
@@ -182,7 +162,7 @@
 describe("an exception in one of two attempts", () => {
     it("ends the other one", async () => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines({ kind: "silent" }, { kind: "stream", events: EVENTS });
+        scriptEngines(deployment, { kind: "silent" }, { kind: "stream", events: EVENTS });
         const targets = deployment.gateways[0]?.gateway.targets;
         if (targets === undefined) throw new Error("no gateway");
         vi.spyOn(targets, "recordReport").mockImplementationOnce(() => {
@@ -206,7 +186,7 @@
         "still count after $end",
         async ({ second }) => {
             deployment = await Deployment.start({ engines: 1 });
-            scriptEngines(silentStream(second === undefined ? 300 : 60_000), { kind: "silent" });
+            scriptEngines(deployment, silentAfter(second === undefined ? 300 : 60_000), { kind: "silent" });
             const headers = { "x-parsleyrun-token-count": "1000,10" };
             const answered = deployment.call({ path: "/chat/1", id: "first", headers });
             await firstEngine();
@@ -258,7 +238,7 @@
 describe("a stream whose connection takes long", () => {
     it("is not sent to a second target when the gateway was delayed before it sent the request", async () => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines({ kind: "stream", events: EVENTS });
+        scriptEngines(deployment, { kind: "stream", events: EVENTS });
         const targets = deployment.gateways[0]?.gateway.targets;
         if (targets === undefined) throw new Error("no gateway");
         const recordSent = targets.recordSent.bind(targets);
@@ -274,7 +254,7 @@
     it("keeps its attempt and its retry when the first target goes on before the second has a connection", async () => {
         deployment = await Deployment.start({ engines: 1 });
         deployment.leaveRetries("engines", 1);
-        scriptEngines(silentStream(1_000));
+        scriptEngines(deployment, silentAfter(1_000));
         const listener = await UnconnectableListener.start();
         try {
             const answered = deployment.call({ path: "/chat/1" });
--- a/test/gateway/silenttargets.test.ts
+++ b/test/gateway/silenttargets.test.ts
@@ -4,8 +4,8 @@
  */
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
-import type { Behaviour } from "../platform/standintarget.js";
-import { type CallAnswer, Deployment } from "./harness.js";
+import { Deployment } from "./harness.js";
+import { EVENTS, expectWholeStream, scriptEngines, SILENCES, silentStream } from "./silentstreams.js";
 
 let deployment: Deployment;
 
@@ -16,103 +16,70 @@
 const ENDLESS_MS = 5_000;
 /** A target may be at work on a request for so long after the request was sent to another one. */
 const LONGEST_OVERLAP_MS = 400;
-const EVENTS = 4;
 
-type Silence = "before the head" | "before the first event" | "between events";
-
-function silentStream(silence: Silence, milliseconds = SILENCE_MS): Behaviour {
-    switch (silence) {
-        case "before the head":
-            return { kind: "delayedStream", events: EVENTS, delayMs: milliseconds };
-        case "before the first event":
-            return { kind: "stream", events: EVENTS, silence: { after: "head", milliseconds } };
-        case "between events":
-            return { kind: "stream", events: EVENTS, silence: { after: 2, milliseconds } };
-    }
-}
-
-const SILENCES: readonly { readonly silence: Silence }[] = [
-    { silence: "before the head" },
-    { silence: "before the first event" },
-    { silence: "between events" },
-];
-
-/** Sets how the engines handle the next requests, in order of arrival; the last behaviour repeats. */
-function scriptEngines(behaviours: readonly Behaviour[]): void {
-    let arrivals = 0;
-    for (const target of deployment.targets.values()) {
-        target.behaviour = () => {
-            const behaviour = behaviours[Math.min(arrivals, behaviours.length - 1)];
-            arrivals += 1;
-            return behaviour ?? { kind: "answer" };
-        };
-    }
-}
+const SILENT_STREAMS = SILENCES.map(silence => ({ silence }));
 
 function arrivalCount(): number {
     return [...deployment.targets.values()].reduce((sum, { arrivals }) => sum + arrivals.length, 0);
 }
 
-function expectWholeStream(answer: CallAnswer): void {
-    expect(answer).toMatchObject({ status: 200, complete: true });
-    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]));
-    expect(ids).toEqual(Array.from({ length: EVENTS }, (_, index) => index + 1));
-}
-
 describe("a stream whose target is silent for a while", () => {
-    it.each(SILENCES)("$silence is not ended when no attempt is left", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence is not ended when no attempt is left", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 3 });
-        scriptEngines([{ kind: "reset" }, silentStream(silence)]);
+        scriptEngines(deployment, { kind: "reset" }, silentStream(silence, SILENCE_MS));
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         expect(arrivalCount()).toBe(2);
     });
 
-    it.each(SILENCES)("$silence is not ended when no retry is left", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence is not ended when no retry is left", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 2 });
         deployment.leaveRetries("engines", 0);
-        scriptEngines([silentStream(silence)]);
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS));
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         expect(arrivalCount()).toBe(1);
     });
 
-    it.each(SILENCES)("$silence is not ended when there is no other target", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence is not ended when there is no other target", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 1 });
-        scriptEngines([silentStream(silence)]);
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS));
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         expect(arrivalCount()).toBe(1);
     });
 
-    it.each(SILENCES)("$silence is not ended when the other target is leaving", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence is not ended when the other target is leaving", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 2 });
         deployment.register("engines", "engines-1", { State: "draining" });
         await vi.waitFor(() => expect(deployment.linesOf("target draining")).toHaveLength(1));
-        scriptEngines([silentStream(silence)]);
+        scriptEngines(deployment, silentStream(silence, SILENCE_MS));
         expectWholeStream(await deployment.call({ path: "/chat/1" }));
         expect(arrivalCount()).toBe(1);
     });
 
     it("and that is not resumable waits for it until the deadline", async () => {
         deployment = await Deployment.start({ engines: 2 });
-        scriptEngines([silentStream("between events")]);
+        scriptEngines(deployment, silentStream("between events", SILENCE_MS));
         expectWholeStream(await deployment.call({ path: "/draft/1" }));
         expect(arrivalCount()).toBe(1);
     });
 });
 
 describe("a stream whose target stays silent", () => {
-    it.each(SILENCES)("$silence moves to another target, and is at both for a short time", async ({ silence }) => {
-        deployment = await Deployment.start({ engines: 2 });
-        const [first, second] = [deployment.target("engines-0"), deployment.target("engines-1")];
-        first.behaviour = () => silentStream(silence, ENDLESS_MS);
-        second.behaviour = () => ({ kind: "stream", events: EVENTS });
-        const answered = deployment.call({ path: "/chat/1" });
-        await vi.waitFor(() => expect(first.abandoned).toHaveLength(1), { timeout: 3_000, interval: 5 });
-        expect(performance.now() - (second.arrivals[0]?.at ?? 0)).toBeLessThan(LONGEST_OVERLAP_MS);
-        expectWholeStream(await answered);
-        expect(second.arrivals).toHaveLength(1);
-    });
-
-    it.each(SILENCES)("$silence moves on when another target comes", async ({ silence }) => {
+    it.each(SILENT_STREAMS)(
+        "$silence moves to another target, and is at both for a short time",
+        async ({ silence }) => {
+            deployment = await Deployment.start({ engines: 2 });
+            const [first, second] = [deployment.target("engines-0"), deployment.target("engines-1")];
+            first.behaviour = () => silentStream(silence, ENDLESS_MS);
+            second.behaviour = () => ({ kind: "stream", events: EVENTS });
+            const answered = deployment.call({ path: "/chat/1" });
+            await vi.waitFor(() => expect(first.abandoned).toHaveLength(1), { timeout: 3_000, interval: 5 });
+            expect(performance.now() - (second.arrivals[0]?.at ?? 0)).toBeLessThan(LONGEST_OVERLAP_MS);
+            expectWholeStream(await answered);
+            expect(second.arrivals).toHaveLength(1);
+        },
+    );
+
+    it.each(SILENT_STREAMS)("$silence moves on when another target comes", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 1 });
         deployment.target("engines-0").behaviour = () => silentStream(silence, ENDLESS_MS);
         const answered = deployment.call({ path: "/chat/1" });
@@ -122,9 +89,9 @@
         expect(arrivalCount()).toBe(2);
     });
 
-    it.each(SILENCES)("$silence moves on when its target has started anew under its id", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence moves on when its target has started anew under its id", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 1 });
-        scriptEngines([silentStream(silence, ENDLESS_MS), { kind: "stream", events: EVENTS }]);
+        scriptEngines(deployment, silentStream(silence, ENDLESS_MS), { kind: "stream", events: EVENTS });
         const answered = deployment.call({ path: "/chat/1" });
         await vi.waitFor(() => expect(arrivalCount()).toBe(1));
         deployment.register("engines", "engines-0", { born: 2_000 });
@@ -132,9 +99,9 @@
         expect(arrivalCount()).toBe(2);
     });
 
-    it.each(SILENCES)("$silence ends at its deadline when there is no other", async ({ silence }) => {
+    it.each(SILENT_STREAMS)("$silence ends at its deadline when there is no other", async ({ silence }) => {
         deployment = await Deployment.start({ engines: 1 });
-        scriptEngines([silentStream(silence, ENDLESS_MS)]);
+        scriptEngines(deployment, silentStream(silence, ENDLESS_MS));
         const answer = await deployment.call({ path: "/chat/1" });
         if (silence === "between events") expect(answer).toMatchObject({ status: 200, complete: false });
         else expect(answer.status).toBe(504);
