Give the retries of pieces again in each window

Cause: the same as that of the budget of requests: the burst of the budget was the size of a bucket that only pieces refill.

Ruled out elsewhere: the budgets of `src/entry` gain a retry each second.

Change: the queue counts its retries in a sliding window, with the same fraction and the same burst as before.

--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -9,7 +9,7 @@
 import type { Target } from "../gateway/target.js";
 import { pauseReturnMs } from "../gateway/targetpause.js";
 import { runInBackground } from "../model/background.js";
-import { RetryBudget } from "../routing/index.js";
+import { WindowBudget } from "../routing/index.js";
 import {
     admit,
     crossZoneBytes,
@@ -36,9 +36,12 @@
 /** Retries that each piece adds to the budget; a service that fails more often gets no more load from retries. */
 export const RETRIES_PER_PIECE = 0.2;
 
-/** Largest burst of retries: the pieces of several full calls that are lost with their targets. */
+/** Further retries in one window: the pieces of several full calls that are lost with their targets. */
 export const MAXIMUM_RETRY_BURST = 60;
 
+/** Length in milliseconds of the window in which retries are counted. */
+const RETRY_WINDOW_MS = 10_000;
+
 /** Interval in milliseconds at which waiting pieces are checked against deadlines and usable targets. */
 const RECHECK_INTERVAL_MS = 25;
 
@@ -58,10 +61,10 @@
     private readonly calls: StageCalls;
     private recheckTimer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
-    private readonly retryBudget = RetryBudget.create({
+    private readonly retryBudget = WindowBudget.create({
+        windowMs: RETRY_WINDOW_MS,
         fractionOfRequests: RETRIES_PER_PIECE,
-        perSecond: 0,
-        maximum: MAXIMUM_RETRY_BURST,
+        allowance: () => MAXIMUM_RETRY_BURST,
     });
 
     private constructor(
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -70,6 +70,19 @@
         expect(target.pieces).toBeGreaterThan(pieces);
         expect(target.pieces).toBeLessThanOrEqual(pieces + MAXIMUM_RETRY_BURST + pieces * RETRIES_PER_PIECE);
     });
+
+    it("are retried again some time after most calls have failed, without requests in between", async () => {
+        const fleet = new TargetFleet();
+        const target = fleet.add("a");
+        target.reasonOf = () => "error";
+        const queue = queueOf(fleet);
+        for (let request = 0; request < 60; request += 1) await settle(makeOne(queue, 4, `r${request}`));
+        const failedCalls = target.callSizes.length;
+        target.reasonOf = call => (call === failedCalls + 1 ? "error" : undefined);
+        await vi.advanceTimersByTimeAsync(11_000);
+        const results = await settle(makeOne(queue, 4, "later"));
+        expect(results.map(({ kind }) => kind)).toEqual(["made", "made", "made", "made"]);
+    });
 });
 
 describe("a target that is slower than configured", () => {
