Probe a target that was silent only while another attempt and time are left

Callers saw: a stream whose first target fell silent was sent to a target that had been silent a second before, and ended incomplete at its deadline while a third target was free. A resumable stream with one attempt, or with a deadline too short for a move, was sent there first, and ended with 504.

Cause: a request counted as one that can move if its route is resumable and a retry is left. A move also needs an attempt beyond the one that probes, and the time to notice the silence and get the first event elsewhere.

Ruled out: the order of preference in "otherTarget", as the free target was among the candidates and was only the dearer one.

Change: "canMove" asks for a further attempt and for the silence timeout plus the usual time to a first event.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -10,6 +10,7 @@
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import type { Admission } from "./suspects.js";
 import { leastLoadedTarget, cheapestEngine, type PlacementInput } from "./placement.js";
+import { moveMs } from "./streamtimeouts.js";
 import type { Target } from "./target.js";
 import { pauseReturnMs } from "./targetpause.js";
 
@@ -294,10 +295,12 @@
         return untried.length > 0 ? untried : usable;
     }
 
-    /** Whether the request can go on at another target if its target is silent. */
+    /** Whether the request can go on at yet another target if the one that is to be chosen is silent. */
     private canMove(): boolean {
-        const { streaming, idempotent } = this.request.route;
-        return streaming && idempotent && this.retries.available();
+        const { route, deadline } = this.request;
+        const isAttemptLeft = this.mayHaveRun.size + 1 < route.maximumAttempts;
+        const hasTime = deadline.remainingMs() >= moveMs(route);
+        return route.streaming && route.idempotent && isAttemptLeft && hasTime && this.retries.available();
     }
 
     /** The best of the given targets, of those that roll-outs allow. */
--- a/src/gateway/streamtimeouts.ts
+++ b/src/gateway/streamtimeouts.ts
@@ -43,6 +43,11 @@
     return Math.max(pauseLimitMs * EVENT_GAP_TIMEOUT_RATIO, firstEventTimeoutMs(route));
 }
 
+/** Time in milliseconds in which a stream whose target is silent from the start has its first event from another one. */
+export function moveMs(route: Route): number {
+    return firstEventTimeoutMs(route) + OTHER_FIRST_EVENT_MS;
+}
+
 /**
  * Silence in milliseconds after which a target may be left for another one that has not begun to answer: the other one has
  * to have its first event while the caller still waits.
