Count attempts as ended after an exception in their answers

Callers saw: nothing at once. After an exception in the handling of an answer, the target kept an open attempt, or the tokens of a waiting prompt, for as long as its registration, got less load than the others, and could not be probed after a silence.

Cause: a plain call recorded the end of its attempt only after it had read the answer, and the end of a stream's attempts after an exception did not take back their prompts.

Ruled out: exceptions after the answer was read, which the calls record before.

Change: the answer of a call is read in one method that ends the attempt and closes its connection in any case; the prompt of a stream that has not begun is taken back as the attempt is ended.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,10 +10,10 @@
 import { Deadline } from "../model/index.js";
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
-import { type ResponseHead, readBody } from "./attempt.js";
+import { type AttemptOutcome, type ResponseHead, readBody } from "./attempt.js";
 import { Attempts, STOPPING } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
-import type { RequestMetadata } from "./dialect.js";
+import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
 import { failResponse } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
 import { Reply } from "./reply.js";
@@ -22,6 +22,7 @@
 import { StreamExchange } from "./streamexchange.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
 import { readRequestBody } from "./requestbody.js";
+import type { Target } from "./target.js";
 import { lazyTraitsOf } from "./suspects.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
@@ -277,10 +278,7 @@
                 failure = unanswered;
                 continue;
             }
-            const responseMetadata = this.context.dialect.readResponse(attempt.head.status, attempt.head.headers);
-            this.context.targets.recordReport(target, responseMetadata);
-            const { outcome, bytes } = await readBody(attempt.body, request, MAXIMUM_RESPONSE_BYTES);
-            this.context.targets.recordEnded(target);
+            const { responseMetadata, outcome, bytes } = await this.readAnswer(target, attempt, request);
             const isOwnResponse = isResponseTo(request, responseMetadata);
             if (isOwnResponse && responseMetadata.notExecuted) {
                 attempts.handleDeclined(target, responseMetadata.wrongTarget);
@@ -323,6 +321,23 @@
         return this.endUnsent(request, attempts);
     }
 
+    /** Reads an answer to its end. The attempt has ended then, and its connection is closed, also after an exception. */
+    private async readAnswer(
+        target: Target,
+        { head, body }: Extract<AttemptOutcome, { kind: "answered" }>,
+        request: RoutedRequest,
+    ): Promise<Awaited<ReturnType<typeof readBody>> & { readonly responseMetadata: ResponseMetadata }> {
+        const { dialect, targets } = this.context;
+        try {
+            const responseMetadata = dialect.readResponse(head.status, head.headers);
+            targets.recordReport(target, responseMetadata);
+            return { responseMetadata, ...(await readBody(body, request, MAXIMUM_RESPONSE_BYTES)) };
+        } finally {
+            body.discard();
+            targets.recordEnded(target);
+        }
+    }
+
     private serveStream(
         request: RoutedRequest,
         attempts: Attempts,
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -76,10 +76,12 @@
 
     /** Ends what is still in progress, as it is after an exception. */
     private endAll(): void {
+        const { targets } = this.options.context;
         for (const attempt of this.started) {
             if (attempt.end !== undefined) continue;
             attempt.leave();
-            this.options.context.targets.recordEnded(attempt.target);
+            if (!attempt.hasEvent) targets.recordPromptRead(attempt.target, attempt.promptTokens);
+            targets.recordEnded(attempt.target);
         }
     }
 
--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -170,3 +170,19 @@
         expect((await deployment.call({ path: "/book/1" })).status).toBe(200);
     });
 });
+
+describe("the counts of a target after an exception", () => {
+    const CALLS: readonly { readonly kind: string; readonly path: string; readonly service: string }[] = [
+        { kind: "a call", path: "/book/1", service: "bookings" },
+        { kind: "a stream before its first event", path: "/draft/1", service: "engines" },
+    ];
+
+    it.each(CALLS)("in $kind are those of before", async ({ path, service }) => {
+        deployment.target("engines-0").behaviour = () => ({ kind: "stream", events: 3 });
+        vi.spyOn(gateway.targets, "recordReport").mockImplementationOnce(fail);
+        const headers = { "x-parsleyrun-token-count": "1000,10" };
+        expect((await deployment.call({ path, id: "odd", headers })).status).toBe(500);
+        const target = gateway.targets.findByAddress(deployment.target(`${service}-0`).address);
+        expect(target).toMatchObject({ outstanding: 0, pendingPromptTokens: 0 });
+    });
+});
