Count retries that are held apart from those that were used

Callers saw: nothing that was reported. A service could get more repeats in a window than its budget allows.

Cause: a retry was counted when it was taken. A request may hold one for longer than a window: a stream that was to be sent to a second target which could not be connected to, and went on at the first. When it was used later it counted no more, and when it was given back, the latest retry of another request was taken from the count instead.

Ruled out: the parts of the window, which only let events count for longer.

Change: the budget has the number of retries that are held, which count until they are used or given back; those that are used count from then on.

--- a/src/gateway/requestretries.ts
+++ b/src/gateway/requestretries.ts
@@ -29,12 +29,14 @@
 
     /** Records an attempt, which uses the retry that is held. */
     recordAttempt(): void {
+        if (this.isHeld) this.budget.use();
         this.isLastRetry = this.isHeld;
         this.isHeld = false;
     }
 
     /** Records that nothing of the last attempt was sent. */
     recordNothingSent(): void {
+        if (this.isLastRetry) this.budget.holdAgain();
         this.isHeld = this.isLastRetry;
         this.isLastRetry = false;
     }
--- a/src/routing/windowbudget.ts
+++ b/src/routing/windowbudget.ts
@@ -19,7 +19,10 @@
 /** The retries of one service. */
 export class WindowBudget {
     private readonly requests: SlidingCount;
+    /** Retries that were used. */
     private readonly retries: SlidingCount;
+    /** Retries that were taken and neither used nor given back; they may be held for longer than a window. */
+    private held = 0;
 
     private constructor(private readonly options: WindowBudgetOptions) {
         this.requests = SlidingCount.create(options.windowMs);
@@ -38,16 +41,28 @@
     /** Whether a retry is left. */
     available(): boolean {
         const { fractionOfRequests, allowance } = this.options;
-        return this.retries.sum + 1 <= fractionOfRequests * this.requests.sum + allowance();
+        return this.retries.sum + this.held + 1 <= fractionOfRequests * this.requests.sum + allowance();
     }
 
-    /** Takes one retry. Call only if `available` returns true. */
+    /** Takes one retry, which is then held. Call only if `available` returns true. */
     take(): void {
+        this.held += 1;
+    }
+
+    /** Records that a retry that was held is used, as its request is sent. */
+    use(): void {
+        this.held -= 1;
         this.retries.add();
     }
 
-    /** Returns a retry that was taken and not used. */
-    giveBack(): void {
+    /** Holds a retry again that was used a moment ago, as nothing was sent. */
+    holdAgain(): void {
         this.retries.takeBack();
+        this.held += 1;
+    }
+
+    /** Returns a retry that was held and not used. */
+    giveBack(): void {
+        this.held -= 1;
     }
 }
--- a/test/routing/windowbudget.test.ts
+++ b/test/routing/windowbudget.test.ts
@@ -18,9 +18,15 @@
     vi.useRealTimers();
 });
 
+function useOne(budget: WindowBudget): void {
+    budget.take();
+    budget.use();
+}
+
+/** Uses all retries that are left. Returns how many. */
 function takeAll(budget: WindowBudget): number {
     let count = 0;
-    for (; budget.available(); count += 1) budget.take();
+    for (; budget.available(); count += 1) useOne(budget);
     return count;
 }
 
@@ -58,10 +64,33 @@
         budget.giveBack();
         expect(takeAll(budget)).toBe(1);
         vi.advanceTimersByTime(LONGEST_MS);
+        useOne(budget);
+        budget.holdAgain();
+        expect(budget.available()).toBe(false);
         budget.giveBack();
         expect(takeAll(budget)).toBe(1);
     });
 
+    it("does not count a retry that another request gives back as one that was used", () => {
+        const budget = WindowBudget.create({ windowMs: WINDOW_MS, fractionOfRequests: 0, allowance: () => 2 });
+        // One request holds its retry for longer than a window.
+        budget.take();
+        vi.advanceTimersByTime(LONGEST_MS);
+        useOne(budget);
+        budget.giveBack();
+        expect(takeAll(budget)).toBe(1);
+    });
+
+    it("counts a retry that is held for long when it is used", () => {
+        const budget = WindowBudget.create({ windowMs: WINDOW_MS, fractionOfRequests: 0, allowance: () => 2 });
+        budget.take();
+        vi.advanceTimersByTime(LONGEST_MS);
+        expect(takeAll(budget)).toBe(1);
+        budget.use();
+        vi.advanceTimersByTime(WINDOW_MS - 1_000);
+        expect(takeAll(budget)).toBe(0);
+    });
+
     it("follows its allowance", () => {
         let gateways = 2;
         const allowance = (): number => 8 / gateways;
@@ -93,7 +122,7 @@
                         events.push({ at, kind: "request" });
                     }
                     for (let index = 0; index < retries && budget.available(); index += 1) {
-                        budget.take();
+                        useOne(budget);
                         events.push({ at, kind: "retry" });
                     }
                 }
