Take a target whose registration lapses and returns for the same one

Callers saw: a stream was cut although its target, silent for 1.25 s, went on. The target's registration had been missing for a moment, and the second engine took the request and then declined it.

Cause: a registration that returned made a new target, and the earlier one was believed to have started anew, so that its silent stream was given up for one that had not begun. The new target was also believed to be neither pausing nor silent, had no open attempts, and did not learn from an answer to an earlier request that it leaves.

Ruled out: the grace time after an outage of the store, in which nothing is removed.

Change: a target that is removed is remembered by its incarnation, and taken up again if that returns. An incarnation that is another one still begins anew. The number of those remembered is bounded.

--- a/src/gateway/target.ts
+++ b/src/gateway/target.ts
@@ -67,6 +67,9 @@
 /** Number of targets of which is remembered that they leave. */
 const MAXIMUM_LEAVING = 2_000;
 
+/** Number of targets that are remembered without a registration. */
+const MAXIMUM_LAPSED = 2_000;
+
 /** Half-life in milliseconds of a reported load. */
 const LOAD_HALF_LIFE_MS = 300;
 
@@ -134,6 +137,8 @@
     private readonly byAddress = new Map<string, MutableTarget>();
     /** Targets, each with its incarnation, that have said that they leave; the store may not know of it, or have lost it. */
     private readonly leavingIncarnations = new Set<string>();
+    /** Targets by incarnation whose registrations are missing. They may return, and attempts at them may be in progress. */
+    private readonly lapsed = new Map<string, MutableTarget>();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -194,6 +199,11 @@
         this.byService.get(known.registration.service)?.delete(known);
         this.forgetAddress(known);
         this.health.forget(id);
+        this.lapsed.set(incarnationKey(known.registration), known);
+        for (const oldest of this.lapsed.keys()) {
+            if (this.lapsed.size <= MAXIMUM_LAPSED) break;
+            this.lapsed.delete(oldest);
+        }
         this.onChange("removed", id, {});
     }
 
@@ -472,7 +482,8 @@
     }
 
     private add(registration: TargetRegistration): void {
-        const target: MutableTarget = {
+        const key = incarnationKey(registration);
+        const target: MutableTarget = this.lapsed.get(key) ?? {
             name: registration.id,
             registration: registration,
             outstanding: 0,
@@ -490,6 +501,8 @@
             leftAt: Number.NEGATIVE_INFINITY,
             limitBucket: undefined,
         };
+        target.registration = registration;
+        this.lapsed.delete(key);
         this.targets.set(registration.id, target);
         this.byAddress.set(registration.address, target);
         const service = this.byService.get(registration.service) ?? new Set();
--- a/test/gateway/secondattempts.test.ts
+++ b/test/gateway/secondattempts.test.ts
@@ -179,6 +179,20 @@
     );
 });
 
+describe("a stream whose silent target's registration lapses and returns", () => {
+    it("goes on there when the second target takes the request and then declines it", async () => {
+        deployment = await Deployment.start({ engines: 2 });
+        scriptEngines(silentStream(1_250), { kind: "full", after: pause(2_000) });
+        const answered = deployment.call({ path: "/chat/1" });
+        const targets = deployment.gateways[0]?.gateway.targets;
+        const silent = targets?.findByAddress(deployment.target(await firstEngine()).address);
+        if (silent === undefined) throw new Error("target is not registered");
+        targets?.remove(silent.name);
+        targets?.put(silent.registration);
+        expectWholeStream(await answered);
+    });
+});
+
 describe("an exception in one of two attempts", () => {
     it("ends the other one", async () => {
         deployment = await Deployment.start({ engines: 2 });
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -9,6 +9,7 @@
     TargetDirectory,
     type TargetDirectoryOptions,
     type TargetRegistration,
+    type TargetReport,
 } from "../../src/gateway/target.js";
 
 beforeEach(() => {
@@ -38,6 +39,17 @@
     return { directory, target };
 }
 
+/** What a response says about its target. */
+function report({ isLeaving = false, pauseMs }: { isLeaving?: boolean; pauseMs?: number }): TargetReport {
+    return {
+        load: undefined,
+        limitPerSecond: undefined,
+        wrongTarget: false,
+        isLeaving,
+        pause: pauseMs === undefined ? undefined : { kind: "time", milliseconds: pauseMs },
+    };
+}
+
 interface SilenceCase {
     readonly silence: string;
     /** Whether others of its requests are answered meanwhile. */
@@ -102,6 +114,70 @@
     });
 });
 
+describe("a target whose registration lapses and returns", () => {
+    const registration = {
+        id: "target",
+        incarnation: 1,
+        address: "127.0.0.1:1",
+        state: "available",
+    } as TargetRegistration;
+
+    /** Asked once the registration has returned. */
+    const CASES: readonly {
+        readonly belief: string;
+        readonly before?: (directory: TargetDirectory, target: Target) => void;
+        readonly after?: (directory: TargetDirectory, target: Target) => void;
+        readonly holds: (directory: TargetDirectory, target: Target) => boolean;
+    }[] = [
+        { belief: "the same start", holds: (directory, target) => !directory.hasStartedAnew(target) },
+        {
+            belief: "pausing",
+            before: (directory, target) => directory.recordReport(target, report({ pauseMs: 5_000 })),
+            holds: directory => directory.working("").length === 0,
+        },
+        {
+            belief: "leaving, as it answers to an earlier request",
+            after: (directory, target) => directory.recordReport(target, report({ isLeaving: true })),
+            holds: directory => directory.eligible("").length === 0,
+        },
+        {
+            belief: "silent to an earlier request",
+            after: (directory, target) => directory.recordSilent(target, performance.now()),
+            holds: directory => directory.withoutSilent(directory.working(""), true).length === 0,
+        },
+        {
+            belief: "busy with an earlier request",
+            before: (directory, target) => directory.recordSent(target),
+            holds: directory => directory.working("")[0]?.outstanding === 1,
+        },
+    ];
+
+    it.each(CASES)("still counts as $belief", ({ before, after, holds }) => {
+        const { directory } = directoryWithTarget();
+        directory.put({ ...registration, service: "" });
+        const target = directory.findByAddress(registration.address);
+        if (target === undefined) throw new Error("target is not registered");
+        before?.(directory, target);
+        directory.remove(registration.id);
+        directory.put({ ...registration, service: "" });
+        after?.(directory, target);
+        expect(holds(directory, target)).toBe(true);
+    });
+
+    it("counts as nothing of it once it has started anew", () => {
+        const { directory } = directoryWithTarget();
+        directory.put({ ...registration, service: "" });
+        const target = directory.findByAddress(registration.address);
+        if (target === undefined) throw new Error("target is not registered");
+        directory.recordSent(target);
+        directory.recordReport(target, report({ isLeaving: true, pauseMs: 5_000 }));
+        directory.remove(registration.id);
+        directory.put({ ...registration, service: "", incarnation: 2 });
+        expect(directory.working("")).toMatchObject([{ outstanding: 0 }]);
+        expect(directory.hasStartedAnew(target)).toBe(true);
+    });
+});
+
 describe("a target that was silent", () => {
     interface PreferenceCase {
         readonly state: string;
