Give the retries of pieces again in each window

Callers saw: after most calls of a stage service had failed for a while, a single failed call later on cost its requests 503 `stage failed`, although the next call would have made the pieces.

Cause: as with streams in the budget of requests, only pieces refilled the budget of a stage service, at 0.2 each. Where pieces are few, the 60 retries beyond that did not come back.

Ruled out: the limit of three calls for a piece; the pieces in question had one.

Change: the budget of pieces is counted in a sliding window of ten seconds too: 0.2 of the pieces in it, and 60 in each window.

The bound that the test of failing services checks has not changed.

--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -9,7 +9,7 @@
 import type { Target } from "../gateway/target.js";
 import { pauseReturnMs } from "../gateway/targetpause.js";
 import { runInBackground } from "../model/background.js";
-import { RetryBudget } from "../routing/index.js";
+import { WindowBudget } from "../routing/index.js";
 import {
     admit,
     crossZoneBytes,
@@ -33,11 +33,14 @@
 /** Number of failed or silent calls after which a piece is lost. */
 const MAXIMUM_CALLS_PER_PIECE = 3;
 
-/** Retries that each piece adds to the budget; a service that fails more often gets no more load from retries. */
+/** Retries for each piece in the window; a service that fails more often gets no more load from retries. */
 export const RETRIES_PER_PIECE = 0.2;
 
-/** Largest burst of retries: the pieces of several full calls that are lost with their targets. */
-export const MAXIMUM_RETRY_BURST = 60;
+/** Further retries in one window: the pieces of several full calls that are lost with their targets. */
+export const RETRY_ALLOWANCE = 60;
+
+/** Length in milliseconds of the window over which retries are counted. */
+const RETRY_WINDOW_MS = 10_000;
 
 /** Interval in milliseconds at which waiting pieces are checked against deadlines and usable targets. */
 const RECHECK_INTERVAL_MS = 25;
@@ -58,10 +61,10 @@
     private readonly calls: StageCalls;
     private recheckTimer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
-    private readonly retryBudget = RetryBudget.create({
+    private readonly retryBudget = WindowBudget.create({
+        windowMs: RETRY_WINDOW_MS,
         fractionOfRequests: RETRIES_PER_PIECE,
-        perSecond: 0,
-        maximum: MAXIMUM_RETRY_BURST,
+        allowance: () => RETRY_ALLOWANCE,
     });
 
     private constructor(
@@ -245,6 +248,11 @@
         this.returnUnusedRetry(piece);
     }
 
+    private useRetry(piece: QueuedPiece): void {
+        if (piece.hasUnusedRetry) this.retryBudget.use();
+        piece.hasUnusedRetry = false;
+    }
+
     private returnUnusedRetry(piece: QueuedPiece): void {
         if (piece.hasUnusedRetry) this.retryBudget.giveBack();
         piece.hasUnusedRetry = false;
@@ -269,7 +277,7 @@
             if (pieces.length === 0) continue;
             const taken = new Set(pieces);
             this.waiting = this.waiting.filter(piece => !taken.has(piece));
-            for (const piece of pieces) piece.hasUnusedRetry = false;
+            for (const piece of pieces) this.useRetry(piece);
             this.run(async () => {
                 try {
                     await this.calls.send(target, pieces, capacity);
--- a/test/stages/queue.test.ts
+++ b/test/stages/queue.test.ts
@@ -1,7 +1,8 @@
 /** A stage queue with scripted targets that fail, are slow or have no memory left, on a paused clock. */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { pause } from "../../src/model/pause.js";
 import type { PieceJob, PieceResult } from "../../src/stages/index.js";
-import { MAXIMUM_RETRY_BURST, RETRIES_PER_PIECE, type StageQueue } from "../../src/stages/queue.js";
+import { RETRY_ALLOWANCE, RETRIES_PER_PIECE, type StageQueue } from "../../src/stages/queue.js";
 import { make, queueOf, register, settle, STEP_MS, TargetFleet } from "./fleet.js";
 import { piecesOf } from "./pieces.js";
 
@@ -68,7 +69,23 @@
         const pieces = 60 * 4;
         for (let request = 0; request < 60; request += 1) await settle(makeOne(queue, 4, `r${request}`));
         expect(target.pieces).toBeGreaterThan(pieces);
-        expect(target.pieces).toBeLessThanOrEqual(pieces + MAXIMUM_RETRY_BURST + pieces * RETRIES_PER_PIECE);
+        expect(target.pieces).toBeLessThanOrEqual(pieces + RETRY_ALLOWANCE + pieces * RETRIES_PER_PIECE);
+    });
+});
+
+/** A budget that only pieces refill leaves a service with few requests without retries for minutes after a trouble. */
+describe("pieces after the retries of their service were used up", () => {
+    it("are made with another call when theirs fails, once a window has passed", async () => {
+        const fleet = new TargetFleet();
+        const failing = fleet.add("a");
+        failing.reasonOf = () => "error";
+        const queue = queueOf(fleet);
+        for (let request = 0; request < 40; request += 1) await settle(makeOne(queue, 4, `r${request}`));
+        await settle(pause(11_000));
+        const callsBefore = failing.callSizes.length;
+        failing.reasonOf = call => (call > callsBefore + 1 ? undefined : "error");
+        const results = await settle(makeOne(queue, 4, "later"));
+        expect(results.map(({ kind }) => kind)).toEqual(["made", "made", "made", "made"]);
     });
 });
 
