Give targets and their directory modules of their own

What reads better: a module that only asks what a target is (placement, stages, roll-outs, suspects) no longer names the one that keeps all beliefs about targets.

Change: gateway/target holds the registration, the target and its expected load; gateway/targetdirectory holds the directory. Tests change their imports only.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,7 +29,8 @@
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
 import { Shutdown } from "./shutdown.js";
-import { type Target, TargetDirectory } from "./target.js";
+import type { Target } from "./target.js";
+import { TargetDirectory } from "./targetdirectory.js";
 import { UsualTimes } from "./usualtimes.js";
 
 /** Dependencies of an exchange. */
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -4,4 +4,5 @@
 export * from "./gateway.js";
 export * from "./peers.js";
 export * from "./server.js";
-export { type Target, TargetDirectory, type TargetRegistration } from "./target.js";
+export type { Target, TargetRegistration } from "./target.js";
+export { TargetDirectory } from "./targetdirectory.js";
--- a/src/gateway/limitqueue.ts
+++ b/src/gateway/limitqueue.ts
@@ -3,7 +3,7 @@
  * cannot wait so long.
  */
 import { waitForTokensMs } from "../routing/index.js";
-import type { TargetDirectory } from "./target.js";
+import type { TargetDirectory } from "./targetdirectory.js";
 
 /** Shortest time in milliseconds after which a request may come back that only other gateways may send. */
 const NO_PART_RETURN_MS = 1_000;
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -1,7 +1,8 @@
 /** Calls from a stage queue to a target, and their outcomes. */
 import { NEVER_ABORTED, readBody, sendAttempt } from "../gateway/attempt.js";
 import type { Dialect, PieceAnswer } from "../gateway/dialect.js";
-import type { Target, TargetDirectory } from "../gateway/target.js";
+import type { Target } from "../gateway/target.js";
+import type { TargetDirectory } from "../gateway/targetdirectory.js";
 import { Deadline } from "../model/index.js";
 import type { PieceJob } from "./piece.js";
 
--- a/src/stages/queueenvironment.ts
+++ b/src/stages/queueenvironment.ts
@@ -1,6 +1,7 @@
 /** What the queue of a stage service gets from its gateway. */
 import type { StageCapacity } from "../gateway/configuration.js";
-import type { Target, TargetDirectory } from "../gateway/target.js";
+import type { Target } from "../gateway/target.js";
+import type { TargetDirectory } from "../gateway/targetdirectory.js";
 import type { PieceJob } from "./piece.js";
 import type { CallOutcome, PieceCallLimits } from "./piececall.js";
 
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -4,12 +4,8 @@
  * holds all of them up.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import {
-    type Target,
-    TargetDirectory,
-    type TargetDirectoryOptions,
-    type TargetRegistration,
-} from "../../src/gateway/target.js";
+import type { Target, TargetRegistration } from "../../src/gateway/target.js";
+import { TargetDirectory, type TargetDirectoryOptions } from "../../src/gateway/targetdirectory.js";
 
 beforeEach(() => {
     vi.useFakeTimers();
--- a/test/gateway/targetlimits.test.ts
+++ b/test/gateway/targetlimits.test.ts
@@ -5,7 +5,8 @@
 import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { partOfLimit, TargetLimits } from "../../src/gateway/targetlimits.js";
-import { type Target, TargetDirectory, type TargetRegistration } from "../../src/gateway/target.js";
+import type { Target, TargetRegistration } from "../../src/gateway/target.js";
+import { TargetDirectory } from "../../src/gateway/targetdirectory.js";
 import { TokenBucket, waitForTokensMs } from "../../src/routing/index.js";
 
 beforeEach(() => {
--- a/test/stages/fleet.ts
+++ b/test/stages/fleet.ts
@@ -1,7 +1,8 @@
 /** Scripted targets of a stage queue that fail, are slow, silent or without memory, on a paused clock. */
 import { expect, vi } from "vitest";
 import type { StageCapacity } from "../../src/gateway/configuration.js";
-import { type Target, TargetDirectory } from "../../src/gateway/target.js";
+import type { Target } from "../../src/gateway/target.js";
+import { TargetDirectory } from "../../src/gateway/targetdirectory.js";
 import { pause, withTimeout } from "../../src/model/pause.js";
 import type { CallOutcome, PieceCallLimits, PieceJob, PieceResult } from "../../src/stages/index.js";
 import { StageQueue } from "../../src/stages/queue.js";
--- a/test/stages/load.ts
+++ b/test/stages/load.ts
@@ -8,7 +8,8 @@
 import { createRandom } from "../../src/bench/random.js";
 import type { RouteStage, StageCapacity } from "../../src/gateway/configuration.js";
 import { FirstEventTimes } from "../../src/gateway/firstevent.js";
-import { type TargetRegistration, TargetDirectory } from "../../src/gateway/target.js";
+import type { TargetRegistration } from "../../src/gateway/target.js";
+import { TargetDirectory } from "../../src/gateway/targetdirectory.js";
 import { Deadline } from "../../src/model/index.js";
 import { pause, withTimeout } from "../../src/model/pause.js";
 import {
--- a/test/stages/piececall.test.ts
+++ b/test/stages/piececall.test.ts
@@ -1,6 +1,7 @@
 /** Calls from a stage queue to a target on the loopback address. */
 import { afterEach, describe, expect, it } from "vitest";
-import { type Target, TargetDirectory } from "../../src/gateway/target.js";
+import type { Target } from "../../src/gateway/target.js";
+import { TargetDirectory } from "../../src/gateway/targetdirectory.js";
 import { Deadline } from "../../src/model/index.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { callForPieces, releaseResults } from "../../src/stages/index.js";
