Keep the silence of a target in a class of its own

Cause: four fields of the target and three methods of the directory held them, each with its own copy of the rule of what was counted already.

Change: gateway/targetsilence has one class per target. It returns what a sign of silence shows; the directory still tells the log, the health and the judge of versions, in the same order.

--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -9,6 +9,7 @@
 import type { RequestedPause, ResponseMetadata, TargetLoad } from "./dialect.js";
 import type { Target, TargetRegistration } from "./target.js";
 import { decidePause } from "./targetpause.js";
+import { TargetSilence } from "./targetsilence.js";
 
 /** Fraction of a cold target's request rate that is used; the rest is a margin for requests in flight. */
 const COLD_RATE_RATIO = 0.8;
@@ -23,18 +24,6 @@
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
 
-/**
- * A silent target gets no request while others can, until it is heard, and otherwise for this time in milliseconds after
- * its silence was last seen.
- */
-const SILENCE_PAUSE_MS = 1_000;
-
-/** Further time in milliseconds in which a target that was silent gets only requests that can move to another target. */
-const SILENCE_PROBE_DELAY_MS = 5_000;
-
-/** Time in milliseconds after which a continued silence counts as a further failure; working targets are silent for less. */
-const SILENCE_FAILURE_INTERVAL_MS = 1_500;
-
 /** Number of targets of which is remembered that they leave. */
 const MAXIMUM_LEAVING = 2_000;
 
@@ -45,20 +34,13 @@
     load: TargetLoad | undefined;
     loadReportedAt: number;
     pendingPromptTokens: number;
+    readonly silence: TargetSilence;
     coldUntil: number;
     coldBucket: TokenBucket | undefined;
     unreachableUntil: number;
     unreachableCount: number;
-    /** Monotonic time in milliseconds at which anything was last received from the target. */
-    heardAt: number;
     /** Monotonic time in milliseconds until which the target wants no requests of this gateway. */
     pausedUntil: number;
-    /** Monotonic time in milliseconds until which the target counts as silent unless it is heard. */
-    silentUntil: number;
-    /** Monotonic time in milliseconds at which a silence last counted as a failure. */
-    silenceCountedAt: number;
-    /** Monotonic time in milliseconds at which a request that was taken from the silent target last counted as failed. */
-    leftAt: number;
     /** Requests that this gateway may send to the target while it names a limit. */
     limitBucket: TokenBucket | undefined;
 }
@@ -190,11 +172,8 @@
      * a time, preferably one that can move to another target.
      */
     withoutSilent(targets: readonly Target[], canMove: boolean): readonly Target[] {
-        const latestEnd = performance.now() - (canMove ? 0 : SILENCE_PROBE_DELAY_MS);
-        return targets.filter(target => {
-            const { silentUntil, outstanding } = target as MutableTarget;
-            return silentUntil === 0 || (silentUntil <= latestEnd && outstanding === 0);
-        });
+        const known = targets as readonly MutableTarget[];
+        return known.filter(({ silence, outstanding }) => silence.admits(outstanding, canMove));
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
@@ -318,9 +297,7 @@
 
     /** Records that something was received from a target, which ends its silence. */
     recordHeard(target: Target): void {
-        const known = target as MutableTarget;
-        known.heardAt = performance.now();
-        known.silentUntil = 0;
+        (target as MutableTarget).silence.recordHeard();
     }
 
     /**
@@ -328,15 +305,10 @@
      * sent nothing to other attempts either, it counts as silent. One silence is one failure, however many attempts wait.
      */
     recordSilent(target: Target, since: number): void {
-        const known = target as MutableTarget;
-        if (known.heardAt > since || !this.isRegistered(known)) return;
-        const now = performance.now();
-        if (known.silentUntil <= now) this.onChange("silent", known.name, { silentMs: Math.round(now - since) });
-        known.silentUntil = now + SILENCE_PAUSE_MS;
-        const isCounted = known.silenceCountedAt > Math.max(known.heardAt, now - SILENCE_FAILURE_INTERVAL_MS);
-        if (isCounted) return;
-        known.silenceCountedAt = now;
-        this.health.recordFailure(known.name, this.eligibleNames(known));
+        if (!this.isRegistered(target)) return;
+        const sign = (target as MutableTarget).silence.recordSilent(since);
+        if (sign?.isNew) this.onChange("silent", target.name, { silentMs: Math.round(sign.silentMs) });
+        if (sign?.isFailure) this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
     /**
@@ -345,15 +317,9 @@
      * its version as one failed answer, however many requests are taken from it.
      */
     recordLeft(target: Target, route: string, since: number): void {
-        const known = target as MutableTarget;
-        const now = performance.now();
-        // The streams of a target that stops have got their last events shortly after each other.
-        const isSilent = now - known.heardAt > (now - since) / 2;
-        const isCounted = isSilent && known.leftAt > Math.max(known.heardAt, now - SILENCE_FAILURE_INTERVAL_MS);
-        this.recordInconclusive(known);
-        if (isCounted) return;
-        if (isSilent) known.leftAt = now;
-        this.options.onOutcome?.(known, route, true, undefined);
+        const isFailedAnswer = (target as MutableTarget).silence.recordLeft(since);
+        this.recordInconclusive(target);
+        if (isFailedAnswer) this.options.onOutcome?.(target, route, true, undefined);
     }
 
     /** Whether a target has started anew under its id, so that its earlier start has ended. */
@@ -435,15 +401,12 @@
             load: undefined,
             loadReportedAt: 0,
             pendingPromptTokens: 0,
+            silence: TargetSilence.create(),
             coldUntil: 0,
             coldBucket: undefined,
             unreachableUntil: 0,
             unreachableCount: 0,
-            heardAt: 0,
             pausedUntil: 0,
-            silentUntil: 0,
-            silenceCountedAt: Number.NEGATIVE_INFINITY,
-            leftAt: Number.NEGATIVE_INFINITY,
             limitBucket: undefined,
         };
         this.targets.set(registration.id, target);
