Keep the cold period and the limit bucket of a target together

What reads better: how many requests this gateway may send to one target, while it is cold or names a limit, is in one module.

Cause: the buckets, their bursts and the cold time were fields of the target and constants of the directory.

Change: gateway/targetrate has one class per target. The directory still looks up the configured rate and whether the present start of the target is cold.

--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -4,22 +4,14 @@
  * A target is usable if it is registered and available, its zone is not closed, it is not ejected, and this gateway's part
  * of its request rate, while it is cold or names a limit, is not used up.
  */
-import { Health, TokenBucket } from "../routing/index.js";
+import { Health, type TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
 import type { RequestedPause, ResponseMetadata, TargetLoad } from "./dialect.js";
 import type { Target, TargetRegistration } from "./target.js";
 import { decidePause } from "./targetpause.js";
+import { TargetRate } from "./targetrate.js";
 import { TargetSilence } from "./targetsilence.js";
 
-/** Fraction of a cold target's request rate that is used; the rest is a margin for requests in flight. */
-const COLD_RATE_RATIO = 0.8;
-
-/** Maximum burst of requests from one gateway to a cold target. */
-const COLD_BURST = 2;
-
-/** Maximum burst of requests from one gateway to a target that names a limit. */
-const LIMIT_BURST = 1;
-
 /** Time in milliseconds for which an unreachable target gets no requests; doubles with each failure. */
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
@@ -35,14 +27,11 @@
     loadReportedAt: number;
     pendingPromptTokens: number;
     readonly silence: TargetSilence;
-    coldUntil: number;
-    coldBucket: TokenBucket | undefined;
+    readonly rate: TargetRate;
     unreachableUntil: number;
     unreachableCount: number;
     /** Monotonic time in milliseconds until which the target wants no requests of this gateway. */
     pausedUntil: number;
-    /** Requests that this gateway may send to the target while it names a limit. */
-    limitBucket: TokenBucket | undefined;
 }
 
 /** What a response says about its target. */
@@ -181,7 +170,7 @@
         const now = performance.now();
         const admitted = this.health.withoutEjected(this.eligible(service)) as readonly MutableTarget[];
         const reachable = admitted.filter(target => target.unreachableUntil <= now && target.pausedUntil <= now);
-        return reachable.filter(target => !this.isCold(target) || (target.coldBucket?.available() ?? true));
+        return reachable.filter(({ rate }) => rate.admitsWhileCold());
     }
 
     /**
@@ -208,7 +197,7 @@
     }
 
     isCold(target: Target): boolean {
-        return (this.targets.get(target.name)?.coldUntil ?? 0) > performance.now();
+        return this.targets.get(target.name)?.rate.isCold() ?? false;
     }
 
     /** Records an attempt that is about to be sent. */
@@ -216,7 +205,7 @@
         const known = target as MutableTarget;
         known.outstanding += 1;
         known.pendingPromptTokens += promptTokens;
-        if (this.isCold(known)) known.coldBucket?.take();
+        if (this.isCold(known)) known.rate.takeWhileCold();
         this.takeFromLimit(known);
         if (this.isRegistered(known)) this.health.recordSent(known.name);
     }
@@ -356,19 +345,7 @@
 
     /** The bucket of a target that names a limit, at the rate of this gateway's present part of it. */
     private limitBucketOf(target: Target): TokenBucket | undefined {
-        const known = target as MutableTarget;
-        const perSecond = this.options.limitPartOf?.(known);
-        if (perSecond === undefined) {
-            known.limitBucket = undefined;
-            return undefined;
-        }
-        if (known.limitBucket === undefined) {
-            known.limitBucket = TokenBucket.create({ perSecond, capacity: LIMIT_BURST });
-            // Requests that were sent before the limit was known have used it up.
-            known.limitBucket.take();
-        }
-        known.limitBucket.changeRate(perSecond);
-        return known.limitBucket;
+        return (target as MutableTarget).rate.limitBucketAt(this.options.limitPartOf?.(target));
     }
 
     private forgetAddress(target: MutableTarget): void {
@@ -402,12 +379,10 @@
             loadReportedAt: 0,
             pendingPromptTokens: 0,
             silence: TargetSilence.create(),
-            coldUntil: 0,
-            coldBucket: undefined,
+            rate: TargetRate.create(),
             unreachableUntil: 0,
             unreachableCount: 0,
             pausedUntil: 0,
-            limitBucket: undefined,
         };
         this.targets.set(registration.id, target);
         this.byAddress.set(registration.address, target);
@@ -420,19 +395,13 @@
     /** Starts or extends a cold period. The rate is this gateway's part of the target's cold request rate. */
     private extendColdPeriod(target: MutableTarget, remainingMs: number): void {
         const service = this.configuration()?.service(target.registration.service);
-        const rate = service?.coldRequestsPerSecond ?? 0;
-        if (remainingMs <= 0 || rate <= 0) return;
-        const until = performance.now() + remainingMs;
-        if (until <= target.coldUntil) return;
-        const wasCold = this.isCold(target);
-        target.coldUntil = until;
-        if (wasCold && target.coldBucket !== undefined) return;
-        const gatewayRate = (rate * COLD_RATE_RATIO) / Math.max(1, this.gatewayCount());
-        target.coldBucket = TokenBucket.create({
-            perSecond: gatewayRate,
-            capacity: Math.min(COLD_BURST, Math.max(1, gatewayRate)),
-        });
-        this.onChange("cold", target.name, { remainingMs, perSecond: gatewayRate });
+        const period = {
+            remainingMs,
+            perSecond: service?.coldRequestsPerSecond ?? 0,
+            gatewayCount: this.gatewayCount(),
+        };
+        const perSecond = target.rate.extendColdPeriod(period, this.isCold(target));
+        if (perSecond !== undefined) this.onChange("cold", target.name, { remainingMs, perSecond });
     }
 }
 
