Cast targets in one place and index them in a module

What reads better: the directory of targets says only what outcomes mean.

Cause: the directory kept three maps in step, cast to its own type of target wherever it used one, and bounded the set of those that leave.

Evidence: 13 lines of gateway/target cast a target or a list of them; it is one now, in gateway/knowntarget.

--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -3,37 +3,22 @@
  *
  * A target is usable if it is registered and available, its zone is not closed, it is not ejected, and this gateway's part
  * of its request rate, while it is cold or names a limit, is not used up.
+ *
+ * The directory decides what an outcome means and whom it tells; the state of each target is in `knowntarget`.
  */
 import { Health, type TokenBucket } from "../routing/index.js";
 import type { GatewayConfiguration } from "./configuration.js";
-import type { RequestedPause, ResponseMetadata, TargetLoad } from "./dialect.js";
+import type { RequestedPause, ResponseMetadata } from "./dialect.js";
+import { createTarget, type KnownTarget, knownTarget } from "./knowntarget.js";
+import { LeavingTargets } from "./leavingtargets.js";
 import type { Target, TargetRegistration } from "./target.js";
+import { TargetIndex } from "./targetindex.js";
 import { decidePause } from "./targetpause.js";
-import { TargetRate } from "./targetrate.js";
-import { TargetSilence } from "./targetsilence.js";
 
 /** Time in milliseconds for which an unreachable target gets no requests; doubles with each failure. */
 const UNREACHABLE_PAUSE_MS = 250;
 const LONGEST_UNREACHABLE_PAUSE_MS = 1_000;
 
-/** Number of targets of which is remembered that they leave. */
-const MAXIMUM_LEAVING = 2_000;
-
-interface MutableTarget {
-    readonly name: string;
-    registration: TargetRegistration;
-    outstanding: number;
-    load: TargetLoad | undefined;
-    loadReportedAt: number;
-    pendingPromptTokens: number;
-    readonly silence: TargetSilence;
-    readonly rate: TargetRate;
-    unreachableUntil: number;
-    unreachableCount: number;
-    /** Monotonic time in milliseconds until which the target wants no requests of this gateway. */
-    pausedUntil: number;
-}
-
 /** What a response says about its target. */
 export type TargetReport = Pick<ResponseMetadata, "load" | "limitPerSecond" | "wrongTarget" | "isLeaving" | "pause">;
 
@@ -56,11 +41,8 @@
 
 /** The targets of all services. */
 export class TargetDirectory {
-    private readonly targets = new Map<string, MutableTarget>();
-    private readonly byService = new Map<string, Set<MutableTarget>>();
-    private readonly byAddress = new Map<string, MutableTarget>();
-    /** Targets, each with its incarnation, that have said that they leave; the store may not know of it, or have lost it. */
-    private readonly leavingIncarnations = new Set<string>();
+    private readonly targets = TargetIndex.create();
+    private readonly leaving = LeavingTargets.create();
     private closedZones: ReadonlySet<string> = new Set();
     private readonly health: Health;
 
@@ -93,9 +75,9 @@
      * may be older than the report that a target is draining: draining ends only with the incarnation.
      */
     put(stored: TargetRegistration, mayBeOlder = false): void {
-        const isLeaving = this.leavingIncarnations.has(incarnationKey(stored));
+        const isLeaving = this.leaving.has(stored);
         const registration: TargetRegistration = isLeaving ? { ...stored, state: "draining" } : stored;
-        const known = this.targets.get(registration.id);
+        const known = this.targets.find(registration.id);
         if (known !== undefined && registration.incarnation < known.registration.incarnation) return;
         const isSameIncarnation = known?.registration.incarnation === registration.incarnation;
         if (mayBeOlder && isSameIncarnation && known.registration.state === "draining") return;
@@ -107,26 +89,22 @@
             return;
         }
         if (known.registration.state !== registration.state) this.onChange(registration.state, registration.id, {});
-        this.forgetAddress(known);
-        known.registration = registration;
-        this.byAddress.set(registration.address, known);
+        this.targets.replaceRegistration(known, registration);
         this.extendColdPeriod(known, registration.coldRemainingMs);
     }
 
     /** Removes a target. */
     remove(id: string): void {
-        const known = this.targets.get(id);
+        const known = this.targets.find(id);
         if (known === undefined) return;
-        this.targets.delete(id);
-        this.byService.get(known.registration.service)?.delete(known);
-        this.forgetAddress(known);
+        this.targets.remove(known);
         this.health.forget(id);
         this.onChange("removed", id, {});
     }
 
     /** Names of all registered targets. */
     names(): readonly string[] {
-        return [...this.targets.keys()];
+        return this.targets.names();
     }
 
     /** Sets the zones whose targets get no requests. */
@@ -138,17 +116,19 @@
 
     /** The target with an address; if there are several, the one registered last. */
     findByAddress(address: string): Target | undefined {
-        return this.byAddress.get(address);
+        return this.targets.findByAddress(address);
     }
 
     /** The targets of a service that are available, in an open zone and not excluded. */
     eligible(service: string): readonly Target[] {
-        return [...(this.byService.get(service) ?? [])].filter(
-            target =>
-                target.registration.state === "available" &&
-                !this.closedZones.has(target.registration.zone) &&
-                this.options.isExcluded?.(target) !== true,
-        );
+        return this.targets
+            .ofService(service)
+            .filter(
+                target =>
+                    target.registration.state === "available" &&
+                    !this.closedZones.has(target.registration.zone) &&
+                    this.options.isExcluded?.(target) !== true,
+            );
     }
 
     /** The eligible targets that may get a request now: working and within their limits. */
@@ -161,16 +141,16 @@
      * a time, preferably one that can move to another target.
      */
     withoutSilent(targets: readonly Target[], canMove: boolean): readonly Target[] {
-        const known = targets as readonly MutableTarget[];
-        return known.filter(({ silence, outstanding }) => silence.admits(outstanding, canMove));
+        return targets.filter(target => knownTarget(target).silence.admits(target.outstanding, canMove));
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
     working(service: string): readonly Target[] {
         const now = performance.now();
-        const admitted = this.health.withoutEjected(this.eligible(service)) as readonly MutableTarget[];
-        const reachable = admitted.filter(target => target.unreachableUntil <= now && target.pausedUntil <= now);
-        return reachable.filter(({ rate }) => rate.admitsWhileCold());
+        return this.health.withoutEjected(this.eligible(service)).filter(target => {
+            const { unreachableUntil, pausedUntil, rate } = knownTarget(target);
+            return unreachableUntil <= now && pausedUntil <= now && rate.admitsWhileCold();
+        });
     }
 
     /**
@@ -178,8 +158,8 @@
      * targets have requested one.
      */
     pauseMs(service: string): number | undefined {
-        const eligible = this.eligible(service) as readonly MutableTarget[];
-        const firstEnd = Math.min(...eligible.map(({ pausedUntil }) => pausedUntil));
+        const eligible = this.eligible(service);
+        const firstEnd = Math.min(...eligible.map(target => knownTarget(target).pausedUntil));
         const milliseconds = firstEnd - performance.now();
         return eligible.length > 0 && milliseconds > 0 ? milliseconds : undefined;
     }
@@ -197,12 +177,12 @@
     }
 
     isCold(target: Target): boolean {
-        return this.targets.get(target.name)?.rate.isCold() ?? false;
+        return this.targets.find(target.name)?.rate.isCold() ?? false;
     }
 
     /** Records an attempt that is about to be sent. */
     recordSent(target: Target, promptTokens = 0): void {
-        const known = target as MutableTarget;
+        const known = knownTarget(target);
         known.outstanding += 1;
         known.pendingPromptTokens += promptTokens;
         if (this.isCold(known)) known.rate.takeWhileCold();
@@ -217,20 +197,20 @@
 
     /** Records that a prompt no longer waits at the target: its first event came, or the attempt ended. */
     recordPromptRead(target: Target, promptTokens: number): void {
-        const known = target as MutableTarget;
+        const known = knownTarget(target);
         known.pendingPromptTokens = Math.max(0, known.pendingPromptTokens - promptTokens);
     }
 
     /** Records the end of an attempt. */
     recordEnded(target: Target): void {
-        const known = target as MutableTarget;
+        const known = knownTarget(target);
         known.outstanding = Math.max(0, known.outstanding - 1);
     }
 
     /** Records what a response says about its target, unless another target has sent it. */
     recordReport(target: Target, { load, limitPerSecond, wrongTarget, isLeaving, pause }: TargetReport): void {
         if (wrongTarget) return;
-        const known = target as MutableTarget;
+        const known = knownTarget(target);
         this.recordHeard(known);
         this.options.onLimit?.(known, limitPerSecond);
         if (isLeaving) this.recordLeaving(known);
@@ -245,7 +225,7 @@
      */
     recordSuccess(target: Target, slowness: number, route = ""): void {
         this.options.onOutcome?.(target, route, false, this.isCold(target) ? undefined : slowness);
-        (target as MutableTarget).unreachableCount = 0;
+        knownTarget(target).unreachableCount = 0;
         if (this.isRegistered(target)) {
             this.health.recordSuccess(target.name, slowness, this.comparableNames(target));
         }
@@ -258,21 +238,15 @@
     }
 
     /** Records that a target says that it leaves: it is draining, whatever its registration says. */
-    private recordLeaving(known: MutableTarget): void {
+    private recordLeaving(known: KnownTarget): void {
         const { id, state } = known.registration;
-        const key = incarnationKey(known.registration);
-        if (this.leavingIncarnations.has(key)) return;
-        this.leavingIncarnations.add(key);
-        for (const oldest of this.leavingIncarnations) {
-            if (this.leavingIncarnations.size <= MAXIMUM_LEAVING) break;
-            this.leavingIncarnations.delete(oldest);
-        }
+        if (!this.leaving.add(known.registration)) return;
         known.registration = { ...known.registration, state: "draining" };
         if (state === "available") this.onChange("draining", id, { source: "response" });
     }
 
     /** Records the pause that a target requests. It says nothing about the target's health and ends by itself. */
-    private recordPause(known: MutableTarget, pause: RequestedPause): void {
+    private recordPause(known: KnownTarget, pause: RequestedPause): void {
         const decision = decidePause(pause);
         if (decision.kind === "ignored") {
             this.onChange("pause ignored", known.name, { text: decision.text });
@@ -286,7 +260,7 @@
 
     /** Records that something was received from a target, which ends its silence. */
     recordHeard(target: Target): void {
-        (target as MutableTarget).silence.recordHeard();
+        knownTarget(target).silence.recordHeard();
     }
 
     /**
@@ -295,7 +269,7 @@
      */
     recordSilent(target: Target, since: number): void {
         if (!this.isRegistered(target)) return;
-        const sign = (target as MutableTarget).silence.recordSilent(since);
+        const sign = knownTarget(target).silence.recordSilent(since);
         if (sign?.isNew) this.onChange("silent", target.name, { silentMs: Math.round(sign.silentMs) });
         if (sign?.isFailure) this.health.recordFailure(target.name, this.eligibleNames(target));
     }
@@ -306,19 +280,19 @@
      * its version as one failed answer, however many requests are taken from it.
      */
     recordLeft(target: Target, route: string, since: number): void {
-        const isFailedAnswer = (target as MutableTarget).silence.recordLeft(since);
+        const isFailedAnswer = knownTarget(target).silence.recordLeft(since);
         this.recordInconclusive(target);
         if (isFailedAnswer) this.options.onOutcome?.(target, route, true, undefined);
     }
 
     /** Whether a target has started anew under its id, so that its earlier start has ended. */
     hasStartedAnew(target: Target): boolean {
-        return this.targets.has(target.name) && !this.isRegistered(target);
+        return this.targets.find(target.name) !== undefined && !this.isRegistered(target);
     }
 
     /** Whether this is the registration of its id that holds. Attempts at an earlier one say nothing about the later one. */
     private isRegistered(target: Target): boolean {
-        return this.targets.get(target.name) === target;
+        return this.targets.find(target.name) === target;
     }
 
     /** Records an attempt that was not answered before the request's deadline. It says little about the health. */
@@ -334,7 +308,7 @@
 
     /** Records a refused or reset connection. The target may have restarted, so it counts as cold. */
     recordUnreachable(target: Target): void {
-        const known = target as MutableTarget;
+        const known = knownTarget(target);
         known.unreachableCount += 1;
         const pause = UNREACHABLE_PAUSE_MS * 2 ** Math.min(6, known.unreachableCount - 1);
         known.unreachableUntil = performance.now() + Math.min(LONGEST_UNREACHABLE_PAUSE_MS, pause);
@@ -345,13 +319,7 @@
 
     /** The bucket of a target that names a limit, at the rate of this gateway's present part of it. */
     private limitBucketOf(target: Target): TokenBucket | undefined {
-        return (target as MutableTarget).rate.limitBucketAt(this.options.limitPartOf?.(target));
-    }
-
-    private forgetAddress(target: MutableTarget): void {
-        if (this.byAddress.get(target.registration.address) === target) {
-            this.byAddress.delete(target.registration.address);
-        }
+        return knownTarget(target).rate.limitBucketAt(this.options.limitPartOf?.(target));
     }
 
     private eligibleNames(target: Target): readonly string[] {
@@ -371,29 +339,13 @@
     }
 
     private add(registration: TargetRegistration): void {
-        const target: MutableTarget = {
-            name: registration.id,
-            registration: registration,
-            outstanding: 0,
-            load: undefined,
-            loadReportedAt: 0,
-            pendingPromptTokens: 0,
-            silence: TargetSilence.create(),
-            rate: TargetRate.create(),
-            unreachableUntil: 0,
-            unreachableCount: 0,
-            pausedUntil: 0,
-        };
-        this.targets.set(registration.id, target);
-        this.byAddress.set(registration.address, target);
-        const service = this.byService.get(registration.service) ?? new Set();
-        service.add(target);
-        this.byService.set(registration.service, service);
+        const target = createTarget(registration);
+        this.targets.add(target);
         this.extendColdPeriod(target, registration.coldRemainingMs);
     }
 
     /** Starts or extends a cold period. The rate is this gateway's part of the target's cold request rate. */
-    private extendColdPeriod(target: MutableTarget, remainingMs: number): void {
+    private extendColdPeriod(target: KnownTarget, remainingMs: number): void {
         const service = this.configuration()?.service(target.registration.service);
         const period = {
             remainingMs,
@@ -404,7 +356,3 @@
         if (perSecond !== undefined) this.onChange("cold", target.name, { remainingMs, perSecond });
     }
 }
-
-function incarnationKey({ id, incarnation }: TargetRegistration): string {
-    return `${id} ${incarnation}`;
-}
--- /dev/null
+++ b/src/gateway/targetindex.ts
@@ -0,0 +1,65 @@
+/** The registered targets of all services, by name, service and address. */
+import type { KnownTarget } from "./knowntarget.js";
+import type { TargetRegistration } from "./target.js";
+
+/** The registered targets, one for each name. */
+export class TargetIndex {
+    private readonly byName = new Map<string, KnownTarget>();
+    private readonly byService = new Map<string, Set<KnownTarget>>();
+    private readonly byAddress = new Map<string, KnownTarget>();
+
+    private constructor() {}
+
+    static create(): TargetIndex {
+        return new TargetIndex();
+    }
+
+    get size(): number {
+        return this.byName.size;
+    }
+
+    names(): readonly string[] {
+        return [...this.byName.keys()];
+    }
+
+    find(name: string): KnownTarget | undefined {
+        return this.byName.get(name);
+    }
+
+    /** The target with an address; if there are several, the one registered last. */
+    findByAddress(address: string): KnownTarget | undefined {
+        return this.byAddress.get(address);
+    }
+
+    ofService(service: string): readonly KnownTarget[] {
+        return [...(this.byService.get(service) ?? [])];
+    }
+
+    /** Adds a target whose name is free. */
+    add(target: KnownTarget): void {
+        const { address, service } = target.registration;
+        this.byName.set(target.name, target);
+        this.byAddress.set(address, target);
+        const others = this.byService.get(service) ?? new Set();
+        others.add(target);
+        this.byService.set(service, others);
+    }
+
+    remove(target: KnownTarget): void {
+        this.byName.delete(target.name);
+        this.byService.get(target.registration.service)?.delete(target);
+        this.forgetAddress(target);
+    }
+
+    /** Replaces a target's registration by one for the same service. */
+    replaceRegistration(target: KnownTarget, registration: TargetRegistration): void {
+        this.forgetAddress(target);
+        target.registration = registration;
+        this.byAddress.set(registration.address, target);
+    }
+
+    private forgetAddress(target: KnownTarget): void {
+        const { address } = target.registration;
+        if (this.byAddress.get(address) === target) this.byAddress.delete(address);
+    }
+}
