Pass whether a response closes its connection with the request

What reads better: a request gets the gateway's context itself, not a copy with one member replaced. Callers see no difference.

Cause: whether a response tells its caller to close the connection depends on the phase of the gateway and on the requests that wait on the connection. The context could say the former only, so the listener copied it for each request to add the latter.

Evidence: nothing but the listener's override was ever asked by an exchange or a stream.

Change: the listener hands an exchange its request, response, time of arrival and `closesConnection` as one value; the exchange passes the last on to its reply and its stream. The gateway has the part that depends on its phase, and the context has none.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -34,8 +34,22 @@
 /** Time in milliseconds that the stages leave the engine before the caller stops waiting. */
 const FIRST_EVENT_RESERVE_MS = 150;
 
+/** A request as its connection hands it over. */
+export interface IncomingExchange {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    /** Monotonic time in milliseconds at which the request's head was read. */
+    readonly receivedAt: number;
+    /** Whether the response tells the caller to close the connection; asked when the response is sent. */
+    readonly closesConnection: () => boolean;
+}
+
 /** One request and its response. */
 export class Exchange {
+    private readonly incoming: IncomingMessage;
+    private readonly response: ServerResponse;
+    private readonly receivedAt: number;
+    private readonly closesConnection: () => boolean;
     private readonly abortController = new AbortController();
     private route: Route | undefined;
     private accountName: string | undefined;
@@ -50,11 +64,13 @@
 
     private constructor(
         private readonly context: GatewayContext,
-        private readonly incoming: IncomingMessage,
-        private readonly response: ServerResponse,
-        private readonly receivedAt: number,
+        { request, response, receivedAt, closesConnection }: IncomingExchange,
     ) {
-        this.reply = Reply.to(incoming, response, () => context.closesConnections());
+        this.incoming = request;
+        this.response = response;
+        this.receivedAt = receivedAt;
+        this.closesConnection = closesConnection;
+        this.reply = Reply.to(request, response, closesConnection);
         let reportCut = (): void => undefined;
         this.cutByStop = new Promise(resolve => (reportCut = () => resolve("cut")));
         const cancelCut = context.shutdown.onDue(() => {
@@ -69,14 +85,9 @@
     }
 
     /** Serves one request; resolves when the response was given or the connection closed. */
-    static async serve(
-        context: GatewayContext,
-        request: IncomingMessage,
-        response: ServerResponse,
-        receivedAt: number,
-    ): Promise<void> {
-        const exchange = new Exchange(context, request, response, receivedAt);
-        const id = context.dialect.readRequest(request.headers).requestId;
+    static async serve(context: GatewayContext, incoming: IncomingExchange): Promise<void> {
+        const exchange = new Exchange(context, incoming);
+        const id = context.dialect.readRequest(incoming.request.headers).requestId;
         const handled = await exchange.handle().catch((error: unknown) => exchange.endAfterException(id, error));
         const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
         if (result.outcome === "answered") exchange.contain(() => exchange.attempts?.recordTimes());
@@ -338,6 +349,7 @@
             releaseInputs,
             response: this.response,
             reply: this.reply,
+            closesConnection: this.closesConnection,
             isCutByStop: () => this.isCutByStop,
             onFirstEvent: milliseconds => (this.firstEventMs ??= milliseconds),
             endUnsent: () => this.endUnsent(request, attempts),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -62,8 +62,6 @@
     readonly attemptTimes: UsualTimes;
     /** Whether new requests are refused because the process is stopping. */
     readonly isStopping: () => boolean;
-    /** Whether responses tell callers to close their connections. */
-    readonly closesConnections: () => boolean;
     readonly onDecision: (decision: string, fields: LineFields) => void;
     readonly onRequestEnd: (fields: LineFields, route: Route | undefined, milliseconds: number) => void;
 }
@@ -213,7 +211,6 @@
             requestTimes: UsualTimes.create(),
             attemptTimes: UsualTimes.create(),
             isStopping: () => this.phase === "stopping",
-            closesConnections: () => this.phase !== "serving",
             onDecision,
             onRequestEnd: onEnd,
         };
@@ -231,6 +228,11 @@
         return this.currentPhase;
     }
 
+    /** Whether responses tell callers to close their connections. */
+    get closesConnections(): boolean {
+        return this.phase !== "serving";
+    }
+
     /** Whether the gateway takes new requests. */
     get isReady(): boolean {
         const knowsEnough = this.informed && this.currentConfiguration !== undefined && this.targets.size > 0;
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -9,17 +9,17 @@
     private constructor(
         private readonly request: IncomingMessage,
         private readonly response: ServerResponse,
-        private readonly closesConnections: () => boolean,
+        private readonly closesConnection: () => boolean,
     ) {}
 
-    /** `closesConnections` says whether responses tell callers to close their connections. */
-    static to(request: IncomingMessage, response: ServerResponse, closesConnections: () => boolean): Reply {
-        return new Reply(request, response, closesConnections);
+    /** `closesConnection` says whether the response tells the caller to close the connection. */
+    static to(request: IncomingMessage, response: ServerResponse, closesConnection: () => boolean): Reply {
+        return new Reply(request, response, closesConnection);
     }
 
     /** Sends a target's complete response. */
     forward(head: ResponseHead, bytes: Buffer): ExchangeResult {
-        sendTargetResponse(this.response, head, bytes, this.closesConnections());
+        sendTargetResponse(this.response, head, bytes, this.closesConnection());
         return { outcome: "answered", status: head.status, reason: "complete" };
     }
 
@@ -43,8 +43,7 @@
     respond(outcome: ExchangeResult["outcome"], status: number, reason: string, retryAfterMs?: number): ExchangeResult {
         // What follows on the connection could otherwise be the rest of this request.
         const isRead = this.request.complete || !hasBody(this.request);
-        const closesConnection = this.closesConnections() || !isRead;
-        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
+        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, this.closesConnection() || !isRead);
         return { outcome, status, reason };
     }
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -127,10 +127,14 @@
     return Listener.listen(server, address, {
         serve: (request, response, receivedAt, hasWaiting) => {
             applyLimits(server, limits());
-            // Requests that were read get responses before a planned stop closes their connection.
-            const closesConnections = (): boolean => gateway.context.closesConnections() && !hasWaiting();
-            const context = { ...gateway.context, closesConnections };
-            Exchange.serve(context, request, response, receivedAt).catch((error: unknown) => {
+            const { context } = gateway;
+            Exchange.serve(context, {
+                request,
+                response,
+                receivedAt,
+                // Requests that were read get responses before a planned stop closes their connection.
+                closesConnection: () => gateway.closesConnections && !hasWaiting(),
+            }).catch((error: unknown) => {
                 const id = context.dialect.readRequest(request.headers).requestId;
                 context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
                 failResponse(response, "unexpected error");
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -37,6 +37,8 @@
     readonly releaseInputs: () => void;
     readonly response: ServerResponse;
     readonly reply: Reply;
+    /** Whether the response tells the caller to close the connection. */
+    readonly closesConnection: () => boolean;
     /** Whether a planned stop has left no more time. */
     readonly isCutByStop: () => boolean;
     /** Called with the time in milliseconds to the first event. */
@@ -61,8 +63,8 @@
     private hasOverlapped = false;
 
     private constructor(private readonly options: StreamExchangeOptions) {
-        const { response, request, context } = options;
-        this.writer = new StreamWriter(response, request.metadata.lastEventId, () => context.closesConnections());
+        const { response, request, closesConnection } = options;
+        this.writer = new StreamWriter(response, request.metadata.lastEventId, closesConnection);
     }
 
     static async serve(options: StreamExchangeOptions): Promise<ExchangeResult> {
