Keep the longest silence of a sound target in one place

What reads better: the 2,000 ms after which a silent target or gateway may be lost are one constant with their reason. Callers see no difference.

Cause: streams and stages each had a constant of their own, of the same value and meaning.

Evidence: both say when what a silent target has may be given away for good: a stream to a target that has taken it and not begun, a piece to a target that has it already.

Change: `LONGEST_SOUND_SILENCE_MS` is in `model/silence`, which gateway and stages may both import. The bound by the time for which a caller waits stays with the streams.

--- a/src/gateway/streamtimeouts.ts
+++ b/src/gateway/streamtimeouts.ts
@@ -1,4 +1,5 @@
 /** Timeouts of event streams: how long callers wait for events, and when a stalled stream moves to another target. */
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import type { Route } from "./configuration.js";
 
 /** Timeout for the first event of a resumable stream, as a multiple of the latency objective. */
@@ -14,8 +15,6 @@
 const CALLER_WAIT_LATENCY_RATIO = 4;
 const CALLER_WAIT_EVENT_GAP_RATIO = 8;
 
-/** Silence in milliseconds after which a target is left for another one that has taken the request but not begun. */
-const LONG_SILENCE_MS = 2_000;
 /** Time in milliseconds in which most targets have their first event ready, with a margin for its way to the caller. */
 const OTHER_FIRST_EVENT_MS = 700;
 
@@ -48,5 +47,5 @@
  * to have its first event while the caller still waits.
  */
 export function longSilenceMs(route: Route): number {
-    return Math.min(LONG_SILENCE_MS, callerWaitLimitMs(route) - OTHER_FIRST_EVENT_MS);
+    return Math.min(LONGEST_SOUND_SILENCE_MS, callerWaitLimitMs(route) - OTHER_FIRST_EVENT_MS);
 }
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -9,6 +9,7 @@
 import type { Target } from "../gateway/target.js";
 import { pauseReturnMs } from "../gateway/targetpause.js";
 import { runInBackground } from "../model/background.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import { RetryBudget } from "../routing/index.js";
 import {
     admit,
@@ -24,7 +25,7 @@
 } from "./batch.js";
 import { Overload } from "./overload.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
-import { LONGEST_SOUND_SILENCE_MS, mayAsk, type QueuedPiece } from "./queuedpiece.js";
+import { mayAsk, type QueuedPiece } from "./queuedpiece.js";
 import type { StageQueueEnvironment } from "./queueenvironment.js";
 import { ReleaseBatcher } from "./releasebatcher.js";
 import { type PieceFailure, StageCalls } from "./stagecalls.js";
--- a/src/stages/queuedpiece.ts
+++ b/src/stages/queuedpiece.ts
@@ -3,14 +3,9 @@
  * another target. The first result counts.
  */
 import type { Target } from "../gateway/target.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import type { PieceJob, PieceResult } from "./piece.js";
 
-/**
- * Time in milliseconds within which a sound target answers although it was silent for a moment. After that the answer may
- * be lost, and the same target may get the piece again.
- */
-export const LONGEST_SOUND_SILENCE_MS = 2_000;
-
 /** What a piece needs to know of a call that works on it. */
 export interface CallOfPiece {
     readonly target: Target;
--- a/src/stages/stagecalls.ts
+++ b/src/stages/stagecalls.ts
@@ -9,11 +9,12 @@
 import type { PieceAnswer } from "../gateway/dialect.js";
 import type { Target } from "../gateway/target.js";
 import { Deadline } from "../model/index.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import { startTimeout } from "../model/timeout.js";
 import { InputUse } from "./inputuse.js";
 import type { PieceJob, PieceLossReason } from "./piece.js";
 import { type CallOutcome, unmadePieces } from "./piececall.js";
-import { type CallOfPiece, LONGEST_SOUND_SILENCE_MS, type QueuedPiece } from "./queuedpiece.js";
+import type { CallOfPiece, QueuedPiece } from "./queuedpiece.js";
 import type { StageQueueEnvironment } from "./queueenvironment.js";
 import type { TargetTracker } from "./targettracker.js";
 
--- a/src/stages/stageorders.ts
+++ b/src/stages/stageorders.ts
@@ -7,10 +7,10 @@
  * at another one, unless that is silent for longer than a sound gateway.
  */
 import type { GatewayPeer } from "../gateway/peers.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import { startTimeout } from "../model/timeout.js";
 import type { PeerAnswer } from "./order.js";
 import type { PieceJob, PieceLossReason, PieceResult } from "./piece.js";
-import { LONGEST_SOUND_SILENCE_MS } from "./queuedpiece.js";
 
 /** A call to a gateway that was not answered. */
 export interface UnansweredCall {
