Tell callers when to come back while no other gateway is registered

Callers saw: a gateway that stops refused requests with `Retry-After: 0` whether or not another gateway was registered. Without one, callers came back at once to the same gateway, or to nobody while its process was replaced.

Cause: the three places that refuse with the reason `stopping` had a fixed 0, as if another gateway could always serve.

Ruled out: the whole time left of the grace period as the time to wait. A process ends as soon as nothing is open; ends 3.0 to 3.9 s after the signal are on record, of a grace period that can be twice as long, and callers with deadlines of some seconds would come back too late.

Change: with another gateway registered it stays 0; one that stops has removed its registration. Without one it is the time until this process has probably ended (no new requests are taken, and the usual times of the open ones are over, or their deadlines where those have passed or are unknown; at most what the stop leaves), 1.8 s for the next process, and a random part of 1 s. `request ended` has it as `retryAfterMs`, for other refusals too.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -175,14 +175,15 @@
         const margin = Math.min(STOP_MARGIN_MS, graceMs * MAXIMUM_STOP_MARGIN_SHARE);
         const deadline = Deadline.after(requestedAt + graceMs - margin - performance.now());
         const responseMargin = Math.min(RESPONSE_MARGIN_MS, graceMs * MAXIMUM_RESPONSE_MARGIN_SHARE);
-        gateway.shutdown.begin(deadline.earlierBy(responseMargin));
         // One that was never ready has no callers to send elsewhere.
         const drainMs = gateway.isReady ? Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE) : 0;
+        const takesUntil = Deadline.after(requestedAt + drainMs - performance.now());
+        gateway.shutdown.begin(deadline.earlierBy(responseMargin), takesUntil);
         log.writeUnthrottled("stopping", { openRequests: callers.openRequests });
         gateway.enterPhase("draining");
         isStopping = true;
         const unregistration = peers.unregister(store);
-        await pause(Math.max(0, requestedAt + drainMs - performance.now()));
+        await pause(takesUntil.remainingMs());
         gateway.enterPhase("stopping");
         await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
         // Requests of other gateways wait for the pieces that this one gathers.
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -124,11 +124,11 @@
         return waitMs === undefined || waitMs <= longestWaitMs ? undefined : this.limitHoldBack(waitMs);
     }
 
-    /** Holds a request back that has probably no time to end before a planned stop, as another gateway can serve it. */
+    /** Holds a request back that has probably no time to end before a planned stop. */
     private stopHoldBack(usualMs: number): HoldBack | undefined {
-        const { shutdown } = this.context;
+        const { shutdown, stopReturnMs } = this.context;
         if (shutdown.hasTimeFor(usualMs, this.request.ownDeadline)) return undefined;
-        return { reason: STOPPING, retryAfterMs: 0 };
+        return { reason: STOPPING, retryAfterMs: stopReturnMs() };
     }
 
     /** Records how long a request took that was served. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -45,6 +45,8 @@
     /** Whether a planned stop has left no more time for the request. */
     private isCutByStop = false;
     private readonly cutByStop: Promise<"cut">;
+    /** Monotonic time in milliseconds at which the request will probably have ended; 0 if it keeps nothing open. */
+    private expectedEndAt = (): number => 0;
     private readonly reply: Reply;
 
     private constructor(
@@ -56,11 +58,14 @@
         this.reply = Reply.to(incoming, response, () => context.closesConnections());
         let reportCut = (): void => undefined;
         this.cutByStop = new Promise(resolve => (reportCut = () => resolve("cut")));
-        const cancelCut = context.shutdown.onDue(() => {
-            this.isCutByStop = true;
-            this.abortController.abort();
-            reportCut();
-        });
+        const cancelCut = context.shutdown.onDue(
+            () => {
+                this.isCutByStop = true;
+                this.abortController.abort();
+                reportCut();
+            },
+            () => this.expectedEndAt(),
+        );
         response.on("close", () => {
             cancelCut();
             if (!response.writableFinished) this.abortController.abort();
@@ -87,6 +92,7 @@
                 outcome: result.outcome,
                 status: result.status,
                 reason: result.reason,
+                retryAfterMs: result.retryAfterMs === undefined ? undefined : Math.round(result.retryAfterMs),
                 attempts: exchange.attempts?.count ?? 0,
                 targets: exchange.attempts?.triedTargets ?? [],
                 stagesMs: Math.round(exchange.stagesMs),
@@ -115,9 +121,19 @@
         this.accountName = account?.name;
         const { shutdown, requestTimes } = this.context;
         const ownDeadline = this.deadlineOf(metadata, route);
-        if (this.context.isStopping() || !shutdown.hasTimeFor(requestTimes.usualMs(route.name), ownDeadline)) {
-            return this.reply.refuse(STOPPING, 0);
+        const usualMs = requestTimes.usualMs(route.name);
+        if (this.context.isStopping() || !shutdown.hasTimeFor(usualMs, ownDeadline)) {
+            return this.reply.refuse(STOPPING, this.context.stopReturnMs());
         }
+        const usualEndAt = this.receivedAt + usualMs;
+        this.expectedEndAt = () => {
+            const usualLeftMs = usualEndAt - performance.now();
+            const isSent = (this.attempts?.count ?? 0) > 0;
+            // One that was not sent and does not fit is refused.
+            if (!isSent && !shutdown.hasTimeFor(usualLeftMs, ownDeadline)) return 0;
+            // One that has taken longer than usual may last until its deadline.
+            return usualLeftMs > 0 ? Math.min(usualEndAt, ownDeadline.at) : ownDeadline.at;
+        };
         const body = await Promise.race([
             readRequestBody(this.incoming, limits.bodyBytes, ownDeadline),
             this.cutByStop,
@@ -354,7 +370,7 @@
     /** Responds to a request for which a planned stop leaves no more time. */
     private endCut(result: ExchangeResult): ExchangeResult {
         if (this.response.destroyed || this.response.headersSent) return result;
-        if ((this.attempts?.count ?? 0) === 0) return this.reply.refuse(STOPPING, 0);
+        if ((this.attempts?.count ?? 0) === 0) return this.reply.refuse(STOPPING, this.context.stopReturnMs());
         return this.reply.respond("expired", 504, "gateway stops");
     }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -57,6 +57,8 @@
     readonly expectedStageMs: (route: Route, stage: number) => number;
     /** The time that a planned stop leaves for requests. */
     readonly shutdown: Shutdown;
+    /** Milliseconds after which a request may come back that the stop refuses: 0 if another gateway is registered. */
+    readonly stopReturnMs: () => number;
     /** Usual times from a request to the end of its response, and from its sending to a target to that end. */
     readonly requestTimes: UsualTimes;
     readonly attemptTimes: UsualTimes;
@@ -210,6 +212,8 @@
                 ),
             expectedStageMs: (route, stage) => this.schedule.callMs(route.stages[stage]?.service ?? ""),
             shutdown: this.shutdown,
+            // A gateway that stops removes its registration first.
+            stopReturnMs: () => (peers.others.length > 0 ? 0 : this.shutdown.returnMs()),
             requestTimes: UsualTimes.create(),
             attemptTimes: UsualTimes.create(),
             isStopping: () => this.phase === "stopping",
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -45,7 +45,7 @@
         const isRead = this.request.complete || !hasBody(this.request);
         const closesConnection = this.closesConnections() || !isRead;
         sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
-        return { outcome, status, reason };
+        return { outcome, status, reason, retryAfterMs };
     }
 }
 
--- a/src/gateway/routedrequest.ts
+++ b/src/gateway/routedrequest.ts
@@ -36,4 +36,6 @@
     readonly outcome: "answered" | "refused" | "rejected" | "failed" | "expired" | "cancelled" | "brokenOff";
     readonly status: number;
     readonly reason: string;
+    /** Time in milliseconds after which a refused caller was told to come back. */
+    readonly retryAfterMs?: number | undefined;
 }
