--- a/src/gateway/holdbacks.ts
+++ b/src/gateway/holdbacks.ts
@@ -70,10 +70,11 @@
         return { reason: SUSPECTED, retryAfterMs };
     }
 
-    /** A request that a planned stop would cut may come back at once, as another gateway can serve it. */
+    /** Holds back what has probably no time to end before a planned stop. */
     private byStopWithin(usualMs: number): HoldBack | undefined {
-        if (this.context.shutdown.hasTimeFor(usualMs, this.request.ownDeadline)) return undefined;
-        return { reason: STOPPING, retryAfterMs: 0 };
+        const { shutdown, stopReturnMs } = this.context;
+        if (shutdown.hasTimeFor(usualMs, this.request.ownDeadline)) return undefined;
+        return { reason: STOPPING, retryAfterMs: stopReturnMs() };
     }
 
     /** Holds the request back if no target takes it in time, behind `ahead` others where targets name limits. */
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -43,8 +43,9 @@
     respond(outcome: ExchangeResult["outcome"], status: number, reason: string, retryAfterMs?: number): ExchangeResult {
         // What follows on the connection could otherwise be the rest of this request.
         const isRead = this.request.complete || !hasBody(this.request);
-        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, this.closesConnection() || !isRead);
-        return { outcome, status, reason };
+        const closesConnection = this.closesConnection() || !isRead;
+        sendGatewayResponse(this.response, { status, reason, retryAfterMs }, closesConnection);
+        return { outcome, status, reason, retryAfterMs };
     }
 }
 
