Count the silence of an entry's target once, and avoid the target meanwhile

Callers saw: nothing fails in the cases here. After one of three targets had been silent for 1.2 s and gone on, it got no requests for a second or longer, so that the others had its load.

Cause: an entry counted a failure for each attempt that noticed a silence, and three failures in a row eject a target. So three attempts in progress were enough, whether they were left for another target or stayed for want of a retry.

Ruled out: counting no silence, since a target that is silent for good would get requests for as long as it is there. Ending a silence at the acceptance of an attempt, since a target that accepts everything and finishes nothing would then never count as silent under a steady load.

Evidence: two cases in test/entry/silenttargets.test.ts, with six attempts at the silent target, failed before the change with one ejection each; no request failed in them.

Change: routing/silence has the rule that the gateway's targets follow: a silence belongs to its target, is one failure, counts again every 1.5 s while it lasts, and ends as the target is heard. While it lasts, requests prefer other targets, and after a second the target is probed by one request at a time. An attempt at a target that sends tokens or results to others is no evidence of its health. The link logs the start of a silence. The gateway still has its own copy of the rule.

Result: the two cases pass. It is ejected once, as before.

--- a/src/entry/idempotentstage.ts
+++ b/src/entry/idempotentstage.ts
@@ -3,7 +3,8 @@
  *
  * A refused attempt was not run and costs nothing, so the next target is tried at once. An attempt that failed, was
  * lost or timed out is retried at another target within the retry budget and the deadline. A silent attempt is left only
- * for such a retry, since its target may go on.
+ * for such a retry, since its target may go on. A silent target is avoided; its silence counts once against it, however
+ * many attempts notice it.
  */
 import { failedStage, refusedStage, type FailureReason, type Stage, type StageOutcome } from "../model/index.js";
 import { pause } from "../model/pause.js";
@@ -87,11 +88,21 @@
     }
 
     private chooseTarget(): TargetLink | undefined {
-        const { context, prefixHash } = this.requestRun;
+        const { context } = this.requestRun;
         const usable = context.targets.usable(this.stage.service, context.holder);
         const untried = this.avoidSuspectedContent(
             context.health.withoutEjected(usable).filter(each => !this.tried.has(each.name)),
         );
+        // A silent target is better than none.
+        return (
+            this.chooseAmong(untried.filter(target => target.allowsRequest(this.canMove()))) ??
+            this.chooseAmong(untried)
+        );
+    }
+
+    /** Chooses one of the given targets, of those that the traffic split allows. */
+    private chooseAmong(untried: readonly TargetLink[]): TargetLink | undefined {
+        const { context, prefixHash } = this.requestRun;
         const choice = { zone: context.zone, prefixHash, random: Math.random };
         const split = context.holder.current.find("traffic", this.stage.service);
         const versions = context.versions.allowedVersions(this.stage.service, split);
@@ -167,6 +178,8 @@
     private send(target: TargetLink): Attempt | undefined {
         const { requestRun, stage, tokens } = this;
         const key = `${stage.service}/${stage.operation}`;
+        const { context } = requestRun;
+        const inactivityMilliseconds = context.timeouts.timeout(key, stage.costMilliseconds);
         let longestGap = 0;
         let isDenied = false;
         const attempt: Attempt | undefined = target.startAttempt(
@@ -174,11 +187,12 @@
             {
                 deadline: requestRun.deadline,
                 signal: requestRun.signal,
-                inactivityMilliseconds: requestRun.context.timeouts.timeout(key, stage.costMilliseconds),
+                inactivityMilliseconds,
                 mayLeave: answersOthers => {
+                    this.recordSilent(target, inactivityMilliseconds);
                     if (!this.mayRetrySilent(target, answersOthers)) return false;
-                    if (requestRun.context.retries.take(requestRun.account.name, stage.service)) return true;
-                    if (!isDenied) this.recordDenied(target);
+                    if (context.retries.take(requestRun.account.name, stage.service)) return true;
+                    if (!isDenied) context.metrics.increment("retry.denied", 1, { service: stage.service });
                     isDenied = true;
                     return false;
                 },
@@ -192,8 +206,8 @@
             },
         );
         void attempt?.outcome.then(outcome => {
-            if (outcome.kind === "completed") requestRun.context.timeouts.recordGap(key, longestGap);
-            if (outcome.kind === "silent") requestRun.context.timeouts.recordTimeout(key, stage.costMilliseconds);
+            if (outcome.kind === "completed") context.timeouts.recordGap(key, longestGap);
+            if (outcome.kind === "silent") context.timeouts.recordTimeout(key, stage.costMilliseconds);
         });
         return attempt;
     }
@@ -231,8 +245,8 @@
             case "lost":
                 return this.retry(target, outcome.message);
             case "silent":
-                // The retry was taken when the attempt was left.
-                context.health.recordFailure(target.name, this.usableNames());
+                // The silence was recorded, and the retry taken, when the attempt was left.
+                context.health.recordInconclusive(target.name);
                 return this.countFailure(outcome.message);
             case "abandoned":
                 context.health.recordInconclusive(target.name);
@@ -290,11 +304,17 @@
         return answersOthers || this.chooseTarget() !== undefined;
     }
 
-    /** Records that an attempt stays at a silent target for want of a retry; others are to avoid the target. */
-    private recordDenied(target: TargetLink): void {
-        const { context } = this.requestRun;
-        context.health.recordFailure(target.name, this.usableNames());
-        context.metrics.increment("retry.denied", 1, { service: this.stage.service });
+    /** Records that an attempt has received nothing for its inactivity timeout, whether or not it is then left. */
+    private recordSilent(target: TargetLink, milliseconds: number): void {
+        const isFailure = target.recordSilent(milliseconds)?.isFailure === true;
+        if (isFailure) this.requestRun.context.health.recordFailure(target.name, this.usableNames());
+    }
+
+    /** Whether an attempt could be left for one at another target. */
+    private canMove(): boolean {
+        const { context, account } = this.requestRun;
+        const isAttemptLeft = this.failedAttempts + 1 < MAXIMUM_FAILED_ATTEMPTS;
+        return isAttemptLeft && context.retries.available(account.name, this.stage.service);
     }
 
     private countFailure(message: string): StageEnd | undefined {
--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -21,7 +21,7 @@
 import type { Target } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
-import type { Candidate } from "../routing/index.js";
+import { type Candidate, Silence, type SilenceEvidence } from "../routing/index.js";
 import { decodeOutcome } from "./answer.js";
 import { Attempt, type AttemptLimits } from "./attempt.js";
 import { Backoff } from "./backoff.js";
@@ -65,6 +65,8 @@
     lastMessageAt: number;
     /** When the target last answered an attempt other than by a refusal. */
     lastAnswerAt: number;
+    /** Ended by tokens and results only: a target that accepts work and finishes none is silent as well. */
+    readonly silence: Silence;
     sendsLoadReports: boolean;
 }
 
@@ -155,6 +157,21 @@
         return [...(this.connection?.attempts.values() ?? [])].some(attempt => matches(attempt.fingerprint));
     }
 
+    /**
+     * Records that an attempt on the open link has received nothing for a time, in milliseconds. Returns undefined if the
+     * target has sent tokens or results of other attempts meanwhile.
+     */
+    recordSilent(milliseconds: number): SilenceEvidence | undefined {
+        const evidence = this.connection?.silence.record(performance.now() - milliseconds);
+        if (evidence?.isNew === true) this.context.logger.info(`target ${this.name} is silent`, { milliseconds });
+        return evidence;
+    }
+
+    /** Whether the target is to get an attempt that another one can run; one that was silent is probed by single attempts. */
+    allowsRequest(canMove: boolean): boolean {
+        return this.connection?.silence.allowsRequest(this.outstanding, canMove) ?? true;
+    }
+
     /** Updates the target from the directory. A new address is used from the next connection attempt. */
     updateTarget(target: Target): void {
         if (target.incarnation !== this.target.incarnation) this.backoff.reset();
@@ -264,6 +281,7 @@
             outstandingAtReport: 0,
             lastMessageAt: performance.now(),
             lastAnswerAt: Number.NEGATIVE_INFINITY,
+            silence: Silence.create(),
             sendsLoadReports: false,
         };
         this.connection = connection;
@@ -290,14 +308,14 @@
                 this.findOpenAttempt(connection, body.value.attempt)?.recordAcceptance();
                 break;
             case "stageTokens":
-                connection.lastAnswerAt = connection.lastMessageAt;
+                this.recordAnswer(connection);
                 this.findOpenAttempt(connection, body.value.attempt)?.receiveTokens(
                     body.value.firstIndex,
                     body.value.tokens,
                 );
                 break;
             case "stageResult":
-                if (body.value.outcome.case === "completed") connection.lastAnswerAt = connection.lastMessageAt;
+                if (body.value.outcome.case === "completed") this.recordAnswer(connection);
                 this.findOpenAttempt(connection, body.value.attempt)?.end(decodeOutcome(body.value));
                 connection.attempts.delete(body.value.attempt);
                 this.recordLoad(connection, body.value.load, connection.attempts.size);
@@ -325,6 +343,11 @@
         }
     }
 
+    private recordAnswer(connection: Connection): void {
+        connection.lastAnswerAt = connection.lastMessageAt;
+        connection.silence.recordHeard();
+    }
+
     /** The attempt that an answer belongs to, if it is still open on this link. */
     private findOpenAttempt(connection: Connection, number: number): Attempt | undefined {
         const attempt = connection.attempts.get(number);
--- a/src/routing/retry.ts
+++ b/src/routing/retry.ts
@@ -82,11 +82,16 @@
 
     /** Takes a retry from both budgets or from neither. Returns whether the retry is granted. */
     take(account: string, service: string): boolean {
-        const budgets = [budgetOf(this.accounts, account), budgetOf(this.services, service)];
-        if (!budgets.every(budget => budget.available())) return false;
-        for (const budget of budgets) budget.take();
+        if (!this.available(account, service)) return false;
+        budgetOf(this.accounts, account).take();
+        budgetOf(this.services, service).take();
         return true;
     }
+
+    /** Whether both budgets have a retry left. */
+    available(account: string, service: string): boolean {
+        return budgetOf(this.accounts, account).available() && budgetOf(this.services, service).available();
+    }
 }
 
 function budgetOf(budgets: Map<string, RetryBudget>, name: string): RetryBudget {
--- a/test/entry/silenttargets.test.ts
+++ b/test/entry/silenttargets.test.ts
@@ -1,8 +1,10 @@
 /**
  * Targets that are silent for 1.2 s and go on, and targets that are silent for good. An inactivity timeout may end an
- * attempt only if there is something better to do than to wait; otherwise work that would have been finished is lost.
+ * attempt only if there is something better to do than to wait; otherwise work that would have been finished is lost. A
+ * silence that counts once for each attempt that it holds up ejects a sound target, and its load goes to the others.
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import { createRandom } from "../../src/bench/random.js";
 import type { Entry } from "../../src/entry/index.js";
 import { RetryBudgets } from "../../src/routing/index.js";
 import { Deployment, echo, request, type Script, type ScriptedAgent, Submission } from "./harness.js";
@@ -152,3 +154,60 @@
         expect(owner?.cancelled).toEqual([]);
     });
 });
+
+describe("a silence of one of several targets", () => {
+    beforeEach(() => vi.spyOn(Math, "random").mockImplementation(createRandom(1)));
+
+    /** Submits requests at an interval and returns them. */
+    async function submit(requests: number, intervalMs: number): Promise<readonly Submission[]> {
+        const submissions: Submission[] = [];
+        for (let index = 0; index < requests; index += 1) {
+            submissions.push(new Submission(entry, request("ask", { input: { prompt: `prompt ${index}` } })));
+            await deployment.pass(intervalMs);
+        }
+        return submissions;
+    }
+
+    const kindsOf = (submissions: readonly Submission[]): readonly unknown[] =>
+        submissions.map(({ outcome }) => outcome?.kind);
+
+    const ejections = (): number => deployment.counters.get("target.ejected") ?? 0;
+
+    it.each<{ case: string; hasRetries: boolean }>([
+        { case: "whose attempts are made elsewhere", hasRetries: true },
+        { case: "whose attempts stay for want of retries", hasRetries: false },
+    ])("$case counts once, and does not eject it", async ({ hasRetries }) => {
+        await startAgents("generate-service", [echo]);
+        const agents = await startAgents("encode-service", [echo, echo, echo]);
+        const [first] = agents;
+        await submit(6, 10);
+        if (!hasRetries) vi.spyOn(RetryBudgets.prototype, "take").mockReturnValue(false);
+        if (first !== undefined) first.script = pausesOnce();
+        const runsBefore = first?.runs.length ?? 0;
+        const submissions = await submit(24, 1);
+        await deployment.pass(SILENCE_MS + 50);
+        expect((first?.runs.length ?? 0) - runsBefore).toBeGreaterThan(3);
+        expect(kindsOf(submissions)).toEqual(Array(24).fill("done"));
+        expect(ejections()).toBe(0);
+        const runsAfter = first?.runs.length ?? 0;
+        await submit(24, 1);
+        await deployment.pass(50);
+        expect((first?.runs.length ?? 0) - runsAfter).toBeGreaterThan(3);
+    });
+
+    it.each<{ case: string; script: Script }>([
+        { case: "has answered nothing", script: silent },
+        { case: "accepts its attempts", script: reply => reply.accept() },
+    ])("that does not end keeps it from most requests, and ejects it at last: it $case", async ({ script }) => {
+        await startAgents("generate-service", [echo]);
+        const [first] = await startAgents("encode-service", [script, echo, echo]);
+        const early = await submit(60, 10);
+        await deployment.pass(1_000);
+        const runsBefore = first?.runs.length ?? 0;
+        const submissions = [...early, ...(await submit(1_000, 10))];
+        await deployment.pass(4_000);
+        expect(kindsOf(submissions)).toEqual(Array(1_060).fill("done"));
+        expect((first?.runs.length ?? 0) - runsBefore).toBeLessThanOrEqual(10);
+        expect(ejections()).toBe(1);
+    });
+});
