Log an exception in the stages of a request that has ended

Callers saw: none seen. A gateway would have ended by itself, with all its open requests.

Cause: once a request no longer waits for its pieces, at its deadline or when its caller leaves, what comes of them is awaited only to release the results. Nothing handled a rejection of that wait, and the runtime ends a process for one by default; no process has a listener for it. That a daemon ends was not run.

Ruled out: an exception before the deadline, which reaches the boundary of the request (a case of test/gateway/exceptions.test.ts). In a gateway the release of results has a boundary of its own; an exception in it escaped only where stages are run without one.

Change: late results are awaited as a background task. An exception in it is one line, "task failed unexpectedly", with the task "late stage results" and the id of the request.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -236,6 +236,8 @@
             zone: attempts.preferredZone(),
             make: this.context.makePieces,
             release: (...results) => this.contain(() => this.context.releaseResults(...results)),
+            onTaskFailure: fields =>
+                this.context.onDecision("task failed unexpectedly", { id: metadata.requestId, ...fields }),
             signal: request.signal,
         });
         this.stagesMs = performance.now() - startedAt;
--- a/src/stages/run.ts
+++ b/src/stages/run.ts
@@ -4,6 +4,7 @@
  * Results are released as soon as nothing needs them, since they occupy memory at the targets that made them.
  */
 import type { RouteStage } from "../gateway/configuration.js";
+import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import type { Deadline } from "../model/index.js";
 import { withTimeout } from "../model/pause.js";
 import type { MakePieces, PieceJob, PieceLossReason, PieceResult } from "./piece.js";
@@ -25,6 +26,8 @@
     readonly zone: string;
     readonly make: MakePieces;
     readonly release: (service: string, handles: readonly string[]) => void;
+    /** Called with an exception that comes when the request no longer waits for its pieces. */
+    readonly onTaskFailure: OnTaskFailure;
     readonly signal: AbortSignal;
 }
 
@@ -185,7 +188,7 @@
  * released: a call may still wait for a silent target then.
  */
 async function makeInTime(
-    { make, release, deadline, signal }: RunStagesOptions,
+    { make, release, deadline, onTaskFailure, signal }: RunStagesOptions,
     { service }: RouteStage,
     jobs: readonly PieceJob[],
 ): Promise<readonly PieceResult[] | undefined> {
@@ -199,12 +202,10 @@
     signal.removeEventListener("abort", reportAbort);
     if (results !== undefined) return results;
     expiry.abort();
-    void making.then(late =>
-        release(
-            service,
-            late.flatMap(result => (result.kind === "made" ? [result.handle] : [])),
-        ),
-    );
+    runInBackground("late stage results", onTaskFailure, async () => {
+        const handles = (await making).flatMap(result => (result.kind === "made" ? [result.handle] : []));
+        release(service, handles);
+    });
     return undefined;
 }
 
--- a/test/gateway/exceptions.test.ts
+++ b/test/gateway/exceptions.test.ts
@@ -141,6 +141,27 @@
     });
 });
 
+describe("an exception in the stages of a request after its deadline", () => {
+    it("is logged once, and neither changes its answer nor ends the process", async () => {
+        vi.spyOn(gateway.pieceRouter, "make").mockImplementationOnce(async () => {
+            await new Promise(resolve => setTimeout(resolve, 400));
+            return fail();
+        });
+        const headers = {
+            "x-parsleyrun-pieces": "1,1",
+            "x-parsleyrun-piece-key": "k",
+            "x-parsleyrun-deadline-ms": "200",
+        };
+        const answer = await deployment.call({ path: "/staged/1", id: "odd", body: "b", headers });
+        expect(answer.status).toBe(503);
+        const logged = (): unknown => deployment.linesOf("task failed unexpectedly", "odd");
+        const error = expect.stringContaining(ERROR.message) as string;
+        await vi.waitFor(() => expect(logged()).toMatchObject([{ task: "late stage results", error }]));
+        expect(deployment.linesOf("request failed unexpectedly")).toEqual([]);
+        expect((await deployment.call({ path: "/check/1", id: "next" })).status).toBe(200);
+    });
+});
+
 describe("an exception in a call of another gateway", () => {
     it.each<{ path: string; body: string; arrange: () => void }>([
         { path: NEWS_PATH, body: "{}", arrange: () => vi.spyOn(gateway.gossip, "receive").mockImplementation(fail) },
--- a/test/stages/load.ts
+++ b/test/stages/load.ts
@@ -311,6 +311,9 @@
             zone: zones[Math.floor(random() * zones.length)] ?? "",
             make: (jobs, signal) => stages.make(jobs, signal),
             release: (service, handles) => stages.release(service, handles),
+            onTaskFailure: ({ task, error }) => {
+                throw new Error(`${task}: ${error}`);
+            },
             signal: new AbortController().signal,
         });
         if (outcome.kind === "lost") return HOP_MS + Math.max(MINIMUM_RETRY_MS, outcome.retryAfterMs);
