Count one silence once against an entry's candidate version

Callers saw: nothing fails. A candidate version was stopped after one of its two targets had been silent once, for 1.2 s.

Cause: each attempt that was left for a silence was a failed answer of the version.

Ruled out: counting no silence; a version whose targets all hang would never be stopped. Counting by the failure of health, since the attempt that notices the silence first need not be one that is left.

Evidence: the first of two new cases of test/entry/silenttargets.test.ts had eight failed answers for one silence before, and the version was stopped.

Change: routing/silence has the gateway's rule for this as well: a silence is one failed answer, and one more every 1.5 s. An attempt at a target that others have heard remains an answer of its own.

Result: one failed answer, and no stop. A longer load than that of the first case stops the version for being slow by whole milliseconds of the paused clock. Tests of test/entry and test/routing: 149 passed.

--- a/src/entry/attempt.ts
+++ b/src/entry/attempt.ts
@@ -13,7 +13,7 @@
     /** The link closed; the attempt may have been run. */
     | { readonly kind: "lost"; readonly message: string }
     /** No message arrived for the inactivity timeout; the attempt may have been run. */
-    | { readonly kind: "silent"; readonly message: string }
+    | { readonly kind: "silent"; readonly milliseconds: number; readonly message: string }
     /** The entry gave up the attempt; it may have been run. */
     | { readonly kind: "abandoned"; readonly cause: "deadline" | "cancelled" };
 
@@ -133,10 +133,14 @@
             if (left > 0) this.watchInactivity(left);
             else if (mayLeave?.(this.targetAnsweredAt() > this.lastAnswerAt) === false) {
                 this.watchInactivity(inactivityMilliseconds);
-            } else this.giveUp({ kind: "silent", message: `no answer for ${inactivityMilliseconds} ms` });
+            } else this.giveUpSilent(inactivityMilliseconds);
         }, milliseconds);
     }
 
+    private giveUpSilent(milliseconds: number): void {
+        this.giveUp({ kind: "silent", milliseconds, message: `no answer for ${milliseconds} ms` });
+    }
+
     private inactivityEndsAt(): number {
         const limit = this.limits.inactivityMilliseconds;
         const ofTarget = Math.max(this.lastAnswerAt, this.targetAnsweredAt()) + limit;
--- a/src/entry/idempotentstage.ts
+++ b/src/entry/idempotentstage.ts
@@ -151,7 +151,10 @@
         this.requestRun.countAttempt(this.stage, version, outcome.kind, reason);
         // A resumed attempt does only part of the work, and the time at a cold target says nothing about its version.
         const comparable = !resumed && !target.cold;
-        this.recordTrialAnswer(version, outcome, comparable ? performance.now() - startedAt : undefined);
+        const isEvidence = outcome.kind !== "silent" || target.recordLeft(outcome.milliseconds);
+        if (isEvidence) {
+            this.recordTrialAnswer(version, outcome, comparable ? performance.now() - startedAt : undefined);
+        }
         if (outcome.kind === "completed") {
             this.recordSuccess(target, resumed ? undefined : performance.now() - startedAt);
             return { kind: "completed", output: parseOutput(outcome.output)?.value };
--- a/src/entry/targetlink.ts
+++ b/src/entry/targetlink.ts
@@ -167,6 +167,14 @@
         return evidence;
     }
 
+    /**
+     * Records that an attempt was left which had received nothing for a time, in milliseconds. Returns whether that is a
+     * failed answer of the target's version.
+     */
+    recordLeft(milliseconds: number): boolean {
+        return this.connection?.silence.recordLeft(performance.now() - milliseconds) ?? true;
+    }
+
     /** Whether the target is to get an attempt that another one can run; one that was silent is probed by single attempts. */
     allowsRequest(canMove: boolean): boolean {
         return this.connection?.silence.allowsRequest(this.outstanding, canMove) ?? true;
--- a/src/routing/silence.ts
+++ b/src/routing/silence.ts
@@ -29,6 +29,8 @@
     /** Time until which the target counts as silent unless it is heard; 0 if it was heard since its last silence. */
     private silentUntil = 0;
     private countedAt = Number.NEGATIVE_INFINITY;
+    /** Time at which an attempt that was left for the silence last counted as a failed answer. */
+    private leftAt = Number.NEGATIVE_INFINITY;
 
     private constructor() {}
 
@@ -53,6 +55,21 @@
         return { isNew, isFailure };
     }
 
+    /**
+     * Records that an attempt which has received nothing since a time was left. Returns whether that is a failed answer of
+     * the target's version. A silence is one such answer, however many attempts are left for it; an attempt at a target that
+     * others have heard is one of its own.
+     */
+    recordLeft(since: number): boolean {
+        const now = performance.now();
+        // The attempts at a target that stops have received their last messages shortly after each other.
+        const isSilent = now - this.heardAt > (now - since) / 2;
+        if (!isSilent) return true;
+        if (this.leftAt > Math.max(this.heardAt, now - FAILURE_INTERVAL_MS)) return false;
+        this.leftAt = now;
+        return true;
+    }
+
     /**
      * Whether the target is to get a request that another one can serve. If it was silent, and has not been heard since, it
      * gets one at a time, preferably one that can move to another target.
--- a/test/entry/silenttargets.test.ts
+++ b/test/entry/silenttargets.test.ts
@@ -6,6 +6,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { createRandom } from "../../src/bench/random.js";
 import type { Entry } from "../../src/entry/index.js";
+import { VersionTrials } from "../../src/entry/trials.js";
 import { RetryBudgets } from "../../src/routing/index.js";
 import { Deployment, echo, request, type Script, type ScriptedAgent, Submission } from "./harness.js";
 
@@ -195,6 +196,49 @@
         expect((first?.runs.length ?? 0) - runsAfter).toBeGreaterThan(3);
     });
 
+    it.each<{
+        case: string;
+        scripts: () => readonly Script[];
+        requests: number;
+        failed: number;
+        stops: number | undefined;
+    }>([
+        {
+            case: "is one failed answer of its version",
+            scripts: () => [pausesOnce(), echo],
+            requests: 100,
+            failed: 1,
+            stops: undefined,
+        },
+        // The trial decides after ten answers. Longer loads look slow, by the whole milliseconds of the paused clock.
+        {
+            case: "that all targets of a version share stops it",
+            scripts: () => [silent, silent],
+            requests: 400,
+            failed: 10,
+            stops: 1,
+        },
+    ])("$case", async ({ scripts, requests, failed, stops }) => {
+        const value = { service: "encode-service", stable: "v1", candidate: { version: "v2", fraction: 0.5 } };
+        entry = await deployment.startEntry("e2", { records: [{ kind: "traffic", name: "encode-service", value }] });
+        const record = vi.spyOn(VersionTrials.prototype, "record");
+        await startAgents("generate-service", [echo]);
+        await startAgents("encode-service", [echo, echo]);
+        const candidates = await deployment.startAgents("encode-service", 2, { version: "v2" });
+        await deployment.pass(50);
+        scripts().forEach((script, index) => {
+            const candidate = candidates[index];
+            if (candidate !== undefined) candidate.script = script;
+        });
+        const submissions = [...(await submit(40, 1)), ...(await submit(requests, 50))];
+        await deployment.pass(4_000);
+        expect(count(candidates, "runs")).toBeGreaterThan(6);
+        expect(kindsOf(submissions)).toEqual(Array(40 + requests).fill("done"));
+        const answers = record.mock.calls.map(([answer]) => answer);
+        expect(answers.filter(answer => answer.version === "v2" && answer.failed)).toHaveLength(failed);
+        expect(deployment.counters.get("version.stopped")).toBe(stops);
+    });
+
     it.each<{ case: string; script: Script }>([
         { case: "has answered nothing", script: silent },
         { case: "accepts its attempts", script: reply => reply.accept() },
--- a/test/routing/silence.test.ts
+++ b/test/routing/silence.test.ts
@@ -43,6 +43,37 @@
     });
 });
 
+describe("the version of a target whose attempts are left", () => {
+    interface Case {
+        readonly silence: string;
+        readonly isHeard: boolean;
+        readonly silences: number;
+        readonly failed: number;
+    }
+
+    const ATTEMPTS = 10;
+
+    it.each<Case>([
+        { silence: "one silence", isHeard: false, silences: 1, failed: 1 },
+        { silence: "two silences", isHeard: false, silences: 2, failed: 2 },
+        { silence: "slow answers while others are heard", isHeard: true, silences: 1, failed: ATTEMPTS },
+    ])("has $failed failed answers after $silence", ({ isHeard, silences, failed }) => {
+        const silence = Silence.create();
+        let count = 0;
+        for (let index = 0; index < silences; index += 1) {
+            silence.recordHeard();
+            const since = performance.now();
+            vi.advanceTimersByTime(TIMEOUT_MS);
+            for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+                if (isHeard) silence.recordHeard();
+                vi.advanceTimersByTime(5);
+                count += Number(silence.recordLeft(since));
+            }
+        }
+        expect(count).toBe(failed);
+    });
+});
+
 describe("a target that was silent", () => {
     interface Case {
         readonly state: string;
