Share the silence of a target between the gateway and the entry

The gateway and `src/entry` each had a class with the same rules and the same times: one silence is one failure, a continued one counts again, a probe is one request at a time. `routing/silence` is the only one now.

--- a/src/gateway/knowntarget.ts
+++ b/src/gateway/knowntarget.ts
@@ -1,8 +1,8 @@
 /** A target with what only the directory of targets reads and changes. */
+import { Silence } from "../routing/index.js";
 import type { TargetLoad } from "./dialect.js";
 import type { Target, TargetRegistration } from "./target.js";
 import { TargetRate } from "./targetrate.js";
-import { TargetSilence } from "./targetsilence.js";
 
 /** A target with its changeable state. */
 export interface KnownTarget extends Target {
@@ -11,7 +11,7 @@
     load: TargetLoad | undefined;
     loadReportedAt: number;
     pendingPromptTokens: number;
-    readonly silence: TargetSilence;
+    readonly silence: Silence;
     readonly rate: TargetRate;
     unreachableUntil: number;
     unreachableCount: number;
@@ -28,7 +28,7 @@
         load: undefined,
         loadReportedAt: 0,
         pendingPromptTokens: 0,
-        silence: TargetSilence.create(),
+        silence: Silence.create(),
         rate: TargetRate.create(),
         unreachableUntil: 0,
         unreachableCount: 0,
--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -141,7 +141,7 @@
      * a time, preferably one that can move to another target.
      */
     withoutSilent(targets: readonly Target[], canMove: boolean): readonly Target[] {
-        return targets.filter(target => knownTarget(target).silence.admits(target.outstanding, canMove));
+        return targets.filter(target => knownTarget(target).silence.allowsRequest(target.outstanding, canMove));
     }
 
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
@@ -269,9 +269,10 @@
      */
     recordSilent(target: Target, since: number): void {
         if (!this.isRegistered(target)) return;
-        const sign = knownTarget(target).silence.recordSilent(since);
-        if (sign?.isNew) this.onChange("silent", target.name, { silentMs: Math.round(sign.silentMs) });
-        if (sign?.isFailure) this.health.recordFailure(target.name, this.eligibleNames(target));
+        const evidence = knownTarget(target).silence.record(since);
+        const silentMs = Math.round(performance.now() - since);
+        if (evidence?.isNew) this.onChange("silent", target.name, { silentMs });
+        if (evidence?.isFailure) this.health.recordFailure(target.name, this.eligibleNames(target));
     }
 
     /**
