Send a declined request to a target that was silent a moment ago

Callers saw: a stream that cannot be resumed, or that has no retry left, got 503 although a target that had been silent some seconds ago would have served it. The only other target had declined it and was asked again.

Cause: such requests are kept from targets that were silent for five seconds longer, as they could not move on. But one that others have declined has nothing to lose there.

Ruled out: asking the declining target less often, as the request is refused either way.

Change: a request that was declined counts as one that may probe.

Result: the case of a declining target failed before (503) and passes; that of a target that is silent as well passed before.

--- a/src/gateway/targetchoice.ts
+++ b/src/gateway/targetchoice.ts
@@ -124,7 +124,13 @@
         targets: readonly Target[],
         choose: (targets: readonly Target[]) => Target | undefined,
     ): Target | undefined {
-        return choose(this.context.targets.withoutSilent(targets, this.canMove())) ?? choose(targets);
+        return choose(this.context.targets.withoutSilent(targets, this.mayProbe())) ?? choose(targets);
+    }
+
+    /** Whether the request may find out whether a target that was silent has gone on. */
+    private mayProbe(): boolean {
+        // One that others have declined would be refused otherwise.
+        return this.canMove() || Number.isFinite(this.lastDeclinedAt);
     }
 
     /** Whether the request can go on at yet another target if the one that is to be chosen is silent. */
--- a/test/gateway/silenceprobes.test.ts
+++ b/test/gateway/silenceprobes.test.ts
@@ -72,3 +72,20 @@
         expect(deployment.target("engines-0").arrivals).toHaveLength(1);
     });
 });
+
+describe("a stream that cannot be resumed", () => {
+    it.each(["declines it", "is silent as well"])(
+        "is sent to a target that was silent a moment ago when the other one %s",
+        async state => {
+            await start(2, 1);
+            const targets = deployment.gateways[0]?.gateway.targets;
+            targets?.recordSilent(targetOf("engines-0"), performance.now());
+            deployment.target("engines-0").behaviour = () => STREAM;
+            if (state === "declines it") deployment.target("engines-1").behaviour = () => ({ kind: "full" });
+            await pause(SILENCE_PAUSE_MS + 100);
+            if (state === "is silent as well") targets?.recordSilent(targetOf("engines-1"), performance.now());
+            expectWholeStream(await deployment.call({ path: "/draft/1" }));
+            expect(deployment.target("engines-0").arrivals).toHaveLength(1);
+        },
+    );
+});
