--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -9,10 +9,7 @@
  */
 import type { Deadline } from "../model/index.js";
 
-/**
- * Allowance in milliseconds for the end of this process and the start of the next one, until it knows the targets;
- * 1.6 to 1.8 s were measured.
- */
+/** Allowance in milliseconds for the end of this process and the start of the next one, until it knows the targets. */
 const RESTART_MS = 1_800;
 
 /** Time in milliseconds over which refused requests come back, so that they do not all arrive at once. */
