Add an account of the memory that is held for bytes of others

What others send is limited for each response or request, and not for the process: 64 responses of 4 MiB for each target are far above the memory of a machine. The account has one maximum with a share for each party that sends bytes. At the maximum the party that exceeds its share most gives way, with its largest holding first, so that a sender of too much loses its own bytes. ByteCollector copies the parts of a body into one buffer and limits their number, since the object of a part takes a hundred times the bytes of a short one. Not used yet.

--- /dev/null
+++ b/src/memory/index.ts
@@ -0,0 +1,2 @@
+export * from "./account.js";
+export * from "./collector.js";
