Log what a process holds and how the one before it ended

Whether a process ran out of memory, was held up or was killed could not be told from its log. 'event loop delayed' now has the memory of the process and the part held for bytes of others; 'earlier process ended without a stop' follows a kill, a crash or an outage of the store during a stop; 'memory given up' names the party; the metrics have the same as gauges. The memory of the machine is a new setting, which the platform fills in.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -20,6 +20,7 @@
     ProcessMetrics,
     renderMetrics,
 } from "../observability/index.js";
+import { MEMORY_PARTIES, MemoryAccount } from "../memory/index.js";
 import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
@@ -71,6 +72,9 @@
 /** Time for a gateway that starts to learn what the others have observed. */
 const LEARN_TIMEOUT_MS = 300;
 
+/** Part of the memory that the process may use for bytes which others send it; the rest is for the runtime and the heap. */
+const HELD_MEMORY_SHARE = 0.15;
+
 /** Starts a gateway. It listens at once, and becomes ready when configuration and targets are known. */
 export async function startGateway(
     initialSettings: GatewaySettings,
@@ -87,9 +91,18 @@
     };
     const recordProcess = (measure: string, kind: string, milliseconds: number): void =>
         durations.record({ account: "", plan: "", kind, pipeline: "", measure }, milliseconds);
+    const memory = MemoryAccount.create({
+        maximumBytes: settings.machine.memoryMegabytes * 1e6 * HELD_MEMORY_SHARE,
+        onGivenUp: holding => onChange("memory given up", { ...holding }),
+    });
     const eventLoop = EventLoopMonitor.start(({ delayMs, processorMs }) => {
         recordProcess("eventLoopDelay", "", delayMs);
-        onChange("event loop delayed", { delayMs: Math.round(delayMs), processorMs: Math.round(processorMs) });
+        onChange("event loop delayed", {
+            delayMs: Math.round(delayMs),
+            processorMs: Math.round(processorMs),
+            residentBytes: process.memoryUsage.rss(),
+            heldBytes: memory.totalBytes,
+        });
     });
     const peers = GatewayPeers.create(
         {
@@ -106,6 +119,7 @@
     const gateway = Gateway.create({
         dialect,
         zone: settings.zone,
+        memory,
         peers,
         retries: { ...settings.retries, windowMs: settings.retries.windowSeconds * 1_000 },
         rollouts: settings.rollouts,
@@ -134,11 +148,16 @@
         const render = (): string => {
             const counters = new Map([...metrics.totals(), ...Object.entries(reportStoreCalls(ledger))]);
             const { user, system } = process.cpuUsage();
+            const { rss, heapUsed, external } = process.memoryUsage();
             const gauges = {
                 open_requests: callers.openRequests,
                 targets: gateway.targets.size,
                 gateways: peers.count,
                 processor_seconds: (user + system) / 1e6,
+                resident_bytes: rss,
+                heap_bytes: heapUsed,
+                external_bytes: external,
+                ...Object.fromEntries(MEMORY_PARTIES.map(party => [`held_bytes_${party}`, memory.bytesOf(party)])),
             };
             return renderMetrics(counters, gauges, durations.summary());
         };
@@ -159,7 +178,14 @@
     // Other gateways send pieces to a registered gateway, so it registers only once it knows the targets.
     const onTaskFailure = (fields: LineFields): void => onChange("task failed unexpectedly", fields);
     runInBackground("registration", onTaskFailure, () =>
-        isInformed.then(() => peers.register(store, () => isStopping, onTaskFailure)),
+        isInformed.then(() =>
+            peers.register(
+                store,
+                () => isStopping,
+                onTaskFailure,
+                () => log.writeUnthrottled("earlier process ended without a stop", {}),
+            ),
+        ),
     );
 
     const kill = async (): Promise<void> => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  * This is the current configuration, the targets, this gateway's parts of the limits for all gateways together, and the
  * queues of the stage services whose pieces it gathers.
  */
+import type { MemoryAccount } from "../memory/index.js";
 import type { LineFields } from "../observability/index.js";
 import { WindowBudget } from "../routing/index.js";
 import type { WriteOutcome } from "../store/index.js";
@@ -37,6 +38,8 @@
 export interface GatewayContext {
     readonly dialect: Dialect;
     readonly zone: string;
+    /** Memory held for bytes of targets, callers and other gateways. */
+    readonly memory: MemoryAccount;
     /** The current configuration; undefined while the gateway does not know enough to serve requests. */
     readonly configuration: () => GatewayConfiguration | undefined;
     readonly targets: TargetDirectory;
@@ -73,6 +76,7 @@
 export interface GatewayOptions {
     readonly dialect: Dialect;
     readonly zone: string;
+    readonly memory: MemoryAccount;
     readonly peers: GatewayPeers;
     /**
      * Retries allowed to all gateways together: a fraction of the requests, and an allowance beyond it in one window.
@@ -132,7 +136,7 @@
     private readonly schedule: StageSchedule;
 
     private constructor(private readonly options: GatewayOptions) {
-        const { dialect, zone, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
+        const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
         this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
@@ -192,6 +196,7 @@
         this.context = {
             dialect,
             zone,
+            memory,
             configuration: () => (this.informed ? this.currentConfiguration : undefined),
             targets: this.targets,
             rollouts: this.rollouts,
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -100,14 +100,18 @@
 
     /**
      * Begins to register this gateway; retries until it succeeds or `isStopped` returns true. From then on the registration
-     * is written again whenever the store has lost it. `onFailure` is called after an exception.
+     * is written again whenever the store has lost it. `onFailure` is called after an exception, `onEarlier` if the store has
+     * the registration of an earlier process, which has ended without a planned stop.
      */
-    register(store: Store, isStopped: () => boolean, onFailure: OnTaskFailure): void {
+    register(store: Store, isStopped: () => boolean, onFailure: OnTaskFailure, onEarlier: () => void): void {
+        let isFirst = true;
         this.repeatRegistration = () =>
             runInBackground("registration", onFailure, async () => {
                 if (this.isRegistering) return;
                 this.isRegistering = true;
-                await this.write(store, isStopped).finally(() => (this.isRegistering = false));
+                const hasEarlier = await this.write(store, isStopped).finally(() => (this.isRegistering = false));
+                if (isFirst && hasEarlier) onEarlier();
+                isFirst = false;
             });
         this.repeatRegistration();
     }
@@ -117,20 +121,22 @@
         this.repeatRegistration?.();
     }
 
-    private async write(store: Store, isStopped: () => boolean): Promise<void> {
+    /** Writes the registration. Returns whether the store had one of this name. */
+    private async write(store: Store, isStopped: () => boolean): Promise<boolean> {
         const key = this.prefix + this.self.name;
         const value = JSON.stringify(this.self);
         for (let retryMs = FIRST_RETRY_MS; !isStopped(); retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2)) {
             const read = await store.read(key);
-            if (read.kind === "found" && read.object.value === value) return;
-            if (isStopped()) return;
+            if (read.kind === "found" && read.object.value === value) return true;
+            if (isStopped()) return false;
             if (read.kind !== "unavailable") {
                 const version = read.kind === "found" ? read.object.version : 0;
                 const written = await store.write(key, value, version);
-                if (written.kind === "written") return;
+                if (written.kind === "written") return read.kind === "found";
             }
             await pause(retryMs * (0.5 + Math.random() / 2));
         }
+        return false;
     }
 
     /** Removes this gateway's registration before a planned stop. */
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -102,6 +102,8 @@
             /** Speed of the processor relative to one core. */
             processorCores: z.number().positive().default(1),
             linkMegabits: z.number().positive().default(1_000),
+            /** Memory that the process may use, in megabytes (10^6 bytes). */
+            memoryMegabytes: z.number().min(64).default(512),
         })
         .prefault({}),
     /** Retry budget of all gateways together. */
