Hold the bodies of requests within the memory of the process

What callers saw: one caller that sends its body in chunks of one byte ended the process (fatal error of the runtime), and all requests of others with it; 200 callers that stop before the last byte of 4 MB made it hold 1.7 GB.

Cause: the reader of bodies kept one object for each chunk, and nothing bounded the bodies that are held at the same time.

The body is now read with a ByteCollector of the party "callers" (calls of other gateways: "gateways"). One that is being read may give way and is answered with 503 and Retry-After, since it was not sent. One that was read is retained until the response was given, because retries need it. Bodies in very many small parts get 413.

Small changes of src/memory: retain() returns whether there is room; a party retains at most half of the maximum, and a holding only if as much room as it takes stays free, so that large bodies do not lock out small ones and bodies do not take the room of answers. A collector that has to give way while it is opened no longer throws.

Still slow: 60 callers with such chunks keep the event loop busy for seconds while the rest of their bodies is discarded.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -22,13 +22,16 @@
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamExchange } from "./streamexchange.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
-import { readRequestBody } from "./requestbody.js";
+import { RequestBody, type RequestBodyOutcome } from "./requestbody.js";
 import type { Target } from "./target.js";
 import { lazyTraitsOf } from "./suspects.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
 const NO_TARGET_RETRY_MS = 500;
 
+/** Time in milliseconds after which a request may come back for whose body there was no memory. */
+const NO_MEMORY_RETRY_MS = 1_000;
+
 /** Size limit in bytes of a response that is buffered until it is complete. */
 const MAXIMUM_RESPONSE_BYTES = 4_194_304;
 
@@ -54,6 +57,7 @@
     private readonly abortController = new AbortController();
     private route: Route | undefined;
     private accountName: string | undefined;
+    private body: RequestBody | undefined;
     private attempts: Attempts | undefined;
     private stagesMs = 0;
     /** Time in milliseconds from the request to its stream's first event. */
@@ -94,7 +98,10 @@
     static async serve(context: GatewayContext, incoming: IncomingExchange): Promise<void> {
         const exchange = new Exchange(context, incoming);
         const id = context.dialect.readRequest(incoming.request.headers).requestId;
-        const handled = await exchange.handle().catch((error: unknown) => exchange.endAfterException(id, error));
+        const handled = await exchange
+            .handle()
+            .catch((error: unknown) => exchange.endAfterException(id, error))
+            .finally(() => exchange.body?.close());
         const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
         if (result.outcome === "answered") exchange.contain(() => exchange.attempts?.recordTimes());
         context.onRequestEnd(
@@ -147,15 +154,16 @@
             // One that has taken longer than usual may last until its deadline.
             return usualLeftMs > 0 ? Math.min(usualEndAt, ownDeadline.at) : ownDeadline.at;
         };
-        const body = await Promise.race([
-            readRequestBody(this.incoming, limits.bodyBytes, ownDeadline),
-            this.cutByStop,
-        ]);
-        if (body === "cut") return { outcome: "cancelled", status: 0, reason: STOPPING };
-        if (body === "tooLong") return this.reply.reject(413, "body is too long");
-        if (body === "late") return this.reply.respond("refused", 408, "body did not arrive in time");
-        if (body === "malformed") return this.reply.reject(400, "body is malformed");
-        if (body === "broken") return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
+        this.body = RequestBody.read(this.incoming, {
+            account: this.context.memory,
+            party: "callers",
+            maximumBytes: limits.bodyBytes,
+            deadline: ownDeadline,
+        });
+        const read = await Promise.race([this.body.outcome, this.cutByStop]);
+        if (read === "cut") return { outcome: "cancelled", status: 0, reason: STOPPING };
+        if (read.kind !== "read") return this.endWithoutBody(read.kind);
+        const body = read.bytes;
         const service = chooseService(route.services, Math.random);
         if (service === undefined) return this.reply.refuse("route has no service", NO_TARGET_RETRY_MS);
         const content = {
@@ -183,6 +191,24 @@
         });
     }
 
+    /** Ends a request whose body was not read. It was not sent to a target. */
+    private endWithoutBody(kind: Exclude<RequestBodyOutcome["kind"], "read">): ExchangeResult {
+        switch (kind) {
+            case "tooLong":
+                return this.reply.reject(413, "body is too long");
+            case "tooFragmented":
+                return this.reply.reject(413, "body has too many parts");
+            case "noMemory":
+                return this.reply.refuse("no memory for the body", NO_MEMORY_RETRY_MS);
+            case "late":
+                return this.reply.respond("refused", 408, "body did not arrive in time");
+            case "malformed":
+                return this.reply.reject(400, "body is malformed");
+            case "broken":
+                return { outcome: "cancelled", status: 0, reason: "caller left while sending" };
+        }
+    }
+
     /** Ends a request whose handling has thrown, so that the others go on. Nobody knows whether a target has run it. */
     private endAfterException(id: string | undefined, error: unknown): ExchangeResult {
         this.context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -20,7 +20,7 @@
 import type { Gateway } from "./gateway.js";
 import { NEWS_PATH } from "./gossip.js";
 import { OBSERVATIONS_PATH } from "./rolloutcontroller.js";
-import { readRequestBody } from "./requestbody.js";
+import { RequestBody, type RequestBodyOutcome } from "./requestbody.js";
 
 /** Maximum size in bytes of a request head that is parsed; the configured limit is checked after that. */
 const MAXIMUM_HEAD_BYTES = 131_072;
@@ -204,12 +204,42 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
-    const read = await readRequestBody(request, MAXIMUM_ORDER_BYTES, Deadline.after(ORDER_TIMEOUT_MS));
-    if (!Buffer.isBuffer(read)) {
+    const body = RequestBody.read(request, {
+        account: gateway.context.memory,
+        party: "gateways",
+        maximumBytes: MAXIMUM_ORDER_BYTES,
+        deadline: Deadline.after(ORDER_TIMEOUT_MS),
+    });
+    try {
+        const read = await body.outcome;
+        if (read.kind === "read") await servePeerCall(gateway, openOrders, request, response, read.bytes.toString());
+        else endUnreadPeerCall(request, response, read.kind);
+    } finally {
+        body.close();
+    }
+}
+
+/** Ends a call whose body was not read. Its sender may take a 503 for the answer of a gateway that cannot take the call now. */
+function endUnreadPeerCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+    kind: Exclude<RequestBodyOutcome["kind"], "read">,
+): void {
+    if (kind !== "noMemory") {
         request.destroy();
         return;
     }
-    const body = read.toString();
+    response.writeHead(503, { "content-length": 0, "connection": "close" });
+    response.end();
+}
+
+async function servePeerCall(
+    gateway: Gateway,
+    openOrders: OpenOrders,
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+): Promise<void> {
     if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, body, response);
     if (request.url === OBSERVATIONS_PATH || request.url === NEWS_PATH) {
         const receiver = request.url === NEWS_PATH ? gateway.gossip : gateway.rolloutController;
--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -34,6 +34,12 @@
 /** Bytes that each holding counts beside its content: the objects of its connection, request and buffers. */
 export const HOLDING_BYTES = 1_024;
 
+/**
+ * Part of the maximum that one party may retain, so that the others keep room for what they must not lose. A holding is
+ * retained only if as much room as it takes stays free, so that large holdings leave room for small ones.
+ */
+const RETAINED_SHARE = 0.5;
+
 const SHARES: MemoryShares = { targets: 0.4, callers: 0.3, gateways: 0.15, store: 0.1, operators: 0.05 };
 
 /** The bytes that one request, response or call holds. */
@@ -44,8 +50,11 @@
     readonly isClosed: boolean;
     /** Changes the number of bytes. Returns whether they may be held; otherwise the holding is closed. */
     resize(bytes: number): boolean;
-    /** Keeps the holding from giving way, since its bytes are needed until it is closed. */
-    retain(): void;
+    /**
+     * Keeps the holding from giving way, since its bytes are needed until it is closed. Returns false if its party already
+     * retains too much; the holding then stays as it was.
+     */
+    retain(): boolean;
     /** Gives the bytes back. */
     close(): void;
 }
@@ -55,7 +64,8 @@
     private readonly parties: Readonly<Record<MemoryParty, PartyHoldings>>;
 
     private constructor(private readonly options: Required<MemoryAccountOptions>) {
-        const partyOf = (party: MemoryParty): PartyHoldings => new PartyHoldings(party, options.shares[party]);
+        const partyOf = (party: MemoryParty): PartyHoldings =>
+            new PartyHoldings(party, options.shares[party], options.maximumBytes * RETAINED_SHARE);
         this.parties = {
             targets: partyOf("targets"),
             callers: partyOf("callers"),
@@ -122,11 +132,13 @@
 /** The holdings of one party. */
 class PartyHoldings {
     bytes = 0;
+    private retainedBytes = 0;
     private readonly open = new Set<Holding>();
 
     constructor(
         readonly name: MemoryParty,
         private readonly share: number,
+        private readonly maximumRetainedBytes: number,
     ) {}
 
     /** Bytes in relation to the party's share. */
@@ -136,10 +148,18 @@
 
     resize(holding: Holding, before: number, after: number): void {
         this.bytes += after - before;
+        if (holding.isRetained) this.retainedBytes += after - before;
         if (after > 0) this.open.add(holding);
         else this.open.delete(holding);
     }
 
+    /** Counts a holding as retained. Returns false if there is no room for it. */
+    retain({ bytes }: Holding): boolean {
+        if (this.retainedBytes + 2 * bytes > this.maximumRetainedBytes) return false;
+        this.retainedBytes += bytes;
+        return true;
+    }
+
     findLargest(): Holding | undefined {
         let largest: Holding | undefined;
         for (const holding of this.open) {
@@ -167,8 +187,9 @@
         return isLarger ? this.makeRoom() : true;
     }
 
-    retain(): void {
-        this.isRetained = true;
+    retain(): boolean {
+        if (!this.isClosed) this.isRetained ||= this.party.retain(this);
+        return this.isRetained;
     }
 
     close(): void {
--- a/test/memory/memory.test.ts
+++ b/test/memory/memory.test.ts
@@ -102,6 +102,31 @@
         expect(account.totalBytes).toBe(0);
     });
 
+    it("a party retains at most half, and large holdings leave room for small ones", () => {
+        const account = MemoryAccount.create({ maximumBytes: MAXIMUM_BYTES });
+        const retain = (bytes: number): boolean => {
+            const holding = account.open("callers", () => undefined);
+            holding.resize(bytes);
+            const isRetained = holding.retain();
+            if (!isRetained) holding.close();
+            return isRetained;
+        };
+        const large = Array.from({ length: 20 }, () => retain(100_000));
+        expect(large.filter(Boolean)).toHaveLength(3);
+        expect([retain(50_000), retain(1_000)]).toEqual([true, true]);
+        const small = Array.from({ length: 1_000 }, () => retain(100));
+        expect(small.filter(Boolean).length).toBeGreaterThan(100);
+        expect(account.bytesOf("callers")).toBeLessThanOrEqual(MAXIMUM_BYTES / 2);
+    });
+
+    it("a body for which there is no room when it is opened fails", () => {
+        const account = MemoryAccount.create({ maximumBytes: HOLDING_BYTES / 2 });
+        let failures = 0;
+        const onFailed = (): void => void (failures += 1);
+        const collector = ByteCollector.create(account, "callers", { maximumBytes: 100, onFailed });
+        expect([collector.failure, failures, collector.add(Buffer.alloc(1))]).toEqual(["noMemory", 1, false]);
+    });
+
     it("holdings without content count as well", () => {
         const account = MemoryAccount.create({ maximumBytes: 10 * HOLDING_BYTES });
         const holdings = Array.from({ length: 100 }, () => account.open("callers", () => undefined));
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -33,7 +33,11 @@
 
     private constructor(readonly platform: StandInPlatform) {}
 
-    static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
+    /** Starts the process with arguments of the runtime and further settings. */
+    static async start(
+        nodeArguments: readonly string[] = [],
+        settings: Readonly<Record<string, unknown>> = {},
+    ): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         stage.putConfiguration();
         for (const service of SERVICES) {
@@ -61,19 +65,26 @@
             peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
+            ...settings,
         };
         stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments);
         await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
         return stage;
     }
 
-    /** Writes the configuration as its next version, with a time limit of the routes. */
-    putConfiguration(TimeoutMs = 15_000): void {
+    /** Writes the configuration as its next version, with a time limit of the routes and limits of callers. */
+    putConfiguration(TimeoutMs = 15_000, Limits = CONFIGURATION.Limits): void {
         const Routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs }));
         const Services = CONFIGURATION.Services.map(service =>
             service.Name === "encode" ? { ...service, Segments: { ...service.Segments, CallMs: STAGE_MS } } : service,
         );
-        this.platform.put("config", "main", { ...CONFIGURATION, Version: this.configurationVersion, Routes, Services });
+        this.platform.put("config", "main", {
+            ...CONFIGURATION,
+            Version: this.configurationVersion,
+            Routes,
+            Services,
+            Limits,
+        });
         this.configurationVersion += 1;
     }
 
