Decode the latest configuration of those that arrive together

Callers saw requests answered after they had left, and streams that stood still for seconds, beside changes of the configuration.

Cause: a watch of the store may answer with many versions, after an outage or in a series of changes. Each of them was decoded in the same turn of the event loop, also those that a later one in the same answer replaces.

Ruled out: a change by itself, and versions that are kept by open requests, which hold a route, not a configuration.

A version is now decoded in a turn of its own, the newest one first; the one before it only if the newest cannot be read, so that the result is that of decoding all. The gateway is ready only once the configuration of the first list is applied.

An exception in decoding is reported as 'task failed unexpectedly'; before, it was taken for a failed call of the store.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -15,6 +15,7 @@
 } from "../store/index.js";
 import type { ConfigurationContent } from "./configuration.js";
 import type { Gateway } from "./gateway.js";
+import { LatestConfiguration } from "./latestconfiguration.js";
 import type { GatewayPeers } from "./peers.js";
 import type { Rollout } from "./rollouts.js";
 import type { TargetRegistration } from "./target.js";
@@ -92,9 +93,11 @@
             view.subscribe(apply);
             return view;
         };
-        const configuration = watchPrefix(source.configurationPrefix, WATCH_TIMEOUT_MS, event =>
-            this.applyConfiguration(event),
+        const latest = LatestConfiguration.create(
+            event => this.applyConfiguration(event),
+            fields => options.onChange("task failed unexpectedly", { ...fields }),
         );
+        const configuration = watchPrefix(source.configurationPrefix, WATCH_TIMEOUT_MS, event => latest.put(event));
         const targets: StoreView = watchPrefix(
             source.targetPrefix,
             WATCH_TIMEOUT_MS,
@@ -112,7 +115,7 @@
         this.views = [configuration, targets, closedZones, gateways, rollouts];
         this.peersReady = gateways.ready;
         const required = [configuration, targets, closedZones, rollouts];
-        this.ready = Promise.all(required.map(view => view.ready)).then(() => undefined);
+        this.ready = Promise.all(required.map(view => view.ready)).then(() => latest.settled());
     }
 
     static start(options: FeedOptions): GatewayFeed {
@@ -137,10 +140,12 @@
         if (kind === "restored") peers.registerAgain();
     }
 
-    private applyConfiguration(event: StoreEvent): void {
+    /** Returns whether the object could be read, or was removed. */
+    private applyConfiguration(event: StoreEvent): boolean {
         const decoded = event.object && this.options.source.decodeConfiguration(event.object.value);
         this.reportIgnored("configuration ignored", event.key, decoded);
         if (decoded?.kind === "decoded") this.options.gateway.applyConfiguration(decoded.value);
+        return decoded?.kind !== "invalid";
     }
 
     private applyTarget(event: StoreEvent, view: StoreView): void {
