Read a list instead of a long answer of a watch

Callers lost all requests that a gateway process had read, without an answer, when many large versions of the configuration came in one answer of the store: the process ended with 'JavaScript heap out of memory'.

Cause: a watch reports every version since the last one seen, so after an outage or in a series of changes its answer is many times as long as the objects are. Answers of up to 64 MiB were read, parsed and written as text again, with the heap limited to 192 MB.

Ruled out: the size of one version (1 MiB, the largest that the store takes, is served), and what is kept of earlier versions.

An answer of a watch beyond 4 MiB is given up while it is read, and the view lists, as it does when the history is gone: a list has the latest version only. All registrations of 5,900 targets are about 2 MB.

The case of a list in configurationversions.test.ts fails before.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -3,6 +3,7 @@
 import { z } from "zod";
 import { decodeObject, EntryReader, revisionOf } from "./entries.js";
 import {
+    ANSWER_TOO_LONG,
     type StoreCallOutcome,
     type CallKind,
     type CallCounter,
@@ -33,6 +34,12 @@
 /** Maximum number of pages in one list; a page holds about 500 objects. */
 const MAXIMUM_PAGES = 100;
 
+/**
+ * Longest answer of a watch that is read. A longer one has many versions of large objects, of which a list has the latest
+ * only; all registrations of 5,900 targets take half of it.
+ */
+const MAXIMUM_WATCH_BYTES = 4 * 1024 * 1024;
+
 const listSchema = z.object({ Entries: z.array(z.unknown()), HasMore: z.boolean().optional(), At: z.int() });
 const watchSchema = z.object({ events: z.array(z.unknown()), At: z.int() });
 
@@ -88,7 +95,13 @@
         const kind = kindOf(prefix);
         const path = `/objects/${kind}?Watch=${revision}&WaitMs=${timeoutMilliseconds}`;
         const totalMilliseconds = timeoutMilliseconds + this.options.timeoutMilliseconds;
-        const answer = await this.call("watch", { method: "GET", path, timeoutMilliseconds: totalMilliseconds });
+        const answer = await this.call("watch", {
+            method: "GET",
+            path,
+            timeoutMilliseconds: totalMilliseconds,
+            maximumBytes: MAXIMUM_WATCH_BYTES,
+        });
+        if (answer.kind === "unanswered" && answer.message === ANSWER_TOO_LONG) return { kind: "historyGone" };
         if (answer.kind === "answered" && answer.status === 410) return { kind: "historyGone" };
         const body = watchSchema.safeParse(successBody(answer));
         if (!body.success) return unavailable(answer);
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -10,6 +10,8 @@
     readonly headers?: OutgoingHttpHeaders;
     readonly body?: string;
     readonly timeoutMilliseconds: number;
+    /** Longest response body that is read. */
+    readonly maximumBytes?: number;
 }
 
 /** The response to a call, or why there is none. `sent` tells whether the request may have reached the store. */
@@ -28,6 +30,9 @@
  */
 const MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
 
+/** Why a call is unanswered whose response body was longer than allowed. */
+export const ANSWER_TOO_LONG = "answer is too long";
+
 /** Codes of errors that occur before a connection is made, so that the request was not sent. */
 const CONNECT_ERROR_CODES = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL", "EMFILE"];
 
@@ -55,8 +60,8 @@
             let bytes = 0;
             response.on("data", (chunk: Buffer) => {
                 bytes += chunk.length;
-                if (bytes <= MAXIMUM_RESPONSE_BYTES) chunks.push(chunk);
-                else response.destroy(new Error("answer is too long"));
+                if (bytes <= (call.maximumBytes ?? MAXIMUM_RESPONSE_BYTES)) chunks.push(chunk);
+                else response.destroy(new Error(ANSWER_TOO_LONG));
             });
             response.on("error", fail);
             response.on("end", () => {
--- a/test/gateway/configurationversions.test.ts
+++ b/test/gateway/configurationversions.test.ts
@@ -91,4 +91,14 @@
         await vi.waitFor(() => expect(process.gateway.configuration?.version).toBe(5), 3_000);
         expect(order.join(" ")).not.toContain("decode decode");
     });
+
+    it("that are many and large are replaced by a list", async () => {
+        const notes = "x".repeat(1_000_000);
+        for (let version = 2; version <= 12; version += 1) {
+            platform.put("config", "main", { ...CONFIGURATION, Version: version, notes });
+        }
+        await vi.waitFor(() => expect(process.gateway.configuration?.version).toBe(12), 3_000);
+        const lists = platform.calls.filter(call => call === "GET /objects/config");
+        expect(lists).toHaveLength(2);
+    });
 });
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -20,6 +20,13 @@
 
 const SERVICES = ["bookings", "engines", "encode"];
 
+/** Parts of a configuration beside those of `CONFIGURATION`. */
+export interface FurtherParts {
+    readonly Routes?: readonly unknown[];
+    readonly Services?: readonly unknown[];
+    readonly Tenants?: readonly unknown[];
+}
+
 /** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
 export class Stage {
     callers = "";
@@ -67,13 +74,19 @@
         return stage;
     }
 
-    /** Writes the configuration as its next version, with a time limit of the routes. */
-    putConfiguration(TimeoutMs = 15_000): void {
+    /** Writes the configuration as its next version, with a time limit of the routes, and with further parts. */
+    putConfiguration(TimeoutMs = 15_000, further: FurtherParts = {}): void {
         const Routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs }));
         const Services = CONFIGURATION.Services.map(service =>
             service.Name === "encode" ? { ...service, Segments: { ...service.Segments, CallMs: STAGE_MS } } : service,
         );
-        this.platform.put("config", "main", { ...CONFIGURATION, Version: this.configurationVersion, Routes, Services });
+        this.platform.put("config", "main", {
+            ...CONFIGURATION,
+            Version: this.configurationVersion,
+            Routes: [...Routes, ...(further.Routes ?? [])],
+            Services: [...Services, ...(further.Services ?? [])],
+            Tenants: [...CONFIGURATION.Tenants, ...(further.Tenants ?? [])],
+        });
         this.configurationVersion += 1;
     }
 
