--- a/test/processes/endlessrequests.test.ts
+++ b/test/processes/endlessrequests.test.ts
@@ -109,7 +109,7 @@
     const machine = { memoryMegabytes: PROCESS_MEGABYTES };
     stage = await Stage.start([`--max-old-space-size=${HEAP_MEGABYTES}`], { machine });
     const Limits = { ...CONFIGURATION.Limits, MaxBodyBytes: BODY_BYTES, HeaderTimeoutMs: 15_000 };
-    stage.putConfiguration(15_000, Limits);
+    stage.putConfiguration(15_000, { Limits });
     await stage.gateway.logged('"before":1');
 });
 
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -20,6 +20,14 @@
 
 const SERVICES = ["bookings", "engines", "encode"];
 
+/** Parts of a configuration beside those of `CONFIGURATION`, and limits of callers in place of its own. */
+export interface FurtherParts {
+    readonly Routes?: readonly unknown[];
+    readonly Services?: readonly unknown[];
+    readonly Tenants?: readonly unknown[];
+    readonly Limits?: typeof CONFIGURATION.Limits;
+}
+
 /** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
 export class Stage {
     callers = "";
@@ -72,8 +80,8 @@
         return stage;
     }
 
-    /** Writes the configuration as its next version, with a time limit of the routes and limits of callers. */
-    putConfiguration(TimeoutMs = 15_000, Limits = CONFIGURATION.Limits): void {
+    /** Writes the configuration as its next version, with a time limit of the routes, and with further parts. */
+    putConfiguration(TimeoutMs = 15_000, further: FurtherParts = {}): void {
         const Routes = CONFIGURATION.Routes.map(route => ({ ...route, Host: "127.0.0.1", TimeoutMs }));
         const Services = CONFIGURATION.Services.map(service =>
             service.Name === "encode" ? { ...service, Segments: { ...service.Segments, CallMs: STAGE_MS } } : service,
@@ -81,9 +89,10 @@
         this.platform.put("config", "main", {
             ...CONFIGURATION,
             Version: this.configurationVersion,
-            Routes,
-            Services,
-            Limits,
+            Routes: [...Routes, ...(further.Routes ?? [])],
+            Services: [...Services, ...(further.Services ?? [])],
+            Tenants: [...CONFIGURATION.Tenants, ...(further.Tenants ?? [])],
+            Limits: further.Limits ?? CONFIGURATION.Limits,
         });
         this.configurationVersion += 1;
     }
