Hold the bodies of answers in the account, until their callers have them

Callers saw all connections of a gateway end at once: one target that sent a body in chunks of 4 bytes ended the process with "heap out of memory". 200 answers of 4.1 MB without their end, or 200 callers that did not read such answers, took over 1 GB on a machine of 350 MB.

Cause: readBody kept one Buffer for each part that the parser handed over, which takes a hundred times its bytes, and nothing bounded the sum of all bodies. A body also left all counting when it was handed to a connection, where it stays until its caller reads it.

HeldBody replaces readBody: it copies the parts into one buffer, limits their number, and counts the buffer as one of "targets" (answers for calls and pieces) or "gateways" until it is released. For a response that is passed on, that is when the caller has taken it or is gone. What has to give way ends with 502 and "no memory for the answer", or, if the response had begun, with the end of its connection and outcome "brokenOff"; it is not sent to another target, and says nothing of its target. Bodies of answers that state that the request was not run, or that belong to another request, are no longer read. ByteCollector allows for a holding that has to give way as it is opened. An incomplete body is now logged as "attempt broken".

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -380,24 +380,3 @@
 function isDelimited({ headers }: IncomingMessage): boolean {
     return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
 }
-
-/** Reads a body into memory; a body over the size limit is cut off. */
-export async function readBody(
-    body: ResponseBody,
-    limits: AttemptLimits & Pick<BodyReadOptions, "stallTimeoutMs"> & { readonly onBytes?: () => void },
-    maximumBytes: number,
-): Promise<{ readonly outcome: BodyOutcome; readonly bytes: Buffer }> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    const outcome = await body.read({
-        ...limits,
-        onChunk: chunk => {
-            limits.onBytes?.();
-            size += chunk.length;
-            if (size <= maximumBytes) chunks.push(chunk);
-            else body.discard();
-            return undefined;
-        },
-    });
-    return { outcome, bytes: Buffer.concat(chunks) };
-}
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -7,6 +7,7 @@
 import type { StageResult } from "../stages/index.js";
 import { type AttemptOutcome, HEAD_TOO_LONG, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
+import { bodyFailureReason, type HeldBodyOutcome, NO_MEMORY } from "./heldbody.js";
 import { type HoldBack, HoldBacks, STOPPING, SUSPECTED } from "./holdbacks.js";
 import { RequestRetries } from "./requestretries.js";
 import { RequestTrial } from "./requesttrial.js";
@@ -43,6 +44,8 @@
 /** The attempts of one request. */
 export class Attempts {
     private declinedCount = 0;
+    /** Whether an answer had to give way, so that another one would have to as well. */
+    private isOutOfMemory = false;
     private hasBeenServed = false;
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
@@ -234,6 +237,8 @@
     private obstacleToOther(): string | undefined {
         if (!this.request.route.idempotent) return "stream cannot be resumed";
         if (this.areInputsReleased) return "results of stages are released";
+        const obstacle = this.obstacleByAnswers();
+        if (obstacle !== undefined) return obstacle;
         if (!this.hasTimeLeft()) return "no time is left";
         if (!this.retries.available()) return "no retry is left";
         if (this.declinedCount > MAXIMUM_DECLINES) return "targets decline";
@@ -313,6 +318,19 @@
         }
     }
 
+    /** Records a body that did not come to its end and the target that has sent it. */
+    recordIncomplete(target: Target, outcome: Exclude<HeldBodyOutcome, { kind: "complete" | "cancelled" }>): void {
+        this.logDecision("attempt broken", target, { reason: bodyFailureReason(outcome), parts: this.loggedParts });
+        if (outcome.kind === "noMemory") this.recordGivenUp(target);
+        else this.context.targets.recordFailure(target, this.request.route.name);
+    }
+
+    /** Records that an answer had to give way to others, which says nothing about its target. */
+    recordGivenUp(target: Target): void {
+        this.isOutOfMemory = true;
+        this.context.targets.recordInconclusive(target);
+    }
+
     /** Records that a target declined the request: it states that it has not run it. */
     handleDeclined(target: Target, wrongTarget: boolean): void {
         this.choice.recordDeclined(target);
@@ -335,9 +353,15 @@
     /** Whether a request that a target may have run may be sent once more, within the retry budget. */
     private hasAttemptLeft(): boolean {
         if (!this.request.route.idempotent || this.areInputsReleased) return false;
+        if (this.obstacleByAnswers() !== undefined) return false;
         return this.choice.isAttemptLeft && this.hasTimeLeft();
     }
 
+    /** What earlier answers say against another attempt. */
+    private obstacleByAnswers(): string | undefined {
+        return this.isOutOfMemory ? NO_MEMORY : undefined;
+    }
+
     private hasTimeLeft(): boolean {
         const { signal, deadline } = this.request;
         return !signal.aborted && deadline.remainingMs() >= SHORTEST_ATTEMPT_MS;
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -10,12 +10,13 @@
 import { Deadline } from "../model/index.js";
 import type { PieceLossReason, StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
-import { type AttemptOutcome, type ResponseHead, readBody } from "./attempt.js";
+import type { AttemptOutcome, ResponseHead } from "./attempt.js";
 import { Attempts } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
-import type { RequestMetadata, ResponseMetadata } from "./dialect.js";
+import type { RequestMetadata } from "./dialect.js";
 import { failResponse } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
+import { bodyFailureReason, HeldBody, type HeldBodyOutcome } from "./heldbody.js";
 import { STOPPING } from "./holdbacks.js";
 import { Reply } from "./reply.js";
 import { isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
@@ -45,6 +46,14 @@
     readonly closesConnection: () => boolean;
 }
 
+/** An answer to a plain call. The bodies of answers that are not passed on are not read. */
+type CallAnswer =
+    | { readonly kind: "read"; readonly outcome: HeldBodyOutcome; readonly body: HeldBody }
+    /** The target states that it has not run the request. */
+    | { readonly kind: "declined"; readonly wrongTarget: boolean }
+    /** The target has sent the answer to another request. */
+    | { readonly kind: "misdirected" };
+
 /** One request and its response. */
 export class Exchange {
     private readonly incoming: IncomingMessage;
@@ -95,8 +104,10 @@
         const exchange = new Exchange(context, incoming);
         const id = context.dialect.readRequest(incoming.request.headers).requestId;
         const handled = await exchange.handle().catch((error: unknown) => exchange.endAfterException(id, error));
-        const result = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
-        if (result.outcome === "answered") exchange.contain(() => exchange.attempts?.recordTimes());
+        const given = handled.outcome === "cancelled" && exchange.isCutByStop ? exchange.endCut(handled) : handled;
+        if (given.outcome === "answered") exchange.contain(() => exchange.attempts?.recordTimes());
+        const tookMs = performance.now() - exchange.receivedAt;
+        const result = await exchange.reply.delivered(given);
         context.onRequestEnd(
             {
                 id,
@@ -110,11 +121,11 @@
                 targets: exchange.attempts?.triedTargets ?? [],
                 stagesMs: Math.round(exchange.stagesMs),
                 firstEventMs: exchange.firstEventMs === undefined ? undefined : Math.round(exchange.firstEventMs),
-                tookMs: Math.round(performance.now() - exchange.receivedAt),
+                tookMs: Math.round(tookMs),
                 configuration: context.configuration()?.version,
             },
             exchange.route,
-            performance.now() - exchange.receivedAt,
+            tookMs,
         );
     }
 
@@ -293,62 +304,74 @@
         inputs: readonly StageResult[],
     ): Promise<ExchangeResult> {
         let failure: ExchangeResult | undefined;
-        let errorResponse: { readonly head: ResponseHead; readonly bytes: Buffer } | undefined;
-        while (failure === undefined || attempts.mayRetry()) {
-            const target = await attempts.nextTarget(inputs);
-            if (target === undefined) break;
-            const startedAt = performance.now();
-            const attempt = await attempts.send(target, { inputs });
-            if (attempt.kind !== "answered") {
-                const unanswered = await attempts.handleUnanswered(target, attempt);
-                if (unanswered === "again") continue;
-                if (isFinal(unanswered)) {
-                    return this.reply.endWith(failure === undefined ? unanswered : withoutRefusalStatus(unanswered));
+        let errorResponse: { readonly head: ResponseHead; readonly body: HeldBody } | undefined;
+        try {
+            while (failure === undefined || attempts.mayRetry()) {
+                const target = await attempts.nextTarget(inputs);
+                if (target === undefined) break;
+                const startedAt = performance.now();
+                const attempt = await attempts.send(target, { inputs });
+                if (attempt.kind !== "answered") {
+                    const unanswered = await attempts.handleUnanswered(target, attempt);
+                    if (unanswered === "again") continue;
+                    if (isFinal(unanswered)) {
+                        return this.reply.endWith(
+                            failure === undefined ? unanswered : withoutRefusalStatus(unanswered),
+                        );
+                    }
+                    failure = unanswered;
+                    continue;
                 }
-                failure = unanswered;
-                continue;
-            }
-            const { responseMetadata, outcome, bytes } = await this.readAnswer(target, attempt, request);
-            const isOwnResponse = isResponseTo(request, responseMetadata);
-            if (isOwnResponse && responseMetadata.notExecuted) {
-                attempts.handleDeclined(target, responseMetadata.wrongTarget);
-                if (failure === undefined && !attempts.mayTryAnotherTarget()) {
-                    return this.reply.refuse("targets are full", NO_TARGET_RETRY_MS);
+                const answer = await this.readAnswer(target, attempt, request);
+                if (answer.kind === "declined") {
+                    attempts.handleDeclined(target, answer.wrongTarget);
+                    if (failure === undefined && !attempts.mayTryAnotherTarget()) {
+                        return this.reply.refuse("targets are full", NO_TARGET_RETRY_MS);
+                    }
+                    continue;
                 }
-                continue;
-            }
-            if (outcome.kind === "cancelled") {
-                this.context.targets.recordInconclusive(target);
-                return { outcome: "cancelled", status: 0, reason: "caller left" };
-            }
-            if (outcome.kind !== "complete" || !isOwnResponse) {
-                this.context.targets.recordFailure(target, request.route.name);
-                if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
-                failure = {
-                    outcome: "failed",
-                    status: 502,
-                    reason: isOwnResponse ? `answer ${outcome.kind}` : "answer of another",
-                };
-                if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
-                continue;
+                if (answer.kind === "misdirected") {
+                    this.context.targets.recordFailure(target, request.route.name);
+                    failure = { outcome: "failed", status: 502, reason: "answer of another" };
+                    continue;
+                }
+                const { outcome, body } = answer;
+                if (outcome.kind === "cancelled") {
+                    this.context.targets.recordInconclusive(target);
+                    return { outcome: "cancelled", status: 0, reason: "caller left" };
+                }
+                if (outcome.kind !== "complete") {
+                    attempts.recordIncomplete(target, outcome);
+                    if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
+                    failure = { outcome: "failed", status: 502, reason: bodyFailureReason(outcome) };
+                    if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
+                    continue;
+                }
+                attempts.recordServed(startedAt);
+                if (attempt.head.status >= 500) {
+                    this.context.targets.recordFailure(target, request.route.name);
+                    errorResponse?.body.release();
+                    errorResponse = { head: attempt.head, body };
+                    failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
+                    continue;
+                }
+                this.context.targets.recordSuccess(
+                    target,
+                    (performance.now() - startedAt) / request.route.latencyObjectiveMs,
+                    request.route.name,
+                );
+                return this.reply.forward(attempt.head, body);
             }
-            attempts.recordServed(startedAt);
-            if (attempt.head.status >= 500) {
-                this.context.targets.recordFailure(target, request.route.name);
-                errorResponse = { head: attempt.head, bytes };
-                failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
-                continue;
+            if (errorResponse !== undefined) {
+                const { head, body } = errorResponse;
+                errorResponse = undefined;
+                return this.reply.forward(head, body);
             }
-            this.context.targets.recordSuccess(
-                target,
-                (performance.now() - startedAt) / request.route.latencyObjectiveMs,
-                request.route.name,
-            );
-            return this.reply.forward(attempt.head, bytes);
+            if (failure !== undefined) return this.reply.endWith(failure);
+            return this.endUnsent(request, attempts);
+        } finally {
+            errorResponse?.body.release();
         }
-        if (errorResponse !== undefined) return this.reply.forward(errorResponse.head, errorResponse.bytes);
-        if (failure !== undefined) return this.reply.endWith(failure);
-        return this.endUnsent(request, attempts);
     }
 
     /** Reads an answer to its end. The attempt has ended then, and its connection is closed, also after an exception. */
@@ -356,12 +379,15 @@
         target: Target,
         { head, body }: Extract<AttemptOutcome, { kind: "answered" }>,
         request: RoutedRequest,
-    ): Promise<Awaited<ReturnType<typeof readBody>> & { readonly responseMetadata: ResponseMetadata }> {
-        const { dialect, targets } = this.context;
+    ): Promise<CallAnswer> {
+        const { dialect, memory, targets } = this.context;
         try {
-            const responseMetadata = dialect.readResponse(head.status, head.headers);
-            targets.recordReport(target, responseMetadata);
-            return { responseMetadata, ...(await readBody(body, request, MAXIMUM_RESPONSE_BYTES)) };
+            const metadata = dialect.readResponse(head.status, head.headers);
+            targets.recordReport(target, metadata);
+            if (!isResponseTo(request, metadata)) return { kind: "misdirected" };
+            if (metadata.notExecuted) return { kind: "declined", wrongTarget: metadata.wrongTarget };
+            const holding = { memory, party: "targets", maximumBytes: MAXIMUM_RESPONSE_BYTES } as const;
+            return { kind: "read", ...(await HeldBody.read(body, request, holding)) };
         } finally {
             body.discard();
             targets.recordEnded(target);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -125,7 +125,7 @@
     private readonly limits: TargetLimits;
     /** This gateway's parts of limits, by target; computed again when a limit or the gateways change. */
     private readonly limitParts = new Map<string, LimitPart>();
-    private readonly peerCalls = PeerCalls.create();
+    private readonly peerCalls: PeerCalls;
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
     private informed = false;
@@ -137,6 +137,7 @@
 
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
+        this.peerCalls = PeerCalls.create(memory);
         this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
@@ -295,14 +296,14 @@
     queueOf(service: string): StageQueue {
         const existing = this.queues.get(service);
         if (existing !== undefined) return existing;
-        const { dialect, onDecision } = this.options;
+        const { dialect, memory, onDecision } = this.options;
         // Pieces of requests from before a change may still wait when the service is no longer configured.
         let lastCapacity: StageCapacity | undefined;
         const capacity = (): StageCapacity | undefined =>
             (lastCapacity = this.currentConfiguration?.service(service)?.stage ?? lastCapacity);
         const created = StageQueue.create(service, {
             targets: this.targets,
-            callForPieces: (...call) => callForPieces({ dialect, targets: this.targets }, ...call),
+            callForPieces: (...call) => callForPieces({ dialect, targets: this.targets, memory }, ...call),
             releaseResults: (target, handles) => {
                 this.targets.takeFromLimit(target);
                 return releaseResults(dialect, target, handles);
--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -2,10 +2,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { ResponseHead } from "./attempt.js";
 import { sendGatewayResponse, sendTargetResponse } from "./delivery.js";
+import { type HeldBody, NO_MEMORY } from "./heldbody.js";
 import type { ExchangeResult } from "./routedrequest.js";
 
 /** Responds to one request. */
 export class Reply {
+    private givenUp = false;
+    private delivery = Promise.resolve();
+
     private constructor(
         private readonly request: IncomingMessage,
         private readonly response: ServerResponse,
@@ -17,12 +21,32 @@
         return new Reply(request, response, closesConnection);
     }
 
-    /** Sends a target's complete response. */
-    forward(head: ResponseHead, bytes: Buffer): ExchangeResult {
-        sendTargetResponse(this.response, head, bytes, this.closesConnection());
+    /** Sends a target's complete response. Its bytes are held until the caller has taken them, or is gone. */
+    forward(head: ResponseHead, body: HeldBody): ExchangeResult {
+        if (body.failure !== undefined) return this.respond("failed", 502, NO_MEMORY);
+        this.delivery = new Promise(resolve => {
+            const finish = (): void => {
+                this.response.off("finish", finish).off("close", finish);
+                body.release();
+                resolve();
+            };
+            this.response.on("finish", finish).on("close", finish);
+            if (this.response.closed) finish();
+        });
+        body.whenGivenUp(() => {
+            this.givenUp = true;
+            this.response.destroy();
+        });
+        sendTargetResponse(this.response, head, body.bytes, this.closesConnection());
         return { outcome: "answered", status: head.status, reason: "complete" };
     }
 
+    /** Waits until a forwarded response is no longer held, and returns the result of its request. */
+    async delivered(result: ExchangeResult): Promise<ExchangeResult> {
+        await this.delivery;
+        return this.givenUp ? { ...result, outcome: "brokenOff", reason: NO_MEMORY } : result;
+    }
+
     /** Refuses a request that no target has run. */
     refuse(reason: string, retryAfterMs: number): ExchangeResult {
         return this.respond("refused", 503, reason, retryAfterMs);
--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -1,8 +1,10 @@
 /** One attempt of a stream: from sending the request to a target until its answer ends. */
+import type { MemoryAccount } from "../memory/index.js";
 import { withTimeout } from "../model/pause.js";
-import { type AttemptOutcome, type BodyOutcome, type ResponseHead, readBody } from "./attempt.js";
+import type { AttemptOutcome, ResponseHead } from "./attempt.js";
 import type { StreamWriter } from "./delivery.js";
 import type { ResponseMetadata } from "./dialect.js";
+import { HeldBody, type HeldBodyOutcome } from "./heldbody.js";
 import { isResponseTo } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { forwardStream } from "./streamforwarding.js";
@@ -18,13 +20,14 @@
     | { readonly kind: "unanswered"; readonly outcome: Exclude<AttemptOutcome, { kind: "answered" }> }
     /** The target has sent the answer to another request. */
     | { readonly kind: "misdirected" }
+    /** The target states that it has not run the request. */
+    | { readonly kind: "declined"; readonly head: ResponseHead; readonly metadata: ResponseMetadata }
     /** An answer with another status than 200. */
     | {
           readonly kind: "refused";
           readonly head: ResponseHead;
-          readonly metadata: ResponseMetadata;
-          readonly outcome: BodyOutcome;
-          readonly bytes: Buffer;
+          readonly outcome: HeldBodyOutcome;
+          readonly body: HeldBody;
       }
     /** The stream ended before its end. */
     | { readonly kind: "incomplete"; readonly result: ExchangeResult }
@@ -33,6 +36,8 @@
 
 /** What an attempt depends on. */
 export interface StreamAttemptOptions {
+    /** Memory held for answers. */
+    readonly memory: MemoryAccount;
     readonly request: RoutedRequest;
     readonly target: Target;
     /** Prompt tokens that the target has to process. */
@@ -64,6 +69,7 @@
     private constructor(private readonly options: StreamAttemptOptions) {
         const signal = AbortSignal.any([options.request.signal, this.abortController.signal]);
         this.ended = this.run(signal).then(end => {
+            if (this.endValue !== undefined && end.kind === "refused") end.body.release();
             this.endValue ??= end;
         });
     }
@@ -129,7 +135,7 @@
     }
 
     private async run(signal: AbortSignal): Promise<StreamAttemptEnd> {
-        const { request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
+        const { memory, request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
         const outcome = await send(signal, () => {
             this.isSentValue = true;
             // Until now the target could not answer, though the connection may have taken long, or this process to see it.
@@ -144,9 +150,14 @@
             body.discard();
             return { kind: "misdirected" };
         }
+        if (head.status !== 200 && metadata.notExecuted) {
+            body.discard();
+            return { kind: "declined", head, metadata };
+        }
         if (head.status !== 200) {
             const limits = { deadline: request.deadline, signal };
-            return { kind: "refused", head, metadata, ...(await readBody(body, limits, MAXIMUM_RESPONSE_BYTES)) };
+            const holding = { memory, party: "targets", maximumBytes: MAXIMUM_RESPONSE_BYTES } as const;
+            return { kind: "refused", head, ...(await HeldBody.read(body, limits, holding)) };
         }
         const result = await forwardStream(request, head, body, writer, {
             targetName: target.name,
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -12,6 +12,7 @@
 import type { Attempts } from "./attempts.js";
 import { StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
+import { bodyFailureReason } from "./heldbody.js";
 import type { Reply } from "./reply.js";
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
@@ -96,7 +97,7 @@
             const hadFailed = this.failure !== undefined;
             const result = await this.recordEnd(attempt);
             if (result !== undefined) return result;
-            if (attempt.end?.kind === "refused" && attempt.end.metadata.notExecuted && !hadFailed) {
+            if (attempt.end?.kind === "declined" && !hadFailed) {
                 if (!attempts.mayTryAnotherTarget()) break;
             }
         }
@@ -108,6 +109,7 @@
         const { targets, dialect, firstEventTimes } = context;
         const lastEventId = this.writer.lastDeliveredEventId;
         const attempt = StreamAttempt.start({
+            memory: context.memory,
             request,
             target,
             promptTokens: attempts.uncachedTokens(target),
@@ -222,7 +224,7 @@
      * with `isOther`, because another attempt is in progress.
      */
     private async recordEnd(attempt: StreamAttempt, isOther = false): Promise<ExchangeResult | undefined> {
-        const { context, request, attempts, inputs, reply } = this.options;
+        const { context, request, attempts, inputs } = this.options;
         const { target, end } = attempt;
         if (end === undefined || end.kind === "left") return undefined;
         if (!attempt.hasEvent) context.targets.recordPromptRead(target, attempt.promptTokens);
@@ -236,23 +238,40 @@
                 context.targets.recordFailure(target, request.route.name);
                 this.failure = { outcome: "failed", status: 502, reason: "answer of another" };
                 return undefined;
-            case "refused":
+            case "declined":
                 if (end.head.status < 500) context.targets.recordInconclusive(target);
-                if (end.metadata.notExecuted) {
-                    if (end.head.status !== 409) attempts.handleDeclined(target, end.metadata.wrongTarget);
-                    else if (isOther) attempts.recordInputsReleased(inputs);
-                    else return this.endBroken(this.failure ?? inputsGone());
-                    return undefined;
-                }
-                if (end.head.status >= 500) context.targets.recordFailure(target, request.route.name);
-                this.failure = { outcome: "failed", status: end.head.status, reason: "target failed" };
-                if (isOther || this.writer.started || end.outcome.kind !== "complete") return undefined;
-                return attempts.mayRetry() ? undefined : reply.forward(end.head, end.bytes);
+                if (end.head.status !== 409) attempts.handleDeclined(target, end.metadata.wrongTarget);
+                else if (isOther) attempts.recordInputsReleased(inputs);
+                else return this.endBroken(this.failure ?? inputsGone());
+                return undefined;
+            case "refused":
+                return this.recordRefused(target, end, isOther);
             case "incomplete":
                 return this.recordIncomplete(attempt, end, isOther);
         }
     }
 
+    private recordRefused(
+        target: Target,
+        { head, outcome, body }: Extract<StreamAttemptEnd, { kind: "refused" }>,
+        isOther: boolean,
+    ): ExchangeResult | undefined {
+        const { context, request, attempts, reply } = this.options;
+        const isComplete = outcome.kind === "complete";
+        if (!isComplete && outcome.kind !== "cancelled" && outcome.kind !== "expired") {
+            attempts.recordIncomplete(target, outcome);
+        } else if (head.status >= 500) {
+            context.targets.recordFailure(target, request.route.name);
+        } else {
+            context.targets.recordInconclusive(target);
+        }
+        const reason = isComplete ? "target failed" : bodyFailureReason(outcome);
+        this.failure = { outcome: "failed", status: isComplete ? head.status : 502, reason };
+        if (!isOther && !this.writer.started && isComplete && !attempts.mayRetry()) return reply.forward(head, body);
+        body.release();
+        return undefined;
+    }
+
     private async recordUnanswered(
         target: Target,
         outcome: Extract<StreamAttemptEnd, { kind: "unanswered" }>["outcome"],
--- a/src/memory/collector.ts
+++ b/src/memory/collector.ts
@@ -37,7 +37,8 @@
     private size = 0;
     private parts = 0;
     private failureValue: CollectionFailure | undefined;
-    private readonly holding: MemoryHolding;
+    /** Undefined while it is opened, when it may already have to give way. */
+    private readonly holding: MemoryHolding | undefined;
 
     private constructor(
         account: MemoryAccount,
@@ -67,7 +68,7 @@
         if (this.parts > FREE_PARTS + size / MINIMUM_MEAN_BYTES) return this.fail("tooFragmented");
         if (size > this.buffer.length) {
             const capacity = Math.min(maximumBytes, Math.max(MINIMUM_CAPACITY, size, 2 * this.buffer.length));
-            if (!this.holding.resize(capacity)) return false;
+            if (this.holding?.resize(capacity) !== true) return false;
             const grown = Buffer.allocUnsafeSlow(capacity);
             this.buffer.copy(grown, 0, 0, this.size);
             this.buffer = grown;
@@ -84,19 +85,19 @@
 
     /** Keeps the bytes from giving way, since a request depends on them until they are closed. */
     retain(): void {
-        this.holding.retain();
+        this.holding?.retain();
     }
 
     /** Says that the bytes are no longer held. */
     close(): void {
-        this.holding.close();
+        this.holding?.close();
     }
 
     private fail(failure: CollectionFailure): false {
         this.failureValue = failure;
         this.buffer = EMPTY;
         this.size = 0;
-        this.holding.close();
+        this.holding?.close();
         this.limits.onFailed();
         return false;
     }
--- a/src/stages/peercalls.ts
+++ b/src/stages/peercalls.ts
@@ -14,10 +14,11 @@
     type AttemptLimits,
     type AttemptOutcome,
     NO_ANSWER_IN_TIME,
-    readBody,
     sendOnPooledConnection,
 } from "../gateway/attempt.js";
+import { bodyFailureReason, HeldBody } from "../gateway/heldbody.js";
 import type { GatewayPeer } from "../gateway/peers.js";
+import type { MemoryAccount } from "../memory/index.js";
 
 /** Idle connections kept open to one gateway. */
 const MAXIMUM_IDLE_CONNECTIONS = 16;
@@ -48,17 +49,23 @@
     /** Time on the monotonic clock at which anything was last received from a gateway, by address. */
     private readonly heardAt = new Map<string, number>();
 
-    private constructor() {}
+    private constructor(private readonly memory: MemoryAccount) {}
 
-    static create(): PeerCalls {
-        return new PeerCalls();
+    /** `memory` holds the answers. */
+    static create(memory: MemoryAccount): PeerCalls {
+        return new PeerCalls(memory);
     }
 
     /** Posts a JSON text and reads the whole answer. */
-    async call({ address }: GatewayPeer, path: string, text: string, limits: PeerCallLimits): Promise<PeerCallOutcome> {
-        const body = Buffer.from(text);
-        const headers = ["content-type", "application/json", "content-length", String(body.length)];
-        const request = { address, method: "POST", path, headers, body };
+    async call(
+        { address }: GatewayPeer,
+        path: string,
+        content: string,
+        limits: PeerCallLimits,
+    ): Promise<PeerCallOutcome> {
+        const sentBody = Buffer.from(content);
+        const headers = ["content-type", "application/json", "content-length", String(sentBody.length)];
+        const request = { address, method: "POST", path, headers, body: sentBody };
         const hadIdleConnection = this.hasIdleConnection(address);
         let attempt = await sendOnPooledConnection(this.agentOf(address), request, limits);
         if (hadIdleConnection && isClosedEarly(attempt)) {
@@ -76,15 +83,18 @@
             limits.onProgress?.();
         };
         onBytes();
-        const { outcome, bytes } = await readBody(attempt.body, { ...limits, onBytes }, MAXIMUM_ANSWER_BYTES);
+        const holding = { memory: this.memory, party: "gateways", maximumBytes: MAXIMUM_ANSWER_BYTES } as const;
+        const { outcome, body } = await HeldBody.read(attempt.body, { ...limits, onBytes }, holding);
+        const text = body.bytes.toString();
+        body.release();
         if (outcome.kind === "stalled") this.closeIdle(address);
         if (outcome.kind !== "complete") {
             const isSilent = outcome.kind === "stalled" || outcome.kind === "expired";
-            return { kind: "failed", reason: `answer ${outcome.kind}`, isSilent };
+            return { kind: "failed", reason: bodyFailureReason(outcome), isSilent };
         }
         const { status } = attempt.head;
         if (status !== 200) return { kind: "failed", reason: `status ${status}`, isSilent: false };
-        return { kind: "answered", text: bytes.toString() };
+        return { kind: "answered", text };
     }
 
     /** Milliseconds since anything was received from a gateway; infinite if nothing was. */
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -1,8 +1,10 @@
 /** Calls from a stage queue to a target, and their outcomes. */
-import { NEVER_ABORTED, readBody, sendAttempt } from "../gateway/attempt.js";
+import { NEVER_ABORTED, sendAttempt } from "../gateway/attempt.js";
 import type { Dialect, PieceAnswer } from "../gateway/dialect.js";
+import { bodyFailureReason, HeldBody } from "../gateway/heldbody.js";
 import type { Target } from "../gateway/target.js";
 import type { TargetDirectory } from "../gateway/targetdirectory.js";
+import type { MemoryAccount } from "../memory/index.js";
 import { Deadline } from "../model/index.js";
 import type { PieceJob } from "./piece.js";
 
@@ -29,9 +31,17 @@
     readonly onSent: () => void;
 }
 
+/** What calls for pieces depend on. */
+export interface PieceCallEnvironment {
+    readonly dialect: Dialect;
+    readonly targets: TargetDirectory;
+    /** Memory held for answers. */
+    readonly memory: MemoryAccount;
+}
+
 /** Asks a target to make pieces. The answers are in the order of the pieces. */
 export async function callForPieces(
-    { dialect, targets }: { readonly dialect: Dialect; readonly targets: TargetDirectory },
+    { dialect, targets, memory }: PieceCallEnvironment,
     target: Target,
     pieces: readonly PieceJob[],
     { deadline, signal, onSent }: PieceCallLimits,
@@ -54,13 +64,20 @@
     if (sent.kind !== "answered") return { kind: "failed", reason: sent.kind };
     const facts = dialect.readResponse(sent.head.status, sent.head.headers);
     targets.recordReport(target, facts);
-    const { outcome, bytes } = await readBody(sent.body, limits, MAXIMUM_ANSWER_BYTES);
-    if (facts.wrongTarget) return { kind: "notSent", reason: "another target has the address" };
-    if (facts.notExecuted) return { kind: "full", reason: "target is full" };
+    if (facts.wrongTarget || facts.notExecuted) {
+        sent.body.discard();
+        return facts.wrongTarget
+            ? { kind: "notSent", reason: "another target has the address" }
+            : { kind: "full", reason: "target is full" };
+    }
+    const holding = { memory, party: "targets", maximumBytes: MAXIMUM_ANSWER_BYTES } as const;
+    const { outcome, body } = await HeldBody.read(sent.body, limits, holding);
+    const text = body.bytes.toString();
+    body.release();
     if (outcome.kind === "cancelled") return { kind: "cancelled" };
     if (outcome.kind === "expired") return { kind: "gaveUp", reason: "answer not complete in time" };
-    if (outcome.kind !== "complete") return { kind: "failed", reason: `answer ${outcome.kind}` };
-    const answers = sent.head.status === 200 ? dialect.readPieces(bytes.toString(), pieces.length) : undefined;
+    if (outcome.kind !== "complete") return { kind: "failed", reason: bodyFailureReason(outcome) };
+    const answers = sent.head.status === 200 ? dialect.readPieces(text, pieces.length) : undefined;
     return answers === undefined
         ? { kind: "failed", reason: `status ${sent.head.status} or unreadable answer` }
         : { kind: "answered", answers };
--- a/test/gateway/backgroundtasks.test.ts
+++ b/test/gateway/backgroundtasks.test.ts
@@ -4,6 +4,7 @@
 import type { GatewayPeer, GatewayPeers } from "../../src/gateway/peers.js";
 import { RolloutController } from "../../src/gateway/rolloutcontroller.js";
 import { Rollouts } from "../../src/gateway/rollouts.js";
+import { MemoryAccount } from "../../src/memory/index.js";
 import { PeerCalls } from "../../src/stages/index.js";
 import { Deployment } from "./harness.js";
 
@@ -41,7 +42,7 @@
         let writes = 0;
         const controller = RolloutController.create({
             peers: { self: peer("a"), others: [] } as unknown as GatewayPeers,
-            peerCalls: PeerCalls.create(),
+            peerCalls: PeerCalls.create(MemoryAccount.create({ maximumBytes: 1_000_000 })),
             rollouts,
             writeState: () => {
                 writes += 1;
--- a/test/model/timeout.test.ts
+++ b/test/model/timeout.test.ts
@@ -2,7 +2,9 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
-import { NEVER_ABORTED, readBody, sendAttempt } from "../../src/gateway/attempt.js";
+import { NEVER_ABORTED, sendAttempt } from "../../src/gateway/attempt.js";
+import { HeldBody } from "../../src/gateway/heldbody.js";
+import { MemoryAccount } from "../../src/memory/index.js";
 import { Deadline } from "../../src/model/index.js";
 import { startTimeout } from "../../src/model/timeout.js";
 
@@ -38,8 +40,10 @@
         const attempt = await sendAttempt(request, limits);
         expect(attempt.kind).toBe("answered");
         if (attempt.kind !== "answered") return;
-        const { outcome, bytes } = await readBody(attempt.body, limits, 1_000);
-        expect([outcome.kind, bytes.toString()]).toEqual(["complete", "answer"]);
+        const memory = MemoryAccount.create({ maximumBytes: 100_000 });
+        const holding = { memory, party: "targets", maximumBytes: 1_000 } as const;
+        const { outcome, body } = await HeldBody.read(attempt.body, limits, holding);
+        expect([outcome.kind, body.bytes.toString()]).toEqual(["complete", "answer"]);
     });
 
     it("calls back once, after its time", async () => {
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -34,6 +34,8 @@
     | { readonly kind: "delayedStream"; readonly events: number; readonly delayMs: number }
     /** Writes `first`, then `repeated` until the caller closes the connection. */
     | { readonly kind: "endless"; readonly first: string; readonly repeated: string }
+    /** Writes `first` and `bytes`, and keeps the connection open. */
+    | { readonly kind: "unfinished"; readonly first: string; readonly bytes: Buffer }
     | { readonly kind: "full"; readonly after?: Promise<void> }
     | { readonly kind: "inputsGone" }
     /** Writes the head of a response; then the target is down for `downMs`, and listens again at its address. */
@@ -209,6 +211,10 @@
             case "endless":
                 socket?.write(behaviour.first);
                 return socket === null ? undefined : this.writeEndlessly(socket, behaviour.repeated);
+            case "unfinished":
+                socket?.write(behaviour.first);
+                socket?.write(behaviour.bytes);
+                return;
             case "full":
                 await behaviour.after;
                 response.writeHead(503, this.refusalHeaders()).end();
--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -1,6 +1,6 @@
 /** Separate processes on loopback: each runs a built main module with a settings file, and is ended by its own id. */
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
@@ -95,6 +95,12 @@
         return this.output;
     }
 
+    /** Largest resident memory that the process has had so far, in bytes. */
+    peakResidentBytes(): number {
+        const status = readFileSync(`/proc/${this.child.pid}/status`, "utf8");
+        return 1_024 * Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]);
+    }
+
     /** Waits until the process has logged a text. */
     async logged(text: string): Promise<void> {
         await until(`${this.name} logs "${text}"; it wrote: ${this.output}`, () => {
--- a/test/processes/rawcaller.ts
+++ b/test/processes/rawcaller.ts
@@ -38,18 +38,16 @@
         return caller;
     }
 
+    /** Sends a request and reads nothing of its response. */
+    sendUnread(path: string, id: string): void {
+        this.socket.pause();
+        this.writeRequest(path, id, 0);
+    }
+
     /** Sends a request with the body "body" up to its last `heldBack` bytes, and waits for the response or the end. */
     async send(path: string, id: string, heldBack = 0): Promise<RawAnswer> {
         this.received = "";
-        const head = [
-            `POST ${path} HTTP/1.1`,
-            "Host: 127.0.0.1",
-            `X-Parsleyrun-Request-Id: ${id}`,
-            "X-Parsleyrun-Deadline-Ms: 15000",
-            "Authorization: Token good-key",
-            "Content-Length: 4",
-        ];
-        this.write(`${head.join("\r\n")}\r\n\r\n${"body".slice(0, 4 - heldBack)}`);
+        this.writeRequest(path, id, heldBack);
         const sentAt = performance.now();
         await until(`a response to ${id} or the end`, () => this.closed || this.isComplete());
         const [statusLine = "", ...lines] = (this.received.split("\r\n\r\n")[0] ?? "").split("\r\n");
@@ -78,6 +76,18 @@
         this.socket.destroy();
     }
 
+    private writeRequest(path: string, id: string, heldBack: number): void {
+        const head = [
+            `POST ${path} HTTP/1.1`,
+            "Host: 127.0.0.1",
+            `X-Parsleyrun-Request-Id: ${id}`,
+            "X-Parsleyrun-Deadline-Ms: 15000",
+            "Authorization: Token good-key",
+            "Content-Length: 4",
+        ];
+        this.write(`${head.join("\r\n")}\r\n\r\n${"body".slice(0, 4 - heldBack)}`);
+    }
+
     private isComplete(): boolean {
         const headEnd = this.received.indexOf("\r\n\r\n");
         if (headEnd < 0) return false;
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -33,7 +33,11 @@
 
     private constructor(readonly platform: StandInPlatform) {}
 
-    static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
+    /** `change` changes settings of the gateway. */
+    static async start(
+        nodeArguments: readonly string[] = [],
+        change: Readonly<Record<string, unknown>> = {},
+    ): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         stage.putConfiguration();
         for (const service of SERVICES) {
@@ -61,6 +65,7 @@
             peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
+            ...change,
         };
         stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments);
         await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
--- a/test/stages/peercalls.test.ts
+++ b/test/stages/peercalls.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import type { GatewayPeer } from "../../src/gateway/peers.js";
+import { MemoryAccount } from "../../src/memory/index.js";
 import { Deadline } from "../../src/model/index.js";
 import { PeerCalls } from "../../src/stages/peercalls.js";
 
@@ -41,7 +42,7 @@
     await listen();
     const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     peer = { name: "gateway-2", address } as GatewayPeer;
-    calls = PeerCalls.create();
+    calls = PeerCalls.create(MemoryAccount.create({ maximumBytes: 10_000_000 }));
 });
 
 afterEach(async () => {
--- a/test/stages/piececall.test.ts
+++ b/test/stages/piececall.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, expect, it } from "vitest";
 import type { Target } from "../../src/gateway/target.js";
 import { TargetDirectory } from "../../src/gateway/targetdirectory.js";
+import { MemoryAccount } from "../../src/memory/index.js";
 import { Deadline } from "../../src/model/index.js";
 import { platformDialect } from "../../src/platform/dialect.js";
 import { callForPieces, releaseResults } from "../../src/stages/index.js";
@@ -74,7 +75,8 @@
         async ({ prepare, id = "a", timeoutMs = PATIENCE_MS, outcome, sent = true, answers }) => {
             const target = await startTarget();
             prepare(target);
-            const environment = { dialect: platformDialect, targets };
+            const memory = MemoryAccount.create({ maximumBytes: 10_000_000 });
+            const environment = { dialect: platformDialect, targets, memory };
             let isSent = false;
             const result = await callForPieces(environment, registered(id, target.address), PIECES, {
                 deadline: Deadline.after(timeoutMs),
