--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -95,10 +95,10 @@
         return this.output;
     }
 
-    /** Largest resident memory of the process so far, in megabytes. */
-    get peakMegabytes(): number {
+    /** Largest resident memory that the process has had so far, in bytes. */
+    peakResidentBytes(): number {
         const status = readFileSync(`/proc/${this.child.pid}/status`, "utf8");
-        return Number(/^VmHWM:\s+(\d+)/m.exec(status)?.[1]) / 1_000;
+        return 1_024 * Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]);
     }
 
     /** Waits until the process has logged a text. */
