Bound what the store and its watch may send

What callers would see: a store (or what answers in its place) that sends chunks of one byte without end holds up or ends the gateway process, and all requests with it. A list whose pages never end, or objects far larger than the store takes, fill the heap in the same way.

Cause: a response of 64 MiB was kept as one object for each chunk and then parsed, with a heap of 192 MB; 100 pages of it were added up; the view kept every object that a watch reported.

Now one bounded reader (src/memory/reader.ts, on ByteCollector) reads a response of at most 16 MiB, all open ones of a store together 32 MiB, with at most a million JSON values; a list is at most 32 MiB; a value above 2 MiB of characters is unreadable, as one that is nested too deeply is; a view keeps at most 20,000 objects and 16 MB, logs "store view full" once, and lists again once there is room. Beyond the bounds the call fails with its reason in "store lost", and the gateway goes on with what it knows.

Evidence: endlessrequests.test.ts, heap 192 MB.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -88,6 +88,7 @@
                 ...(settleMilliseconds === undefined ? {} : { settleMilliseconds }),
                 onAvailability: change => this.reportAvailability(prefix, change),
                 onRestoration: change => this.handleRestoration(prefix, change),
+                onFull: full => options.onChange("store view full", { prefix, ...full }),
             });
             view.subscribe(apply);
             return view;
--- a/src/memory/index.ts
+++ b/src/memory/index.ts
@@ -1,2 +1,3 @@
 export * from "./account.js";
 export * from "./collector.js";
+export * from "./reader.js";
--- a/src/platform/entries.ts
+++ b/src/platform/entries.ts
@@ -8,6 +8,9 @@
 /** Deepest nesting of a value that is read; configurations have fewer than ten levels. `JSON.stringify` is recursive. */
 const MAXIMUM_DEPTH = 64;
 
+/** Longest value that is read, in characters; the store takes objects of 1,048,576 bytes. */
+const MAXIMUM_VALUE_LENGTH = 2_097_152;
+
 /** Value of an object that has a name but cannot be read; no decoder accepts it. */
 const UNREADABLE = "";
 
@@ -102,7 +105,9 @@
 }
 
 function encodeValue(value: unknown): string {
-    return isNestedWithin(value, MAXIMUM_DEPTH) ? JSON.stringify(value) : UNREADABLE;
+    if (!isNestedWithin(value, MAXIMUM_DEPTH)) return UNREADABLE;
+    const text = JSON.stringify(value);
+    return text.length > MAXIMUM_VALUE_LENGTH ? UNREADABLE : text;
 }
 
 function isNestedWithin(value: unknown, maximumDepth: number): boolean {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,8 +1,8 @@
 /** Implements `Store` on the platform's metadata store. Keys are `kind/name`, values are the JSON text of a `Spec`. */
-import { Agent } from "node:http";
 import { z } from "zod";
 import { decodeObject, EntryReader, revisionOf } from "./entries.js";
 import {
+    connectionsTo,
     type StoreCallOutcome,
     type CallKind,
     type CallCounter,
@@ -12,6 +12,7 @@
     sendCall,
     type Store,
     type StoreCall,
+    type StoreConnections,
     type StoredObject,
     type StoreEra,
     type WatchOutcome,
@@ -30,20 +31,22 @@
     readonly onEntryIgnored?: (kind: string, reason: string) => void;
 }
 
-/** Maximum number of pages in one list; a page holds about 500 objects. */
+/** Maximum number of pages in one list, and of their bytes together; a page holds about 500 objects. */
 const MAXIMUM_PAGES = 100;
+const MAXIMUM_LIST_BYTES = 32 * 1024 * 1024;
 
 const listSchema = z.object({ Entries: z.array(z.unknown()), HasMore: z.boolean().optional(), At: z.int() });
 const watchSchema = z.object({ events: z.array(z.unknown()), At: z.int() });
 
 /** Client of the platform's store. */
 export class PlatformStore implements Store {
-    private readonly agent = new Agent({ keepAlive: true });
+    private readonly connections: StoreConnections;
     private readonly era = EraTracker.create(HEADER.storeEra);
 
     private readonly entries: EntryReader;
 
     private constructor(private readonly options: PlatformStoreOptions) {
+        this.connections = connectionsTo(options.address);
         this.entries = EntryReader.create((kind, reason) => options.onEntryIgnored?.(kind, reason));
     }
 
@@ -64,9 +67,12 @@
         let revision: number | undefined;
         let firstEra: StoreEra | undefined;
         let after = "";
+        let listBytes = 0;
         for (let page = 0; page < MAXIMUM_PAGES; page += 1) {
             const query = after === "" ? "" : `?After=${encodeURIComponent(after)}`;
             const answer = await this.call("list", { method: "GET", path: `/objects/${kind}${query}` });
+            listBytes += answer.kind === "answered" ? answer.bytes : 0;
+            if (listBytes > MAXIMUM_LIST_BYTES) return { kind: "unavailable", message: "list is too long" };
             const body = listSchema.safeParse(successBody(answer));
             if (!body.success) return unavailable(answer);
             const era = this.era.current;
@@ -120,15 +126,15 @@
 
     /** Closes all connections. */
     close(): void {
-        this.agent.destroy();
+        this.connections.agent.destroy();
     }
 
     private async call(
         kind: CallKind,
         call: Omit<StoreCall, "timeoutMilliseconds"> & { readonly timeoutMilliseconds?: number },
     ): Promise<StoreCallOutcome> {
-        const { address, timeoutMilliseconds, ledger } = this.options;
-        const answer = this.era.check(await sendCall(this.agent, address, { timeoutMilliseconds, ...call }));
+        const { timeoutMilliseconds, ledger } = this.options;
+        const answer = this.era.check(await sendCall(this.connections, { timeoutMilliseconds, ...call }));
         ledger.record(kind, answer.kind !== "answered" || answer.status === 429 || answer.status >= 500);
         return answer;
     }
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -1,5 +1,6 @@
 /** One HTTP call to a store, and its outcome. */
-import { type Agent, type IncomingHttpHeaders, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
+import { Agent, type IncomingHttpHeaders, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
+import { COLLECTION_FAILURE_TEXTS, MemoryAccount, readWhole } from "../memory/index.js";
 import { parseJson } from "../model/json.js";
 import { startTimeout } from "../model/timeout.js";
 
@@ -19,29 +20,51 @@
           readonly status: number;
           readonly headers: IncomingHttpHeaders;
           readonly body: unknown;
+          readonly bytes: number;
       }
     | { readonly kind: "unanswered"; readonly sent: boolean; readonly message: string };
 
 /**
- * Longest response body that is read, in bytes. The registrations and slot tables of 5,900 replicas take a few
- * megabytes, so a longer body does not come from the store.
+ * Longest response body that is read, in bytes, and most values that it may have. The registrations and slot tables of
+ * 5,900 replicas take a few megabytes, so a longer body does not come from the store. A parsed value takes many times the
+ * bytes of a short one.
  */
-const MAXIMUM_RESPONSE_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
+const MAXIMUM_RESPONSE_VALUES = 1_000_000;
+
+/** Bytes that all response bodies which are being read from one store may take together. */
+const MAXIMUM_OPEN_BYTES = 2 * MAXIMUM_RESPONSE_BYTES;
+
+const [COMMA, BRACKET, BRACE] = Buffer.from(",[{");
 
 /** Codes of errors that occur before a connection is made, so that the request was not sent. */
 const CONNECT_ERROR_CODES = ["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL", "EMFILE"];
 
-/** Sends a call to `address` (host:port). The `body` of a response that is not JSON is undefined. */
-export async function sendCall(agent: Agent, address: string, call: StoreCall): Promise<StoreCallOutcome> {
+/** The connections to one store, and the memory for its responses. */
+export interface StoreConnections {
+    /** host:port */
+    readonly address: string;
+    readonly agent: Agent;
+    readonly memory: MemoryAccount;
+}
+
+/** Connections to the store at `address` (host:port), which are made on demand. */
+export function connectionsTo(address: string): StoreConnections {
+    const memory = MemoryAccount.create({ maximumBytes: MAXIMUM_OPEN_BYTES });
+    return { address, agent: new Agent({ keepAlive: true }), memory };
+}
+
+/** Sends a call. The `body` of a response that is not JSON is undefined. */
+export async function sendCall(connections: StoreConnections, call: StoreCall): Promise<StoreCallOutcome> {
     try {
-        return await send(agent, address, call);
+        return await send(connections, call);
     } catch (error) {
         // Only the creation of the request throws, for an address, path or header that cannot be sent.
         return { kind: "unanswered", sent: false, message: error instanceof Error ? error.message : String(error) };
     }
 }
 
-function send(agent: Agent, address: string, call: StoreCall): Promise<StoreCallOutcome> {
+function send({ address, agent, memory }: StoreConnections, call: StoreCall): Promise<StoreCallOutcome> {
     const { method, body } = call;
     const length = body === undefined ? {} : { "content-length": Buffer.byteLength(body) };
     const options = {
@@ -51,19 +74,18 @@
     };
     return new Promise(resolve => {
         const outgoing = httpRequest(`http://${address}${call.path}`, options, response => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            response.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                if (bytes <= MAXIMUM_RESPONSE_BYTES) chunks.push(chunk);
-                else response.destroy(new Error("answer is too long"));
-            });
-            response.on("error", fail);
-            response.on("end", () => {
-                cancelTimeout();
-                const text = Buffer.concat(chunks).toString();
-                const { statusCode: status = 0, headers } = response;
-                resolve({ kind: "answered", status, headers, body: parseJson(text) });
+            const limits = { account: memory, party: "store", maximumBytes: MAXIMUM_RESPONSE_BYTES } as const;
+            void readWhole(response, limits).then(read => {
+                if (read.kind === "broken") fail(read.error ?? new Error("connection closed"));
+                else if (read.kind !== "read") fail(new Error(COLLECTION_FAILURE_TEXTS[read.kind]));
+                else if (hasTooManyValues(read.bytes)) fail(new Error("answer has too many values"));
+                else {
+                    cancelTimeout();
+                    const { statusCode: status = 0, headers } = response;
+                    const body = parseJson(read.bytes.toString());
+                    resolve({ kind: "answered", status, headers, body, bytes: read.bytes.length });
+                }
+                if (read.kind !== "read") outgoing.destroy();
             });
         });
         const cancelTimeout = startTimeout(
@@ -76,8 +98,16 @@
             resolve({ kind: "unanswered", sent: !CONNECT_ERROR_CODES.includes(code), message: code || error.message });
         };
         outgoing.on("error", fail);
-        // An upgrade of the connection closes it without another event.
-        outgoing.on("close", () => fail(new Error("connection closed")));
+        // An upgrade of the connection closes it without another event. A body that was read is handed over first.
+        outgoing.on("close", () => setImmediate(() => fail(new Error("connection closed"))));
         outgoing.end(body);
     });
 }
+
+/** Whether a JSON text has more values than a store sends. Each value but the first follows one of these characters. */
+function hasTooManyValues(bytes: Buffer): boolean {
+    if (bytes.length <= MAXIMUM_RESPONSE_VALUES) return false;
+    let values = 0;
+    for (const byte of bytes) if (byte === COMMA || byte === BRACKET || byte === BRACE) values += 1;
+    return values > MAXIMUM_RESPONSE_VALUES;
+}
--- a/src/store/client.ts
+++ b/src/store/client.ts
@@ -2,9 +2,9 @@
  * Client of the object API over HTTP/1.1. A call that the store refuses, or whose connection cannot be made, changes
  * nothing. The outcome of a write whose connection fails after it was made is `unknown`.
  */
-import { Agent, type OutgoingHttpHeaders } from "node:http";
+import type { OutgoingHttpHeaders } from "node:http";
 import { z } from "zod";
-import { type StoreCallOutcome, sendCall, type StoreCall } from "./call.js";
+import { connectionsTo, type StoreCallOutcome, sendCall, type StoreCall, type StoreConnections } from "./call.js";
 import type { CallKind, CallCounter } from "./counter.js";
 import { EraTracker } from "./era.js";
 import type { ListOutcome, ReadOutcome, Store, StoreEvent, WatchOutcome, WriteOutcome } from "./store.js";
@@ -55,10 +55,12 @@
 
 /** Client of the object API. */
 export class HttpStore implements Store {
-    private readonly agent = new Agent({ keepAlive: true });
+    private readonly connections: StoreConnections;
     private readonly era = EraTracker.create(ERA_HEADER);
 
-    private constructor(private readonly options: HttpStoreOptions) {}
+    private constructor(private readonly options: HttpStoreOptions) {
+        this.connections = connectionsTo(options.address);
+    }
 
     /** Creates a client, which connects on demand. */
     static create(options: HttpStoreOptions): HttpStore {
@@ -104,7 +106,7 @@
 
     /** Closes all connections. */
     close(): void {
-        this.agent.destroy();
+        this.connections.agent.destroy();
     }
 
     private getRequest(kind: CallKind): Omit<CountedCall, "path"> {
@@ -141,7 +143,7 @@
     }
 
     private async call(call: CountedCall): Promise<StoreCallOutcome> {
-        const answer = this.era.check(await sendCall(this.agent, this.options.address, call));
+        const answer = this.era.check(await sendCall(this.connections, call));
         const expected = answer.kind === "answered" && [200, 404, 410, 412].includes(answer.status);
         this.options.callCounter.record(call.kind, !expected);
         return answer;
--- a/src/store/view.ts
+++ b/src/store/view.ts
@@ -24,6 +24,15 @@
     readonly onAvailability?: (change: AvailabilityChange) => void;
     /** Called when the store was restored from a copy, and when the view agrees with it again. */
     readonly onRestoration?: (change: RestorationChange) => void;
+    /** Called when objects begin to be ignored because the view is full. */
+    readonly onFull?: (full: FullView) => void;
+}
+
+/** A view that does not take an object, with the number of those that it has and their characters. */
+export interface FullView {
+    readonly key: string;
+    readonly objects: number;
+    readonly characters: number;
 }
 
 /** Whether the store became unreachable or reachable again. */
@@ -60,6 +69,10 @@
 /** Pause in milliseconds before the state that the view settles on is listed again after a failed call. */
 const SETTLE_RETRY_MS = 500;
 
+/** Maximum number of objects of a view, and of the characters of their keys and values. */
+const MAXIMUM_OBJECTS = 20_000;
+const MAXIMUM_CHARACTERS = 16 * 1024 * 1024;
+
 /** Maximum number of removed keys whose versions are kept. */
 const MAXIMUM_REMOVED = 10_000;
 
@@ -81,6 +94,9 @@
     private readonly removedEarlier = new Map<string, number>();
     /** What the store shows of the keys in which it is not believed yet; undefined for keys that it lacks. */
     private readonly withheld = new Map<string, StoredObject | undefined>();
+    private characters = 0;
+    /** Whether an object was ignored since there was last room for it. */
+    private isFull = false;
     private settleTimer: NodeJS.Timeout | undefined;
     private reachable = false;
     private failingSince: number | undefined;
@@ -173,9 +189,11 @@
         if (outcome.kind === "unavailable") return this.fail(outcome.message);
         // The revision to watch from belongs to the earlier era.
         if (outcome.era !== this.era) return "historyGone";
+        const { isFull, characters } = this;
         for (const event of outcome.events) this.apply(event);
         this.revision = Math.max(this.revision ?? 0, outcome.revision);
-        return "succeeded";
+        // What was ignored may fit now.
+        return isFull && this.characters < characters ? "historyGone" : "succeeded";
     }
 
     /** Forgets all versions and revisions, which the store gives out again. */
@@ -190,6 +208,7 @@
 
     /** Applies a list. While the view settles, only what was written since the restoration is taken for news. */
     private reconcile({ objects }: Extract<ListOutcome, { kind: "listed" }>): void {
+        this.isFull &&= this.characters > MAXIMUM_CHARACTERS / 2 || this.objectsByKey.size > MAXIMUM_OBJECTS / 2;
         const isSettling = this.settleTimer !== undefined;
         const listed = new Set(objects.map(object => object.key));
         for (const [key, { version }] of [...this.objectsByKey]) {
@@ -275,22 +294,49 @@
         const known = this.objectsByKey.get(key);
         const knownVersion = known?.version ?? this.removed.get(key) ?? 0;
         if (object === undefined) {
-            if (!this.objectsByKey.delete(key)) return;
+            if (known === undefined) return;
+            this.set(key, undefined);
             this.removed.set(key, knownVersion);
             const [oldest] = this.removed.keys();
             if (oldest !== undefined && this.removed.size > MAXIMUM_REMOVED) this.removed.delete(oldest);
         } else {
-            if (object.version <= knownVersion) return;
+            if (object.version <= knownVersion || !this.hasRoomFor(object)) return;
             this.removed.delete(key);
             this.removedEarlier.delete(key);
-            this.objectsByKey.set(key, object);
+            this.set(key, object);
         }
         const mayBeOlder = known?.version === 0;
         for (const listener of [...this.listeners]) listener(mayBeOlder ? { ...event, mayBeOlder } : event);
     }
 
+    /** Whether an object fits into the view. An object that does not is in the next list. */
+    private hasRoomFor(object: StoredObject): boolean {
+        const known = this.objectsByKey.get(object.key);
+        const objects = this.objectsByKey.size + (known === undefined ? 1 : 0);
+        const characters = this.characters + lengthOf(object) - lengthOf(known);
+        if (objects <= MAXIMUM_OBJECTS && characters <= MAXIMUM_CHARACTERS) return true;
+        if (!this.isFull) {
+            const { size } = this.objectsByKey;
+            this.options.onFull?.({ key: object.key, objects: size, characters: this.characters });
+        }
+        this.isFull = true;
+        return false;
+    }
+
+    private set(key: string, object: StoredObject | undefined): void {
+        this.characters += lengthOf(object) - lengthOf(this.objectsByKey.get(key));
+        if (object === undefined) this.objectsByKey.delete(key);
+        else this.objectsByKey.set(key, object);
+    }
+
     private backOff(failures: number): Promise<void> {
         const maximumDelay = Math.min(MAXIMUM_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** (failures - 1));
         return this.pause.wait(maximumDelay * (0.5 + Math.random() / 2));
     }
 }
+
+/** Characters of an object in a view. */
+function lengthOf(object: StoredObject | undefined): number {
+    if (object === undefined) return 0;
+    return object.key.length + object.value.length + (object.status?.length ?? 0);
+}
--- a/test/processes/endlessrequests.test.ts
+++ b/test/processes/endlessrequests.test.ts
@@ -2,10 +2,10 @@
  * Callers, other gateways and a store that send without end, at the memory limit of a gateway's process. What one of them
  * sends must not end the process, since all requests that it has taken would end with it.
  */
-import { connect, type Socket } from "node:net";
+import { connect, createServer, type Server, type Socket } from "node:net";
 import { afterEach, beforeEach, describe, expect, it } from "vitest";
 import { CONFIGURATION } from "../gateway/harness.js";
-import { pause, until } from "./daemons.js";
+import { freeAddress, pause, until } from "./daemons.js";
 import { Stage } from "./stage.js";
 
 /** Limits of the heap and of the process in megabytes, as in `deploy/system.toml` and on the deployed machines. */
@@ -64,6 +64,67 @@
     }
 }
 
+/** Passes connections on to the store, and answers its calls without end instead once it is told to. */
+class StoreProxy {
+    address = "";
+    /** Number of calls that were answered without end. */
+    floods = 0;
+    answer: { readonly first: string; readonly repeated: string } | undefined;
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(
+        private readonly server: Server,
+        storeAddress: string,
+    ) {
+        const [host = "", port = ""] = storeAddress.split(":");
+        server.on("connection", socket => {
+            const upstream = connect(Number(port), host);
+            for (const one of [socket, upstream]) {
+                this.sockets.add(one);
+                one.on("error", () => undefined);
+                one.on("close", () => [socket, upstream].forEach(other => other.destroy()));
+            }
+            upstream.pipe(socket);
+            socket.on("data", bytes => {
+                if (this.answer === undefined) upstream.write(bytes);
+                else this.flood(socket, upstream, this.answer);
+            });
+        });
+    }
+
+    static async start(storeAddress: string): Promise<StoreProxy> {
+        const proxy = new StoreProxy(createServer(), storeAddress);
+        proxy.address = await freeAddress();
+        const [host = "", port = ""] = proxy.address.split(":");
+        await new Promise<void>(resolve => proxy.server.listen(Number(port), host, resolve));
+        return proxy;
+    }
+
+    close(): void {
+        this.server.close();
+        for (const socket of this.sockets) socket.destroy();
+    }
+
+    /** Ends all connections, so that the next calls are made on new ones. */
+    disconnect(): void {
+        for (const socket of this.sockets) socket.destroy();
+    }
+
+    private flood(socket: Socket, upstream: Socket, { first, repeated }: NonNullable<StoreProxy["answer"]>): void {
+        this.floods += 1;
+        upstream.unpipe(socket);
+        socket.write(first, "latin1");
+        const block = repeated.repeat(Math.ceil(WRITE_BYTES / repeated.length));
+        let written = 0;
+        const writeNext = (): void => {
+            if (socket.destroyed || written > 50 * BODY_BYTES) return;
+            written += block.length;
+            socket.write(block, "latin1", () => setImmediate(writeNext));
+        };
+        writeNext();
+    }
+}
+
 interface FloodCase {
     readonly sent: string;
     readonly count: number;
@@ -102,12 +163,28 @@
     },
 ];
 
+const STORE_HEAD = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+
+const storeCases: readonly { answer: string; first: string; repeated: string }[] = [
+    {
+        answer: "chunks of one byte",
+        first: `${STORE_HEAD}transfer-encoding: chunked\r\n\r\n`,
+        repeated: "1\r\n \r\n",
+    },
+    { answer: "a body without a length", first: `${STORE_HEAD}\r\n{"events":[`, repeated: "[]," },
+    { answer: "header lines", first: STORE_HEAD, repeated: "x-more: value\r\n" },
+];
+
 let stage: Stage;
+let store: StoreProxy;
 let floods: readonly Flood[] = [];
 
 beforeEach(async () => {
-    const machine = { memoryMegabytes: PROCESS_MEGABYTES };
-    stage = await Stage.start([`--max-old-space-size=${HEAP_MEGABYTES}`], { machine });
+    stage = await Stage.start([`--max-old-space-size=${HEAP_MEGABYTES}`], async address => {
+        store = await StoreProxy.start(address);
+        const machine = { memoryMegabytes: PROCESS_MEGABYTES };
+        return { machine, store: { address: store.address, timeoutMilliseconds: 3_000 } };
+    });
     const Limits = { ...CONFIGURATION.Limits, MaxBodyBytes: BODY_BYTES, HeaderTimeoutMs: 15_000 };
     stage.putConfiguration(15_000, Limits);
     await stage.gateway.logged('"before":1');
@@ -116,6 +193,7 @@
 afterEach(async () => {
     for (const flood of floods) flood.close();
     await stage.close();
+    store.close();
 });
 
 describe("a gateway process", () => {
@@ -138,4 +216,26 @@
         },
         60_000,
     );
+
+    it.each(storeCases)(
+        "outlives a store that answers each call with $answer without end, and goes on with what it knows",
+        async ({ first, repeated }) => {
+            const kept = await stage.connectKept();
+            store.answer = { first, repeated };
+            store.disconnect();
+            await until("several answers without end", () => store.floods >= 8);
+            await pause(2_000);
+            for (const caller of [kept, await stage.connect()]) {
+                const answer = await caller.send("/public/1", "neighbour");
+                expect(answer, stage.gateway.errors.slice(-600)).toMatchObject({ status: 200, complete: true });
+            }
+            expect(await Promise.race([stage.gateway.ended, pause(50)])).toBeUndefined();
+            expect(stage.gateway.peakMegabytes).toBeLessThan(PROCESS_MEGABYTES);
+            expect(stage.gateway.errors).toContain("store lost");
+            store.answer = undefined;
+            store.disconnect();
+            await stage.gateway.logged("store regained");
+        },
+        60_000,
+    );
 });
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -36,7 +36,7 @@
     /** Starts the process with arguments of the runtime and further settings. */
     static async start(
         nodeArguments: readonly string[] = [],
-        settings: Readonly<Record<string, unknown>> = {},
+        settingsOf: (storeAddress: string) => Promise<Readonly<Record<string, unknown>>> = () => Promise.resolve({}),
     ): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         stage.putConfiguration();
@@ -65,7 +65,7 @@
             peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
-            ...settings,
+            ...(await settingsOf(stage.platform.address)),
         };
         stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments);
         await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
