Bound the pieces of a request and the orders of other gateways

What callers would see: one request with "X-Parsleyrun-Pieces:" ends the process, and all requests of others with it; so does one order of another gateway whose 4 MB are indexes of pieces.

Cause: each piece becomes an object, and neither the header nor an order bounded their number; the number of orders in progress was not bounded.

A request with more than 4,096 pieces in a stage is rejected (400, "too many pieces"), and an order with more is malformed. The handles and texts of orders are bounded too. The body of a call and its pieces count as held for the party "gateways" while the order is in progress; without room the call gets 503, which its sender takes as for a gateway that stops. Of the observations that others send, at most 2,000 routes are counted each by itself.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
-import type { PieceLossReason, StageResult } from "../stages/index.js";
+import { MAXIMUM_PIECES, type PieceLossReason, type StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import { type AttemptOutcome, type ResponseHead, readBody } from "./attempt.js";
 import { Attempts } from "./attempts.js";
@@ -145,6 +145,7 @@
         if (this.context.isStopping() || !shutdown.hasTimeFor(usualMs, ownDeadline)) {
             return this.reply.refuse(STOPPING, this.context.stopReturnMs());
         }
+        if (metadata.pieces.some(count => count > MAXIMUM_PIECES)) return this.reply.reject(400, "too many pieces");
         const usualEndAt = this.receivedAt + usualMs;
         this.expectedEndAt = () => {
             const usualLeftMs = usualEndAt - performance.now();
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -41,11 +41,19 @@
 /** Maximum number of observations of one service that wait to be sent. */
 const MAXIMUM_WAITING = 2_000;
 
+/** Longest name of a route in characters that another gateway may send, as a key of what is counted. */
+const MAXIMUM_NAME_LENGTH = 1_000;
+
 const observationsSchema = z.object({
     service: z.string(),
     version: z.string(),
     observations: z.array(
-        z.object({ route: z.string(), isNew: z.boolean(), failed: z.boolean(), slowness: z.number().optional() }),
+        z.object({
+            route: z.string().max(MAXIMUM_NAME_LENGTH),
+            isNew: z.boolean(),
+            failed: z.boolean(),
+            slowness: z.number().optional(),
+        }),
     ),
 });
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -40,6 +40,9 @@
 /** Maximum size in bytes of an order for pieces from another gateway. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
+/** Memory in bytes that a piece of an order takes while it waits and is made. */
+const JOB_BYTES = 1_024;
+
 /** Interval in milliseconds at which open requests are counted at the end of a stop. */
 const OPEN_CHECK_MS = 20;
 
@@ -266,6 +269,14 @@
         response.end();
         return;
     }
+    const holding = gateway.context.memory.open("gateways", () => undefined);
+    holding.resize(order.jobs.length * JOB_BYTES);
+    if (!holding.retain()) {
+        holding.close();
+        response.writeHead(503, { "content-length": 0 });
+        response.end();
+        return;
+    }
     const abort = new AbortController();
     response.once("close", () => {
         if (!response.writableFinished) abort.abort();
@@ -285,6 +296,7 @@
         const made = openOrders.serve(order, abort.signal, (...args) => gateway.pieceRouter.makeForPeer(...args));
         results = await Promise.race([made, givenBack]);
     } finally {
+        holding.close();
         cancelGiveBack();
         clearInterval(progress);
     }
--- a/src/gateway/versionjudge.ts
+++ b/src/gateway/versionjudge.ts
@@ -47,6 +47,10 @@
 /** Newest times that are kept of one version on one route. */
 const MAXIMUM_TIMES = 500;
 
+/** Routes that are counted each by itself; an answer on a further one counts as one of all others together. */
+const MAXIMUM_ROUTES = 2_000;
+const OTHER_ROUTES = "";
+
 const SLOW_RATES: TestRates = { acceptable: 0.08, bad: 0.35 };
 
 interface VersionCounts {
@@ -71,9 +75,7 @@
     }
 
     add({ route, isNew, failed, slowness }: VersionObservation): void {
-        const known = this.routes.get(route);
-        const counts = known ?? { stable: emptyCounts(), candidate: emptyCounts() };
-        if (known === undefined) this.routes.set(route, counts);
+        const counts = this.countsOf(route);
         const version = isNew ? counts.candidate : counts.stable;
         version.answers += 1;
         version.failures += Number(failed);
@@ -109,6 +111,15 @@
         return [...this.routes.values()].reduce((sum, counts) => sum + counts.candidate.answers, 0);
     }
 
+    private countsOf(route: string): RouteCounts {
+        const key = this.routes.has(route) || this.routes.size < MAXIMUM_ROUTES ? route : OTHER_ROUTES;
+        const known = this.routes.get(key);
+        if (known !== undefined) return known;
+        const created = { stable: emptyCounts(), candidate: emptyCounts() };
+        this.routes.set(key, created);
+        return created;
+    }
+
     /** The evidence in total, then of each route. */
     private evidence(): readonly RouteEvidence[] {
         const routes = [...this.routes].map(([route, counts]) => ({ route: `route ${route}`, ...tallies(counts) }));
--- a/src/stages/order.ts
+++ b/src/stages/order.ts
@@ -4,17 +4,28 @@
 import { parseJson } from "../model/json.js";
 import { type PieceJob, type PieceResult, RESULT_HANDLE } from "./piece.js";
 
+/** Maximum number of pieces of one stage of a request. Requests have a few dozen; each one is an object of its own. */
+export const MAXIMUM_PIECES = 4_096;
+
+/** Maximum number of results that an order names as inputs, or that one releases. */
+const MAXIMUM_HANDLES = 16_384;
+
+/** Longest name, key or handle in characters: the size of the largest head, from which they come. */
+const MAXIMUM_TEXT_LENGTH = 131_072;
+
+const text = z.string().max(MAXIMUM_TEXT_LENGTH);
+
 /** The pieces of one stage of a request differ only in their index, so an order carries the common fields once. */
 const orderSchema = z.object({
-    service: z.string(),
-    indexes: z.array(z.int()),
+    service: text,
+    indexes: z.array(z.int()).max(MAXIMUM_PIECES),
     stage: z
         .object({
-            requestId: z.string(),
+            requestId: text,
             stage: z.int(),
             pieces: z.int(),
-            key: z.string().optional(),
-            inputs: z.array(z.string()),
+            key: text.optional(),
+            inputs: z.array(text).max(MAXIMUM_HANDLES),
             isLastUse: z.boolean(),
             inputBytes: z.number(),
             resultBytes: z.number(),
@@ -22,7 +33,7 @@
             priority: z.number(),
             deadlineMs: z.number(),
             targetMs: z.number(),
-            zone: z.string(),
+            zone: text,
             begun: z.boolean(),
         })
         .optional(),
@@ -49,7 +60,7 @@
     ),
 });
 
-const releaseSchema = z.object({ service: z.string(), handles: z.array(z.string()), isEarly: z.boolean() });
+const releaseSchema = z.object({ service: text, handles: z.array(text).max(MAXIMUM_HANDLES), isEarly: z.boolean() });
 
 /** An order to make pieces of one stage of a request. An order without pieces probes whether the gatherer answers. */
 export interface PeerOrder {
--- a/test/processes/endlessrequests.test.ts
+++ b/test/processes/endlessrequests.test.ts
@@ -175,6 +175,62 @@
     { answer: "header lines", first: STORE_HEAD, repeated: "x-more: value\r\n" },
 ];
 
+const peerCall = (path: string, length: number): string =>
+    `POST ${path} HTTP/1.1\r\nHost: gateway\r\nContent-Length: ${length}\r\n\r\n`;
+
+/** An order with as many pieces as fit into the largest call, on a service that this gateway gathers. */
+const largestOrder = (index: number): string => {
+    const stageFields = {
+        requestId: `order-${index}`,
+        stage: 0,
+        pieces: 1,
+        inputs: [],
+        isLastUse: true,
+        inputBytes: 1,
+        resultBytes: 1,
+        fetches: 1,
+        priority: 1,
+        deadlineMs: 10_000,
+        targetMs: 10_000,
+        zone: "east",
+        begun: false,
+    };
+    const rest = JSON.stringify({ service: "encode", stage: stageFields });
+    const indexes = "1,".repeat((BODY_BYTES - rest.length - 100) / 2);
+    return `{"indexes":[${indexes}1],${rest.slice(1)}`;
+};
+
+interface LargeCase {
+    readonly sent: string;
+    readonly count: number;
+    readonly to: "peers" | "callers";
+    readonly text: (index: number) => string;
+}
+
+const largeCases: readonly LargeCase[] = [
+    {
+        sent: "requests with a billion pieces",
+        count: 1,
+        to: "callers",
+        text: () => head("good-key", "X-Parsleyrun-Pieces: 1000000000,1\r\nContent-Length: 0", "/staged/1"),
+    },
+    ...[1, 20].map(count => ({
+        sent: "orders of other gateways with as many pieces as fit",
+        count,
+        to: "peers" as const,
+        text: (index: number) => {
+            const order = largestOrder(index);
+            return peerCall("/pieces", order.length) + order;
+        },
+    })),
+    {
+        sent: "orders of other gateways that stop before their end",
+        count: 200,
+        to: "peers",
+        text: () => peerCall("/pieces", BODY_BYTES) + "x".repeat(BODY_BYTES - 1),
+    },
+];
+
 let stage: Stage;
 let store: StoreProxy;
 let floods: readonly Flood[] = [];
@@ -217,6 +273,22 @@
         60_000,
     );
 
+    it.each(largeCases)(
+        "outlives $count $sent, and serves a neighbour",
+        async ({ count, to, text }) => {
+            const kept = await stage.connectKept();
+            floods = Array.from({ length: count }, (_, index) => new Flood(stage[to], text(index), "", 0));
+            await pause(FLOOD_MS / 2);
+            for (const caller of [kept, await stage.connect()]) {
+                const answer = await caller.send("/public/1", "neighbour");
+                expect(answer, stage.gateway.errors.slice(-600)).toMatchObject({ status: 200, complete: true });
+            }
+            expect(await Promise.race([stage.gateway.ended, pause(50)])).toBeUndefined();
+            expect(stage.gateway.peakMegabytes).toBeLessThan(PROCESS_MEGABYTES);
+        },
+        60_000,
+    );
+
     it.each(storeCases)(
         "outlives a store that answers each call with $answer without end, and goes on with what it knows",
         async ({ first, repeated }) => {
