Show that descriptors that are used up end no request that was read

Seen beside it, not changed: a connection that fails with EMFILE counts as 'target unreachable', so the target pauses although the shortage is this gateway's.

--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -79,12 +79,21 @@
         });
     }
 
-    /** `nodeArguments` are arguments of the runtime. */
-    static spawn(kind: ProcessKind, name: string, file: string, nodeArguments: readonly string[] = []): Daemon {
+    /** `nodeArguments` are arguments of the runtime, `descriptors` the number of descriptors that the process may have. */
+    static spawn(
+        kind: ProcessKind,
+        name: string,
+        file: string,
+        nodeArguments: readonly string[] = [],
+        descriptors?: number,
+    ): Daemon {
         const main = resolve("dist", MAINS[kind], "main.js");
         const command = kind === "standins" ? [] : [kind];
         const operands = kind === "gateway" ? [file] : [...command, "--settings", file];
-        const child = spawn(process.execPath, [...nodeArguments, main, ...operands], {
+        const line = [process.execPath, ...nodeArguments, main, ...operands];
+        const limited = ["/bin/sh", "-c", `ulimit -n ${descriptors} && exec "$@"`, "sh", ...line];
+        const [program = "", ...rest] = descriptors === undefined ? line : limited;
+        const child = spawn(program, rest, {
             stdio: ["ignore", kind === "gateway" ? "pipe" : "ignore", "pipe"],
         });
         return new Daemon(name, file, child);
@@ -135,11 +144,17 @@
     }
 
     /** Writes settings to a file of their own and starts a process on them. */
-    spawn(kind: ProcessKind, name: string, settings: object | string, nodeArguments: readonly string[] = []): Daemon {
+    spawn(
+        kind: ProcessKind,
+        name: string,
+        settings: object | string,
+        nodeArguments: readonly string[] = [],
+        descriptors?: number,
+    ): Daemon {
         this.files += 1;
         const file = join(this.directory, `${name}-${this.files}.yaml`);
         writeFileSync(file, typeof settings === "string" ? settings : stringify(settings));
-        const daemon = Daemon.spawn(kind, name, file, nodeArguments);
+        const daemon = Daemon.spawn(kind, name, file, nodeArguments, descriptors);
         this.started.push(daemon);
         return daemon;
     }
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -40,7 +40,12 @@
 
     private constructor(readonly platform: StandInPlatform) {}
 
-    static async start(nodeArguments: readonly string[] = []): Promise<Stage> {
+    /** `change` changes settings of the gateway, `descriptors` is the number of descriptors that it may have. */
+    static async start(
+        nodeArguments: readonly string[] = [],
+        change: Readonly<Record<string, unknown>> = {},
+        descriptors?: number,
+    ): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         stage.putConfiguration();
         for (const service of SERVICES) {
@@ -68,8 +73,9 @@
             peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
+            ...change,
         };
-        stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments);
+        stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments, descriptors);
         await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
         return stage;
     }
