Drop what is known of routes and services that a change removes

Names that the configuration no longer has are dropped with the change; a budget only once it is as it was when it was created, since its service may return within the window. Ruled out as growing: histograms (1,000 label sets) and counters (5,000 series) are bounded. Not changed: a stage queue stays for each stage service that ever had a piece.

--- a/src/gateway/firstevent.ts
+++ b/src/gateway/firstevent.ts
@@ -46,6 +46,11 @@
         });
     }
 
+    /** Forgets the routes that are not among `routes`. */
+    keepOnly(routes: ReadonlySet<string>): void {
+        for (const route of this.estimates.keys()) if (!routes.has(route)) this.estimates.delete(route);
+    }
+
     /** Time in milliseconds to leave for the engine. */
     reserveMs(route: string): number {
         const { mean, deviation } = this.estimateOf(route);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -273,9 +273,21 @@
         const previousVersion = this.currentConfiguration?.version;
         if (previousVersion !== undefined && content.version <= previousVersion) return;
         this.currentConfiguration = GatewayConfiguration.of(content);
+        this.forgetRemoved(this.currentConfiguration);
         this.options.onChange("configuration in force", { version: content.version, before: previousVersion });
     }
 
+    /** Drops what is known of routes and services by a name that the configuration no longer has. */
+    private forgetRemoved(configuration: GatewayConfiguration): void {
+        const routes = new Set(configuration.content.routes.map(({ name }) => name));
+        const { requestTimes, attemptTimes, firstEventTimes } = this.context;
+        for (const times of [requestTimes, attemptTimes, firstEventTimes]) times.keepOnly(routes);
+        for (const [service, budget] of this.budgets) {
+            // A service may return within the window of its budget.
+            if (configuration.service(service) === undefined && budget.isUnused) this.budgets.delete(service);
+        }
+    }
+
     /** Applies a roll-out or a change of its state. `mayBeOlder` tells that the store may have lost a later state. */
     putRollout(rollout: Rollout, mayBeOlder = false): void {
         const before = this.rollouts.find(rollout.service);
--- a/src/gateway/usualtimes.ts
+++ b/src/gateway/usualtimes.ts
@@ -21,6 +21,11 @@
         this.durations.set(route, recent);
     }
 
+    /** Forgets the routes that are not among `routes`. */
+    keepOnly(routes: ReadonlySet<string>): void {
+        for (const route of this.durations.keys()) if (!routes.has(route)) this.durations.delete(route);
+    }
+
     /** Usual time in milliseconds; infinite if nothing is known of the route. */
     usualMs(route: string): number {
         const recent = this.durations.get(route);
--- a/src/routing/windowbudget.ts
+++ b/src/routing/windowbudget.ts
@@ -38,6 +38,11 @@
         this.requests.add();
     }
 
+    /** Whether it is as it was when it was created. */
+    get isUnused(): boolean {
+        return this.held === 0 && this.requests.sum === 0 && this.retries.sum === 0;
+    }
+
     /** Whether a retry is left. */
     available(): boolean {
         const { fractionOfRequests, allowance } = this.options;
