--- a/test/processes/endlessrequests.test.ts
+++ b/test/processes/endlessrequests.test.ts
@@ -284,7 +284,7 @@
                 expect(answer, stage.gateway.errors.slice(-600)).toMatchObject({ status: 200, complete: true });
             }
             expect(await Promise.race([stage.gateway.ended, pause(50)])).toBeUndefined();
-            expect(stage.gateway.peakMegabytes).toBeLessThan(PROCESS_MEGABYTES);
+            expect(stage.gateway.peakResidentBytes() / 1e6).toBeLessThan(PROCESS_MEGABYTES);
         },
         60_000,
     );
@@ -302,7 +302,7 @@
                 expect(answer, stage.gateway.errors.slice(-600)).toMatchObject({ status: 200, complete: true });
             }
             expect(await Promise.race([stage.gateway.ended, pause(50)])).toBeUndefined();
-            expect(stage.gateway.peakMegabytes).toBeLessThan(PROCESS_MEGABYTES);
+            expect(stage.gateway.peakResidentBytes() / 1e6).toBeLessThan(PROCESS_MEGABYTES);
             expect(stage.gateway.errors).toContain("store lost");
             store.answer = undefined;
             store.disconnect();
--- a/test/processes/stage.ts
+++ b/test/processes/stage.ts
@@ -28,6 +28,9 @@
     readonly Limits?: typeof CONFIGURATION.Limits;
 }
 
+/** Settings that differ from the usual ones. */
+export type SettingsChange = Readonly<Record<string, unknown>>;
+
 /** A gateway process with a target of each service, on routes whose time limits are longer than the grace period. */
 export class Stage {
     callers = "";
@@ -41,10 +44,14 @@
 
     private constructor(readonly platform: StandInPlatform) {}
 
-    /** Starts the process with arguments of the runtime and further settings. */
+    /**
+     * `change` changes settings of the gateway, and may depend on the store's address. `descriptors` is the number of
+     * descriptors that it may have.
+     */
     static async start(
         nodeArguments: readonly string[] = [],
-        settingsOf: (storeAddress: string) => Promise<Readonly<Record<string, unknown>>> = () => Promise.resolve({}),
+        change: SettingsChange | ((storeAddress: string) => Promise<SettingsChange>) = {},
+        descriptors?: number,
     ): Promise<Stage> {
         const stage = new Stage(await StandInPlatform.start());
         stage.putConfiguration();
@@ -73,9 +80,9 @@
             peerAddress: stage.peers,
             store: { address: stage.platform.address, timeoutMilliseconds: 300 },
             stopGraceSeconds: GRACE_MS / 1_000,
-            ...(await settingsOf(stage.platform.address)),
+            ...(typeof change === "function" ? await change(stage.platform.address) : change),
         };
-        stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments);
+        stage.gateway = stage.group.spawn("gateway", "gateway", stage.settings, nodeArguments, descriptors);
         await until("ready", async () => (await fetch(`http://${readiness}`).catch(() => undefined))?.status === 200);
         return stage;
     }
