Add a soak beside parties that send without end

A faulty target or caller that sends bytes without end, or no answer, ended a gateway's process or filled its memory, and no soak had such parties nor looked at processes that end by themselves.

--- a/scripts/soak.mjs
+++ b/scripts/soak.mjs
@@ -12,7 +12,7 @@
       --seed     seed of the run (default: drawn and printed)
       --minutes  length of the run (default 1)
       --gateways gateway processes (default 3)
-      --mix      disruptions (default), silences or darkness
+      --mix      disruptions (default), silences, darkness or endless
       --log      file for the output of the gateways if a promise was broken
 `,
     {
@@ -21,7 +21,11 @@
             seed: { type: "number" },
             minutes: { type: "number", default: 1 },
             gateways: { type: "number", default: 3 },
-            mix: { type: "string", default: "disruptions", choices: ["disruptions", "silences", "darkness"] },
+            mix: {
+                type: "string",
+                default: "disruptions",
+                choices: ["disruptions", "silences", "darkness", "endless"],
+            },
             log: { type: "string" },
         },
     },
