Log each retry that the fraction of the requests does not allow

The log says which requests were retried, not from which part of the allowance, so the cause was only read from the code. The new line has the part, the number of gateways by which it was divided, and what this process has granted in the window.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -352,11 +352,18 @@
     private budgetOf(service: string): WindowBudget {
         const existing = this.budgets.get(service);
         if (existing !== undefined) return existing;
-        const { retries, peers } = this.options;
+        const { retries, peers, onDecision } = this.options;
         const created = WindowBudget.create({
             windowMs: retries.windowMs,
             fractionOfRequests: retries.fractionOfRequests * RETRY_USE_RATIO,
             allowance: () => Math.max(1, (retries.allowance * RETRY_USE_RATIO) / peers.count),
+            onBeyondFraction: use =>
+                onDecision("retry from the allowance", {
+                    service,
+                    gateways: peers.count,
+                    ...use,
+                    windowMs: retries.windowMs,
+                }),
         });
         this.budgets.set(service, created);
         return created;
--- a/src/routing/windowbudget.ts
+++ b/src/routing/windowbudget.ts
@@ -14,6 +14,15 @@
     readonly fractionOfRequests: number;
     /** Further retries in one window; it may change with the number of those that share it. */
     readonly allowance: () => number;
+    /** Called when a retry is used that the fraction of the requests alone does not allow. */
+    readonly onBeyondFraction?: (use: BudgetUse) => void;
+}
+
+/** What a budget has granted in the present window. */
+export interface BudgetUse {
+    readonly retries: number;
+    readonly requests: number;
+    readonly allowance: number;
 }
 
 /** The retries of one service. */
@@ -53,6 +62,10 @@
     use(): void {
         this.held -= 1;
         this.retries.add();
+        const { fractionOfRequests, allowance, onBeyondFraction } = this.options;
+        if (onBeyondFraction === undefined) return;
+        const [retries, requests] = [this.retries.sum, this.requests.sum];
+        if (retries > fractionOfRequests * requests) onBeyondFraction({ retries, requests, allowance: allowance() });
     }
 
     /** Holds a retry again that was used a moment ago, as nothing was sent. */
