Hold the allowance of retries while gateways stop and start

Cause: each gateway divides the allowance by the gateways that are registered at present. Ruled out: the fraction of the requests, which each process counts by itself and which needs no number of gateways.

Change: gateway/limitshares. The allowance is divided by the gateways that were registered within a window and a grace period, because a gateway that has left has used its part and goes on with open requests. A process has its part a window after its registration; until then it has at most 3 retries, from what the parts leave over. It assumes half as many gateways again as it sees, so that processes that start together use at most 0.4 of the allowance. An allowance smaller than the number of gateways goes to some of them, chosen by a hash, as limits of targets do.

A gateway that stays gets a larger part only 18 s after others have left.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -122,6 +122,7 @@
         memory,
         peers,
         retries: { ...settings.retries, windowMs: settings.retries.windowSeconds * 1_000 },
+        stopGraceMs: settings.stopGraceSeconds * 1_000,
         rollouts: settings.rollouts,
         writeRolloutState,
         onDecision: (decision, fields) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import { partOfLimit, TargetLimits } from "./targetlimits.js";
 import { FirstEventTimes } from "./firstevent.js";
 import { LimitQueue } from "./limitqueue.js";
+import { LimitShares } from "./limitshares.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import { RolloutController } from "./rolloutcontroller.js";
@@ -87,6 +88,8 @@
         /** Length of the window in milliseconds. */
         readonly windowMs: number;
     };
+    /** Longest time in milliseconds from the start of a planned stop to the end of the process. */
+    readonly stopGraceMs: number;
     /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
     readonly rollouts: TrialLimits;
     /** Writes the state of a roll-out if the stored object has not changed. */
@@ -110,7 +113,7 @@
     readonly part: number;
 }
 
-/** Fraction of the allowed retries that is used; the rest is a margin for an outdated number of gateways. */
+/** Fraction of the retries for each request that is used; the rest is a margin for requests that are counted elsewhere. */
 const RETRY_USE_RATIO = 0.6;
 
 /** A gateway. */
@@ -123,6 +126,7 @@
     readonly shutdown = Shutdown.create();
     private readonly suspects: Suspects;
     private readonly limits: TargetLimits;
+    private readonly limitShares: LimitShares;
     /** This gateway's parts of limits, by target; computed again when a limit or the gateways change. */
     private readonly limitParts = new Map<string, LimitPart>();
     private readonly peerCalls = PeerCalls.create();
@@ -137,6 +141,8 @@
 
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
+        const { stopGraceMs, retries } = options;
+        this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
         this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
@@ -352,15 +358,15 @@
     private budgetOf(service: string): WindowBudget {
         const existing = this.budgets.get(service);
         if (existing !== undefined) return existing;
-        const { retries, peers, onDecision } = this.options;
+        const { retries, onDecision } = this.options;
         const created = WindowBudget.create({
             windowMs: retries.windowMs,
             fractionOfRequests: retries.fractionOfRequests * RETRY_USE_RATIO,
-            allowance: () => Math.max(1, (retries.allowance * RETRY_USE_RATIO) / peers.count),
+            allowance: () => this.limitShares.partOfAllowance(service, retries.allowance),
             onBeyondFraction: use =>
                 onDecision("retry from the allowance", {
                     service,
-                    gateways: peers.count,
+                    gateways: this.limitShares.count,
                     ...use,
                     windowMs: retries.windowMs,
                 }),
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,8 +1,7 @@
 /**
- * The gateways that are registered in the store.
+ * The gateways that are registered in the store, and those that have left lately.
  *
- * Limits for all gateways together are divided by their number. A gateway that crashes stays registered, so the number
- * can be too high and the parts too small, but not the other way round.
+ * Limits for all gateways together are divided by their number (`gateway/limitshares`). A gateway that crashes stays registered.
  */
 import { z } from "zod";
 import { parseSocketAddress } from "../model/address.js";
@@ -42,7 +41,10 @@
 });
 
 /** Number of gateways assumed until this one sees its own registration; about the size of a small deployment. */
-const ASSUMED_GATEWAYS = 5;
+export const ASSUMED_GATEWAYS = 5;
+
+/** Time in milliseconds for which a gateway is remembered that has left. */
+const MEMORY_MS = 900_000;
 
 const FIRST_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 2_000;
@@ -50,7 +52,9 @@
 /** The registered gateways. */
 export class GatewayPeers {
     private readonly peers = new Map<string, GatewayPeer>();
-    private hasBeenRegistered = false;
+    /** Monotonic times in milliseconds at which gateways left, by name. */
+    private readonly leftAt = new Map<string, number>();
+    private firstRegisteredAt: number | undefined;
     private isRegistering = false;
     /** Repeats the registration; undefined before the first one. */
     private repeatRegistration: (() => void) | undefined;
@@ -81,20 +85,38 @@
         return this.changes;
     }
 
-    /** Number of gateways by which a limit is divided. */
+    /** Monotonic time in milliseconds at which this process first saw its own registration; undefined until then. */
+    get registeredAt(): number | undefined {
+        return this.firstRegisteredAt;
+    }
+
+    /** Names of the other gateways that are registered, or were so after `time` on the monotonic clock; up to 15 minutes ago. */
+    otherNamesSince(time: number): readonly string[] {
+        const left = [...this.leftAt].filter(([, leftAt]) => leftAt > time).map(([name]) => name);
+        return [...this.peers.keys(), ...left].filter(name => name !== this.self.name);
+    }
+
+    /** Number of gateways that are registered at present, or assumed to be. */
     get count(): number {
-        return this.hasBeenRegistered ? Math.max(1, this.peers.size) : Math.max(ASSUMED_GATEWAYS, this.peers.size);
+        return this.firstRegisteredAt !== undefined
+            ? Math.max(1, this.peers.size)
+            : Math.max(ASSUMED_GATEWAYS, this.peers.size);
     }
 
     /** Applies a change of a registration. */
     apply(event: StoreEvent): void {
         this.changes += 1;
         const name = event.key.slice(this.prefix.length);
-        if (event.object === undefined) this.peers.delete(name);
+        const now = performance.now();
+        for (const [left, leftAt] of this.leftAt) if (leftAt < now - MEMORY_MS) this.leftAt.delete(left);
+        if (event.object === undefined && this.peers.delete(name)) this.leftAt.set(name, now);
         // A registration that cannot be read does not replace one that could: fewer gateways would make the parts too large.
         const peer = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value)).data;
-        if (peer?.name === name) this.peers.set(name, peer);
-        this.hasBeenRegistered ||= this.peers.has(this.self.name);
+        if (peer?.name === name) {
+            this.peers.set(name, peer);
+            this.leftAt.delete(name);
+        }
+        if (this.peers.has(this.self.name)) this.firstRegisteredAt ??= now;
         if (name === this.self.name && peer === undefined) this.registerAgain();
     }
 
--- a/src/gateway/targetlimits.ts
+++ b/src/gateway/targetlimits.ts
@@ -47,12 +47,21 @@
     )
     .max(MAXIMUM_TARGETS);
 
-/** The part of a limit in requests a second that a gateway may use; 0 if others share it. */
-export function partOfLimit(target: string, perSecond: number, self: string, others: readonly string[]): number {
-    const partCount = Math.max(1, Math.min(others.length + 1, Math.floor(perSecond / SMALLEST_PART_PER_SECOND)));
-    const ownWeight = rendezvousWeight(target, self);
-    const ahead = others.filter(other => rendezvousWeight(target, other) > ownWeight).length;
-    return ahead < partCount ? perSecond / partCount : 0;
+/**
+ * The part of a limit that a gateway may use, by default in requests a second; 0 if others share it. Parts are not below
+ * `smallest` if there are several; `key` decides which gateways have them.
+ */
+export function partOfLimit(
+    key: string,
+    limit: number,
+    self: string,
+    others: readonly string[],
+    smallest = SMALLEST_PART_PER_SECOND,
+): number {
+    const partCount = Math.max(1, Math.min(others.length + 1, Math.floor(limit / smallest)));
+    const ownWeight = rendezvousWeight(key, self);
+    const ahead = others.filter(other => rendezvousWeight(key, other) > ownWeight).length;
+    return ahead < partCount ? limit / partCount : 0;
 }
 
 /** The limits that this gateway and the others have read. */
