Hold rates and the exposure of roll-outs while gateways stop and start

Change: rates are divided by the gateways that were registered within a grace period, and the part of a cold target's rate follows their number. The allowance of a roll-out is divided by the largest number of gateways during it, and a process that finds the roll-out when it starts has the share only. The budget for repeated pieces is not divided; each gateway that gathers has it whole, and its comment says so.

Cost: for a grace period after a gateway has left, its part of a limit or a cold rate is not used. A process that has started during a roll-out sends to the new version only after it has sent some requests to the old one.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,7 +109,7 @@
 /** This gateway's part of a limit, and what it was computed from. */
 interface LimitPart {
     readonly perSecond: number;
-    readonly revision: number;
+    readonly otherNames: readonly string[];
     readonly part: number;
 }
 
@@ -143,11 +143,11 @@
         const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
         const { stopGraceMs, retries } = options;
         this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
-        this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
+        this.rollouts = Rollouts.create(options.rollouts, () => this.limitShares.countInWindow);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
             () => this.currentConfiguration,
-            () => peers.count,
+            () => this.limitShares.countAtPresent,
             (change, target, detail) => {
                 if (change === "removed" || change === "restarted") {
                     prefixMemory.forget(target);
@@ -285,7 +285,8 @@
     /** Applies a roll-out or a change of its state. `mayBeOlder` tells that the store may have lost a later state. */
     putRollout(rollout: Rollout, mayBeOlder = false): void {
         const before = this.rollouts.find(rollout.service);
-        this.rollouts.put(rollout, mayBeOlder);
+        // A process that finds a roll-out when it starts does not know what was sent to the new version before.
+        this.rollouts.put(rollout, mayBeOlder, !this.informed);
         this.rolloutController.follow();
         if (before?.version === rollout.version && before.storedState === rollout.state) return;
         const { service, version, state = "requested", durationMs } = rollout;
@@ -338,12 +339,11 @@
         const perSecond = this.limits.perSecond(target.registration);
         // Stage targets are called by one gateway, the gatherer of their service.
         if (perSecond === undefined || this.isStageTarget(target)) return perSecond;
-        const { self, others, revision } = this.options.peers;
+        const { otherNamesAtPresent: otherNames } = this.limitShares;
         const known = this.limitParts.get(target.name);
-        if (known?.perSecond === perSecond && known.revision === revision) return known.part;
-        const otherNames = others.map(({ name }) => name);
-        const part = partOfLimit(target.name, perSecond, self.name, otherNames);
-        this.limitParts.set(target.name, { perSecond, revision, part });
+        if (known?.perSecond === perSecond && known.otherNames === otherNames) return known.part;
+        const part = partOfLimit(target.name, perSecond, this.options.peers.self.name, otherNames);
+        this.limitParts.set(target.name, { perSecond, otherNames, part });
         return part;
     }
 
@@ -366,7 +366,7 @@
             onBeyondFraction: use =>
                 onDecision("retry from the allowance", {
                     service,
-                    gateways: this.limitShares.count,
+                    gateways: this.limitShares.countInWindow,
                     ...use,
                     windowMs: retries.windowMs,
                 }),
--- a/src/gateway/limitshares.ts
+++ b/src/gateway/limitshares.ts
@@ -39,54 +39,84 @@
 /** Interval in milliseconds at which gateways are forgotten that have left; each request asks for shares. */
 const NAMES_INTERVAL_MS = 250;
 
-interface SeenNames {
-    readonly names: readonly string[];
-    /** Revision of the registrations, and the monotonic time in milliseconds. */
-    readonly revision: number;
-    readonly at: number;
-}
-
 type Peers = Pick<GatewayPeers, "self" | "otherNamesSince" | "registeredAt" | "revision">;
 
-/** This gateway's shares. */
-export class LimitShares {
-    private seen: SeenNames = { names: [], revision: -1, at: 0 };
+/** The other gateways that are registered or have left in the last `memoryMs`. */
+class RecentGateways {
+    private names: readonly string[] = [];
+    private revision: number | undefined;
+    private readAt = 0;
 
     private constructor(
         private readonly peers: Peers,
-        private readonly options: LimitShareOptions,
+        private readonly memoryMs: number,
     ) {}
 
-    static create(peers: Peers, options: LimitShareOptions): LimitShares {
-        return new LimitShares(peers, options);
+    static create(peers: Peers, memoryMs: number): RecentGateways {
+        return new RecentGateways(peers, memoryMs);
     }
 
-    /** Names of the other gateways that share limits. The array stays the same until they change. */
+    /** Their names. The array stays the same until they change. */
     get otherNames(): readonly string[] {
         const now = performance.now();
         const { revision } = this.peers;
-        if (this.seen.revision === revision && now < this.seen.at + NAMES_INTERVAL_MS) return this.seen.names;
-        const { windowMs, stopGraceMs } = this.options;
-        const names = this.peers.otherNamesSince(now - windowMs - stopGraceMs);
-        const { names: before } = this.seen;
-        const isSame = names.length === before.length && names.every((name, index) => name === before[index]);
-        this.seen = { names: isSame ? before : names, revision, at: now };
-        return this.seen.names;
+        if (this.revision === revision && now < this.readAt + NAMES_INTERVAL_MS) return this.names;
+        const names = this.peers.otherNamesSince(now - this.memoryMs);
+        const isSame = names.length === this.names.length && names.every((name, index) => name === this.names[index]);
+        if (!isSame) this.names = names;
+        this.revision = revision;
+        this.readAt = now;
+        return this.names;
     }
 
-    /** Number of gateways that share limits. */
+    /** Number of gateways with this one. */
     get count(): number {
         const known = this.otherNames.length + 1;
         return this.peers.registeredAt === undefined ? Math.max(ASSUMED_GATEWAYS, known) : known;
     }
+}
+
+/** This gateway's shares. */
+export class LimitShares {
+    /** Those that may have sent something in the last window, and those that may send something now. */
+    private readonly inWindow: RecentGateways;
+    private readonly atPresent: RecentGateways;
+
+    private constructor(
+        private readonly peers: Peers,
+        private readonly windowMs: number,
+        stopGraceMs: number,
+    ) {
+        this.inWindow = RecentGateways.create(peers, windowMs + stopGraceMs);
+        this.atPresent = RecentGateways.create(peers, stopGraceMs);
+    }
+
+    static create(peers: Peers, { windowMs, stopGraceMs }: LimitShareOptions): LimitShares {
+        return new LimitShares(peers, windowMs, stopGraceMs);
+    }
+
+    /** Number of gateways that share what may be used in a window. */
+    get countInWindow(): number {
+        return this.inWindow.count;
+    }
+
+    /** Number of gateways that share a rate. */
+    get countAtPresent(): number {
+        return this.atPresent.count;
+    }
+
+    /** Names of the other gateways that share a rate. The array stays the same until they change. */
+    get otherNamesAtPresent(): readonly string[] {
+        return this.atPresent.otherNames;
+    }
 
     /** This gateway's part of what all gateways may use of `allowance` in one window, for the service. */
     partOfAllowance(service: string, allowance: number): number {
         const { registeredAt, self } = this.peers;
-        if (registeredAt === undefined || performance.now() - registeredAt < this.options.windowMs) {
-            const gateways = Math.max(ASSUMED_GATEWAYS, this.count * UNSEEN_RATIO);
+        if (registeredAt === undefined || performance.now() - registeredAt < this.windowMs) {
+            const gateways = Math.max(ASSUMED_GATEWAYS, this.inWindow.count * UNSEEN_RATIO);
             return Math.min(MAXIMUM_FIRST_PART, (allowance * FIRST_USE_RATIO) / gateways);
         }
-        return partOfLimit(service, allowance * USE_RATIO, self.name, this.otherNames, SMALLEST_PART);
+        return partOfLimit(service, allowance * USE_RATIO, self.name, this.inWindow.otherNames, SMALLEST_PART);
     }
 }
--- a/src/gateway/rollouts.ts
+++ b/src/gateway/rollouts.ts
@@ -32,6 +32,8 @@
     readonly seenAt: number;
     /** State in the store, which loses a decision when it is restored from a copy. */
     readonly storedState: RolloutState | undefined;
+    /** Whether it may have begun before this process, so that others or the process before it have used the allowance. */
+    readonly hasBegunBefore: boolean;
 }
 
 /** Bound on what all gateways together send to a new version until its roll-out is decided. */
@@ -52,6 +54,8 @@
     /** Attempts at the service, and those of them at the new version. */
     allAttempts: number;
     newAttempts: number;
+    /** The largest number of gateways that has shared the allowance: the parts of those that have left were used. */
+    gateways: number;
     /** The split of attempts that the last choice of a target followed. */
     split: TrafficSplit;
 }
@@ -77,9 +81,10 @@
 
     /**
      * Adds a roll-out or updates its state. A decision that is known stays in force if the stored roll-out `mayBeOlder`:
-     * what follows from a decision, such as the end of the old targets, cannot be taken back.
+     * what follows from a decision, such as the end of the old targets, cannot be taken back. `hasBegunBefore` tells that the
+     * roll-out may be older than this process.
      */
-    put(rollout: Rollout, mayBeOlder = false): void {
+    put(rollout: Rollout, mayBeOlder = false, hasBegunBefore = false): void {
         const known = this.rollouts.get(rollout.service);
         const isKnown = known?.version === rollout.version;
         if (isKnown && !mayBeOlder && rollout.revision < known.revision) return;
@@ -89,6 +94,7 @@
             state: isLost ? known.state : rollout.state,
             seenAt: isKnown ? known.seenAt : performance.now(),
             storedState: rollout.state,
+            hasBegunBefore: isKnown ? known.hasBegunBefore : hasBegunBefore,
         });
     }
 
@@ -156,7 +162,7 @@
         const fraction = Math.max(this.share, targetCount / (targetCount + oldTargets.length));
         trial.split = { ...trial.split, candidate: { version: rollout.version, fraction } };
         const versions = this.chooser.allowedVersions(service, trial.split) ?? [];
-        const mayTry = versions.includes(rollout.version) && this.isWithinLimits(trial);
+        const mayTry = versions.includes(rollout.version) && this.isWithinLimits(trial, rollout);
         return mayTry ? trialTargets(newTargets, targetCount) : oldTargets;
     }
 
@@ -177,16 +183,17 @@
     }
 
     /** Whether one more attempt at the new version is within this gateway's part of the limits. */
-    private isWithinLimits({ allAttempts, newAttempts }: Trial): boolean {
-        const allowance = (this.limits.allowance * ALLOWANCE_USE_RATIO) / Math.max(1, this.gatewayCount());
-        return newAttempts + 1 <= (allAttempts + 1) * this.share + allowance;
+    private isWithinLimits(trial: Trial, { hasBegunBefore }: SeenRollout): boolean {
+        trial.gateways = Math.max(trial.gateways, this.gatewayCount());
+        const allowance = hasBegunBefore ? 0 : (this.limits.allowance * ALLOWANCE_USE_RATIO) / trial.gateways;
+        return trial.newAttempts + 1 <= (trial.allAttempts + 1) * this.share + allowance;
     }
 
     private trialOf({ service, version }: SeenRollout): Trial {
         const known = this.trials.get(service);
         if (known?.version === version) return known;
         const split = { service, stable: OLD_VERSION, candidate: { version, fraction: this.share } };
-        const created = { version, allAttempts: 0, newAttempts: 0, split };
+        const created = { version, allAttempts: 0, newAttempts: 0, gateways: 1, split };
         this.trials.set(service, created);
         return created;
     }
--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -147,9 +147,10 @@
     /** The eligible targets that are healthy, reachable and within the cold rate, whatever limits they name. */
     working(service: string): readonly Target[] {
         const now = performance.now();
+        const gatewayCount = this.gatewayCount();
         return this.health.withoutEjected(this.eligible(service)).filter(target => {
             const { unreachableUntil, pausedUntil, rate } = knownTarget(target);
-            return unreachableUntil <= now && pausedUntil <= now && rate.admitsWhileCold();
+            return unreachableUntil <= now && pausedUntil <= now && rate.admitsWhileCold(gatewayCount);
         });
     }
 
--- a/src/gateway/targetrate.ts
+++ b/src/gateway/targetrate.ts
@@ -25,6 +25,8 @@
 export class TargetRate {
     /** Monotonic time in milliseconds. */
     private coldUntil = 0;
+    /** Requests a second from all gateways together. */
+    private coldPerSecond = 0;
     private coldBucket: TokenBucket | undefined;
     private limitBucket: TokenBucket | undefined;
 
@@ -39,9 +41,14 @@
         return this.coldUntil > performance.now();
     }
 
-    /** Whether the target may get a request as far as its cold period is concerned. */
-    admitsWhileCold(): boolean {
-        return !this.isCold() || (this.coldBucket?.available() ?? true);
+    /**
+     * Whether the target may get a request as far as its cold period is concerned. This gateway's part of the rate follows the
+     * present number of gateways.
+     */
+    admitsWhileCold(gatewayCount: number): boolean {
+        if (!this.isCold() || this.coldBucket === undefined) return true;
+        this.coldBucket.changeRate(partOfColdRate(this.coldPerSecond, gatewayCount));
+        return this.coldBucket.available();
     }
 
     /** Counts a request to the target while it is cold. */
@@ -59,7 +66,8 @@
         if (until <= this.coldUntil) return undefined;
         this.coldUntil = until;
         if (wasCold && this.coldBucket !== undefined) return undefined;
-        const gatewayRate = (perSecond * COLD_RATE_RATIO) / Math.max(1, gatewayCount);
+        this.coldPerSecond = perSecond;
+        const gatewayRate = partOfColdRate(perSecond, gatewayCount);
         this.coldBucket = TokenBucket.create({
             perSecond: gatewayRate,
             capacity: Math.min(COLD_BURST, Math.max(1, gatewayRate)),
@@ -82,3 +90,7 @@
         return this.limitBucket;
     }
 }
+
+function partOfColdRate(perSecond: number, gatewayCount: number): number {
+    return (perSecond * COLD_RATE_RATIO) / Math.max(1, gatewayCount);
+}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -37,7 +37,10 @@
 /** Retries for each piece in the window; a service that fails more often gets no more load from retries. */
 export const RETRIES_PER_PIECE = 0.2;
 
-/** Further retries in one window: the pieces of several full calls that are lost with their targets. */
+/**
+ * Further retries in one window: the pieces of several full calls that are lost with their targets. A gateway that takes the
+ * gathering over has them anew, because such a loss often comes with that of the gateway before.
+ */
 export const RETRY_ALLOWANCE = 60;
 
 /** Length in milliseconds of the window over which retries are counted. */
--- a/test/gateway/limitshares.test.ts
+++ b/test/gateway/limitshares.test.ts
@@ -4,6 +4,7 @@
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { Gateway, type GatewayOptions, type GatewayPeer, GatewayPeers } from "../../src/gateway/index.js";
+import type { Target, TargetRegistration } from "../../src/gateway/target.js";
 import { MemoryAccount } from "../../src/memory/index.js";
 
 const WINDOW_MS = 10_000;
@@ -20,6 +21,24 @@
     vi.useRealTimers();
 });
 
+/** A target that is cold or names a limit. */
+const TARGET: TargetRegistration = {
+    id: "engines-0",
+    incarnation: 1,
+    service: "engines",
+    address: "127.0.0.1:2",
+    zone: "east",
+    version: "v1",
+    slots: 8,
+    state: "available",
+    coldRemainingMs: 120_000,
+};
+const SERVICE = { name: "engines", healthPath: "/", coldStartMs: 0, stage: undefined, engine: undefined };
+const LIMIT_PER_SECOND = 30;
+
+const ROLLOUT = { service: "engines", version: "v2", durationMs: 600_000, state: undefined, revision: 1 };
+const ROLLOUTS = { share: 0.1, allowance: 50 };
+
 interface Process {
     readonly name: string;
     readonly gateway: Gateway;
@@ -34,10 +53,12 @@
     private running: readonly Process[] = [];
     private readonly retries: number[] = [];
     private readonly requests: number[] = [];
+    private hasRollout = false;
 
     constructor(
         private readonly allowance: number,
         private readonly requestsPerStep = 0,
+        private readonly coldRequestsPerSecond = 0,
     ) {}
 
     /** Starts a process; without the store, others do not see its registration, nor does it see theirs. */
@@ -55,7 +76,7 @@
             peers,
             retries: { fractionOfRequests: FRACTION, allowance: this.allowance, windowMs: WINDOW_MS },
             stopGraceMs: STOP_GRACE_MS,
-            rollouts: { share: 0.1, allowance: 50 },
+            rollouts: ROLLOUTS,
             onDecision: () => undefined,
             onChange: () => undefined,
         };
@@ -64,6 +85,23 @@
         gateway.gossip.stop();
         this.running = [...this.running, { name, gateway, peers, isFollowing: hasStore }];
         if (hasStore) this.regainStore(name);
+        const { coldRequestsPerSecond } = this;
+        gateway.applyConfiguration({
+            version: 1,
+            routes: [],
+            services: [{ ...SERVICE, coldRequestsPerSecond }],
+            accounts: undefined,
+            limits: { headerBytes: 1_000, bodyBytes: 1_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+        });
+        gateway.targets.put(TARGET);
+        if (this.hasRollout) gateway.putRollout(ROLLOUT);
+        gateway.setInformed();
+    }
+
+    /** Orders a roll-out, which processes that start later find in the store. */
+    orderRollout(): void {
+        this.hasRollout = true;
+        for (const { gateway } of this.running) gateway.putRollout(ROLLOUT);
     }
 
     /** Removes the registration; the process goes on until `end`. */
@@ -131,6 +169,51 @@
         return Math.max(...beyond);
     }
 
+    /** Sends what the cold target may get. Returns the number of requests. */
+    sendToColdTarget(milliseconds: number): number {
+        let sent = 0;
+        for (let passed = 0; passed < milliseconds; passed += 50) {
+            vi.advanceTimersByTime(50);
+            for (const { gateway } of this.running) {
+                const mayMore = (): boolean => gateway.targets.working("engines").length > 0;
+                for (const [target] = gateway.targets.eligible("engines"); target !== undefined && mayMore();) {
+                    gateway.targets.recordSent(target);
+                    sent += 1;
+                }
+            }
+        }
+        return sent;
+    }
+
+    /** The sum of the parts of a limit in requests a second that the target names. */
+    sumOfLimitParts(limitPerSecond: number): number {
+        return this.running.reduce((sum, { gateway }) => {
+            const [target] = gateway.targets.eligible("engines");
+            if (target === undefined) return sum;
+            const report = { load: undefined, limitPerSecond, wrongTarget: false, isLeaving: false, pause: undefined };
+            gateway.targets.recordReport(target, report);
+            return sum + gateway.targets.limitPartOf(target);
+        }, 0);
+    }
+
+    /** Sends requests to the new version as far as it may get them. Returns how many exceed its share of all requests. */
+    sendToNewVersion(): number {
+        const targets = ["v1", "v2"].map(
+            version => ({ name: version, registration: { ...TARGET, version } }) as Target,
+        );
+        let beyondShare = 0;
+        for (const { gateway } of this.running) {
+            for (let request = 0; request < 60; request += 1) {
+                const { rollouts } = gateway.context;
+                const chosen = rollouts.allowed("engines", targets, () => targets).at(-1);
+                if (chosen === undefined) continue;
+                rollouts.recordSent(chosen);
+                beyondShare += Number(chosen.registration.version === "v2") - ROLLOUTS.share;
+            }
+        }
+        return beyondShare;
+    }
+
     private tell(changed: string): void {
         const key = PREFIX + changed;
         const value = { name: changed, zone: "east", address: "127.0.0.1:1" };
@@ -326,3 +409,63 @@
         expect(fleet.recentRetries).toBe(12);
     });
 });
+
+describe("the requests a second of all gateways together to one target", () => {
+    it("stay within its cold rate when all gateways start again one after another", () => {
+        const names = namesOf(5);
+        const fleet = new Fleet(20, 0, LIMIT_PER_SECOND);
+        names.forEach(name => fleet.start(name));
+        names.forEach(name => fleet.stop(name));
+        for (const name of names) {
+            vi.advanceTimersByTime(500);
+            fleet.start(name);
+        }
+        vi.advanceTimersByTime(1_000);
+        // Bursts of the processes are over after the first seconds.
+        fleet.sendToColdTarget(2_000);
+        const sent = fleet.sendToColdTarget(4_000);
+        expect(sent).toBeGreaterThan(2 * LIMIT_PER_SECOND);
+        expect(sent).toBeLessThanOrEqual(4 * LIMIT_PER_SECOND);
+    });
+
+    it("stay within the limit that it names while gateways stop and go on with open requests", () => {
+        const names = namesOf(5);
+        const fleet = settledFleet(names, 20, 0);
+        expect(fleet.sumOfLimitParts(LIMIT_PER_SECOND)).toBeCloseTo(LIMIT_PER_SECOND);
+        for (const name of names.slice(1)) {
+            fleet.beginStop(name);
+            vi.advanceTimersByTime(1_000);
+            expect(fleet.sumOfLimitParts(LIMIT_PER_SECOND)).toBeLessThanOrEqual(LIMIT_PER_SECOND + 0.01);
+        }
+        names.slice(1).forEach(name => fleet.end(name));
+        vi.advanceTimersByTime(STOP_GRACE_MS + 1_000);
+        expect(fleet.sumOfLimitParts(LIMIT_PER_SECOND)).toBeCloseTo(LIMIT_PER_SECOND);
+    });
+});
+
+describe("the requests of all gateways together to a new version", () => {
+    it.each([
+        { course: "stop and start again one after another", areAllStopped: false },
+        { course: "stop one after another before the first one starts again", areAllStopped: true },
+    ])("stay within the allowance when gateways $course", ({ areAllStopped }) => {
+        const names = namesOf(3);
+        const fleet = settledFleet(names, 20, 0);
+        fleet.orderRollout();
+        let sent = fleet.sendToNewVersion();
+        expect(sent).toBeGreaterThan(0);
+        for (const name of names) {
+            fleet.stop(name);
+            sent += fleet.sendToNewVersion();
+            if (areAllStopped) continue;
+            fleet.start(name);
+            sent += fleet.sendToNewVersion();
+        }
+        if (areAllStopped) {
+            for (const name of names) {
+                fleet.start(name);
+                sent += fleet.sendToNewVersion();
+            }
+        }
+        expect(sent).toBeLessThanOrEqual(ROLLOUTS.allowance);
+    });
+});
