--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import { partOfLimit, TargetLimits } from "./targetlimits.js";
 import { FirstEventTimes } from "./firstevent.js";
 import { LimitQueue } from "./limitqueue.js";
+import { LimitShares } from "./limitshares.js";
 import type { GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import { RolloutController } from "./rolloutcontroller.js";
@@ -87,6 +88,8 @@
         /** Length of the window in milliseconds. */
         readonly windowMs: number;
     };
+    /** Longest time in milliseconds from the start of a planned stop to the end of the process. */
+    readonly stopGraceMs: number;
     /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
     readonly rollouts: TrialLimits;
     /** Writes the state of a roll-out if the stored object has not changed. */
@@ -106,11 +109,11 @@
 /** This gateway's part of a limit, and what it was computed from. */
 interface LimitPart {
     readonly perSecond: number;
-    readonly revision: number;
+    readonly otherNames: readonly string[];
     readonly part: number;
 }
 
-/** Fraction of the allowed retries that is used; the rest is a margin for an outdated number of gateways. */
+/** Fraction of the retries for each request that is used; the rest is a margin for requests that are counted elsewhere. */
 const RETRY_USE_RATIO = 0.6;
 
 /** A gateway. */
@@ -123,6 +126,7 @@
     readonly shutdown = Shutdown.create();
     private readonly suspects: Suspects;
     private readonly limits: TargetLimits;
+    private readonly limitShares: LimitShares;
     /** This gateway's parts of limits, by target; computed again when a limit or the gateways change. */
     private readonly limitParts = new Map<string, LimitPart>();
     private readonly peerCalls: PeerCalls;
@@ -138,11 +142,13 @@
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
         this.peerCalls = PeerCalls.create(memory);
-        this.rollouts = Rollouts.create(options.rollouts, () => peers.count);
+        const { stopGraceMs, retries } = options;
+        this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
+        this.rollouts = Rollouts.create(options.rollouts, () => this.limitShares.countInWindow);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
             () => this.currentConfiguration,
-            () => peers.count,
+            () => this.limitShares.countAtPresent,
             (change, target, detail) => {
                 if (change === "removed" || change === "restarted") {
                     prefixMemory.forget(target);
@@ -292,7 +298,8 @@
     /** Applies a roll-out or a change of its state. `mayBeOlder` tells that the store may have lost a later state. */
     putRollout(rollout: Rollout, mayBeOlder = false): void {
         const before = this.rollouts.find(rollout.service);
-        this.rollouts.put(rollout, mayBeOlder);
+        // A process that finds a roll-out when it starts does not know what was sent to the new version before.
+        this.rollouts.put(rollout, mayBeOlder, !this.informed);
         this.rolloutController.follow();
         if (before?.version === rollout.version && before.storedState === rollout.state) return;
         const { service, version, state = "requested", durationMs } = rollout;
@@ -345,12 +352,11 @@
         const perSecond = this.limits.perSecond(target.registration);
         // Stage targets are called by one gateway, the gatherer of their service.
         if (perSecond === undefined || this.isStageTarget(target)) return perSecond;
-        const { self, others, revision } = this.options.peers;
+        const { otherNamesAtPresent: otherNames } = this.limitShares;
         const known = this.limitParts.get(target.name);
-        if (known?.perSecond === perSecond && known.revision === revision) return known.part;
-        const otherNames = others.map(({ name }) => name);
-        const part = partOfLimit(target.name, perSecond, self.name, otherNames);
-        this.limitParts.set(target.name, { perSecond, revision, part });
+        if (known?.perSecond === perSecond && known.otherNames === otherNames) return known.part;
+        const part = partOfLimit(target.name, perSecond, this.options.peers.self.name, otherNames);
+        this.limitParts.set(target.name, { perSecond, otherNames, part });
         return part;
     }
 
@@ -365,11 +371,18 @@
     private budgetOf(service: string): WindowBudget {
         const existing = this.budgets.get(service);
         if (existing !== undefined) return existing;
-        const { retries, peers } = this.options;
+        const { retries, onDecision } = this.options;
         const created = WindowBudget.create({
             windowMs: retries.windowMs,
             fractionOfRequests: retries.fractionOfRequests * RETRY_USE_RATIO,
-            allowance: () => Math.max(1, (retries.allowance * RETRY_USE_RATIO) / peers.count),
+            allowance: () => this.limitShares.partOfAllowance(service, retries.allowance),
+            onBeyondFraction: use =>
+                onDecision("retry from the allowance", {
+                    service,
+                    gateways: this.limitShares.countInWindow,
+                    ...use,
+                    windowMs: retries.windowMs,
+                }),
         });
         this.budgets.set(service, created);
         return created;
