Leave no stream of events without ids for another run

Callers saw a complete response joined from the events of two runs: a target had sent events without ids and then broke, fell silent, or sent bytes that were no event. What the caller has of such a stream cannot be named to another target, so that one began anew.

A stream whose caller has an event without an id is now neither retried nor overlapped; it ends as the first target leaves it.

--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -82,6 +82,7 @@
 export class StreamWriter {
     started = false;
     private lastEventId: string | undefined;
+    private hasUnnumberedEvents = false;
 
     constructor(
         private readonly response: ServerResponse,
@@ -89,6 +90,11 @@
         private readonly closesConnection: () => boolean,
     ) {}
 
+    /** Whether another target can go on after what was written: an event without an id cannot be named to it. */
+    get canBeContinued(): boolean {
+        return !this.hasUnnumberedEvents;
+    }
+
     /** Id of the last event that the caller has; undefined before the stream begins. */
     get lastDeliveredEventId(): string | undefined {
         return this.started ? (this.lastEventId ?? this.callerLastEventId) : undefined;
@@ -97,7 +103,10 @@
     /** Writes events. Returns a promise when the buffer is full; it resolves when more can be written. */
     write(head: ResponseHead, events: readonly StreamEvent[]): Promise<void> | undefined {
         this.sendHead(head);
-        for (const { id } of events) this.lastEventId = id ?? this.lastEventId;
+        for (const { id, isComment } of events) {
+            this.lastEventId = id ?? this.lastEventId;
+            this.hasUnnumberedEvents ||= id === undefined && !isComment;
+        }
         const hasCapacity = this.response.write(Buffer.concat(events.map(({ bytes }) => bytes)));
         if (hasCapacity) return undefined;
         return new Promise(resolve => {
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -90,7 +90,7 @@
 
     private async run(): Promise<ExchangeResult> {
         const { attempts, inputs, endUnsent } = this.options;
-        while (this.failure === undefined || attempts.mayRetry()) {
+        while (this.failure === undefined || (this.writer.canBeContinued && attempts.mayRetry())) {
             const target = await attempts.nextTarget(inputs);
             if (target === undefined) break;
             const attempt = await this.follow(this.start(target));
@@ -153,7 +153,7 @@
     private startOther(silent: StreamAttempt): StreamAttempt | undefined {
         const { attempts, inputs, context } = this.options;
         context.targets.recordSilent(silent.target, silent.heardAt);
-        if (this.hasOverlapped && !this.isGivenUp(silent)) return undefined;
+        if (!this.writer.canBeContinued || (this.hasOverlapped && !this.isGivenUp(silent))) return undefined;
         const target = attempts.otherTarget(silent.target, inputs);
         if (target === undefined) return undefined;
         const fields = { other: target.name, silentMs: Math.round(silent.silentMs) };
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -42,6 +42,8 @@
     | { readonly kind: "crash"; readonly downMs: number }
     /** Writes bytes to the connection and closes it. */
     | { readonly kind: "raw"; readonly text: string }
+    /** Writes bytes to the connection and stays silent. */
+    | { readonly kind: "rawThenSilent"; readonly text: string }
     | { readonly kind: "reset" }
     | { readonly kind: "silent" }
     | { readonly kind: "truncate" }
@@ -230,6 +232,9 @@
             case "raw":
                 socket?.end(behaviour.text);
                 return;
+            case "rawThenSilent":
+                socket?.write(behaviour.text);
+                return;
             case "reset":
                 socket?.resetAndDestroy();
                 return;
