Copy the bytes of an incomplete event once, and count what streams hold

Neighbours of a stream with one event without an end in chunks of 4 bytes got no answer in time: EventSplitter copied and searched its whole buffer for each chunk, which is quadratic, and 200 such streams kept the event loop busy until the test gave up. Nothing counted what streams hold.

The splitter now appends to a buffer that doubles, and goes on searching where it stopped. A stream has a holding of its party for its incomplete event and for what its caller has not taken; one that has to give way ends with "no memory for the answer", and its target is not blamed. While a reader is busy, the parts that came with the same read are joined to one and the connection is not read, since each part takes a hundred times its bytes.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -350,19 +350,38 @@
                 );
             if (options.signal.aborted) return onAbort();
             options.signal.addEventListener("abort", onAbort);
+            let isJoining = false;
+            /**
+             * Joins the parts that have come while the reader is busy, and stops reading. An object for each part takes a
+             * hundred times the bytes of a short one.
+             */
+            const joinParts = (): void => {
+                if (settled || !message.isPaused()) return;
+                isJoining = true;
+                const joined = message.read() as Buffer | null;
+                isJoining = false;
+                // Reading from the message lets its connection be read.
+                message.socket.pause();
+                if (joined !== null) message.unshift(joined);
+            };
             message.on("data", (chunk: Buffer) => {
-                if (settled) return;
+                if (settled || isJoining) return;
                 armStallTimer();
                 try {
                     const chunkTaken = options.onChunk(chunk);
                     if (chunkTaken === undefined) return;
                     // While the reader is busy, nothing can be said of the target.
                     message.pause();
+                    process.nextTick(joinParts);
                     cancelStallTimeout();
                     void chunkTaken.then(() => {
                         if (settled) return;
                         armStallTimer();
                         message.resume();
+                        // What is still there is handed on first, and may make the reader busy again.
+                        process.nextTick(() => {
+                            if (!message.isPaused()) message.socket.resume();
+                        });
                     });
                 } catch (error) {
                     reject(error instanceof Error ? error : new Error(String(error)));
--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -21,9 +21,19 @@
 /** Lines with a name and a value each. */
 const FIELDS = /^([\w-]*:.*\r?\n)+\r?\n$/;
 
+const EMPTY = Buffer.alloc(0);
+
+/** Smallest buffer of an incomplete event in bytes. */
+const MINIMUM_CAPACITY = 256;
+
 /** Buffers the bytes of one stream until they form complete events. */
 export class EventSplitter {
-    private buffered: Buffer = Buffer.alloc(0);
+    /** Holds the incomplete event in its first `size` bytes. */
+    private buffer: Buffer = EMPTY;
+    private size = 0;
+    /** Where the search for the end of the event goes on, and where the line begins in which it does. */
+    private searched = 0;
+    private lineStart = 0;
     private bytesSince = 0;
     private malformed = false;
 
@@ -41,7 +51,12 @@
 
     /** Number of buffered bytes, which are not yet a complete event. */
     get pendingBytes(): number {
-        return this.buffered.length;
+        return this.size;
+    }
+
+    /** Number of bytes that the buffer takes. */
+    get heldBytes(): number {
+        return this.buffer.length;
     }
 
     /** Whether the stream has had bytes that are not its next event; nothing after them is returned. */
@@ -52,25 +67,68 @@
     /** Adds bytes and returns the events that are now complete. */
     push(chunk: Buffer): readonly StreamEvent[] {
         if (this.malformed) return [];
-        this.buffered = this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk]);
+        const bytes = this.withPending(chunk);
         const idBefore = this.lastId;
         const events: StreamEvent[] = [];
         let start = 0;
-        for (let end = findEventEnd(this.buffered, start); end > 0; end = findEventEnd(this.buffered, start)) {
-            const bytes = this.buffered.subarray(start, end);
-            const text = bytes.toString("latin1");
+        for (let end = this.findEventEnd(bytes, start); end > 0; end = this.findEventEnd(bytes, start)) {
+            const event = bytes.subarray(start, end);
+            const text = event.toString("latin1");
             const id = ID_FIELD.exec(text)?.[1]?.trimEnd();
             this.malformed = id === undefined ? !this.mayLackId(text) : !isAfter(id, this.lastId);
             if (this.malformed) break;
             this.lastId = id ?? this.lastId;
-            events.push({ bytes, id, isComment: COMMENT.test(text) });
+            events.push({ bytes: event, id, isComment: COMMENT.test(text) });
             start = end;
+            this.searched = end;
+            this.lineStart = end;
         }
-        this.buffered = this.buffered.subarray(start);
-        this.bytesSince = this.lastId === idBefore ? this.bytesSince + chunk.length : this.buffered.length;
+        this.keepPending(bytes, start);
+        this.bytesSince = this.lastId === idBefore ? this.bytesSince + chunk.length : this.size;
         return events;
     }
 
+    /** The bytes of the incomplete event with a chunk behind them. */
+    private withPending(chunk: Buffer): Buffer {
+        if (this.size === 0) return chunk;
+        const size = this.size + chunk.length;
+        if (size > this.buffer.length) {
+            const grown = Buffer.allocUnsafeSlow(Math.max(size, 2 * this.buffer.length));
+            this.buffer.copy(grown, 0, 0, this.size);
+            this.buffer = grown;
+        }
+        chunk.copy(this.buffer, this.size);
+        return this.buffer.subarray(0, size);
+    }
+
+    /** Keeps the bytes from `start`. Complete events refer to the buffer before them, so that it is not written again. */
+    private keepPending(bytes: Buffer, start: number): void {
+        const isInBuffer = this.size > 0 && start === 0;
+        this.size = bytes.length - start;
+        if (!isInBuffer) {
+            this.buffer = this.size === 0 ? EMPTY : Buffer.allocUnsafeSlow(Math.max(MINIMUM_CAPACITY, this.size));
+            bytes.copy(this.buffer, 0, start);
+        }
+        this.searched -= start;
+        this.lineStart -= start;
+    }
+
+    /** Index after the blank line that ends the event starting at `start`; 0 if the event is incomplete. */
+    private findEventEnd(bytes: Buffer, start: number): number {
+        for (
+            let index = bytes.indexOf(LINE_FEED, this.searched);
+            index >= 0;
+            index = bytes.indexOf(LINE_FEED, index + 1)
+        ) {
+            const isAfterReturn = index > this.lineStart && bytes[index - 1] === CARRIAGE_RETURN;
+            const lineEnd = isAfterReturn ? index - 1 : index;
+            if (lineEnd === this.lineStart && index > start) return index + 1;
+            this.lineStart = index + 1;
+        }
+        this.searched = bytes.length;
+        return 0;
+    }
+
     private mayLackId(text: string): boolean {
         return COMMENT.test(text) || (this.lastId === undefined && FIELDS.test(text));
     }
@@ -82,14 +140,3 @@
     const difference = Number(id) - Number(previousId);
     return Number.isNaN(difference) ? id !== previousId : difference > 0;
 }
-
-/** Index after the blank line that ends the event starting at `start`; 0 if the event is incomplete. */
-function findEventEnd(bytes: Buffer, start: number): number {
-    let lineStart = start;
-    for (let index = bytes.indexOf(LINE_FEED, start); index >= 0; index = bytes.indexOf(LINE_FEED, index + 1)) {
-        const lineEnd = index > lineStart && bytes[index - 1] === CARRIAGE_RETURN ? index - 1 : index;
-        if (lineEnd === lineStart && index > start) return index + 1;
-        lineStart = index + 1;
-    }
-    return 0;
-}
--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -160,6 +160,7 @@
             return { kind: "refused", head, ...(await HeldBody.read(body, limits, holding)) };
         }
         const result = await forwardStream(request, head, body, writer, {
+            memory,
             targetName: target.name,
             signal,
             claim: isEvent => this.end === undefined && claim(this, isEvent),
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -12,7 +12,7 @@
 import type { Attempts } from "./attempts.js";
 import { StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
-import { bodyFailureReason } from "./heldbody.js";
+import { bodyFailureReason, NO_MEMORY } from "./heldbody.js";
 import type { Reply } from "./reply.js";
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
@@ -298,7 +298,8 @@
             if (!attempt.hasEvent) context.targets.recordInconclusive(target);
             return isOther ? undefined : this.endBroken(result);
         }
-        context.targets.recordFailure(target, request.route.name);
+        if (result.reason === NO_MEMORY) attempts.recordGivenUp(target);
+        else context.targets.recordFailure(target, request.route.name);
         attempts.logDecision("stream broken", target, {
             reason: result.reason,
             delivered: this.writer.lastDeliveredEventId,
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -1,9 +1,11 @@
 /**
  * Forwards one event stream from a target to the caller, and finds out whether it came to its end.
  */
+import type { MemoryAccount } from "../memory/index.js";
 import type { ResponseBody, ResponseHead } from "./attempt.js";
 import type { StreamWriter } from "./delivery.js";
 import { EventSplitter } from "./eventstream.js";
+import { NO_MEMORY } from "./heldbody.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 
 /** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
@@ -11,6 +13,8 @@
 
 /** Options of a stream that is forwarded. */
 export interface StreamForwardingOptions {
+    /** Memory held for incomplete events, and for events that the caller has not taken. */
+    readonly memory: MemoryAccount;
     readonly targetName: string;
     /** Aborted when the caller leaves, or when the stream goes on at another target. */
     readonly signal: AbortSignal;
@@ -28,16 +32,23 @@
     head: ResponseHead,
     body: ResponseBody,
     writer: StreamWriter,
-    { targetName, signal, claim, onFirstEvent, onChunk, onCallerBusy }: StreamForwardingOptions,
+    { memory, targetName, signal, claim, onFirstEvent, onChunk, onCallerBusy }: StreamForwardingOptions,
 ): Promise<ExchangeResult | undefined> {
     const splitter = EventSplitter.create(writer.lastDeliveredEventId ?? request.metadata.lastEventId);
     let isFirst = true;
+    let isGivenUp = false;
+    const holding = memory.open("targets", () => {
+        isGivenUp = true;
+        body.discard();
+    });
     const outcome = await body.read({
         deadline: request.deadline,
         signal,
         onChunk: chunk => {
             onChunk();
+            if (isGivenUp) return undefined;
             const events = splitter.push(chunk);
+            if (!holding.resize(splitter.heldBytes)) return undefined;
             if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
             const hasEvent = events.some(({ isComment }) => !isComment);
             if (events.length === 0 || !claim(hasEvent)) return undefined;
@@ -46,9 +57,15 @@
             const written = writer.write(head, events);
             if (written === undefined) return undefined;
             onCallerBusy(true);
-            return written.then(() => onCallerBusy(false));
+            holding.resize(splitter.heldBytes + chunk.length);
+            return written.then(() => {
+                onCallerBusy(false);
+                holding.resize(splitter.heldBytes);
+            });
         },
     });
+    holding.close();
+    if (isGivenUp) return { outcome: "failed", status: 502, reason: NO_MEMORY };
     if (splitter.isMalformed) {
         return { outcome: "failed", status: 502, reason: "stream has bytes that are no event" };
     }
--- a/test/processes/endlessanswers.test.ts
+++ b/test/processes/endlessanswers.test.ts
@@ -18,6 +18,16 @@
 const LONG_BODY = Buffer.alloc(4_100_000, "x");
 const LARGE_EVENT = Buffer.from(`id: 1\ndata: ${"x".repeat(120_000)}`);
 
+function chunkOf(event: string): Buffer {
+    return Buffer.from(`${event.length.toString(16)}\r\n${event}\r\n`);
+}
+
+/** Chunks that fill the buffers of the connections, and chunks that are read thereafter. */
+const LARGE_EVENTS = Array.from({ length: 120 }, (_, index) =>
+    chunkOf(`id: ${index}\ndata: ${"x".repeat(60_000)}\n\n`),
+);
+const SMALL_EVENTS = Array.from({ length: 20_000 }, (_, index) => chunkOf(`id: ${200 + index}\ndata: x\n\n`));
+
 interface AnswerCase {
     readonly answer: string;
     readonly route?: "check" | "draft";
@@ -32,6 +42,12 @@
     { answer: "chunks of 4 bytes", rest: `${CHUNKED}\r\n`, repeated: "4\r\nbody\r\n" },
     { answer: "a body without a length", rest: "\r\n\r\n", repeated: "x" },
     { answer: "events without ids", route: "draft", rest: EVENT_STREAM, repeated: "data: x\n\n" },
+    {
+        answer: "an event without an end in chunks of 4 bytes",
+        route: "draft",
+        rest: CHUNKED + EVENT_STREAM.slice(2) + "4\r\ndata\r\n1\r\n:\r\n",
+        repeated: "4\r\nbody\r\n",
+    },
 ];
 
 /** Answers that are longer than what the process may hold for all of them, to callers that wait for them. */
@@ -44,6 +60,12 @@
 const unread: readonly AnswerCase[] = [
     { answer: "long bodies", rest: `\r\ncontent-length: ${LONG_BODY.length}\r\n\r\n`, bytes: LONG_BODY },
     { answer: "long bodies of failures", rest: `\r\ncontent-length: ${LONG_BODY.length}\r\n\r\n`, bytes: LONG_BODY },
+    {
+        answer: "events in small chunks",
+        route: "draft",
+        rest: CHUNKED + EVENT_STREAM.slice(2),
+        bytes: Buffer.concat([...LARGE_EVENTS, ...SMALL_EVENTS]),
+    },
 ];
 
 let stage: Stage;
