Take a request with unacceptable answers to two targets at most

A request whose answer is too long, in too many parts, or a stream without new events was sent on to as many targets as its route allows, and each counted as faulty and could be ejected, so that one request took its fault to all of them.

The first such answer still counts against its target and the request goes to another one. A second one says that the request is the cause: its target is not blamed and no third one is asked. Heads that exceed the limit of the parser now count as too long like those that exceed the gateway's. A stream's answer of a failure that is not passed on ends with 502, never with the target's status, which may be a 503 and would say that the request was not run.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -82,6 +82,9 @@
 /** Reason of an attempt whose response head exceeds the limit. */
 export const HEAD_TOO_LONG = "response head is too long";
 
+/** Code of the parser's error for a head that exceeds its own limit. */
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+
 /** Reason of an attempt whose response head cannot be sent on. */
 const INVALID_HEAD = "response head is invalid";
 
@@ -235,7 +238,9 @@
             socket.once("close", cancelConnectTimeout);
         });
         // The response may come before the whole body was sent; `finish` then ignores errors of sending.
-        outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
+        outgoing.on("error", (error: NodeJS.ErrnoException) =>
+            finish({ kind: "broken", reason: error.code === HEADER_OVERFLOW ? HEAD_TOO_LONG : error.message }),
+        );
         outgoing.on("upgrade", (_message, socket) => {
             socket.destroy();
             finish({ kind: "broken", reason: INVALID_HEAD });
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -7,7 +7,7 @@
 import type { StageResult } from "../stages/index.js";
 import { type AttemptOutcome, HEAD_TOO_LONG, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
-import { bodyFailureReason, type HeldBodyOutcome, NO_MEMORY } from "./heldbody.js";
+import { bodyFailureReason, type HeldBodyOutcome, isUnacceptable, NO_MEMORY } from "./heldbody.js";
 import { type HoldBack, HoldBacks, STOPPING, SUSPECTED } from "./holdbacks.js";
 import { RequestRetries } from "./requestretries.js";
 import { RequestTrial } from "./requesttrial.js";
@@ -24,6 +24,12 @@
 /** Number of targets that may decline a request before it is refused. */
 const MAXIMUM_DECLINES = 2;
 
+/**
+ * Number of unacceptable answers, too long for instance, after which a request is not sent to another target: the second
+ * one says that they come from the request.
+ */
+const MAXIMUM_UNACCEPTABLE_ANSWERS = 2;
+
 /** Time in milliseconds after which a request may come back that waited for another one's trial. */
 const TRIAL_RETRY_MS = 500;
 
@@ -44,6 +50,7 @@
 /** The attempts of one request. */
 export class Attempts {
     private declinedCount = 0;
+    private unacceptableCount = 0;
     /** Whether an answer had to give way, so that another one would have to as well. */
     private isOutOfMemory = false;
     private hasBeenServed = false;
@@ -302,7 +309,8 @@
                 this.logDecision("request not sendable", target, { reason: outcome.reason });
                 return { outcome: "rejected", status: 400, reason: "request cannot be sent" };
             case "broken":
-                targets.recordFailure(target, this.request.route.name);
+                if (outcome.reason === HEAD_TOO_LONG) this.recordUnacceptable(target);
+                else targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
                 if (outcome.reason !== HEAD_TOO_LONG) await this.checkForCrash(target, false);
                 return { outcome: "failed", status: 502, reason: outcome.reason };
@@ -322,6 +330,7 @@
     recordIncomplete(target: Target, outcome: Exclude<HeldBodyOutcome, { kind: "complete" | "cancelled" }>): void {
         this.logDecision("attempt broken", target, { reason: bodyFailureReason(outcome), parts: this.loggedParts });
         if (outcome.kind === "noMemory") this.recordGivenUp(target);
+        else if (isUnacceptable(outcome)) this.recordUnacceptable(target);
         else this.context.targets.recordFailure(target, this.request.route.name);
     }
 
@@ -331,6 +340,13 @@
         this.context.targets.recordInconclusive(target);
     }
 
+    /** Records an answer that no target may send. The first one is the target's failure, a second one the request's. */
+    recordUnacceptable(target: Target): void {
+        this.unacceptableCount += 1;
+        if (this.unacceptableCount === 1) this.context.targets.recordFailure(target, this.request.route.name);
+        else this.context.targets.recordInconclusive(target);
+    }
+
     /** Records that a target declined the request: it states that it has not run it. */
     handleDeclined(target: Target, wrongTarget: boolean): void {
         this.choice.recordDeclined(target);
@@ -359,7 +375,8 @@
 
     /** What earlier answers say against another attempt. */
     private obstacleByAnswers(): string | undefined {
-        return this.isOutOfMemory ? NO_MEMORY : undefined;
+        if (this.isOutOfMemory) return NO_MEMORY;
+        return this.unacceptableCount >= MAXIMUM_UNACCEPTABLE_ANSWERS ? "answers are unacceptable" : undefined;
     }
 
     private hasTimeLeft(): boolean {
--- a/src/gateway/heldbody.ts
+++ b/src/gateway/heldbody.ts
@@ -30,6 +30,11 @@
     return kind in FAILURE_REASONS ? FAILURE_REASONS[kind as CollectionFailure] : `answer ${kind}`;
 }
 
+/** Whether a body cannot be accepted, whoever reads it. */
+export function isUnacceptable({ kind }: HeldBodyOutcome): boolean {
+    return kind === "tooLong" || kind === "tooFragmented";
+}
+
 /** The bytes of a body. They may have to give way until they are released. */
 export class HeldBody {
     private readonly collector: ByteCollector;
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -17,6 +17,7 @@
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamAttempt, type StreamAttemptEnd } from "./streamattempt.js";
+import { WITHOUT_NEW_EVENTS } from "./streamforwarding.js";
 import { longSilenceMs } from "./streamtimeouts.js";
 import type { Target } from "./target.js";
 
@@ -266,7 +267,8 @@
             context.targets.recordInconclusive(target);
         }
         const reason = isComplete ? "target failed" : bodyFailureReason(outcome);
-        this.failure = { outcome: "failed", status: isComplete ? head.status : 502, reason };
+        // The gateway's own response has no status of a refusal, which would say that the request was not run.
+        this.failure = { outcome: "failed", status: 502, reason };
         if (!isOther && !this.writer.started && isComplete && !attempts.mayRetry()) return reply.forward(head, body);
         body.release();
         return undefined;
@@ -299,6 +301,7 @@
             return isOther ? undefined : this.endBroken(result);
         }
         if (result.reason === NO_MEMORY) attempts.recordGivenUp(target);
+        else if (result.reason === WITHOUT_NEW_EVENTS) attempts.recordUnacceptable(target);
         else context.targets.recordFailure(target, request.route.name);
         attempts.logDecision("stream broken", target, {
             reason: result.reason,
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -11,6 +11,9 @@
 /** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
 const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
 
+/** Reason of a stream that is too long without a new event. */
+export const WITHOUT_NEW_EVENTS = "stream without new events";
+
 /** Options of a stream that is forwarded. */
 export interface StreamForwardingOptions {
     /** Memory held for incomplete events, and for events that the caller has not taken. */
@@ -78,7 +81,7 @@
         return undefined;
     }
     if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
-        return { outcome: "failed", status: 502, reason: "stream without new events" };
+        return { outcome: "failed", status: 502, reason: WITHOUT_NEW_EVENTS };
     }
     switch (outcome.kind) {
         case "cancelled":
