--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -82,6 +82,9 @@
 /** Reason of an attempt whose response head exceeds the limit. */
 export const HEAD_TOO_LONG = "response head is too long";
 
+/** Code of the parser's error for a head that exceeds its own limit. */
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+
 /** Reason of an attempt whose response head cannot be sent on. */
 const INVALID_HEAD = "response head is invalid";
 
@@ -235,7 +238,9 @@
             socket.once("close", cancelConnectTimeout);
         });
         // The response may come before the whole body was sent; `finish` then ignores errors of sending.
-        outgoing.on("error", error => finish({ kind: "broken", reason: error.message }));
+        outgoing.on("error", (error: NodeJS.ErrnoException) =>
+            finish({ kind: "broken", reason: error.code === HEADER_OVERFLOW ? HEAD_TOO_LONG : error.message }),
+        );
         outgoing.on("upgrade", (_message, socket) => {
             socket.destroy();
             finish({ kind: "broken", reason: INVALID_HEAD });
@@ -350,19 +355,38 @@
                 );
             if (options.signal.aborted) return onAbort();
             options.signal.addEventListener("abort", onAbort);
+            let isJoining = false;
+            /**
+             * Joins the parts that have come while the reader is busy, and stops reading. An object for each part takes a
+             * hundred times the bytes of a short one.
+             */
+            const joinParts = (): void => {
+                if (settled || !message.isPaused()) return;
+                isJoining = true;
+                const joined = message.read() as Buffer | null;
+                isJoining = false;
+                // Reading from the message lets its connection be read.
+                message.socket.pause();
+                if (joined !== null) message.unshift(joined);
+            };
             message.on("data", (chunk: Buffer) => {
-                if (settled) return;
+                if (settled || isJoining) return;
                 armStallTimer();
                 try {
                     const chunkTaken = options.onChunk(chunk);
                     if (chunkTaken === undefined) return;
                     // While the reader is busy, nothing can be said of the target.
                     message.pause();
+                    process.nextTick(joinParts);
                     cancelStallTimeout();
                     void chunkTaken.then(() => {
                         if (settled) return;
                         armStallTimer();
                         message.resume();
+                        // What is still there is handed on first, and may make the reader busy again.
+                        process.nextTick(() => {
+                            if (!message.isPaused()) message.socket.resume();
+                        });
                     });
                 } catch (error) {
                     reject(error instanceof Error ? error : new Error(String(error)));
