Read the list of VMs and the operators' bodies with the bounded reader

What would be seen: bodies in very many small parts, sent to the operators' interface or by what answers in place of the list of VMs or an entry, were kept as one object for each part; the command line's client had no limit at all.

All three use readWhole of src/memory now. All bodies of operators that are being read take at most eight of the largest together; the client of the command line reads at most 64 MiB.

There is no test of its own for these three yet. src/entry/callers.ts still reads by itself.

--- a/src/commandline/client.ts
+++ b/src/commandline/client.ts
@@ -1,5 +1,6 @@
 /** Client of the operators' HTTP interface. */
 import { request as httpRequest } from "node:http";
+import { COLLECTION_FAILURE_TEXTS, MemoryAccount, readWhole } from "../memory/index.js";
 import { parseJson } from "../model/json.js";
 import {
     type ChangeResult,
@@ -15,6 +16,9 @@
 /** Response timeout. An entry that retries after a lost store response can take a few seconds. */
 const ANSWER_TIMEOUT_MS = 15_000;
 
+/** Longest response that is read, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024;
+
 export type CallOutcome<Body> =
     | { readonly kind: "answered"; readonly body: Body }
     | { readonly kind: "refused"; readonly error: OperatorError }
@@ -94,6 +98,7 @@
     path: string,
     body?: object,
 ): Promise<CallOutcome<Body>> {
+    const account = MemoryAccount.create({ maximumBytes: 2 * MAXIMUM_ANSWER_BYTES });
     return new Promise(resolve => {
         const fail = (error: Error): void => {
             const code = "code" in error ? String(error.code) : "";
@@ -103,11 +108,12 @@
         const headers = { "authorization": `Bearer ${key}`, "content-type": "application/json" };
         const url = `http://${entry}${OPERATOR_PREFIX}${path}`;
         const request = httpRequest(url, { method, headers, timeout: ANSWER_TIMEOUT_MS }, response => {
-            const chunks: Buffer[] = [];
-            response.on("data", (chunk: Buffer) => chunks.push(chunk));
-            response.on("error", fail);
-            response.on("end", () => {
-                resolve(parseResponse(entry, response.statusCode ?? 0, Buffer.concat(chunks).toString()));
+            void readWhole(response, { account, party: "operators", maximumBytes: MAXIMUM_ANSWER_BYTES }).then(read => {
+                if (read.kind === "read") {
+                    resolve(parseResponse(entry, response.statusCode ?? 0, read.bytes.toString()));
+                } else if (read.kind === "broken") fail(read.error ?? new Error("connection closed"));
+                else fail(new Error(COLLECTION_FAILURE_TEXTS[read.kind]));
+                if (read.kind !== "read") request.destroy();
             });
         });
         request.on("timeout", () => request.destroy(new Error("no answer in time")));
--- a/src/membership/vmlist.ts
+++ b/src/membership/vmlist.ts
@@ -4,6 +4,7 @@
  */
 import { get } from "node:http";
 import { z } from "zod";
+import { MemoryAccount, readWhole } from "../memory/index.js";
 import type { Vm } from "../model/index.js";
 
 const POLL_TIMEOUT_MS = 2_000;
@@ -77,26 +78,20 @@
 
 /** The VMs that the platform lists; undefined when it does not respond in time or the response is invalid. */
 async function fetchVms(address: string): Promise<readonly Vm[] | undefined> {
+    const account = MemoryAccount.create({ maximumBytes: 2 * MAXIMUM_ANSWER_BYTES });
     const text = await new Promise<string | undefined>(resolve => {
         const request = get(`http://${address}/vms`, { timeout: POLL_TIMEOUT_MS }, response => {
-            const chunks: Buffer[] = [];
-            let bytes = 0;
-            response.on("data", (chunk: Buffer) => {
-                bytes += chunk.length;
-                if (bytes <= MAXIMUM_ANSWER_BYTES) chunks.push(chunk);
-                else request.destroy();
-            });
-            response.on("end", () => {
-                resolve(response.statusCode === 200 ? Buffer.concat(chunks).toString() : undefined);
+            void readWhole(response, { account, party: "store", maximumBytes: MAXIMUM_ANSWER_BYTES }).then(read => {
+                resolve(read.kind === "read" && response.statusCode === 200 ? read.bytes.toString() : undefined);
+                if (read.kind !== "read") request.destroy();
             });
         });
         request.on("timeout", () => request.destroy());
         request.on("error", () => {
             resolve(undefined);
         });
-        request.on("close", () => {
-            resolve(undefined);
-        });
+        // A body that was read is handed over first.
+        request.on("close", () => setImmediate(() => resolve(undefined)));
     });
     return text === undefined ? undefined : parseVms(text);
 }
--- a/src/operators/handler.ts
+++ b/src/operators/handler.ts
@@ -1,6 +1,7 @@
 /** Request handler of the operators' HTTP interface below `/operator/v1/`, for an entry's HTTP server. */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { z } from "zod";
+import { MemoryAccount, readWhole } from "../memory/index.js";
 import { renderLists } from "../configuration/index.js";
 import { equalKeys } from "../link/index.js";
 import type { StateLogger } from "../observability/index.js";
@@ -26,6 +27,9 @@
 /** Size limit of a request body. Lists of 2,700 accounts take about 300 KB. */
 export const MAXIMUM_BODY_BYTES = 1_048_576;
 
+/** All bodies of operators that are being read. */
+const MEMORY = MemoryAccount.create({ maximumBytes: 8 * MAXIMUM_BODY_BYTES });
+
 /** Dependencies of the handler. */
 export interface OperatorOptions extends MoveContext, StatusSources {
     /** The operators' key. */
@@ -225,25 +229,11 @@
     return toError("badRequest", message, "docs/operators.md describes the body");
 }
 
-function readBody(request: IncomingMessage): Promise<BodyReadResult> {
-    return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            bytes += chunk.length;
-            if (bytes <= MAXIMUM_BODY_BYTES) chunks.push(chunk);
-            else {
-                request.removeAllListeners("data").pause();
-                resolve({ kind: "tooLarge" });
-            }
-        });
-        request.on("end", () => {
-            resolve({ kind: "read", text: Buffer.concat(chunks).toString() });
-        });
-        request.on("close", () => {
-            resolve({ kind: "ended" });
-        });
-    });
+/** Reads a body; beyond its limits the rest is not read. */
+async function readBody(request: IncomingMessage): Promise<BodyReadResult> {
+    const read = await readWhole(request, { account: MEMORY, party: "operators", maximumBytes: MAXIMUM_BODY_BYTES });
+    if (read.kind === "read") return { kind: "read", text: read.bytes.toString() };
+    return { kind: read.kind === "broken" ? "ended" : "tooLarge" };
 }
 
 function parseJson(text: string): unknown {
