Test the soak with a deliberate fault

Nothing showed that the soak beside parties that send without end finds a reader without a limit. 'npm run soak:mutations' puts a deliberate fault into a copy of the built program and runs the soak on it, as the fuzz test does with the source.

--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -19,6 +19,9 @@
 /** Longest output that is kept, in characters. */
 const MAXIMUM_OUTPUT = 200_000;
 
+/** Folder of the built program; `npm run soak:mutations` runs copies with deliberate faults. */
+const PROGRAM = process.env.SOAK_PROGRAM ?? "dist";
+
 const MAINS = { entry: "commandline", agent: "commandline", standins: "standins", gateway: "platform" } as const;
 
 /** Kinds of processes that the tests start. */
@@ -94,7 +97,7 @@
 
     /** `nodeArguments` are arguments of the runtime. */
     static spawn(kind: ProcessKind, name: string, file: string, nodeArguments: readonly string[] = []): Daemon {
-        const main = resolve("dist", MAINS[kind], "main.js");
+        const main = resolve(PROGRAM, MAINS[kind], "main.js");
         const command = kind === "standins" ? [] : [kind];
         const operands = kind === "gateway" ? [file] : [...command, "--settings", file];
         const child = spawn(process.execPath, [...nodeArguments, main, ...operands], {
