--- a/test/processes/daemons.ts
+++ b/test/processes/daemons.ts
@@ -19,6 +19,9 @@
 /** Longest output that is kept, in characters. */
 const MAXIMUM_OUTPUT = 200_000;
 
+/** Folder of the built program; `npm run soak:mutations` runs copies with deliberate faults. */
+const PROGRAM = process.env.SOAK_PROGRAM ?? "dist";
+
 const MAINS = { entry: "commandline", agent: "commandline", standins: "standins", gateway: "platform" } as const;
 
 /** Kinds of processes that the tests start. */
@@ -100,7 +103,7 @@
         nodeArguments: readonly string[] = [],
         descriptors?: number,
     ): Daemon {
-        const main = resolve("dist", MAINS[kind], "main.js");
+        const main = resolve(PROGRAM, MAINS[kind], "main.js");
         const command = kind === "standins" ? [] : [kind];
         const operands = kind === "gateway" ? [file] : [...command, "--settings", file];
         const line = [process.execPath, ...nodeArguments, main, ...operands];
@@ -117,10 +120,11 @@
         return this.output;
     }
 
-    /** Largest resident memory that the process has had so far, in bytes. */
+    /** Largest resident memory that the process has had so far, in bytes. Throws if the process has ended. */
     peakResidentBytes(): number {
-        const status = readFileSync(`/proc/${this.child.pid}/status`, "utf8");
-        return 1_024 * Number(/^VmHWM:\s+(\d+) kB$/m.exec(status)?.[1]);
+        const peakBytes = this.child.pid === undefined ? undefined : readPeakBytes(this.child.pid);
+        if (peakBytes === undefined) throw new Error(`${this.name} has no memory to read`);
+        return peakBytes;
     }
 
     /** Waits until the process has logged a text. */
