Limit the parts in which an event may come

Callers of a gateway waited for some 20 s while 200 targets sent an event without an end in chunks of 4 bytes: up to 131,072 bytes of each were read before the stream was given up, and the parser hands over each chunk by itself, which costs as much as a short event.

A stream now counts as broken after 4,096 parts without a new event as well. fragmentedevents.test.ts: the case with 5,000 parts fails before, those with 2,000 and 4,000 pass before and after.

--- a/src/gateway/eventstream.ts
+++ b/src/gateway/eventstream.ts
@@ -35,6 +35,7 @@
     private searched = 0;
     private lineStart = 0;
     private bytesSince = 0;
+    private partsSince = 0;
     private malformed = false;
 
     private constructor(private lastId: string | undefined) {}
@@ -49,6 +50,11 @@
         return this.bytesSince;
     }
 
+    /** Number of parts in which the bytes since that event have come. */
+    get partsSinceNewEvent(): number {
+        return this.partsSince;
+    }
+
     /** Number of buffered bytes, which are not yet a complete event. */
     get pendingBytes(): number {
         return this.size;
@@ -84,7 +90,9 @@
             this.lineStart = end;
         }
         this.keepPending(bytes, start);
-        this.bytesSince = this.lastId === idBefore ? this.bytesSince + chunk.length : this.size;
+        const hasNewEvent = this.lastId !== idBefore;
+        this.bytesSince = hasNewEvent ? this.size : this.bytesSince + chunk.length;
+        this.partsSince = hasNewEvent ? 0 : this.partsSince + 1;
         return events;
     }
 
--- a/src/gateway/streamforwarding.ts
+++ b/src/gateway/streamforwarding.ts
@@ -11,6 +11,9 @@
 /** Bytes of an event stream without a new event after which it counts as broken; events are far shorter. */
 const MAXIMUM_BYTES_BETWEEN_EVENTS = 131_072;
 
+/** Parts of an event stream without a new event after which it counts as broken; each costs as much as a short event. */
+const MAXIMUM_PARTS_BETWEEN_EVENTS = 4_096;
+
 /** Reason of a stream that is too long without a new event. */
 export const WITHOUT_NEW_EVENTS = "stream without new events";
 
@@ -52,7 +55,7 @@
             if (isGivenUp) return undefined;
             const events = splitter.push(chunk);
             if (!holding.resize(splitter.heldBytes)) return undefined;
-            if (splitter.isMalformed || splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) body.discard();
+            if (splitter.isMalformed || isWithoutNewEvents(splitter)) body.discard();
             const hasEvent = events.some(({ isComment }) => !isComment);
             if (events.length === 0 || !claim(hasEvent)) return undefined;
             if (isFirst && hasEvent) onFirstEvent();
@@ -80,7 +83,7 @@
         writer.end(head);
         return undefined;
     }
-    if (splitter.bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
+    if (isWithoutNewEvents(splitter)) {
         return { outcome: "failed", status: 502, reason: WITHOUT_NEW_EVENTS };
     }
     switch (outcome.kind) {
@@ -94,3 +97,8 @@
             return { outcome: "failed", status: 502, reason: `stream ${outcome.kind} at ${targetName}` };
     }
 }
+
+/** Whether too much has come since the last new event. */
+function isWithoutNewEvents({ bytesSinceNewEvent, partsSinceNewEvent }: EventSplitter): boolean {
+    return bytesSinceNewEvent > MAXIMUM_BYTES_BETWEEN_EVENTS || partsSinceNewEvent > MAXIMUM_PARTS_BETWEEN_EVENTS;
+}
