Use the blocks of long bodies again

A gateway used 519 MB, on a machine of 350, while 200 callers stopped before the last byte of 4 MB, although the account held 52 MB at most: bodies that gave way left buffers behind, which the runtime frees some time later, and each body had buffers of twice its length from growing.

Bodies beyond 64 KiB are now collected in blocks, which go back to a pool when the body gives way or is handed out as a copy. A block is never handed out itself, so nothing refers to one that is used again.

--- a/src/memory/account.ts
+++ b/src/memory/account.ts
@@ -6,6 +6,8 @@
  * too much loses its own bytes, and the small holdings of others stay.
  */
 
+import { BlockPool } from "./blocks.js";
+
 /** All parties. */
 export const MEMORY_PARTIES = ["targets", "callers", "gateways", "store", "operators"] as const;
 
@@ -61,11 +63,14 @@
 
 /** The holdings of one process. */
 export class MemoryAccount {
+    /** Blocks for the content of holdings. */
+    readonly blocks: BlockPool;
     private readonly parties: Readonly<Record<MemoryParty, PartyHoldings>>;
 
     private constructor(private readonly options: Required<MemoryAccountOptions>) {
         const partyOf = (party: MemoryParty): PartyHoldings =>
             new PartyHoldings(party, options.shares[party], options.maximumBytes * RETAINED_SHARE);
+        this.blocks = BlockPool.create(options.maximumBytes);
         this.parties = {
             targets: partyOf("targets"),
             callers: partyOf("callers"),
--- a/test/memory/memory.test.ts
+++ b/test/memory/memory.test.ts
@@ -164,6 +164,32 @@
         expect(account.totalBytes > 0).toBe(failure === undefined);
     });
 
+    it.each([1, 1_000, 65_536, 65_537, 131_072, 400_000])("of %i bytes is collected, whatever its parts", bytes => {
+        const account = MemoryAccount.create({ maximumBytes: MAXIMUM_BYTES });
+        const content = Buffer.from(Array.from({ length: bytes }, (_, index) => index % 251));
+        // Two bodies at once, and a second time in the same blocks.
+        for (const partBytes of [100_000, 65_536, 4_099, 997]) {
+            const collectors = [0, 1].map(() =>
+                ByteCollector.create(account, "targets", { maximumBytes: 400_000, onFailed: () => undefined }),
+            );
+            for (let at = 0; at < bytes; at += partBytes) {
+                const part = content.subarray(at, at + partBytes);
+                for (const collector of collectors) expect(collector.add(part)).toBe(true);
+            }
+            const [first, second] = collectors.map(collector => collector.bytes());
+            expect(first?.equals(content)).toBe(true);
+            for (const collector of collectors) collector.close();
+            const later = ByteCollector.create(account, "targets", {
+                maximumBytes: 400_000,
+                onFailed: () => undefined,
+            });
+            later.add(Buffer.alloc(300_000, "z"));
+            expect(second?.equals(content) && first?.equals(content)).toBe(true);
+            later.close();
+        }
+        expect(account.totalBytes).toBe(0);
+    });
+
     it("that has to give way frees its bytes and takes no more", () => {
         const account = MemoryAccount.create({ maximumBytes: MAXIMUM_BYTES });
         const failures: (CollectionFailure | undefined)[] = [];
