--- a/test/gateway/eventstream.test.ts
+++ b/test/gateway/eventstream.test.ts
@@ -1,6 +1,6 @@
 /** A stream is split into the same complete events however its bytes are divided into chunks. */
 import fastCheck from "fast-check";
-import { describe, expect, it } from "vitest";
+import { afterEach, describe, expect, it, vi } from "vitest";
 import { EventSplitter } from "../../src/gateway/eventstream.js";
 
 describe("EventSplitter", () => {
@@ -69,3 +69,24 @@
         );
     });
 });
+
+describe("an event without an end in very small chunks", () => {
+    afterEach(() => vi.restoreAllMocks());
+
+    // The work for each chunk must not grow with what is buffered: one such stream would hold up all requests for seconds.
+    it.each([
+        { case: "one line", text: "x" },
+        { case: "many lines", text: "data: x\n" },
+        { case: "many lines with carriage returns", text: "data: x\r\n" },
+    ])("is searched once and copied a few times: $case", ({ text }) => {
+        const bytes = Buffer.from(text.repeat(16_384 / text.length));
+        const copied = [vi.spyOn(Buffer, "concat"), vi.spyOn(Buffer, "allocUnsafeSlow")];
+        const searches = vi.spyOn(Buffer.prototype, "indexOf");
+        const splitter = EventSplitter.create();
+        for (let start = 0; start < bytes.length; start += 4) splitter.push(bytes.subarray(start, start + 4));
+        expect(splitter.pendingBytes).toBe(bytes.length);
+        const copiedBytes = copied.flatMap(spy => spy.mock.results.map(({ value }) => (value as Buffer).length));
+        expect(copiedBytes.reduce((sum, length) => sum + length, 0)).toBeLessThanOrEqual(4 * bytes.length);
+        expect(searches.mock.calls.length).toBeLessThanOrEqual(bytes.length / 2);
+    });
+});
