Apply a configuration whose removal comes in the same answer

A gateway to which a version of the configuration and the removal of the object came in one answer of the store went on with the version before it. Gateways that got the two in separate answers had the newer one in force, so callers got answers of both versions, for as long as nobody wrote another.

Of the versions that arrive together only the newest is decoded, and the removal was taken for it: removals count as applied, though they change nothing. A removal now leaves the version before it to be applied, as one that cannot be read does. Three of the new cases fail before the change.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -141,12 +141,12 @@
         if (kind === "restored") peers.registerAgain();
     }
 
-    /** Returns whether the object could be read, or was removed. */
+    /** Returns whether the object could be read. One that was removed leaves the version before it in force. */
     private applyConfiguration(event: StoreEvent): boolean {
         const decoded = event.object && this.options.source.decodeConfiguration(event.object.value);
         this.reportIgnored("configuration ignored", event.key, decoded);
         if (decoded?.kind === "decoded") this.options.gateway.applyConfiguration(decoded.value);
-        return decoded?.kind !== "invalid";
+        return decoded?.kind === "decoded";
     }
 
     private applyTarget(event: StoreEvent, view: StoreView): void {
--- a/src/gateway/latestconfiguration.ts
+++ b/src/gateway/latestconfiguration.ts
@@ -49,7 +49,7 @@
             const [key, versions] = this.waiting.entries().next().value ?? [];
             if (key === undefined) break;
             const newest = versions?.pop();
-            // While the newest version cannot be read, the one before it is in force.
+            // While the newest version cannot be read or is a removal, the one before it is in force.
             if (newest === undefined || this.isApplied(newest)) this.waiting.delete(key);
         }
         this.isDraining = false;
--- a/test/gateway/configurationversions.test.ts
+++ b/test/gateway/configurationversions.test.ts
@@ -92,6 +92,21 @@
         expect(order.join(" ")).not.toContain("decode decode");
     });
 
+    // A version that was taken by gateways to which it came by itself must not be skipped by others.
+    it.each<{ case: string; changes: readonly (number | "removal" | "unreadable")[]; inForce: number }>([
+        { case: "a version and its removal", changes: [2, "removal"], inForce: 2 },
+        { case: "a removal and a version", changes: ["removal", 2], inForce: 2 },
+        { case: "versions and a removal after them", changes: [2, 3, "removal"], inForce: 3 },
+        { case: "versions and a removal between them", changes: [2, "removal", 3], inForce: 3 },
+        { case: "a version, its removal and an unreadable one", changes: [2, "removal", "unreadable"], inForce: 2 },
+    ])("are in force though the object is removed: $case", async ({ changes, inForce }) => {
+        for (const change of changes) {
+            if (change === "removal") platform.remove("config", "main");
+            else put(change === "unreadable" ? "none" : change);
+        }
+        await vi.waitFor(() => expect(process.gateway.configuration?.version).toBe(inForce), 1_000);
+    });
+
     it("that are many and large are replaced by a list", async () => {
         const notes = "x".repeat(1_000_000);
         for (let version = 2; version <= 12; version += 1) {
