Count the pieces of a request as held for its caller

A few requests of one caller to a route with stages ended the gateway process, or held up all other requests for seconds, while a stage service had no usable target: 20 requests whose header names 4,096 pieces for each of two stages took 312 MB of heap, of the 192 MB that the deploy file gives, and the event loop stood still for 3.1 s.

Each piece is an object that waits in the queue of its stage until its deadline, and admission to the queue does not refuse anything while no target can be used. Only pieces that another gateway orders were counted.

The pieces of a request are now held in the account, as those of orders are, and retained until its stages end. Where there is no room, the request is refused with 503 before a piece is made and before it is sent to a target. Both new cases fail before the change.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
-import { MAXIMUM_PIECES, type PieceLossReason, type StageResult } from "../stages/index.js";
+import { MAXIMUM_PIECES, PIECE_BYTES, type PieceLossReason, type StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import type { AttemptOutcome, ResponseHead } from "./attempt.js";
 import { Attempts } from "./attempts.js";
@@ -57,6 +57,11 @@
     /** The target has sent the answer to another request. */
     | { readonly kind: "misdirected" };
 
+/** How the stages of a request ended. */
+type StagesEnd =
+    | { readonly kind: "ready"; readonly inputs: readonly StageResult[]; readonly release: () => void }
+    | { readonly kind: "ended"; readonly result: ExchangeResult };
+
 /** One request and its response. */
 export class Exchange {
     private readonly incoming: IncomingMessage;
@@ -278,17 +283,23 @@
     }
 
     /** Runs the stages of a request, if it has any. */
-    private async runRequestStages(
-        request: RoutedRequest,
-        attempts: Attempts,
-    ): Promise<
-        | { readonly kind: "ready"; readonly inputs: readonly StageResult[]; readonly release: () => void }
-        | { readonly kind: "ended"; readonly result: ExchangeResult }
-    > {
+    private async runRequestStages(request: RoutedRequest, attempts: Attempts): Promise<StagesEnd> {
         const { route, metadata } = request;
-        if (!route.stages.some((_, index) => (metadata.pieces[index] ?? 0) > 0)) {
-            return { kind: "ready", inputs: [], release: () => undefined };
+        const pieceCount = route.stages.reduce((sum, _, index) => sum + (metadata.pieces[index] ?? 0), 0);
+        if (pieceCount === 0) return { kind: "ready", inputs: [], release: () => undefined };
+        const holding = this.context.memory.open("callers", () => undefined);
+        try {
+            holding.resize(pieceCount * PIECE_BYTES);
+            if (holding.retain()) return await this.runPieces(request, attempts);
+            const result = this.reply.refuse("no memory for the pieces", NO_MEMORY_RETRY_MS);
+            return { kind: "ended", result };
+        } finally {
+            holding.close();
         }
+    }
+
+    private async runPieces(request: RoutedRequest, attempts: Attempts): Promise<StagesEnd> {
+        const { route, metadata } = request;
         const startedAt = performance.now();
         const latestReady = Deadline.after(route.latencyObjectiveMs - (startedAt - request.receivedAt));
         const outcome = await runStages({
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -10,6 +10,7 @@
     GIVEN_BACK,
     OpenOrders,
     PEER_PATHS,
+    PIECE_BYTES,
     type PieceResult,
     PROGRESS_INTERVAL_MS,
 } from "../stages/index.js";
@@ -40,9 +41,6 @@
 /** Maximum size in bytes of an order for pieces from another gateway. */
 const MAXIMUM_ORDER_BYTES = 4_194_304;
 
-/** Memory in bytes that a piece of an order takes while it waits and is made. */
-const JOB_BYTES = 1_024;
-
 /** Interval in milliseconds at which open requests are counted at the end of a stop. */
 const OPEN_CHECK_MS = 20;
 
@@ -270,7 +268,7 @@
         return;
     }
     const holding = gateway.context.memory.open("gateways", () => undefined);
-    holding.resize(order.jobs.length * JOB_BYTES);
+    holding.resize(order.jobs.length * PIECE_BYTES);
     if (!holding.retain()) {
         holding.close();
         response.writeHead(503, { "content-length": 0 });
--- a/src/stages/order.ts
+++ b/src/stages/order.ts
@@ -7,6 +7,9 @@
 /** Maximum number of pieces of one stage of a request. Requests have a few dozen; each one is an object of its own. */
 export const MAXIMUM_PIECES = 4_096;
 
+/** Memory in bytes that a piece takes while it waits and is made. */
+export const PIECE_BYTES = 1_024;
+
 /** Maximum number of results that an order names as inputs, or that one releases. */
 const MAXIMUM_HANDLES = 16_384;
 
--- /dev/null
+++ b/test/gateway/heldpieces.test.ts
@@ -0,0 +1,58 @@
+/**
+ * A header of few bytes names thousands of pieces, each an object that waits while its service has no usable target. They
+ * count as held for their caller. Otherwise a few requests fill the heap and hold up the event loop for seconds.
+ */
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
+import type { MemoryAccount } from "../../src/memory/index.js";
+import { Deployment } from "./harness.js";
+import { RawCaller, requestHead } from "./rawcaller.js";
+
+let deployment: Deployment;
+let caller: RawCaller;
+let memory: MemoryAccount;
+
+beforeEach(async () => {
+    deployment = await Deployment.start({ bookings: 1 });
+    caller = await RawCaller.connect(deployment.callers[0] ?? "");
+    const [process] = deployment.gateways;
+    if (process === undefined) throw new Error("no gateway");
+    ({ memory } = process.gateway.context);
+});
+
+afterEach(async () => {
+    caller.close();
+    await deployment.close();
+});
+
+describe("the pieces of a request", () => {
+    const stagedHead = requestHead("POST", "/staged/1", "request", {
+        "content-length": 0,
+        "x-parsleyrun-pieces": "4000,2000,4000",
+    });
+
+    it("are held while they wait, for the stages that the route has", async () => {
+        caller.write(stagedHead);
+        await vi.waitFor(() => expect(memory.bytesOf("callers")).toBeGreaterThan(6_000 * 1_000));
+        expect(memory.bytesOf("callers")).toBeLessThan(7_000 * 1_024);
+        caller.close();
+        await vi.waitFor(() => expect(memory.totalBytes).toBe(0));
+    });
+
+    it("for which there is no memory are refused with 503", async () => {
+        const waiting: RawCaller[] = [];
+        const [address = ""] = deployment.callers;
+        for (let index = 0; index < 8; index += 1) {
+            const other = await RawCaller.connect(address);
+            other.write(stagedHead);
+            waiting.push(other);
+        }
+        await vi.waitFor(() =>
+            expect(deployment.linesOf("request ended")[0]).toMatchObject({ reason: "no memory for the pieces" }),
+        );
+        expect(memory.bytesOf("callers")).toBeLessThanOrEqual(memory.maximumBytes / 2);
+        for (const other of waiting) other.close();
+        await vi.waitFor(() => expect(memory.totalBytes).toBe(0));
+        caller.write(requestHead("POST", "/book/1", "next", { "content-length": 0 }));
+        expect((await caller.read(1))[0]?.status).toBe(200);
+    });
+});
