Reset the connection of an answer that has to give way

A caller could take the beginning of a target's answer for all of it, with status 200. This happened when the answer had no length, its caller read slowly, and its bytes had to give way to those of others: the connection was closed in order, which is how an answer without a length ends.

The connection is now reset, which tells the caller that the rest is missing, whether the answer has a length or not.

--- a/src/gateway/reply.ts
+++ b/src/gateway/reply.ts
@@ -35,6 +35,8 @@
         });
         body.whenGivenUp(() => {
             this.givenUp = true;
+            // A response without a length would look complete if its connection ended in order.
+            this.response.socket?.resetAndDestroy();
             this.response.destroy();
         });
         sendTargetResponse(this.response, head, body.bytes, this.closesConnection());
