--- a/test/gateway/heldpieces.test.ts
+++ b/test/gateway/heldpieces.test.ts
@@ -4,7 +4,8 @@
  */
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { MemoryAccount } from "../../src/memory/index.js";
-import { Deployment } from "./harness.js";
+import type { Deployment } from "./harness.js";
+import { startHeldMemory } from "./heldmemory.js";
 import { RawCaller, requestHead } from "./rawcaller.js";
 
 let deployment: Deployment;
@@ -12,11 +13,7 @@
 let memory: MemoryAccount;
 
 beforeEach(async () => {
-    deployment = await Deployment.start({ bookings: 1 });
-    caller = await RawCaller.connect(deployment.callers[0] ?? "");
-    const [process] = deployment.gateways;
-    if (process === undefined) throw new Error("no gateway");
-    ({ memory } = process.gateway.context);
+    ({ deployment, caller, memory } = await startHeldMemory({ bookings: 1 }));
 });
 
 afterEach(async () => {
