Read no connection while connections that gave way are freed

Cause: Node parses all requests that one read brings, and reads every connection that has bytes, before it closes any that was destroyed. 600 connections with 240 pipelined requests each made 144,000 requests in one turn of the event loop, although each connection gave way in time. A chunked body that waits was counted from the bytes that were read after its head, but Node had them in the same read, one object a chunk.

Ruled out: a limit on connections by what each may hold (it would turn away sound callers), and pausing the parser (not a public interface).

Change: once a connection was ended for want of memory, the listener reads none until the next turn but one, when the ended ones are freed. A waiting chunked body counts with the whole read, and its connection is not read on.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -42,7 +42,10 @@
  */
 const WAITING_REQUEST_BYTES = 8_192;
 const HEAD_FACTOR = 2;
-const CHUNKED_FACTOR = 48;
+const CHUNKED_FACTOR = 64;
+
+/** Most bytes that Node takes from a connection in one read, all of which it parses before anything else happens. */
+const READ_BYTES = 65_536;
 
 /** What a connection does with requests. */
 export interface ConnectionOptions {
@@ -54,6 +57,8 @@
     readonly maximumDiscardedBytes: () => number;
     /** The time to announce for idle connections that is in force now, in milliseconds. */
     readonly idleTimeoutMs: () => number;
+    /** Called when the connection was ended because there was no memory for what it had sent. */
+    readonly onGivenWay: () => void;
 }
 
 /** Status lines of the responses to bytes that are no request, by the code of Node's error; any other is a bad request. */
@@ -153,11 +158,12 @@
             return;
         }
         const [first] = this.waiting;
-        const isChunked = this.waiting.some(({ request }) => request.headers["transfer-encoding"] !== undefined);
         const waitingBytes = first === undefined ? 0 : this.socket.bytesRead - first.bytesRead;
-        this.holding?.resize(
-            this.waiting.length * WAITING_REQUEST_BYTES + waitingBytes * (isChunked ? CHUNKED_FACTOR : HEAD_FACTOR),
-        );
+        // The chunks may be in the same read as the head.
+        const contentBytes = this.hasWaitingChunks
+            ? CHUNKED_FACTOR * Math.max(waitingBytes, Math.min(READ_BYTES, this.socket.bytesRead))
+            : HEAD_FACTOR * waitingBytes;
+        this.holding?.resize(this.waiting.length * WAITING_REQUEST_BYTES + contentBytes);
     }
 
     /** Ends an idle connection, to make room for others. */
@@ -178,6 +184,17 @@
         if (this.isClosing) return;
         if (this.waiting.length > 0) this.socket.destroy();
         else if (!this.isServing) this.closeIdle();
+        this.options.onGivenWay();
+    }
+
+    /** Stops reading. Returns a function that goes on, or undefined if the connection was not read. */
+    suspendReading(): (() => void) | undefined {
+        const { socket } = this;
+        if (socket.isPaused() || socket.destroyed) return undefined;
+        socket.pause();
+        return () => {
+            if (!this.isFull) socket.resume();
+        };
     }
 
     /** Serves a request after those before it, unless an earlier response closes the connection. */
@@ -201,8 +218,8 @@
             this.serveNext();
             return;
         }
-        this.pauseIfFull();
         this.measure();
+        this.pauseIfFull();
     }
 
     /** Answers CONNECT after the requests before it. Node has taken the parser and its listeners off the connection. */
@@ -294,7 +311,13 @@
         const [first] = this.waiting;
         if (first === undefined) return false;
         const waitingBytes = this.socket.bytesRead - first.bytesRead;
-        return this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= MAXIMUM_WAITING_BYTES;
+        const isLong = this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= MAXIMUM_WAITING_BYTES;
+        return isLong || this.hasWaitingChunks;
+    }
+
+    /** Whether the body of a request that waits comes in chunks. */
+    private get hasWaitingChunks(): boolean {
+        return this.waiting.some(({ request }) => request.headers["transfer-encoding"] !== undefined);
     }
 
     private serveNext(): void {
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -80,12 +80,14 @@
     private readonly connections = new Map<Socket, Connection>();
     private measureTimer: NodeJS.Timeout | undefined;
     private hasTooMany = false;
+    /** Go on reading connections that are not read until memory is freed; undefined while all are read. */
+    private resumeReading: (() => void)[] | undefined;
     /** Number of connections and requests that have arrived. */
     arrivals = 0;
 
     private constructor(
         readonly server: Server,
-        private readonly options: ListenerOptions & ConnectionOptions,
+        private readonly options: ListenerOptions & Omit<ConnectionOptions, "onGivenWay">,
     ) {
         server.on("connection", socket => {
             this.arrivals += 1;
@@ -93,8 +95,11 @@
                 socket.destroy();
                 return;
             }
-            this.connections.set(socket, Connection.of(socket, server, options));
+            const onGivenWay = (): void => this.suspendReading();
+            const connection = Connection.of(socket, server, { ...options, onGivenWay });
+            this.connections.set(socket, connection);
             this.measureLater();
+            if (this.resumeReading !== undefined) this.suspend(connection);
             socket.setNoDelay(true);
             socket.once("close", () => this.connections.delete(socket));
         });
@@ -146,6 +151,29 @@
         return true;
     }
 
+    /**
+     * Reads no connection until the connections that were ended for want of memory are freed. Node closes these only after
+     * it has read all connections that have bytes, and the requests that it reads there take memory until then.
+     */
+    private suspendReading(): void {
+        if (this.resumeReading !== undefined) return;
+        this.resumeReading = [];
+        for (const connection of this.connections.values()) this.suspend(connection);
+        // Node closes connections after the callbacks of a turn, so they are closed before the next turn's.
+        setImmediate(() => setImmediate(() => this.endSuspension()));
+    }
+
+    private suspend(connection: Connection): void {
+        const resume = connection.suspendReading();
+        if (resume !== undefined) this.resumeReading?.push(resume);
+    }
+
+    private endSuspension(): void {
+        const resumed = this.resumeReading ?? [];
+        this.resumeReading = undefined;
+        for (const resume of resumed) resume();
+    }
+
     private measureLater(): void {
         this.measureTimer ??= setTimeout(
             () => {
