Let a service have as many gatherers as its targets need, and let silence limits follow processor speed

Cause: on machines with 0.12 of a core the one gatherer of a service was short of processor time; it answered orders after more than 700 ms and was taken for unreachable although nothing had failed.

Change: each target belongs to one gatherer, chosen from registrations alone; the number of gatherers follows the targets and the processors of the gateways, and is 1 for the deployments of a few gateways. An order goes to the one of two with the shorter wait. The limit for the silence of a gateway follows its processor and its latest delays, up to 2 s. A release passed on may take 2 s. The allowance of a queue for retries is divided by the number of gatherers.

--- a/src/gateway/coordinator.ts
+++ b/src/gateway/coordinator.ts
@@ -13,17 +13,19 @@
 
 /** The gateway among `candidates` that does a task; undefined if there are none. */
 export function chooseCoordinator(task: string, candidates: readonly GatewayPeer[]): GatewayPeer | undefined {
+    return orderCoordinators(task, candidates)[0];
+}
+
+/** The gateways among `candidates` that have the capacity for a task, in the order in which they are chosen for it. */
+export function orderCoordinators(task: string, candidates: readonly GatewayPeer[]): readonly GatewayPeer[] {
     const mostProcessors = Math.max(0, ...candidates.map(({ capacity }) => capacity.processors));
     const mostMegabits = Math.max(0, ...candidates.map(({ capacity }) => capacity.linkMegabits));
     const shareOf = ({ capacity }: GatewayPeer): number =>
         Math.min(capacity.processors / mostProcessors, capacity.linkMegabits / mostMegabits);
     const largestShare = Math.max(0, ...candidates.map(shareOf));
-    let best: GatewayPeer | undefined;
-    let bestWeight = -1;
-    for (const candidate of candidates) {
-        if (shareOf(candidate) < largestShare * MINIMUM_CAPACITY_SHARE) continue;
-        const weight = rendezvousWeight(task, candidate.name);
-        if (weight > bestWeight) [best, bestWeight] = [candidate, weight];
-    }
-    return best;
+    return candidates
+        .filter(candidate => shareOf(candidate) >= largestShare * MINIMUM_CAPACITY_SHARE)
+        .map(candidate => ({ candidate, weight: rendezvousWeight(task, candidate.name) }))
+        .sort((left, right) => right.weight - left.weight)
+        .map(({ candidate }) => candidate);
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -178,6 +178,12 @@
             otherGateways: () => peers.others,
             peerCalls: this.peerCalls,
             isGathering: () => this.phase === "serving",
+            registrationRevision: () => `${peers.revision}/${this.targets.revision}`,
+            targetNames: service => ({
+                registered: this.targets.namesOf(service),
+                usable: this.targets.working(service).map(({ name }) => name),
+            }),
+            holderOf: handle => this.holderOf(handle)?.name,
             queueOf: service => this.queueOf(service),
             queues: () => this.queues,
             onDecision,
@@ -322,6 +328,8 @@
             (lastCapacity = this.currentConfiguration?.service(service)?.stage ?? lastCapacity);
         const created = StageQueue.create(service, {
             targets: this.targets,
+            ownTargets: targets => this.pieceRouter.ownTargets(service, targets),
+            gathererCount: () => this.pieceRouter.gathererCount(service),
             callForPieces: (...call) => callForPieces({ dialect, targets: this.targets, memory }, ...call),
             releaseResults: (target, handles) => {
                 this.targets.takeFromLimit(target);
--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -107,6 +107,16 @@
         return this.targets.names();
     }
 
+    /** Increases when a target is added or removed. */
+    get revision(): number {
+        return this.targets.revision;
+    }
+
+    /** Names of the registered targets of a service. */
+    namesOf(service: string): readonly string[] {
+        return this.targets.ofService(service).map(({ name }) => name);
+    }
+
     /** Sets the zones whose targets get no requests. */
     closeZones(zones: ReadonlySet<string>): void {
         for (const zone of zones) if (!this.closedZones.has(zone)) this.onChange("zoneClosed", zone, {});
--- a/src/gateway/targetindex.ts
+++ b/src/gateway/targetindex.ts
@@ -13,6 +13,9 @@
     /** Targets by start whose registrations are missing. They may return, and attempts at them may be in progress. */
     private readonly lapsed = new Map<string, KnownTarget>();
 
+    /** Increases when a target is added or removed. */
+    revision = 0;
+
     private constructor() {}
 
     static create(): TargetIndex {
@@ -42,6 +45,7 @@
 
     /** Adds a target whose name is free. */
     add(target: KnownTarget): void {
+        this.revision += 1;
         const { address, service } = target.registration;
         this.byName.set(target.name, target);
         this.byAddress.set(address, target);
@@ -52,6 +56,7 @@
 
     /** Removes a target, which is remembered in case its registration returns. */
     remove(target: KnownTarget): void {
+        this.revision += 1;
         this.byName.delete(target.name);
         this.byService.get(target.registration.service)?.delete(target);
         this.forgetAddress(target);
--- a/src/stages/piecerouter.ts
+++ b/src/stages/piecerouter.ts
@@ -1,8 +1,8 @@
 /**
- * Routing of pieces to gatherers: for each stage service, one gateway, the gatherer, batches the pieces of all.
+ * Routing of pieces to gatherers: for each stage service, one gateway or a few, the gatherers, batch the pieces of all.
  *
- * If each gateway batched only its own pieces, targets would get many small calls. All gateways choose the gatherer from
- * the same registrations (`gateway/coordinator`), so no agreement is needed. A gatherer that cannot be reached is skipped;
+ * If each gateway batched only its own pieces, targets would get many small calls. All gateways choose the gatherers from
+ * the same registrations (`stages/gatherers`), so no agreement is needed. A gatherer that cannot be reached is skipped;
  * a gateway that reaches no other one gathers its pieces itself. One that is silent is skipped by new orders, and those that
  * it works on stay open, since it may go on (`stages/stageorders`).
  *
@@ -14,7 +14,8 @@
 import type { GatewayPeer } from "../gateway/peers.js";
 import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
-import { chooseCoordinator } from "../gateway/coordinator.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
+import { assignTargets, chooseGatherer, type Gatherers } from "./gatherers.js";
 import {
     decodeAnswer,
     encodeOrder,
@@ -27,6 +28,7 @@
 import type { PieceJob, PieceResult } from "./piece.js";
 import type { StageQueue } from "./queue.js";
 import { type OrderEvent, StageOrders, type UnansweredCall } from "./stageorders.js";
+import { SHORTEST_LIMIT_MS, SilenceLimits } from "./silencelimits.js";
 import { RecentWaits } from "./waits.js";
 
 /** Paths of the interface between gateways. */
@@ -35,9 +37,6 @@
 /** Interval in milliseconds at which a gatherer sends progress while it works on an order. */
 export const PROGRESS_INTERVAL_MS = 200;
 
-/** Silence in milliseconds after which another gatherer is asked as well: three missed progress intervals. */
-const PROGRESS_TIMEOUT_MS = 700;
-
 /** Time in milliseconds by which a timer may be early, so that what the silent order received last is no sign of life. */
 const TIMER_SLACK_MS = 5;
 
@@ -50,8 +49,8 @@
 /** Interval in milliseconds at which an unreachable gatherer is probed. */
 const PROBE_INTERVAL_MS = 1_000;
 
-/** Timeout in milliseconds of a release order to another gateway. */
-const RELEASE_TIMEOUT_MS = 500;
+/** Timeout in milliseconds of a release order to another gateway. Nothing waits for it. */
+const RELEASE_TIMEOUT_MS = LONGEST_SOUND_SILENCE_MS;
 
 /** An order without pieces, which a gatherer answers at once. */
 const PROBE: PeerOrder = { service: "", jobs: [] };
@@ -65,12 +64,21 @@
 /** What a router depends on. */
 export interface PieceRouterEnvironment {
     readonly self: GatewayPeer;
+    /** Changes with each change of a registration of a gateway or a target. */
+    readonly registrationRevision: () => string;
     /** The other registered gateways. */
     readonly otherGateways: () => readonly GatewayPeer[];
     readonly peerCalls: PeerCalls;
     /** Whether this gateway gathers pieces; one that is stopping does so only if there is no other. */
     readonly isGathering: () => boolean;
     readonly queueOf: (service: string) => StageQueue;
+    /** Names of a service's registered targets, and of those that may be used now. */
+    readonly targetNames: (service: string) => {
+        readonly registered: readonly string[];
+        readonly usable: readonly string[];
+    };
+    /** Name of the target that holds a result; undefined when it is not registered. */
+    readonly holderOf: (handle: string) => string | undefined;
     /** The existing queues, by service. */
     readonly queues: () => ReadonlyMap<string, StageQueue>;
     readonly onDecision: (decision: string, detail: Readonly<Record<string, unknown>>) => void;
@@ -84,14 +92,19 @@
 export class PieceRouter {
     /** Gateways that could not be reached, by name, with the time on the monotonic clock since when. */
     private readonly unreachableSince = new Map<string, number>();
-    /** Time on the monotonic clock until which a gateway is skipped for a service, by service and gateway. */
-    private readonly skippedUntil = new Map<string, number>();
+    /** Gateways that are skipped for a service until a time on the monotonic clock, by service and name. */
+    private readonly skipped = new Map<string, { readonly peer: GatewayPeer; readonly until: number }>();
     private stopped = false;
+    /** The last gatherers of each service, and what they were chosen from. */
+    private readonly gatherers = new Map<string, { readonly source: string; readonly chosen: Gatherers }>();
     private readonly recentWaits = RecentWaits.create();
-    /** Name of the last gatherer of each service, for the log. */
+    private readonly silenceLimits: SilenceLimits;
+    /** Names of the last gatherers of each service, for the log. */
     private readonly lastGatherers = new Map<string, string>();
 
-    private constructor(private readonly environment: PieceRouterEnvironment) {}
+    private constructor(private readonly environment: PieceRouterEnvironment) {
+        this.silenceLimits = SilenceLimits.create(environment.self);
+    }
 
     static create(environment: PieceRouterEnvironment): PieceRouter {
         return new PieceRouter(environment);
@@ -104,7 +117,9 @@
     async make(jobs: readonly PieceJob[], signal: AbortSignal): Promise<readonly PieceResult[]> {
         const service = jobs[0]?.service ?? "";
         const latest = Math.max(0, ...jobs.map(({ deadline }) => deadline.at));
-        let silenceMs = PROGRESS_TIMEOUT_MS;
+        // Grows when an order is sent again to a gatherer that is alive but slow.
+        let patience = 1;
+        let gatherer: GatewayPeer | undefined;
         const orders = StageOrders.create(
             jobs,
             (gatherer, orderedJobs, options) => {
@@ -119,13 +134,14 @@
             while (!orders.isSettled && !signal.aborted && performance.now() < latest) {
                 const unattended = orders.unattended();
                 if (unattended.length > 0) {
-                    const gatherer = this.gathererOf(service);
-                    this.logGatherer(service, gatherer?.name ?? this.environment.self.name);
-                    orders.start(gatherer, unattended, silenceMs);
+                    gatherer = this.gathererOf(service, gatherer);
+                    this.logGatherers(service);
+                    const limitMs = gatherer === undefined ? 0 : this.silenceLimits.limitMs(gatherer);
+                    orders.start(gatherer, unattended, limitMs * patience);
                 }
                 for (const event of await orders.nextEvents(signal)) {
                     const isResent = !signal.aborted && this.handleEvent(service, jobs[0], event);
-                    if (isResent) silenceMs *= RESEND_TIMEOUT_RATIO;
+                    if (isResent) patience *= RESEND_TIMEOUT_RATIO;
                 }
             }
         } finally {
@@ -138,21 +154,28 @@
     private handleEvent(service: string, job: PieceJob | undefined, event: OrderEvent): boolean {
         const { gatherer, waitedMs } = event;
         if (event.kind === "threw") throw event.error;
-        if (event.kind === "answered") this.recentWaits.record(service, event.waitMs);
+        if (event.kind === "answered") {
+            this.recentWaits.record(service, event.waitMs);
+            this.recentWaits.record(waitKey(service, gatherer ?? this.environment.self), event.waitMs);
+        }
         if (gatherer === undefined) return false;
         switch (event.kind) {
             case "overdue":
                 return false;
             case "answered":
                 if (!event.hasGivenBack) return false;
-                this.skippedUntil.set(`${service} ${gatherer.name}`, performance.now() + GIVEN_BACK_SKIP_MS);
+                this.skipped.set(waitKey(service, gatherer), {
+                    peer: gatherer,
+                    until: performance.now() + GIVEN_BACK_SKIP_MS,
+                });
                 return false;
             case "resumed":
                 this.recordReachable(gatherer);
                 return false;
             case "silent": {
                 const { peerCalls } = this.environment;
-                const isPeerAlive = peerCalls.silentMs(gatherer) < PROGRESS_TIMEOUT_MS - TIMER_SLACK_MS;
+                const limitMs = this.silenceLimits.limitMs(gatherer);
+                const isPeerAlive = peerCalls.silentMs(gatherer) < limitMs - TIMER_SLACK_MS;
                 peerCalls.renew(gatherer);
                 this.recordUnanswered(gatherer, job, { reason: NO_PROGRESS, waitedMs, isPeerAlive });
                 return isPeerAlive;
@@ -173,13 +196,11 @@
     /** Gives back the waiting pieces of services that another gateway now gathers. */
     giveBack(): void {
         for (const [service, queue] of this.environment.queues()) {
-            const gatherer = queue.length === 0 ? undefined : this.gathererOf(service);
-            if (gatherer === undefined) continue;
-            this.environment.onDecision("pieces given back", {
-                service,
-                pieces: queue.length,
-                gatherer: gatherer.name,
-            });
+            if (queue.length === 0) continue;
+            const { self, onDecision } = this.environment;
+            const { gateways } = this.gatherersOf(service);
+            if (gateways.length === 0 || gateways.includes(self)) continue;
+            onDecision("pieces given back", { service, pieces: queue.length, gatherer: gateways[0]?.name });
             queue.giveBack();
         }
     }
@@ -217,23 +238,76 @@
         else queue.release(handles);
     }
 
+    /** Sends the handles to the gatherers that own their holders. */
     private routeRelease(order: ReleaseOrder): void {
-        const gatherer = this.gathererOf(order.service);
-        if (gatherer === undefined) this.releaseHere(order);
-        else this.run("release", () => this.releaseAtPeer(gatherer, order));
+        const { self, holderOf } = this.environment;
+        const { gateways, owners } = this.gatherersOf(order.service);
+        const byOwner = new Map<GatewayPeer, string[]>();
+        for (const handle of order.handles) {
+            const owner = owners.get(holderOf(handle) ?? "") ?? gateways[0] ?? self;
+            byOwner.set(owner, [...(byOwner.get(owner) ?? []), handle]);
+        }
+        for (const [owner, handles] of byOwner) {
+            const part = { ...order, handles };
+            if (owner === self) this.releaseHere(part);
+            else this.run("release", () => this.releaseAtPeer(owner, part));
+        }
     }
 
-    /** The gateway that gathers a service's pieces; undefined if it is this one. */
-    gathererOf(service: string): GatewayPeer | undefined {
-        const now = performance.now();
-        const { self, isGathering, otherGateways } = this.environment;
-        const others = otherGateways().filter(
-            ({ name }) => !this.unreachableSince.has(name) && (this.skippedUntil.get(`${service} ${name}`) ?? 0) <= now,
-        );
-        const chosen = chooseCoordinator(service, isGathering() ? [self, ...others] : others);
+    /**
+     * A gateway that gathers a service's pieces; undefined if it is this one. `before` is kept if it still does so, and an
+     * order that is sent again then joins the one that is in progress.
+     */
+    gathererOf(service: string, before?: GatewayPeer): GatewayPeer | undefined {
+        const { self, targetNames } = this.environment;
+        const gatherers = this.gatherersOf(service);
+        if (before !== undefined && gatherers.gateways.includes(before)) return before;
+        const waitMs = (gatherer: GatewayPeer): number => this.recentWaits.waitMs(waitKey(service, gatherer));
+        const chosen = chooseGatherer(gatherers, targetNames(service).usable, waitMs);
         return chosen === self ? undefined : chosen;
     }
 
+    /** Those of the targets that this gateway calls: the ones that it owns, or all if it owns none. */
+    ownTargets<Named extends { readonly name: string }>(service: string, targets: readonly Named[]): readonly Named[] {
+        const { gateways, owners } = this.gatherersOf(service);
+        if (gateways.length <= 1) return targets;
+        const own = targets.filter(({ name }) => owners.get(name) === this.environment.self);
+        return own.length > 0 ? own : targets;
+    }
+
+    /** Number of gateways that gather a service's pieces. */
+    gathererCount(service: string): number {
+        return Math.max(1, this.gatherersOf(service).gateways.length);
+    }
+
+    private gatherersOf(service: string): Gatherers {
+        const { self, isGathering, otherGateways, targetNames, registrationRevision } = this.environment;
+        const skipped = this.skippedNames(service);
+        const source = [registrationRevision(), isGathering(), ...this.unreachableSince.keys(), "", ...skipped].join(
+            " ",
+        );
+        const known = this.gatherers.get(service);
+        if (known?.source === source) return known.chosen;
+        const registered = otherGateways();
+        this.silenceLimits.keepOnly(new Set(registered.map(({ name }) => name)));
+        const others = registered.filter(({ name }) => !this.unreachableSince.has(name) && !skipped.has(name));
+        const candidates = isGathering() ? [self, ...others] : others;
+        const chosen = assignTargets(service, targetNames(service).registered, candidates);
+        this.gatherers.set(service, { source, chosen });
+        return chosen;
+    }
+
+    /** Names of the gateways that gave pieces of a service back a short time ago. */
+    private skippedNames(service: string): ReadonlySet<string> {
+        const now = performance.now();
+        const names = new Set<string>();
+        for (const [key, { peer, until }] of this.skipped) {
+            if (until <= now) this.skipped.delete(key);
+            else if (key === waitKey(service, peer)) names.add(peer.name);
+        }
+        return names;
+    }
+
     /** Stops probing unreachable gateways. */
     stop(): void {
         this.stopped = true;
@@ -280,7 +354,8 @@
     }
 
     private async answersProbe(peer: GatewayPeer): Promise<boolean> {
-        const limits = { headTimeoutMs: PROGRESS_TIMEOUT_MS, stallTimeoutMs: PROGRESS_TIMEOUT_MS };
+        const limitMs = this.silenceLimits.limitMs(peer);
+        const limits = { headTimeoutMs: limitMs, stallTimeoutMs: limitMs };
         return "results" in (await this.sendOrder(peer, PROBE, { ...limits, signal: NEVER_ABORTED }));
     }
 
@@ -304,17 +379,28 @@
     ): Promise<PeerAnswer | UnansweredCall> {
         const sentAt = performance.now();
         const longest = Math.max(0, ...jobs.map(job => job.deadline.remainingMs()));
+        let lastSignAt = sentAt;
+        const onProgress = (): void => {
+            const now = performance.now();
+            this.silenceLimits.record(peer.name, now - lastSignAt);
+            lastSignAt = now;
+            limits.onProgress?.();
+        };
         const answer = await this.environment.peerCalls.call(peer, PEER_PATHS.make, encodeOrder(service, jobs), {
             ...limits,
-            deadline: Deadline.after(longest + PROGRESS_TIMEOUT_MS),
+            onProgress,
+            deadline: Deadline.after(longest + SHORTEST_LIMIT_MS),
         });
         this.environment.onPeerCall(answer.kind, performance.now() - sentAt);
         if (answer.kind === "failed") return { reason: answer.reason };
         return decodeAnswer(answer.text, jobs.length) ?? { reason: "unreadable answer" };
     }
 
-    private logGatherer(service: string, gatherer: string): void {
+    private logGatherers(service: string): void {
         const before = this.lastGatherers.get(service);
+        const gatherer = this.gatherersOf(service)
+            .gateways.map(({ name }) => name)
+            .join(" ");
         if (before === gatherer) return;
         this.lastGatherers.set(service, gatherer);
         this.environment.onDecision("gatherer chosen", { service, gatherer, before });
@@ -328,3 +414,7 @@
         this.releaseHere(order);
     }
 }
+
+function waitKey(service: string, gatherer: GatewayPeer): string {
+    return `${service} ${gatherer.name}`;
+}
--- a/src/stages/queue.ts
+++ b/src/stages/queue.ts
@@ -65,16 +65,17 @@
     private readonly calls: StageCalls;
     private recheckTimer: NodeJS.Timeout | undefined;
     private readonly overload = Overload.create();
-    private readonly retryBudget = WindowBudget.create({
-        windowMs: RETRY_WINDOW_MS,
-        fractionOfRequests: RETRIES_PER_PIECE,
-        allowance: () => RETRY_ALLOWANCE,
-    });
+    private readonly retryBudget: WindowBudget;
 
     private constructor(
         private readonly service: string,
         private readonly environment: StageQueueEnvironment,
     ) {
+        this.retryBudget = WindowBudget.create({
+            windowMs: RETRY_WINDOW_MS,
+            fractionOfRequests: RETRIES_PER_PIECE,
+            allowance: () => RETRY_ALLOWANCE / (environment.gathererCount?.() ?? 1),
+        });
         this.releases = ReleaseBatcher.create({
             ...environment,
             service,
@@ -157,13 +158,17 @@
         this.releases.addEarly(handles);
     }
 
+    private ownOf(targets: readonly Target[]): readonly Target[] {
+        return this.environment.ownTargets?.(targets) ?? targets;
+    }
+
     /** Capacity of the usable targets; undefined until the service is configured. */
     private usableCapacity(): QueueCapacity | undefined {
         const capacity = this.environment.capacity();
         if (capacity === undefined) return undefined;
         const { targets: directory } = this.environment;
         const callsPerSecond = 1_000 / fullCallMs(capacity);
-        const speeds = directory.working(this.service).map(target => {
+        const speeds = this.ownOf(directory.working(this.service)).map(target => {
             const limitedSpeed = directory.limitPartOf(target) / capacity.slots / callsPerSecond;
             return Math.min(1 / this.trackers.slownessOf(target), limitedSpeed);
         });
@@ -272,7 +277,7 @@
     }
 
     private sendCalls(capacity: StageCapacity): void {
-        const usable = this.environment.targets.usable(this.service);
+        const usable = this.ownOf(this.environment.targets.usable(this.service));
         let free = usable.filter(target => this.trackers.of(target).isFree(capacity.slots));
         while (free.length > 0 && this.waiting.length > 0) {
             const target = this.bestTarget(free, capacity);
--- a/src/stages/queueenvironment.ts
+++ b/src/stages/queueenvironment.ts
@@ -8,6 +8,10 @@
 /** What a queue depends on. */
 export interface StageQueueEnvironment {
     readonly targets: TargetDirectory;
+    /** Those of the service's targets that this gatherer calls; all by default. */
+    readonly ownTargets?: (targets: readonly Target[]) => readonly Target[];
+    /** Number of gatherers of the service, among which limits for all are divided; 1 by default. */
+    readonly gathererCount?: () => number;
     /** Asks a target to make pieces. */
     readonly callForPieces: (
         target: Target,
