Follow the store through a few relays in large fleets

Ruled out: longer watches alone (changes cost as before, and a silent connection is noticed later); answers that may be outdated (the bounds of configuration, draining and evacuation are seconds); one relay for all (its loss would send the whole fleet to the store).

Change: six gateways, at least one in each zone, watch the store; the others follow one of them over one long response. A relay passes on only what the store has said to itself, with its age. A follower asks the store itself as soon as that age exceeds the waiting time of its watch and a tenth, a step is missing, or the era is older than the one it knows. Fleets of up to six gateways work as before.

Fleet in one process: calls a second at rest and calls a change stay under 10 times those of one gateway at 10, 30, 100 and 300 gateways (test/relay). Found by the tests: a follower in a later era than its relay listed again and again.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -24,6 +24,7 @@
 import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
+import { Follower, openRelayStream, Publisher, RelayedStore } from "../relay/index.js";
 import type { GatewaySettings } from "../settings/index.js";
 import type { CallCounter, Store } from "../store/index.js";
 import { reportStoreCalls, type RunningProcess } from "./process.js";
@@ -144,7 +145,19 @@
     let isStopping = false;
     const { descriptors } = settings.machine;
     const callers = await listenForCallers(gateway, settings.callerAddress, descriptors);
-    const peerCalls = await listenForPeers(gateway, settings.peerAddress, descriptors);
+    const publisher = Publisher.create();
+    const follower = Follower.start({
+        self: peers.self,
+        otherGateways: () => peers.others,
+        revision: () => peers.revision,
+        onFollowing: () => publisher.clear(),
+        onChange,
+        open: openRelayStream,
+    });
+    const peerCalls = await listenForPeers(gateway, settings.peerAddress, descriptors, response => {
+        if (follower.isRelay) publisher.add(response);
+        return follower.isRelay;
+    });
     const otherListeners = [
         await listenForReadiness(memory, settings.readinessAddress, () => gateway.isReady),
         peerCalls,
@@ -168,7 +181,14 @@
         };
         otherListeners.push(await listenForMetrics(memory, settings.metricsAddress, render));
     }
-    const feed = GatewayFeed.start({ store, source, gateway, peers, onChange });
+    const relayed = RelayedStore.create({
+        direct: store,
+        gatewayPrefix: source.gatewayPrefix,
+        publisher,
+        isRelay: () => follower.isRelay,
+        subscription: () => follower.subscription,
+    });
+    const feed = GatewayFeed.start({ store: relayed, source, gateway, peers, onChange });
     log.writeUnthrottled("started", { zone: settings.zone, callers: settings.callerAddress });
     const isInformed = feed.ready.then(async () => {
         // Not required: a gateway serves without the others, but may then repeat what they have learned.
@@ -196,6 +216,8 @@
     const kill = async (): Promise<void> => {
         isStopping = true;
         feed.stop();
+        follower.stop();
+        publisher.clear();
         eventLoop.stop();
         gateway.stop();
         log.flush();
@@ -212,6 +234,7 @@
         gateway.shutdown.begin(deadline.earlierBy(responseMargin), takesUntil);
         log.writeUnthrottled("stopping", { openRequests: callers.openRequests });
         gateway.enterPhase("draining");
+        publisher.sendAway();
         isStopping = true;
         const unregistration = peers.unregister(store);
         await pause(takesUntil.remainingMs());
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -5,6 +5,7 @@
 import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
 import { pause } from "../model/pause.js";
+import { CHANGES_PATH } from "../relay/message.js";
 import {
     decodeOrder,
     decodeRelease,
@@ -306,12 +307,26 @@
     });
 }
 
-/** Serves calls from other gateways. */
-export async function listenForPeers(gateway: Gateway, address: string, descriptors: number): Promise<Listener> {
+/**
+ * Serves calls from other gateways. `follow` takes a response on which a gateway follows this one; it returns false if this
+ * one may not be followed.
+ */
+export async function listenForPeers(
+    gateway: Gateway,
+    address: string,
+    descriptors: number,
+    follow: (response: ServerResponse) => boolean,
+): Promise<Listener> {
     const openOrders = OpenOrders.create();
     return Listener.listen(createServer(), address, {
         ...limitsOf(gateway, "gateways", descriptors, GATEWAYS_SHARE),
         serve: (request, response) => {
+            if (request.url === CHANGES_PATH) {
+                if (gateway.phase === "serving" && follow(response)) return;
+                response.writeHead(503, { "content-length": 0 });
+                response.end();
+                return;
+            }
             servePeer(gateway, openOrders, request, response).catch((error: unknown) => {
                 const fields = { path: request.url, error: describeError(error) };
                 gateway.context.onDecision("peer call failed unexpectedly", fields);
