--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,7 +26,7 @@
 import { FirstEventTimes } from "./firstevent.js";
 import { LimitQueue } from "./limitqueue.js";
 import { LimitShares } from "./limitshares.js";
-import type { GatewayPeers } from "./peers.js";
+import type { GatewayPeer, GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
@@ -243,6 +243,11 @@
         return new Gateway(options);
     }
 
+    /** This gateway as others know it. */
+    get self(): GatewayPeer {
+        return this.options.peers.self;
+    }
+
     get configuration(): GatewayConfiguration | undefined {
         return this.currentConfiguration;
     }
