--- a/src/relay/message.ts
+++ b/src/relay/message.ts
@@ -8,7 +8,7 @@
 export const CHANGES_PATH = "/changes";
 
 /** Interval in milliseconds at which a relay says how recent its knowledge is. */
-export const CONFIRM_INTERVAL_MS = 300;
+export const CONFIRM_INTERVAL_MS = 200;
 
 const objectSchema = z.object({
     key: z.string(),
--- a/src/relay/relayedstore.ts
+++ b/src/relay/relayedstore.ts
@@ -2,19 +2,19 @@
  * A store whose lists and watches come from a relay while one is followed, and from the store itself otherwise.
  *
  * Whoever watches through it sees no difference but a delay, which is bounded for each watch by its own waiting time: a
- * relay asks the store more often than its followers would, and a follower asks the store itself once the relay's knowledge
- * is older than that time and a tenth. A watch on a dead connection of its own would notice that later.
+ * relay asks the store more often than its followers would, and a follower asks the store itself before a watch of its own
+ * would have ended.
  */
 import { withTimeout } from "../model/pause.js";
 import type { ListOutcome, ReadOutcome, Store, StoreEra, WatchOutcome, WriteOutcome } from "../store/index.js";
 import type { Publisher } from "./publisher.js";
 import type { Subscription } from "./subscription.js";
 
-/** Part of the waiting time of a watch for which a relay waits at the store. */
-const RELAY_WAIT_SHARE = 0.75;
+/** Part of the waiting time of a watch for which a relay with followers waits at the store. */
+const RELAY_WAIT_SHARE = 0.65;
 
 /** Age up to which the knowledge of a relay counts, relative to the waiting time of the watch. */
-const AGE_LIMIT_RATIO = 1.1;
+const AGE_LIMIT_RATIO = 0.9;
 
 /**
  * Age in milliseconds up to which a list of a relay counts, which is that of a watch on a dead connection. The watch after
--- a/src/relay/stream.ts
+++ b/src/relay/stream.ts
@@ -5,7 +5,7 @@
 import { CHANGES_PATH, CONFIRM_INTERVAL_MS } from "./message.js";
 
 /** Silence in milliseconds after which a relay is left: several missed confirmations. */
-const SILENCE_MS = 5 * CONFIRM_INTERVAL_MS;
+const SILENCE_MS = 8 * CONFIRM_INTERVAL_MS;
 
 /** Longest time in milliseconds for which one response is read. */
 const LONGEST_RESPONSE_MS = 24 * 3_600_000;
