--- /dev/null
+++ b/review/lib/replica.mjs
@@ -0,0 +1,79 @@
+/**
+ * A stand-in for a replica of a plain service, as PROTOCOL.md describes it: it rejects a request for another instance, runs
+ * the others, and answers with its stamp.
+ */
+import { createServer } from "node:http";
+import { listen } from "./ports.mjs";
+
+export class Replica {
+    sockets = new Set();
+
+    /**
+     * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
+     * milliseconds.
+     */
+    constructor({ id, service, zone, version = "v1", slots = 6, run }) {
+        this.id = id;
+        this.registration = { Service: service, Zone: zone, Version: version, Slots: slots };
+        this.run = run;
+        this.born = Date.now();
+        this.server = createServer((request, response) => {
+            this.serve(request, response).catch(() => response.destroy());
+        });
+        this.server.on("connection", socket => {
+            this.sockets.add(socket);
+            socket.once("close", () => this.sockets.delete(socket));
+        });
+    }
+
+    async start() {
+        this.address = await listen(this.server);
+    }
+
+    /** The replica's entry in the store. */
+    entry(state = "available") {
+        const { address: Address, born, registration } = this;
+        return { ...registration, Address, State: state, ColdRemainingMs: 0, Seqno: 1, born };
+    }
+
+    /** Ends the process: no port listens any more, and open connections are reset. */
+    stop() {
+        this.server.close();
+        for (const socket of this.sockets) socket.resetAndDestroy();
+    }
+
+    async serve(request, response) {
+        const chunks = [];
+        for await (const chunk of request) chunks.push(chunk);
+        const expected = request.headers["x-parsleyrun-expect-instance"];
+        if (expected !== undefined && expected !== this.id) {
+            response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
+            return;
+        }
+        const id = request.headers["x-parsleyrun-request-id"];
+        if (id === undefined) {
+            response.writeHead(400, { "x-parsleyrun-not-executed": "1" }).end();
+            return;
+        }
+        const {
+            status,
+            workMs,
+            body = "done",
+            headers = {},
+        } = this.run({
+            id,
+            headers: request.headers,
+            body: Buffer.concat(chunks).toString(),
+            replica: this,
+        });
+        await new Promise(done => setTimeout(done, workMs));
+        response.writeHead(status, {
+            "x-parsleyrun-request-id": id,
+            "x-parsleyrun-server-stamp": `stamp.${this.id}`,
+            "x-parsleyrun-server-load": `0,0,${this.registration.Slots}`,
+            "content-length": Buffer.byteLength(body),
+            ...headers,
+        });
+        response.end(body);
+    }
+}
