Review: a leaving replica whose start had a lower `born` stays in use (DRAIN)

Looked for: what orders the starts of a replica under one id. The gateways compare `born`, the wall clock of the replica's machine, so the script has a clock that is two seconds ahead at the first start and right at the second one.

--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -21,12 +21,12 @@
     async send({ method = "GET", host, path, key, deadlineMs, headers = {}, body, onSent }) {
         if (this.agent === undefined) {
             this.gateway = this.fleet.choose(this);
+            if (this.gateway === undefined) return { status: 0, reason: "no gateway is ready" };
             this.agent = new Agent({ keepAlive: true, maxSockets: 1 });
         }
         const { gateway, agent } = this;
         const id = randomBytes(8).toString("hex");
         const sentAt = performance.now();
-        if (gateway === undefined) return { id, status: 0, reason: "no gateway is ready", sentAt };
         onSent?.(id, gateway.name);
         const [ip, port] = gateway.frontend.split(":");
         const result = await new Promise(done => {
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -26,8 +26,9 @@
         });
     }
 
-    async start() {
-        this.address = await listen(this.server);
+    /** Starts to listen, at the address of an earlier start if one is given. */
+    async start(address) {
+        this.address = await listen(this.server, address && Number(address.split(":")[1]));
     }
 
     /** The replica's entry in the store. */
