--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -7,6 +7,7 @@
 
 export class Replica {
     sockets = new Set();
+    running = 0;
 
     /**
      * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
@@ -67,11 +68,13 @@
             body: Buffer.concat(chunks).toString(),
             replica: this,
         });
+        this.running += 1;
         await new Promise(done => setTimeout(done, workMs));
+        this.running -= 1;
         response.writeHead(status, {
             "x-parsleyrun-request-id": id,
             "x-parsleyrun-server-stamp": `stamp.${this.id}`,
-            "x-parsleyrun-server-load": `0,0,${this.registration.Slots}`,
+            "x-parsleyrun-server-load": `${this.running},0,${this.registration.Slots}`,
             "content-length": Buffer.byteLength(body),
             ...headers,
         });
