--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -8,6 +8,7 @@
 export class Replica {
     sockets = new Set();
     running = 0;
+    isDark = false;
 
     /**
      * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
@@ -23,6 +24,7 @@
         });
         this.server.on("connection", socket => {
             this.sockets.add(socket);
+            if (this.isDark) socket.pause();
             socket.once("close", () => this.sockets.delete(socket));
         });
     }
@@ -44,9 +46,16 @@
         for (const socket of this.sockets) socket.resetAndDestroy();
     }
 
+    /** Loses its power: it reads and writes nothing more, and nothing is reset. */
+    goDark() {
+        this.isDark = true;
+        for (const socket of this.sockets) socket.pause();
+    }
+
     async serve(request, response) {
         const chunks = [];
         for await (const chunk of request) chunks.push(chunk);
+        if (this.isDark) return;
         const expected = request.headers["x-parsleyrun-expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
@@ -71,6 +80,7 @@
         this.running += 1;
         await new Promise(done => setTimeout(done, workMs));
         this.running -= 1;
+        if (this.isDark) return;
         response.writeHead(status, {
             "x-parsleyrun-request-id": id,
             "x-parsleyrun-server-stamp": `stamp.${this.id}`,
