--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -98,6 +98,8 @@
 
     constructor(platform) {
         this.platform = platform;
+        // Whatever ends this process, none of those that it started is left.
+        process.once("exit", () => this.gateways.forEach(gateway => gateway.signal("SIGKILL")));
     }
 
     async add(name, zone) {
--- a/review/lib/record.mjs
+++ b/review/lib/record.mjs
@@ -45,6 +45,7 @@
 export async function runCase(folder, run, stopAll) {
     const record = new CaseRecord(folder);
     let code = 2;
+    for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(code));
     try {
         const violations = await run(record, process.env.TROUBLE !== "0");
         for (const violation of violations) record.add("violation", { violation });
