--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -71,13 +71,6 @@
         this.publish(kind, object, true);
     }
 
-    /** Cuts the watches of a kind that are waiting. Returns how many. */
-    cutWatches(kind) {
-        const cut = [...this.waiting].filter(watch => watch.kind === kind);
-        for (const watch of cut) watch.socket.destroy();
-        return cut.length;
-    }
-
     publish(kind, object, isDeleted) {
         this.history.push({ revision: this.revision, kind, event: { Object: object, Deleted: isDeleted } });
         for (const watch of [...this.waiting]) if (watch.kind === kind) watch.wake();
--- a/review/lib/ports.mjs
+++ b/review/lib/ports.mjs
@@ -20,9 +20,9 @@
     }
 }
 
-/** Listens on a port, by default a free one. Resolves to `ip:port`. */
-export async function listen(server, wanted) {
-    const port = wanted ?? (await freePort());
+/** Listens on a free port. Resolves to `ip:port`. */
+export async function listen(server) {
+    const port = await freePort();
     await new Promise(done => server.listen(port, "127.0.0.1", done));
     return `127.0.0.1:${port}`;
 }
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -8,7 +8,6 @@
 export class Replica {
     sockets = new Set();
     running = 0;
-    isDark = false;
 
     /**
      * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
@@ -24,14 +23,12 @@
         });
         this.server.on("connection", socket => {
             this.sockets.add(socket);
-            if (this.isDark) socket.pause();
             socket.once("close", () => this.sockets.delete(socket));
         });
     }
 
-    /** Starts to listen, at the address of an earlier start if one is given. */
-    async start(address) {
-        this.address = await listen(this.server, address && Number(address.split(":")[1]));
+    async start() {
+        this.address = await listen(this.server);
     }
 
     /** The replica's entry in the store. */
@@ -46,16 +43,9 @@
         for (const socket of this.sockets) socket.resetAndDestroy();
     }
 
-    /** Loses its power: it reads and writes nothing more, and nothing is reset. */
-    goDark() {
-        this.isDark = true;
-        for (const socket of this.sockets) socket.pause();
-    }
-
     async serve(request, response) {
         const chunks = [];
         for await (const chunk of request) chunks.push(chunk);
-        if (this.isDark) return;
         const expected = request.headers["x-parsleyrun-expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
@@ -80,7 +70,6 @@
         this.running += 1;
         await new Promise(done => setTimeout(done, workMs));
         this.running -= 1;
-        if (this.isDark) return;
         response.writeHead(status, {
             "x-parsleyrun-request-id": id,
             "x-parsleyrun-server-stamp": `stamp.${this.id}`,
