Review: a gateway that is cut off from the store sends a cold replica too much (FAILBACK)

Looked for: rules that bind machines "in touch or not", and what a gateway without the store knows of them. FAILBACK is one; cold periods begin only with an entry of the store or a refused connection.

--- a/review/lib/gateways.mjs
+++ b/review/lib/gateways.mjs
@@ -22,6 +22,8 @@
     ExposureShare: 0.1,
     ExposureTolerance: 50,
     RollbackMs: 5_000,
+    ColdOvershoot: 1.5,
+    ColdTolerance: 5,
 };
 const LIMITS = { CpuQuota: 0.513, Cores: 1, MemoryMb: 350, MaxFds: 4_100, LinkMbps: 1_000 };
 
--- a/review/lib/platform.mjs
+++ b/review/lib/platform.mjs
@@ -19,6 +19,8 @@
     servers = [];
     sockets = new Set();
     waiting = new Set();
+    /** Callers that are partitioned from the store: none of their calls arrives, and no answer reaches them. */
+    cutCallers = new Set();
     /** Called after a write of a gateway. */
     onWrite = () => undefined;
 
@@ -28,6 +30,7 @@
             this.serve(caller, request, response).catch(() => response.destroy());
         });
         server.on("connection", socket => {
+            socket.caller = caller;
             this.sockets.add(socket);
             socket.once("close", () => this.sockets.delete(socket));
         });
@@ -35,6 +38,17 @@
         return listen(server);
     }
 
+    /** Partitions a caller from the store, so that neither side hears of the other. */
+    cut(caller) {
+        this.cutCallers.add(caller);
+    }
+
+    /** Ends the partition. What was on the way is lost. */
+    heal(caller) {
+        this.cutCallers.delete(caller);
+        for (const socket of this.sockets) if (socket.caller === caller) socket.resetAndDestroy();
+    }
+
     close() {
         for (const server of this.servers) server.close();
         for (const socket of this.sockets) socket.destroy();
@@ -78,10 +92,12 @@
 
     async serve(caller, request, response) {
         const body = await readJson(request);
+        if (this.cutCallers.has(caller)) return;
         const url = new URL(request.url, "http://store");
         const [, , kind, encodedName, part] = url.pathname.split("/");
         const name = decodeURIComponent(encodedName ?? "");
         const answer = (status, content) => {
+            if (this.cutCallers.has(caller)) return;
             response.writeHead(status, { "content-type": "application/json" });
             response.end(JSON.stringify(content));
         };
--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -8,6 +8,8 @@
 export class Replica {
     sockets = new Set();
     running = 0;
+    /** Monotonic time in milliseconds until which the replica is cold. */
+    coldUntil = 0;
 
     /**
      * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
@@ -31,10 +33,14 @@
         this.address = await listen(this.server);
     }
 
+    get coldRemainingMs() {
+        return Math.max(0, Math.round(this.coldUntil - performance.now()));
+    }
+
     /** The replica's entry in the store. */
     entry(state = "available") {
         const { address: Address, born, registration } = this;
-        return { ...registration, Address, State: state, ColdRemainingMs: 0, Seqno: 1, born };
+        return { ...registration, Address, State: state, ColdRemainingMs: this.coldRemainingMs, Seqno: 1, born };
     }
 
     /** Ends the process: no port listens any more, and open connections are reset. */
@@ -46,6 +52,11 @@
     async serve(request, response) {
         const chunks = [];
         for await (const chunk of request) chunks.push(chunk);
+        if (request.method === "GET" && request.url === "/healthz") {
+            const cold = { "x-parsleyrun-cold-ms": String(this.coldRemainingMs) };
+            response.writeHead(200, { "x-parsleyrun-instance-id": this.id, ...cold, "content-length": 0 }).end();
+            return;
+        }
         const expected = request.headers["x-parsleyrun-expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(421, { "x-parsleyrun-instance-id": this.id }).end();
