--- a/review/lib/replica.mjs
+++ b/review/lib/replica.mjs
@@ -13,7 +13,8 @@
 
     /**
      * `run` is called with each request that reaches the replica and returns its status, body, further headers and work in
-     * milliseconds.
+     * milliseconds. With `isFramed` false the answer has no length and ends with its connection; with `resetAfter` the
+     * connection is reset after so many of its characters.
      */
     constructor({ id, service, zone, version = "v1", slots = 6, run }) {
         this.id = id;
@@ -72,6 +73,8 @@
             workMs,
             body = "done",
             headers = {},
+            isFramed = true,
+            resetAfter,
         } = this.run({
             id,
             headers: request.headers,
@@ -81,13 +84,15 @@
         this.running += 1;
         await new Promise(done => setTimeout(done, workMs));
         this.running -= 1;
+        response.useChunkedEncodingByDefault = false;
         response.writeHead(status, {
             "x-parsleyrun-request-id": id,
             "x-parsleyrun-server-stamp": `stamp.${this.id}`,
             "x-parsleyrun-server-load": `${this.running},0,${this.registration.Slots}`,
-            "content-length": Buffer.byteLength(body),
+            ...(isFramed ? { "content-length": Buffer.byteLength(body) } : { connection: "close" }),
             ...headers,
         });
-        response.end(body);
+        if (resetAfter === undefined) response.end(body);
+        else response.write(body.slice(0, resetAfter), () => response.socket.resetAndDestroy());
     }
 }
