Tell a reset from the end of a body without a length

Cause: a body without a length ends with its connection. libuv reports the end of a stream as soon as a read leaves its buffer partly empty while poll shows a hang-up, so a reset that is there with the last bytes never becomes an error, and ResponseBody waited for one. Evidence: at the socket's 'end', the kernel has no peer for the connection (ENOTCONN) in 100 of 100 tries each of a reset at once, one event-loop turn later, and without any byte, and has one in 100 of 100 orderly ends, also followed by a full close. Ruled out: a lost error listener (none is emitted); a slow reader alone (a reader at once misses it as well).

Change: model/connectionreset.ts looks for the peer when the socket ends, before the parser takes that for the end of the body. Nothing is written to the target. Where this is not known to hold (other systems than Linux), such an end counts as a reset. The price: a reset that follows an orderly end before it was read looks the same, so a whole body may count as broken off.

A retry, a resumption, 502 for a booking and the cut of a begun stream follow from the outcome 'broken' as before.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,6 +16,7 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { parseSocketAddress } from "../model/address.js";
+import { whenReset } from "../model/connectionreset.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 
@@ -304,7 +305,7 @@
         // The connection can fail before `read` is called.
         message.on("error", error => (this.failureReason ??= error.message));
         // A body without a length ends when the connection closes. The parser takes a reset for that end as well.
-        if (!isDelimited(message)) message.socket.on("error", error => (this.failureReason ??= error.message));
+        whenReset(message, error => (this.failureReason ??= error.message));
     }
 
     /** `isPooled` says whether the connection stays open after a complete response. */
--- a/test/platform/listening.ts
+++ b/test/platform/listening.ts
@@ -1,6 +1,6 @@
 /** What the stand-ins' servers share. */
-import type { IncomingMessage, Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage } from "node:http";
+import type { AddressInfo, Server } from "node:net";
 
 /** Listens on a free port of the loopback address; resolves to `ip:port`. */
 export async function listen(server: Server): Promise<string> {
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -18,6 +18,9 @@
     readonly at: number;
 }
 
+/** How a connection ends after its last bytes: in order, also with a full close, or with a reset. */
+export type ConnectionEnding = "end" | "endAndClose" | "resetAtOnce" | "resetLater";
+
 /** How a target handles a request. */
 export type Behaviour =
     | { readonly kind: "answer"; readonly status?: number; readonly body?: string; readonly after?: Promise<void> }
@@ -51,7 +54,13 @@
     | { readonly kind: "otherAnswer" }
     | { readonly kind: "extraAnswer" }
     | { readonly kind: "unframedReset" }
-    | { readonly kind: "unframed" };
+    | { readonly kind: "unframed" }
+    /** Answers 200 without a length, then ends the connection. */
+    | {
+          readonly kind: "withoutLength";
+          readonly body: string;
+          readonly ending: ConnectionEnding;
+      };
 
 /** Time in milliseconds in which the head of a response arrives before its target crashes. */
 const HEAD_TRANSIT_MS = 5;
@@ -59,6 +68,17 @@
 /** Size in bytes of the parts in which endless answers are written. */
 const ENDLESS_CHUNK_BYTES = 16_384;
 
+/** Time in milliseconds after which a reset counts as one that comes later than the bytes before it. */
+const LATER_MS = 30;
+
+/** Ways in which a target ends a connection whose last bytes it has written. */
+export const endConnection: Readonly<Record<ConnectionEnding, (socket: Socket) => void>> = {
+    end: socket => void socket.end(),
+    endAndClose: socket => void socket.end(() => socket.destroy()),
+    resetAtOnce: socket => void socket.resetAndDestroy(),
+    resetLater: socket => void setTimeout(() => socket.resetAndDestroy(), LATER_MS),
+};
+
 /** A replica of a service. */
 export class StandInTarget {
     readonly arrivals: Arrival[] = [];
@@ -264,6 +284,13 @@
                         `connection: close\r\n\r\nwhole answer`,
                 );
                 return;
+            case "withoutLength": {
+                const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+                socket?.write(`HTTP/1.1 200 OK\r\n${lines.join("")}connection: close\r\n\r\n${behaviour.body}`, () =>
+                    endConnection[behaviour.ending](socket),
+                );
+                return;
+            }
             case "extraAnswer":
                 socket?.end(
                     `HTTP/1.1 200 OK\r\nx-parsleyrun-request-id: ${arrival.id}\r\nx-parsleyrun-server-stamp: s\r\n` +
