--- a/src/agent/engineclient.ts
+++ b/src/agent/engineclient.ts
@@ -1,6 +1,7 @@
 /** HTTP/1.1 client of a target. */
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { z } from "zod";
+import { whenReset } from "../model/connectionreset.js";
 import type { Engine, EngineEvent, EngineLoad, EngineOrder, EngineRequest, OrderOutcome } from "./engine.js";
 import { decodeEvent, eventOfStatus } from "./engineprotocol.js";
 
@@ -156,6 +157,7 @@
                 incoming = response;
                 // A cancelled response may have no reader left to handle its error.
                 response.on("error", () => undefined);
+                whenReset(response, error => response.destroy(error));
                 resolve(response);
             });
             // After a complete response the connection is back in the HTTP agent's pool, or serves another call.
