Tests read the log lines that a gateway has buffered

On this x86-64 machine one to four of 22 cases of pausingtargets.test.ts and leavingtargets.test.ts failed in 6 of 6 runs: 'expected [] to match object' for a line that had been logged. Cause: the log writes its lines 25 ms after the first one, and a case that ends within that time reads none; on a slower machine they were written by then.

Change: the harness flushes the logs of its gateways whenever it reads them. Checks that a line is absent are stricter by this, no check is looser.

--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -79,8 +79,8 @@
     readonly metrics: string[] = [];
     /** Addresses for other gateways. */
     readonly peers: string[] = [];
-    /** Log lines of all gateways. */
-    readonly lines: Readonly<Record<string, unknown>>[] = [];
+    private readonly logs: DecisionLog[] = [];
+    private readonly writtenLines: Readonly<Record<string, unknown>>[] = [];
 
     private constructor(readonly platform: StandInPlatform) {}
 
@@ -152,15 +152,14 @@
         });
         const sink = LineSink.create((text, done) => {
             for (const line of text.trim().split("\n")) {
-                this.lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
+                this.writtenLines.push(JSON.parse(line) as Readonly<Record<string, unknown>>);
             }
             done(null);
         });
         const store = { ...settings.store, ledger: CallCounter.create() };
-        const gateway = await startGateway(settings, {
-            ...platformEnvironment(store),
-            log: DecisionLog.create(name, sink),
-        });
+        const log = DecisionLog.create(name, sink);
+        this.logs.push(log);
+        const gateway = await startGateway(settings, { ...platformEnvironment(store), log });
         this.gateways.push(gateway);
         this.callers.push(callers);
         this.readiness.push(readiness);
@@ -181,6 +180,12 @@
         for (let retry = 0; retry < count; retry += 1) budget?.giveBack();
     }
 
+    /** Log lines of all gateways, those that are buffered included. */
+    get lines(): readonly Readonly<Record<string, unknown>>[] {
+        for (const log of this.logs) log.flush();
+        return this.writtenLines;
+    }
+
     /** Log lines with a message, optionally of one request. */
     linesOf(message: string, id?: string): readonly Readonly<Record<string, unknown>>[] {
         return this.lines.filter(line => line.message === message && (id === undefined || line.id === id));
