Reset responses without a marked end that the gateway breaks off

Callers saw a part of an answer end in order: a stream to a caller of HTTP/1.0 whose target broke off or that a planned stop cut, and an answer without a length that its caller had not taken when the gateway ended. Same class as the resets of targets: the end of the connection is the end of the message, so what has been sent on must not end like a whole one.

Cause: response.destroy() and socket.destroy() close in order if nothing of the caller is unread. At the end of the process, Node's server.close() closed such connections before: it takes one for idle once its response was ended, also if the caller has not taken it.

Change: delivery.ts knows whether a response marks its end; one that does not is reset when it is broken off, on the paths of streams, exceptions, memory and the end of the process.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { isFragmented, type MemoryAccount, type MemoryHolding, type MemoryParty } from "../memory/index.js";
+import { hasMarkedEnd } from "./delivery.js";
 
 /** Maximum time in milliseconds for which a connection is read after it was closed for writing. */
 const DISCARD_TIMEOUT_MS = 5_000;
@@ -185,6 +186,14 @@
         this.holding?.resize(this.waiting.length * WAITING_REQUEST_BYTES + contentBytes);
     }
 
+    /** Closes the connection at once. A response that ends with its connection must not look complete. */
+    close(): void {
+        const { isServing, response, socket } = this;
+        const isBegun = isServing && response?.headersSent === true && !response.writableFinished;
+        if (isBegun && !hasMarkedEnd(response)) socket.resetAndDestroy();
+        else socket.destroy();
+    }
+
     /** Ends an idle connection, to make room for others. */
     closeIdle(): void {
         this.isClosing = true;
@@ -201,7 +210,7 @@
     private giveWay(): void {
         this.hasGivenWay = true;
         if (this.isClosing) return;
-        if (this.waiting.length > 0) this.socket.destroy();
+        if (this.waiting.length > 0) this.close();
         else if (!this.isServing) this.closeIdle();
         this.options.onGivenWay();
     }
--- a/src/gateway/delivery.ts
+++ b/src/gateway/delivery.ts
@@ -71,10 +71,24 @@
     response.end(body);
 }
 
+/** Whether a response that has begun has an end of its own; otherwise it ends with its connection. */
+export function hasMarkedEnd({ chunkedEncoding }: ServerResponse): boolean {
+    return chunkedEncoding;
+}
+
+/**
+ * Ends a response that has begun before its end. One in chunks lacks the last chunk; one whose end is not marked, as to
+ * callers of HTTP/1.0, would look complete if its connection ended in order.
+ */
+export function breakOff(response: ServerResponse): void {
+    if (!hasMarkedEnd(response)) response.socket?.resetAndDestroy();
+    response.destroy();
+}
+
 /** Ends a response after an exception, unless it has ended: with status 500, which promises nothing, or by closing it. */
 export function failResponse(response: ServerResponse, reason: string): void {
     if (response.writableEnded) return;
-    if (response.headersSent) response.destroy();
+    if (response.headersSent) breakOff(response);
     else sendGatewayResponse(response, { status: 500, reason, retryAfterMs: undefined }, true);
 }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -214,8 +214,9 @@
     /** Closes the listener and all connections. */
     close(): Promise<void> {
         return new Promise(resolve => {
+            // Node takes a connection for idle whose response has ended but was not taken by the caller, and closes it.
+            for (const connection of this.connections.values()) connection.close();
             this.server.close(() => resolve());
-            for (const socket of this.connections.keys()) socket.destroy();
             clearTimeout(this.measureTimer);
         });
     }
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -10,7 +10,7 @@
 import { withTimeout } from "../model/pause.js";
 import type { StageResult } from "../stages/index.js";
 import type { Attempts } from "./attempts.js";
-import { StreamWriter } from "./delivery.js";
+import { breakOff, hasMarkedEnd, StreamWriter } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
 import { bodyFailureReason, NO_MEMORY } from "./heldbody.js";
 import type { Reply } from "./reply.js";
@@ -317,12 +317,10 @@
     private endBroken(result: ExchangeResult): ExchangeResult {
         const { response, reply, isCutByStop } = this.options;
         if (!this.writer.started) return reply.endWith(result);
-        if (isCutByStop()) {
-            // What was written reaches the caller, which can resume the stream from there.
-            response.socket?.destroySoon();
-            return { ...result, outcome: "brokenOff", reason: "gateway stops" };
-        }
-        response.destroy();
+        // With a marked end, what was written may reach the caller, which can resume the stream from there.
+        if (isCutByStop() && hasMarkedEnd(response)) response.socket?.destroySoon();
+        else breakOff(response);
+        if (isCutByStop()) return { ...result, outcome: "brokenOff", reason: "gateway stops" };
         return result.outcome === "cancelled" ? result : { ...result, outcome: "brokenOff" };
     }
 }
