Let another gateway judge a roll-out when the judge is lost

Cause: the judge was the first of all registered gateways by hash. A registration outlives a lost machine, and the others dropped what they had observed when it could not be sent. Ruled out: the judgement itself (with another gateway lost the version is reverted in time).

Change: - The judge is the first gateway that is not lost: one that answers no calls for 2 s (LONGEST_SOUND_SILENCE_MS, at least two calls), or says that it cannot judge, since it does not know the roll-out or cannot write. When an answer is overdue, the next gateways get the observations as well, so that several losses are noticed at once; a slow judge keeps its task. - Observations are kept and numbered: a new judge gets all of them, one that gets some twice, since its answer was lost, counts them once. - A gateway that only others take for the judge may stop a bad version, but completes none. A version that a judge has found bad is written as reverted by the next gateways if the judge does not. After a take-over a judge waits 1 s for the others before it completes. - Writes stay conditional on the revision, so two judges decide once. - Gateways of earlier versions are understood, and understand this one.

--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -130,6 +130,8 @@
     }
 
     private reportAvailability(prefix: string, change: AvailabilityChange): void {
+        const { gateway, source } = this.options;
+        if (prefix === source.rolloutPrefix) gateway.setStoreLost(change.kind === "lost");
         if (change.kind === "lost") this.options.onChange("store lost", { prefix, reason: change.message });
         else this.options.onChange("store regained", { prefix, outageMs: Math.round(change.outageMs) });
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -133,6 +133,7 @@
     private readonly rollouts: Rollouts;
     private currentPhase: GatewayPhase = "serving";
     private informed = false;
+    private isStoreLost = false;
     private currentConfiguration: GatewayConfiguration | undefined;
     private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, WindowBudget>();
@@ -170,6 +171,7 @@
             peers,
             peerCalls: this.peerCalls,
             rollouts: this.rollouts,
+            isStoreLost: () => this.isStoreLost,
             writeState: options.writeRolloutState,
             onChange,
         });
@@ -272,6 +274,11 @@
         this.informed = true;
     }
 
+    /** Records whether the store has stopped answering when it is asked for roll-outs. */
+    setStoreLost(isLost: boolean): void {
+        this.isStoreLost = isLost;
+    }
+
     /** Enters a later phase. */
     enterPhase(phase: GatewayPhase): void {
         this.currentPhase = phase;
--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -1,24 +1,28 @@
 /**
  * Decides roll-outs of new versions from the answers that all gateways observe.
  *
- * One gateway, chosen by a hash of the service, collects the observations of all and writes the state of the roll-out.
- * The others send theirs a few times a second and learn from the answer whether the new version is to be stopped. If
- * the chosen gateway is lost, the next one begins with the observations from then on. Two gateways that take themselves
- * for the chosen one write conditionally, and a decided state is never changed.
+ * One gateway, the judge, collects the observations of all and writes the state of the roll-out (`gateway/rolloutjudges`).
+ * The others send theirs a few times a second and learn from the answer whether the new version is to be stopped. If the
+ * judge is lost, the next gateway gets all that the remaining ones have observed. One that is taken for the judge by
+ * others, but not by itself, only stops a bad version: it may lack what the judge has.
+ *
+ * Two gateways that take themselves for the judge write conditionally, and a decided state is never changed.
  */
+import { randomUUID } from "node:crypto";
 import { z } from "zod";
 import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
 import type { LineFields } from "../observability/index.js";
-import { chooseCoordinator } from "./coordinator.js";
 import type { PeerCalls } from "../stages/index.js";
 import type { WriteOutcome } from "../store/index.js";
 import { NEVER_ABORTED } from "./attempt.js";
 import type { GatewayPeers } from "./peers.js";
+import { ObservationLog, ReceivedObservations } from "./observationlog.js";
+import { type JudgeCall, judgesOf, RolloutJudges } from "./rolloutjudges.js";
 import { isUndecided, type Rollouts, type RolloutState, type SeenRollout } from "./rollouts.js";
 import type { Target } from "./target.js";
-import { VersionJudge, type VersionObservation } from "./versionjudge.js";
+import { VersionJudge } from "./versionjudge.js";
 
 /** Path of the interface between gateways on which observations are sent. */
 export const OBSERVATIONS_PATH = "/observations";
@@ -26,8 +30,8 @@
 /** Interval in milliseconds at which observations are sent and roll-outs are judged. */
 const INTERVAL_MS = 250;
 
-/** Time in milliseconds for another gateway to take observations. */
-const SEND_TIMEOUT_MS = 500;
+/** Time in milliseconds for another gateway to take observations; two calls fit into the longest sound silence. */
+const SEND_TIMEOUT_MS = 1_000;
 
 /** Fraction of a roll-out's duration after which it is decided, so that the state is stored in time. */
 const DECISION_SHARE = 0.85;
@@ -38,8 +42,17 @@
 /** Time in milliseconds that the other gateways leave the chosen one to write a decision that the store has lost. */
 const REWRITE_DELAY_MS = 1_000;
 
-/** Maximum number of observations of one service that wait to be sent. */
-const MAXIMUM_WAITING = 2_000;
+/** Largest multiple of that time that a gateway waits which is far from the first in the order of judges. */
+const MAXIMUM_REWRITE_TURNS = 10;
+
+/** Time in milliseconds that a new judge leaves the others to send what they have observed before it completes a roll-out. */
+const COLLECT_MS = 1_000;
+
+/** Time in milliseconds for which a gateway that others take for the judge acts on their observations. */
+const ACTING_MS = 2_000;
+
+/** Time in milliseconds without a successful write after which a judge says that it cannot judge. */
+const UNABLE_AFTER_MS = 1_000;
 
 /** Longest name of a route in characters that another gateway may send, as a key of what is counted. */
 const MAXIMUM_NAME_LENGTH = 1_000;
@@ -47,6 +60,11 @@
 const observationsSchema = z.object({
     service: z.string(),
     version: z.string(),
+    // Gateways of earlier versions send each observation once, without these fields.
+    sender: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
+    first: z.int().min(0).default(0),
+    isOldest: z.boolean().default(true),
+    isJudge: z.boolean().default(true),
     observations: z.array(
         z.object({
             route: z.string().max(MAXIMUM_NAME_LENGTH),
@@ -57,13 +75,21 @@
     ),
 });
 
-const verdictSchema = z.object({ isBad: z.boolean() });
+const verdictSchema = z.object({
+    isBad: z.boolean(),
+    /** Whether the gateway knows the roll-out and can write its state. */
+    isJudging: z.boolean().default(true),
+    /** Number of the observation that it needs next. */
+    next: z.int().min(0).optional(),
+});
 
 /** What a controller depends on. */
 export interface RolloutControllerEnvironment {
-    readonly peers: GatewayPeers;
-    readonly peerCalls: PeerCalls;
+    readonly peers: Pick<GatewayPeers, "self" | "others">;
+    readonly peerCalls: Pick<PeerCalls, "call" | "unansweredMs">;
     readonly rollouts: Rollouts;
+    /** Whether the store did not answer lately when it was asked for roll-outs. */
+    readonly isStoreLost: () => boolean;
     /** Writes the state of a roll-out if the stored object has not changed. */
     readonly writeState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
     readonly onChange: (change: string, fields: LineFields) => void;
@@ -72,19 +98,30 @@
 interface Trial {
     readonly version: string;
     readonly judge: VersionJudge;
-    /** Why the version is bad; undefined while it is not known to be. */
-    fault: string | undefined;
+    readonly judges: RolloutJudges;
+    /** What this gateway has observed, and the number of the first observation that its judge lacks. */
+    readonly log: ObservationLog;
+    judgedNext: number;
+    readonly received: ReceivedObservations;
+    /** Since when this gateway judges, and until when it acts for others that take it for the judge. */
+    judgingSince: number | undefined;
+    actingUntil: number;
+    /** Why the version is bad, and when that became known; undefined while it is not. */
+    fault: { readonly reason: string; readonly at: number } | undefined;
     /** The decision of which a write may have taken effect; it is not changed any more. */
     decision: { readonly state: RolloutState; readonly reason: string } | undefined;
     isWriting: boolean;
     writeAfter: number;
+    /** Since when writes have failed; undefined if the last one has not. */
+    unwrittenSince: number | undefined;
     /** Since when the store is known to have lost the decision; undefined while it has it. */
     lostSince: number | undefined;
 }
 
 /** Observes answers during roll-outs, and decides those for which this gateway is chosen. */
 export class RolloutController {
-    private readonly waiting = new Map<string, VersionObservation[]>();
+    /** Identifies this process to those that take its observations. */
+    private readonly sender = randomUUID();
     private readonly trials = new Map<string, Trial>();
     private timer: NodeJS.Timeout | undefined;
     private stopped = false;
@@ -109,29 +146,33 @@
     observe(target: Target, route: string, failed: boolean, slowness: number | undefined): void {
         const { service, version } = target.registration;
         const rollout = this.environment.rollouts.find(service);
-        if (rollout === undefined || !isUndecided(rollout)) return;
-        const observations = this.waiting.get(service) ?? [];
-        this.waiting.set(service, observations);
-        if (observations.length >= MAXIMUM_WAITING) return;
-        observations.push({ route, isNew: version === rollout.version, failed, slowness });
+        if (rollout === undefined) return;
+        if (isUndecided(rollout)) {
+            this.trialOf(rollout).log.add({ route, isNew: version === rollout.version, failed, slowness });
+        } else this.trials.get(service)?.log.clear();
     }
 
     /** Takes observations of another gateway; returns the text of the answer, or undefined if they are malformed. */
     receive(text: string): string | undefined {
         const parsed = observationsSchema.safeParse(parseJson(text));
         if (!parsed.success) return undefined;
-        const { service, version, observations } = parsed.data;
+        const { service, version, sender, isJudge, ...batch } = parsed.data;
+        const answer = (verdict: z.input<typeof verdictSchema>): string => JSON.stringify(verdict);
         const rollout = this.environment.rollouts.find(service);
-        if (rollout?.version !== version) return JSON.stringify({ isBad: false });
-        if (rollout.state === "reverted") return JSON.stringify({ isBad: true });
+        if (rollout?.version !== version) return answer({ isBad: false, isJudging: false });
+        if (!isUndecided(rollout)) return answer({ isBad: rollout.state === "reverted" });
         const trial = this.trialOf(rollout);
-        for (const observation of observations) trial.judge.add(observation);
-        return JSON.stringify({ isBad: trial.fault !== undefined });
+        const taken =
+            sender === undefined ? { added: batch.observations, next: undefined } : trial.received.take(sender, batch);
+        for (const observation of taken.added) trial.judge.add(observation);
+        if (isJudge) trial.actingUntil = performance.now() + ACTING_MS;
+        const { next } = taken;
+        const isBad = trial.fault !== undefined;
+        return answer({ isBad, isJudging: this.canWrite(trial), ...(next === undefined ? {} : { next }) });
     }
 
     /** Discards what was observed of a service's new version. */
     forget(service: string): void {
-        this.waiting.delete(service);
         this.trials.delete(service);
     }
 
@@ -146,40 +187,54 @@
     }
 
     private advance(rollout: SeenRollout): void {
-        const { service } = rollout;
-        const observations = this.waiting.get(service)?.splice(0) ?? [];
-        const { peers } = this.environment;
-        const chosen = chooseCoordinator(`rollout ${service}`, [peers.self, ...peers.others]) ?? peers.self;
+        const { peers, onChange } = this.environment;
+        const trial = this.trialOf(rollout);
+        const judges = judgesOf(rollout.service, [peers.self, ...peers.others]);
         if (!isUndecided(rollout)) {
-            this.writeAgain(rollout, chosen === peers.self);
-            return;
-        }
-        if (chosen !== peers.self) {
-            this.run(() => this.send(rollout, observations, chosen));
+            this.writeAgain(rollout, judges[0]?.name === peers.self.name);
             return;
         }
-        const trial = this.trialOf(rollout);
-        for (const observation of observations) trial.judge.add(observation);
-        this.decide(rollout, trial);
+        trial.lostSince = undefined;
+        const { calls, isSelf, rank } = trial.judges.choose(judges, peers.self);
+        for (const call of calls) this.run(() => this.send(rollout, trial, call));
+        // In an outage of the store no gateway after the first one can do more than that one.
+        const isJudge = isSelf && (rank === 0 || this.canWrite(trial));
+        if (isJudge && trial.judgingSince === undefined) {
+            trial.judgingSince = performance.now();
+            // The first one has no task to take over.
+            if (rank > 0) onChange("rollout taken over", { service: rollout.service, from: judges[0]?.name, rank });
+        } else if (!isJudge) trial.judgingSince = undefined;
+        if (isSelf || performance.now() < trial.actingUntil) this.findFault(rollout, trial);
+        this.decide(rollout, trial, rank);
     }
 
-    private async send(
-        rollout: SeenRollout,
-        observations: readonly VersionObservation[],
-        chosen: GatewayPeers["self"],
-    ): Promise<void> {
+    private async send(rollout: SeenRollout, trial: Trial, { peer, contact, isJudge }: JudgeCall): Promise<void> {
         const { service, version } = rollout;
-        const text = JSON.stringify({ service, version, observations });
+        const { peerCalls, rollouts, onChange } = this.environment;
+        const batch = trial.log.since(contact.next);
+        const text = JSON.stringify({ service, version, sender: this.sender, isJudge, ...batch });
         const limits = { deadline: Deadline.after(SEND_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const answer = await this.environment.peerCalls.call(chosen, OBSERVATIONS_PATH, text, limits);
-        if (answer.kind === "failed") {
-            const lost = { service, peer: chosen.name, reason: answer.reason, observations: observations.length };
-            this.environment.onChange("observations not sent", lost);
+        contact.callingSince = contact.calledAt = performance.now();
+        const answer = await peerCalls
+            .call(peer, OBSERVATIONS_PATH, text, limits)
+            .finally(() => (contact.callingSince = undefined));
+        const verdict = answer.kind === "answered" ? verdictSchema.safeParse(parseJson(answer.text)).data : undefined;
+        contact.isAnswering = verdict?.isJudging === true;
+        if (verdict === undefined) {
+            const reason = answer.kind === "failed" ? answer.reason : "malformed answer";
+            onChange("observations not sent", {
+                service,
+                peer: peer.name,
+                reason,
+                observations: batch.observations.length,
+            });
             return;
         }
-        if (verdictSchema.safeParse(parseJson(answer.text)).data?.isBad === true) {
-            this.environment.rollouts.stop(rollout);
-        }
+        contact.unableSince = verdict.isJudging ? undefined : (contact.unableSince ?? performance.now());
+        if (verdict.isJudging) contact.next = verdict.next ?? batch.first + batch.observations.length;
+        if (!verdict.isBad) return;
+        rollouts.stop(rollout);
+        trial.fault ??= { reason: `judged by ${peer.name}`, at: performance.now() };
     }
 
     /** Writes a decision that the store has lost. Any gateway may know of it, also if the chosen one does not. */
@@ -191,20 +246,36 @@
         this.write(rollout, trial, rollout.state, "lost by the store");
     }
 
-    private decide(rollout: SeenRollout, trial: Trial): void {
-        trial.lostSince = undefined;
-        if (trial.decision !== undefined) {
-            this.write(rollout, trial, trial.decision.state, trial.decision.reason);
+    /** Looks for a fault of the new version, and stops the version if there is one. */
+    private findFault(rollout: SeenRollout, trial: Trial): void {
+        const { observations } = trial.log.since(trial.judgedNext);
+        for (const observation of observations) trial.judge.add(observation);
+        trial.judgedNext = trial.log.next;
+        if (trial.fault !== undefined) return;
+        const reason = trial.judge.findFault();
+        if (reason === undefined) return;
+        trial.fault = { reason, at: performance.now() };
+        this.environment.rollouts.stop(rollout);
+    }
+
+    /** Writes the state that follows from what is known. `rank` is the number of gateways that judge before this one. */
+    private decide(rollout: SeenRollout, trial: Trial, rank: number): void {
+        const { judgingSince, fault, decision } = trial;
+        const now = performance.now();
+        const isJudge = judgingSince !== undefined;
+        if (decision !== undefined && isJudge) {
+            this.write(rollout, trial, decision.state, decision.reason);
             return;
         }
-        trial.fault ??= trial.judge.findFault();
-        if (trial.fault !== undefined) {
-            this.environment.rollouts.stop(rollout);
-            this.write(rollout, trial, "reverted", trial.fault);
+        if (fault !== undefined) {
+            const turns = isJudge || now < trial.actingUntil ? 0 : Math.min(rank, MAXIMUM_REWRITE_TURNS);
+            const isTurn = now - fault.at >= turns * REWRITE_DELAY_MS && (isJudge || this.canWrite(trial));
+            if (isTurn) this.write(rollout, trial, "reverted", fault.reason);
             return;
         }
-        const elapsedMs = performance.now() - rollout.seenAt;
-        if (elapsedMs >= rollout.durationMs * DECISION_SHARE) {
+        if (!isJudge) return;
+        const isDue = now - rollout.seenAt >= rollout.durationMs * DECISION_SHARE;
+        if (isDue && (rank === 0 || now - judgingSince >= COLLECT_MS)) {
             const isAcceptable = trial.judge.isAcceptable();
             const reason = isAcceptable ? "no evidence against it" : "not enough evidence for it";
             this.write(rollout, trial, isAcceptable ? "completed" : "reverted", reason);
@@ -213,6 +284,12 @@
         }
     }
 
+    /** Whether this gateway can write the state of a roll-out, as far as it knows. */
+    private canWrite({ unwrittenSince }: Trial): boolean {
+        if (this.environment.isStoreLost()) return false;
+        return unwrittenSince === undefined || performance.now() - unwrittenSince < UNABLE_AFTER_MS;
+    }
+
     private write(rollout: SeenRollout, trial: Trial, state: RolloutState, reason: string): void {
         if (trial.isWriting || performance.now() < trial.writeAfter) return;
         trial.isWriting = true;
@@ -220,6 +297,8 @@
         this.run(async () => {
             const outcome = await this.environment.writeState(rollout, state).finally(() => (trial.isWriting = false));
             trial.writeAfter = performance.now() + WRITE_RETRY_MS;
+            const isApplied = outcome.kind === "written" || outcome.kind === "conflict";
+            trial.unwrittenSince = isApplied ? undefined : (trial.unwrittenSince ?? performance.now());
             const isDecision = state !== "inProgress";
             if (isDecision && outcome.kind === "written") {
                 this.environment.rollouts.recordDecision(rollout, state, outcome.version);
@@ -241,14 +320,20 @@
     private trialOf({ service, version }: SeenRollout): Trial {
         const known = this.trials.get(service);
         if (known?.version === version) return known;
-        const judge = VersionJudge.create();
         const trial: Trial = {
             version,
-            judge,
+            judge: VersionJudge.create(),
+            judges: RolloutJudges.create(peer => this.environment.peerCalls.unansweredMs(peer)),
+            log: ObservationLog.create(),
+            judgedNext: 0,
+            received: ReceivedObservations.create(),
+            judgingSince: undefined,
+            actingUntil: 0,
             fault: undefined,
             decision: undefined,
             isWriting: false,
             writeAfter: 0,
+            unwrittenSince: undefined,
             lostSince: undefined,
         };
         this.trials.set(service, trial);
--- a/src/stages/peercalls.ts
+++ b/src/stages/peercalls.ts
@@ -19,6 +19,7 @@
 import { bodyFailureReason, HeldBody } from "../gateway/heldbody.js";
 import type { GatewayPeer } from "../gateway/peers.js";
 import type { MemoryAccount } from "../memory/index.js";
+import { SignsOfLife } from "./signsoflife.js";
 
 /** Idle connections kept open to one gateway. */
 const MAXIMUM_IDLE_CONNECTIONS = 16;
@@ -46,8 +47,7 @@
 /** Sends calls to other gateways and reuses the connections. */
 export class PeerCalls {
     private readonly agents = new Map<string, Agent>();
-    /** Time on the monotonic clock at which anything was last received from a gateway, by address. */
-    private readonly heardAt = new Map<string, number>();
+    private readonly signs = SignsOfLife.create();
 
     private constructor(private readonly memory: MemoryAccount) {}
 
@@ -57,7 +57,14 @@
     }
 
     /** Posts a JSON text and reads the whole answer. */
-    async call(
+    async call(peer: GatewayPeer, path: string, content: string, limits: PeerCallLimits): Promise<PeerCallOutcome> {
+        const startedAt = performance.now();
+        const outcome = await this.send(peer, path, content, limits);
+        if (outcome.kind === "failed" && !limits.signal.aborted) this.signs.recordUnanswered(peer.address, startedAt);
+        return outcome;
+    }
+
+    private async send(
         { address }: GatewayPeer,
         path: string,
         content: string,
@@ -79,7 +86,7 @@
             return { kind: "failed", reason, isSilent };
         }
         const onBytes = (): void => {
-            this.recordHeard(address);
+            this.signs.recordHeard(address);
             limits.onProgress?.();
         };
         onBytes();
@@ -99,7 +106,12 @@
 
     /** Milliseconds since anything was received from a gateway; infinite if nothing was. */
     silentMs({ address }: GatewayPeer): number {
-        return performance.now() - (this.heardAt.get(address) ?? Number.NEGATIVE_INFINITY);
+        return this.signs.silentMs(address);
+    }
+
+    /** Milliseconds for which several calls in a row to a gateway have gone unanswered; 0 if the last one was answered. */
+    unansweredMs({ address }: GatewayPeer): number {
+        return this.signs.unansweredMs(address);
     }
 
     /** Closes the idle connections to a gateway, which may be dead. */
@@ -112,10 +124,6 @@
         for (const address of [...this.agents.keys()]) this.closeIdle(address);
     }
 
-    private recordHeard(address: string): void {
-        this.heardAt.set(address, performance.now());
-    }
-
     private agentOf(address: string): Agent {
         const existing = this.agents.get(address);
         if (existing !== undefined) return existing;
--- a/test/gateway/backgroundtasks.test.ts
+++ b/test/gateway/backgroundtasks.test.ts
@@ -44,6 +44,7 @@
             peers: { self: peer("a"), others: [] } as unknown as GatewayPeers,
             peerCalls: PeerCalls.create(MemoryAccount.create({ maximumBytes: 1_000_000 })),
             rollouts,
+            isStoreLost: () => false,
             writeState: () => {
                 writes += 1;
                 return Promise.reject(ERROR);
