Remove the registrations of gateways that are lost for good

A machine that was lost stayed registered for ever: 'A gateway that crashes stays registered', and only a planned stop, in one attempt, removed a registration. So shares of retries, limits and cold rates stayed too small, tasks kept falling to it, and over weeks registrations only grew in number.

All writes are conditional. One that was cut off from everything registers again when it comes back. A planned stop repeats its attempt to unregister until it has succeeded.

Weighed: heartbeats in the store (a write per gateway and interval, and each ends a watch at all relays); removal after silence alone (a partition between gateways would remove sound ones); a majority of gateways (two of three lost for good would stay).

Before, nothing removed such a registration.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -7,6 +7,7 @@
     type GatewayOptions,
     GatewayPeers,
     listenForCallers,
+    RegistrationCleanup,
     listenForMetrics,
     listenForPeers,
     listenForReadiness,
@@ -143,6 +144,7 @@
         eventLoopDelayMs: () => eventLoop.recentDelayMs(),
     });
     let isStopping = false;
+    let isEnded = false;
     const { descriptors } = settings.machine;
     const callers = await listenForCallers(gateway, settings.callerAddress, descriptors);
     const publisher = Publisher.create();
@@ -189,6 +191,7 @@
         subscription: () => follower.subscription,
     });
     const feed = GatewayFeed.start({ store: relayed, source, gateway, peers, onChange });
+    const cleanup = RegistrationCleanup.start({ peers, store, onChange, ...gateway.peerSigns });
     log.writeUnthrottled("started", { zone: settings.zone, callers: settings.callerAddress });
     const isInformed = feed.ready.then(async () => {
         // Not required: a gateway serves without the others, but may then repeat what they have learned.
@@ -215,6 +218,8 @@
 
     const kill = async (): Promise<void> => {
         isStopping = true;
+        isEnded = true;
+        cleanup.stop();
         feed.stop();
         follower.stop();
         publisher.clear();
@@ -236,7 +241,7 @@
         gateway.enterPhase("draining");
         publisher.sendAway();
         isStopping = true;
-        const unregistration = peers.unregister(store);
+        const unregistration = peers.unregister(store, () => isEnded);
         await pause(takesUntil.remainingMs());
         gateway.enterPhase("stopping");
         await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import { LimitShares } from "./limitshares.js";
 import type { GatewayPeer, GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
+import type { RegistrationCleanupEnvironment } from "./registrationcleanup.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
 import { Shutdown } from "./shutdown.js";
@@ -250,6 +251,14 @@
         return this.options.peers.self;
     }
 
+    /** Calls another gateway, and tells for how many milliseconds calls to it have gone unanswered. */
+    get peerSigns(): Pick<RegistrationCleanupEnvironment, "probe" | "unansweredMs"> {
+        return {
+            probe: peer => this.gossip.compare(peer),
+            unansweredMs: peer => this.peerCalls.unansweredMs(peer),
+        };
+    }
+
     get configuration(): GatewayConfiguration | undefined {
         return this.currentConfiguration;
     }
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -133,7 +133,7 @@
     }
 
     /** Compares digests with another gateway. If they differ, both learn what the other one knows. */
-    private async compare(peer: GatewayPeer): Promise<void> {
+    async compare(peer: GatewayPeer): Promise<void> {
         const answer = await this.send(peer, false);
         if (answer !== undefined && answer.digest !== this.digest()) await this.send(peer, true);
     }
--- a/src/gateway/peers.ts
+++ b/src/gateway/peers.ts
@@ -1,7 +1,8 @@
 /**
  * The gateways that are registered in the store, and those that have left lately.
  *
- * Limits for all gateways together are divided by their number (`gateway/limitshares`). A gateway that crashes stays registered.
+ * Limits for all gateways together are divided by their number (`gateway/limitshares`). A gateway that crashes stays registered
+ * until another one removes its registration (`gateway/registrationcleanup`).
  */
 import { z } from "zod";
 import { parseSocketAddress } from "../model/address.js";
@@ -38,8 +39,18 @@
     capacity: z
         .object({ processors: z.number().positive(), linkMegabits: z.number().positive() })
         .default({ processors: 1, linkMegabits: 1_000 }),
+    /** The gateway that has asked whether this one is still in touch with the store. */
+    questionedBy: z.string().max(MAXIMUM_NAME_LENGTH).optional(),
 });
 
+/** A registration as it is stored. */
+export interface Registration {
+    readonly key: string;
+    readonly version: number;
+    /** Whether its gateway is asked to write it again. */
+    readonly isQuestioned: boolean;
+}
+
 /** Number of gateways assumed until this one sees its own registration; about the size of a small deployment. */
 export const ASSUMED_GATEWAYS = 5;
 
@@ -52,6 +63,7 @@
 /** The registered gateways. */
 export class GatewayPeers {
     private readonly peers = new Map<string, GatewayPeer>();
+    private readonly registrations = new Map<string, Registration>();
     /** Monotonic times in milliseconds at which gateways left, by name. */
     private readonly leftAt = new Map<string, number>();
     private firstRegisteredAt: number | undefined;
@@ -80,7 +92,12 @@
         return this.all.filter(({ name }) => name !== this.self.name);
     }
 
-    /** Increases with each change of a registration. */
+    /** The registration of a gateway; undefined if the store has none. */
+    registrationOf(name: string): Registration | undefined {
+        return this.registrations.get(name);
+    }
+
+    /** Increases with each change of a registered gateway. */
     get revision(): number {
         return this.changes;
     }
@@ -105,19 +122,26 @@
 
     /** Applies a change of a registration. */
     apply(event: StoreEvent): void {
-        this.changes += 1;
-        const name = event.key.slice(this.prefix.length);
+        const { key, object } = event;
+        const name = key.slice(this.prefix.length);
         const now = performance.now();
         for (const [left, leftAt] of this.leftAt) if (leftAt < now - MEMORY_MS) this.leftAt.delete(left);
-        if (event.object === undefined && this.peers.delete(name)) this.leftAt.set(name, now);
+        if (object === undefined && this.peers.delete(name)) this.leftAt.set(name, now);
         // A registration that cannot be read does not replace one that could: fewer gateways would make the parts too large.
-        const peer = event.object === undefined ? undefined : peerSchema.safeParse(parseJson(event.object.value)).data;
-        if (peer?.name === name) {
-            this.peers.set(name, peer);
+        const decoded = object === undefined ? undefined : peerSchema.safeParse(parseJson(object.value)).data;
+        const isQuestioned = decoded?.questionedBy !== undefined;
+        if (object === undefined) this.registrations.delete(name);
+        else this.registrations.set(name, { key, version: object.version, isQuestioned });
+        const peer = decoded?.name === name ? withoutQuestion(decoded) : undefined;
+        // A question changes the registration and not the gateway.
+        const isSame = peer !== undefined && JSON.stringify(peer) === JSON.stringify(this.peers.get(name));
+        if (!isSame) this.changes += 1;
+        if (peer !== undefined) {
+            if (!isSame) this.peers.set(name, peer);
             this.leftAt.delete(name);
         }
         if (this.peers.has(this.self.name)) this.firstRegisteredAt ??= now;
-        if (name === this.self.name && peer === undefined) this.registerAgain();
+        if (name === this.self.name && (peer === undefined || isQuestioned)) this.registerAgain();
     }
 
     /**
@@ -161,10 +185,25 @@
         return false;
     }
 
-    /** Removes this gateway's registration before a planned stop. */
-    async unregister(store: Store): Promise<void> {
+    /**
+     * Removes this gateway's registration before a planned stop. Repeats the attempt until it succeeds or `isEnded` returns
+     * true; what is left then, another gateway removes.
+     */
+    async unregister(store: Store, isEnded: () => boolean): Promise<void> {
         this.repeatRegistration = undefined;
-        const read = await store.read(this.prefix + this.self.name);
-        if (read.kind === "found") await store.remove(read.object.key, read.object.version);
+        const key = this.prefix + this.self.name;
+        for (let retryMs = FIRST_RETRY_MS; !isEnded(); retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2)) {
+            const read = await store.read(key);
+            if (read.kind === "missing") return;
+            if (read.kind === "found" && !isEnded()) {
+                const removed = await store.remove(key, read.object.version);
+                if (removed.kind === "written") return;
+            }
+            await pause(retryMs);
+        }
     }
 }
+
+function withoutQuestion({ name, zone, address, capacity }: z.infer<typeof peerSchema>): GatewayPeer {
+    return { name, zone, address, capacity };
+}
--- a/test/relay/fleet.test.ts
+++ b/test/relay/fleet.test.ts
@@ -109,6 +109,32 @@
         await timeUntilKnown("servers/target", undefined, limitMs, [relay]);
     });
 
+    // Guards against followers that are left without a source, and against a fleet that asks the store for good.
+    it("the loss of all relays is known in time, and others are relays once they are unregistered", async () => {
+        fleet = await Fleet.start(30, FIRST_WATCHES_MS);
+        await put("config/main", "1");
+        await timeUntilKnown("config/main", "1", 200);
+        const lost = fleet.relays;
+        expect(lost).toHaveLength(6);
+        for (const relay of lost) relay.lose();
+        await put("config/main", "2");
+        await timeUntilKnown("config/main", "2", DEAD_CONNECTION_MS, lost);
+        for (const { peer } of lost) {
+            const key = `gateways/${peer.name}`;
+            const read = await fleet.writer.read(key);
+            await fleet.writer.remove(key, read.kind === "found" ? read.object.version : 0);
+        }
+        // A gateway that is refused by a relay which does not know of its task yet asks the store for 5 s.
+        await vi.advanceTimersByTimeAsync(2 * FIRST_WATCHES_MS);
+        const remaining = fleet.relays.filter(relay => !lost.includes(relay));
+        expect(remaining).toHaveLength(6);
+        const before = fleet.calls;
+        await vi.advanceTimersByTimeAsync(6_000);
+        expect((fleet.calls - before) / 6).toBeLessThan(10 * CALLS_OF_ONE);
+        await put("config/main", "3");
+        await timeUntilKnown("config/main", "3", 200, lost);
+    });
+
     // Guards against followers that wait for a relay although the store would answer them.
     it("the end of an outage of the store is known in time", async () => {
         fleet = await Fleet.start(30);
--- a/test/relay/fleet.ts
+++ b/test/relay/fleet.ts
@@ -119,6 +119,12 @@
         return this.views.get(`${key.split("/")[0]}/`)?.objects.get(key)?.value;
     }
 
+    /** Ends the process for good; connections to it hang. */
+    lose(): void {
+        this.isCut = true;
+        this.stop();
+    }
+
     stop(): void {
         for (const view of this.views.values()) view.stop();
         this.follower.stop();
