Let callers take their answers during a planned stop of an entry

Callers of an entry that stops lost the rest of an answer that they had not taken yet: 3,919,872 of 20,000,000 bytes arrived. Found while looking for planned stops that cut off requests. Cause: Server.close() and closeIdleConnections() of Node close connections whose response was ended, whether or not it was taken. A connection that had sent nothing, or a part of a request, counted as busy instead, and the stop waited for it without end, since a closed server checks no time limits any more.

Change: entry/openconnections.ts knows which connections are idle; those without a whole request are closed 5 s after the stop began. The gateway's listener counts its connections itself and was right in a planned stop.

Test: test/entry/slowreadersinstop.test.ts, 3 of its first 4 cases failed before (the cases with a part of a request were added with the fix); all 6 pass.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -12,6 +12,7 @@
 import type { EntrySettings } from "../settings/schema.js";
 import { AccountKeys } from "./accountkeys.js";
 import type { Entry } from "./entry.js";
+import { OpenConnections } from "./openconnections.js";
 import { EventStream, sendJson, sendOutcome } from "./reply.js";
 import type { CallerRequest } from "./run.js";
 
@@ -65,6 +66,7 @@
 /** A running HTTP server for callers. */
 export class CallerServer {
     private readonly server: Server;
+    private readonly connections: OpenConnections;
     private readonly accountKeys = AccountKeys.create();
 
     private constructor(private readonly options: CallerServerOptions) {
@@ -74,6 +76,7 @@
             connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
         };
         this.server = createServer(timeouts, (request, response) => void this.serve(request, response));
+        this.connections = OpenConnections.of(this.server);
     }
 
     /** Starts the server. Rejects when its address cannot be used. */
@@ -97,9 +100,12 @@
     async stop(): Promise<void> {
         const closed = new Promise(resolve => this.server.close(resolve));
         // Otherwise a connection whose request ends after the close stays open until its keep-alive timeout.
-        const timer = setInterval(() => this.server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
+        const timer = setInterval(() => this.connections.closeIdle(), IDLE_CHECK_INTERVAL_MS);
+        // A server that is closed no longer ends connections whose request does not arrive in time.
+        const lateTimer = setInterval(() => this.connections.closeWithoutRequest(), HEADERS_TIMEOUT_MS);
         await closed;
         clearInterval(timer);
+        clearInterval(lateTimer);
     }
 
     /** Ends all connections at once. */
