A judge that nobody calls leaves the decision to another one

A good version was reverted for want of evidence if its judge was cut off from the other gateways, but not from the store: it had seen a part of the answers, and its time was up a moment before that of the gateway that judged with the others' observations. A judge that has heard no other gateway for 2 s now decides 7.5% of the duration later, within the duration.

Test: test/gateway/rolloutjudges.test.ts, 'leaves the decision to the next one', failed before ('reverted' instead of 'completed').

--- a/src/gateway/rolloutcontroller.ts
+++ b/src/gateway/rolloutcontroller.ts
@@ -13,6 +13,7 @@
 import { type OnTaskFailure, runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
 import { parseJson } from "../model/json.js";
+import { LONGEST_SOUND_SILENCE_MS } from "../model/silence.js";
 import type { LineFields } from "../observability/index.js";
 import type { PeerCalls } from "../stages/index.js";
 import type { WriteOutcome } from "../store/index.js";
@@ -55,6 +56,9 @@
 const UNABLE_AFTER_MS = 1_000;
 const UNABLE_PAUSE_MS = 3_000;
 
+/** Longest fraction of a roll-out's duration for which a judge that nobody calls leaves the decision to another one. */
+const ISOLATED_DELAY_SHARE = 0.075;
+
 /** Longest name of a route in characters that another gateway may send, as a key of what is counted. */
 const MAXIMUM_NAME_LENGTH = 1_000;
 
@@ -107,6 +111,8 @@
     /** Since when this gateway judges, and until when it acts for others that take it for the judge. */
     judgingSince: number | undefined;
     actingUntil: number;
+    /** When another gateway was last heard in this roll-out. */
+    heardAt: number;
     /** Why the version is bad, and when that became known; undefined while it is not. */
     fault: { readonly reason: string; readonly at: number } | undefined;
     /** The decision of which a write may have taken effect; it is not changed any more. */
@@ -167,6 +173,7 @@
         const taken =
             sender === undefined ? { added: batch.observations, next: undefined } : trial.received.take(sender, batch);
         for (const observation of taken.added) trial.judge.add(observation);
+        trial.heardAt = performance.now();
         if (isJudge) trial.actingUntil = performance.now() + ACTING_MS;
         const { next } = taken;
         const isBad = trial.fault !== undefined;
@@ -276,7 +283,7 @@
             return;
         }
         if (!isJudge) return;
-        const isDue = now - rollout.seenAt >= rollout.durationMs * DECISION_SHARE;
+        const isDue = now - rollout.seenAt >= rollout.durationMs * this.decisionShare(trial);
         if (isDue && (rank === 0 || now - judgingSince >= COLLECT_MS)) {
             const isAcceptable = trial.judge.isAcceptable();
             const reason = isAcceptable ? "no evidence against it" : "not enough evidence for it";
@@ -286,6 +293,16 @@
         }
     }
 
+    /**
+     * Fraction of a roll-out's duration after which it is decided. A judge that is cut off from the others has seen a part of
+     * what another one has, which is then the first to decide.
+     */
+    private decisionShare({ heardAt }: Trial): number {
+        const isIsolated =
+            this.environment.peers.others.length > 0 && performance.now() - heardAt > LONGEST_SOUND_SILENCE_MS;
+        return DECISION_SHARE + (isIsolated ? ISOLATED_DELAY_SHARE : 0);
+    }
+
     /** Whether this gateway can write the state of a roll-out, as far as it knows. */
     private canWrite({ unwrittenSince, wroteAt }: Trial): boolean {
         if (this.environment.isStoreLost()) return false;
@@ -334,6 +351,7 @@
             received: ReceivedObservations.create(),
             judgingSince: undefined,
             actingUntil: 0,
+            heardAt: Number.NEGATIVE_INFINITY,
             fault: undefined,
             decision: undefined,
             isWriting: false,
--- a/test/gateway/rolloutjudges.test.ts
+++ b/test/gateway/rolloutjudges.test.ts
@@ -348,6 +348,24 @@
     });
 });
 
+describe("a judge that is cut off from the others", () => {
+    // Guards against a good version that is reverted because its judge has seen few answers itself.
+    it("leaves the decision to the next one, which has seen more", async () => {
+        fleet = new Fleet(20);
+        const [judge] = fleet.judges;
+        if (judge === undefined) throw new Error("no judge");
+        // The judge sees the order first, so its time is up first.
+        fleet.show(judge);
+        await vi.advanceTimersByTimeAsync(300);
+        fleet.order();
+        await fleet.run(600, 0, 200);
+        judge.condition = { kind: "withoutPeers" };
+        await fleet.run(2 * DURATION_MS, 0, 200);
+        expect(fleet.decisions).toEqual(["completed"]);
+        expect(fleet.writes.at(-1)?.gateway).toBe(fleet.judges[1]?.name);
+    });
+});
+
 describe("a judge that remains alone", () => {
     // Guards against a gateway that stops judging for good because its writes have failed for a while.
     it.each([1_500, 5_000, 9_000])("decides though it could not write for %i ms", async outageMs => {
