--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -66,6 +66,7 @@
     private loggedObstacle: string | undefined;
     /** Monotonic time in milliseconds at which the attempt was sent that serves the request. */
     private servedSentAt: number | undefined;
+    private sentAt: number | undefined;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -92,6 +93,11 @@
         return this.choice.triedNames;
     }
 
+    /** Monotonic time in milliseconds at which a connection for the request was last open, and it was sent. */
+    get lastSentAt(): number | undefined {
+        return this.sentAt;
+    }
+
     /** Why the request was not sent although there are targets; undefined if it was. */
     get holdBack(): HoldBack | undefined {
         return this.lastHoldBack;
@@ -282,7 +288,10 @@
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
             signal: signal ?? request.signal,
-            ...(onConnected === undefined ? {} : { onConnected }),
+            onConnected: () => {
+                this.sentAt = performance.now();
+                onConnected?.();
+            },
         });
     }
 
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -23,15 +23,24 @@
 const MAXIMUM_WAITING_REQUESTS = 64;
 const MAXIMUM_WAITING_BYTES = 262_144;
 
-/**
- * Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. `hasWaiting` says whether
- * requests wait behind it now; a response that closes the connection leaves them without one.
- */
+/** What is known of the connection of a request. Times are readings of `performance.now()`. */
+export interface RequestConnection {
+    /** Whether requests wait behind this one now; a response that closes the connection leaves them without one. */
+    readonly hasWaiting: boolean;
+    /** Time at which the connection was accepted. */
+    readonly openedAt: number;
+    /** Time in milliseconds for which each turn of the event loop had accepted a connection by then. */
+    readonly acceptingMs: number;
+    /** Time at which the end of the connection was read; undefined until then. */
+    readonly leftAt: number | undefined;
+}
+
+/** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
 export type RequestHandler = (
     request: IncomingMessage,
     response: ServerResponse,
     receivedAt: number,
-    hasWaiting: () => boolean,
+    connection: RequestConnection,
 ) => void;
 
 /** Time in milliseconds for which an idle connection is kept beyond the announced time, in which a request may arrive. */
@@ -105,7 +114,9 @@
 }
 
 /** One connection and its requests. */
-export class Connection {
+export class Connection implements RequestConnection {
+    readonly openedAt = performance.now();
+    leftAt: number | undefined;
     /** The request that is being served, or was served last, and its response. */
     private request: IncomingMessage | undefined;
     private response: ServerResponse | undefined;
@@ -131,14 +142,17 @@
         private readonly socket: Socket,
         private readonly server: Server,
         private readonly options: ConnectionOptions,
+        readonly acceptingMs: number,
     ) {
         this.openHolding();
+        const recordLeft = (): void => void (this.leftAt ??= performance.now());
+        socket.once("end", recordLeft).once("error", recordLeft).once("close", recordLeft);
         socket.once("close", () => this.holding?.close());
     }
 
-    /** Takes over how a connection is closed after its last response. */
-    static of(socket: Socket, server: Server, options: ConnectionOptions): Connection {
-        const connection = new Connection(socket, server, options);
+    /** Takes over how a connection is closed after its last response. `acceptingMs` is as in `RequestConnection`. */
+    static of(socket: Socket, server: Server, options: ConnectionOptions, acceptingMs: number): Connection {
+        const connection = new Connection(socket, server, options, acceptingMs);
         // Node resumes reading after each request that it has read.
         socket.on("resume", () => connection.pauseIfFull());
         // Node pauses reading once it has read a part of the body of a request that waits.
@@ -160,6 +174,10 @@
         return this.waiting.length + (isOpen ? 1 : 0);
     }
 
+    get hasWaiting(): boolean {
+        return this.waiting.length > 0;
+    }
+
     /** Whether no request is open, and the connection is not being closed. */
     get isIdle(): boolean {
         return this.openRequests === 0 && !this.isClosing;
@@ -378,7 +396,7 @@
             if (this.isMalformed && this.waiting.length === 0) this.endWithRejection();
             else this.serveNext();
         });
-        this.options.serve(request, response, receivedAt, () => this.waiting.length > 0);
+        this.options.serve(request, response, receivedAt, this);
         this.failUnreadBody();
     }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,11 +8,13 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
+import type { LineFields } from "../observability/index.js";
 import { MAXIMUM_PIECES, PIECE_BYTES, type PieceLossReason, type StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
 import type { AttemptOutcome, ResponseHead } from "./attempt.js";
 import { Attempts } from "./attempts.js";
 import { chooseService, type Route } from "./configuration.js";
+import type { RequestConnection } from "./connection.js";
 import type { RequestMetadata } from "./dialect.js";
 import { failResponse } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
@@ -45,6 +47,7 @@
     readonly response: ServerResponse;
     /** Monotonic time in milliseconds at which the request's head was read. */
     readonly receivedAt: number;
+    readonly connection: RequestConnection;
     /** Whether the response tells the caller to close the connection; asked when the response is sent. */
     readonly closesConnection: () => boolean;
 }
@@ -67,6 +70,8 @@
     private readonly incoming: IncomingMessage;
     private readonly response: ServerResponse;
     private readonly receivedAt: number;
+    private readonly servedAt = performance.now();
+    private readonly connection: RequestConnection;
     private readonly closesConnection: () => boolean;
     private readonly abortController = new AbortController();
     private route: Route | undefined;
@@ -85,11 +90,12 @@
 
     private constructor(
         private readonly context: GatewayContext,
-        { request, response, receivedAt, closesConnection }: IncomingExchange,
+        { request, response, receivedAt, connection, closesConnection }: IncomingExchange,
     ) {
         this.incoming = request;
         this.response = response;
         this.receivedAt = receivedAt;
+        this.connection = connection;
         this.closesConnection = closesConnection;
         this.reply = Reply.to(request, response, closesConnection);
         let reportCut = (): void => undefined;
@@ -135,12 +141,26 @@
                 firstEventMs: exchange.firstEventMs === undefined ? undefined : Math.round(exchange.firstEventMs),
                 tookMs: Math.round(tookMs),
                 configuration: context.configuration()?.version,
+                departure: result.outcome === "cancelled" ? exchange.departure() : undefined,
             },
             exchange.route,
             tookMs,
         );
     }
 
+    /** For the log, how the request arrived and its caller left, in milliseconds before or after its head was read. */
+    private departure(): LineFields {
+        const { receivedAt, servedAt, connection } = this;
+        const sentAt = this.attempts?.lastSentAt;
+        return {
+            connectionMs: Math.round(receivedAt - connection.openedAt),
+            acceptingMs: Math.round(connection.acceptingMs),
+            waitedMs: Math.round(servedAt - receivedAt),
+            sentMs: sentAt === undefined ? undefined : Math.round(sentAt - receivedAt),
+            leftMs: connection.leftAt === undefined ? undefined : Math.round(connection.leftAt - receivedAt),
+        };
+    }
+
     private async handle(): Promise<ExchangeResult> {
         const metadata = this.context.dialect.readRequest(this.incoming.headers);
         const configuration = this.context.configuration();
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -16,6 +16,7 @@
     type PieceResult,
     PROGRESS_INTERVAL_MS,
 } from "../stages/index.js";
+import { AcceptRun } from "./acceptrun.js";
 import type { ConnectionLimits } from "./configuration.js";
 import { Connection, type ConnectionOptions, type Rejection } from "./connection.js";
 import { failResponse } from "./delivery.js";
@@ -80,6 +81,7 @@
 export class Listener {
     private readonly connections = new Map<Socket, Connection>();
     private measureTimer: NodeJS.Timeout | undefined;
+    private readonly acceptRun = AcceptRun.create();
     private hasTooMany = false;
     /** Go on reading connections that are not read until memory is freed; undefined while all are read. */
     private resumeReading: (() => void)[] | undefined;
@@ -97,7 +99,9 @@
                 return;
             }
             const onGivenWay = (): void => this.suspendReading();
-            const connection = Connection.of(socket, server, { ...options, onGivenWay });
+            const { milliseconds: acceptingMs } = this.acceptRun;
+            this.acceptRun.recordAccepted();
+            const connection = Connection.of(socket, server, { ...options, onGivenWay }, acceptingMs);
             this.connections.set(socket, connection);
             this.measureLater();
             if (this.resumeReading !== undefined) this.suspend(connection);
@@ -233,15 +237,16 @@
     server.on("connection", () => applyLimits(server, limits()));
     return Listener.listen(server, address, {
         ...limitsOf(gateway, "callers", descriptors, CALLERS_SHARE),
-        serve: (request, response, receivedAt, hasWaiting) => {
+        serve: (request, response, receivedAt, connection) => {
             applyLimits(server, limits());
             const { context } = gateway;
             Exchange.serve(context, {
                 request,
                 response,
                 receivedAt,
+                connection,
                 // Requests that were read get responses before a planned stop closes their connection.
-                closesConnection: () => gateway.closesConnections && !hasWaiting(),
+                closesConnection: () => gateway.closesConnections && !connection.hasWaiting,
             }).catch((error: unknown) => {
                 const id = context.dialect.readRequest(request.headers).requestId;
                 context.onDecision("request failed unexpectedly", { id, error: describeError(error) });
--- a/test/gateway/unsendable.test.ts
+++ b/test/gateway/unsendable.test.ts
@@ -70,7 +70,9 @@
             request.url = path;
             const closesConnection = (): boolean => true;
             if (context === undefined) return;
-            void Exchange.serve(context, { request, response, receivedAt: performance.now(), closesConnection });
+            const receivedAt = performance.now();
+            const connection = { hasWaiting: false, openedAt: receivedAt, acceptingMs: 0, leftAt: undefined };
+            void Exchange.serve(context, { request, response, receivedAt, connection, closesConnection });
         });
         const address = await freeAddress();
         await new Promise<void>(resolve => server.listen(Number(address.split(":")[1]), "127.0.0.1", resolve));
