--- a/test/processes/rawcaller.ts
+++ b/test/processes/rawcaller.ts
@@ -76,6 +76,15 @@
         this.socket.destroy();
     }
 
+    resetConnection(): void {
+        this.socket.resetAndDestroy();
+    }
+
+    /** Sends a request and waits for nothing. */
+    sendRequest(path: string, id: string): void {
+        this.writeRequest(path, id, 0);
+    }
+
     private writeRequest(path: string, id: string, heldBack: number): void {
         const head = [
             `POST ${path} HTTP/1.1`,
