Give up a request when the end of its caller's connection is read

Cause: a request was given up when its response closed, which Node reports a turn of the event loop after it has read the end of the connection. A request that was read just before is sent in that turn: its connection to the target opens meanwhile. Ruled out: waiting behind another request (waitedMs 0), a long wait at the gateway. Change: Connection reports the end when it is read, to requests and to orders of other gateways; pipelined requests behind it are not served. Node has ended its own side by then, so no response could be given any more.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -33,6 +33,11 @@
     readonly acceptingMs: number;
     /** Time at which the end of the connection was read; undefined until then. */
     readonly leftAt: number | undefined;
+    /**
+     * Calls back, at most once, when the end of the connection is read; at once if it was. The response is closed a turn of
+     * the event loop later. Returns a function that cancels it.
+     */
+    readonly whenLeft: (listener: () => void) => () => void;
 }
 
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
@@ -117,6 +122,7 @@
 export class Connection implements RequestConnection {
     readonly openedAt = performance.now();
     leftAt: number | undefined;
+    private readonly leftListeners = new Set<() => void>();
     /** The request that is being served, or was served last, and its response. */
     private request: IncomingMessage | undefined;
     private response: ServerResponse | undefined;
@@ -145,7 +151,7 @@
         readonly acceptingMs: number,
     ) {
         this.openHolding();
-        const recordLeft = (): void => void (this.leftAt ??= performance.now());
+        const recordLeft = (): void => this.recordLeft();
         socket.once("end", recordLeft).once("error", recordLeft).once("close", recordLeft);
         socket.once("close", () => this.holding?.close());
     }
@@ -178,6 +184,22 @@
         return this.waiting.length > 0;
     }
 
+    whenLeft(listener: () => void): () => void {
+        if (this.leftAt !== undefined) {
+            listener();
+            return () => undefined;
+        }
+        this.leftListeners.add(listener);
+        return () => void this.leftListeners.delete(listener);
+    }
+
+    private recordLeft(): void {
+        if (this.leftAt !== undefined) return;
+        this.leftAt = performance.now();
+        for (const listener of [...this.leftListeners]) listener();
+        this.leftListeners.clear();
+    }
+
     /** Whether no request is open, and the connection is not being closed. */
     get isIdle(): boolean {
         return this.openRequests === 0 && !this.isClosing;
@@ -390,7 +412,7 @@
             this.endedBytesRead = this.socket.bytesRead;
             this.idleSince = performance.now();
             this.announcedIdleMs = announcedIdleMs;
-            if (this.isClosing || this.socket.destroyed) return;
+            if (this.isClosing || this.leftAt !== undefined || this.socket.destroyed) return;
             if (this.hasGivenWay) this.openHolding();
             if (this.isClosing) return;
             if (this.isMalformed && this.waiting.length === 0) this.endWithRejection();
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -108,8 +108,12 @@
             },
             () => this.expectedEndAt(),
         );
+        const cancelLeft = connection.whenLeft(() => {
+            if (!response.writableEnded) this.abortController.abort();
+        });
         response.on("close", () => {
             cancelCut();
+            cancelLeft();
             if (!response.writableFinished) this.abortController.abort();
         });
     }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -20,7 +20,7 @@
 import type { ConnectionLimits } from "./configuration.js";
 import { Connection, type ConnectionOptions, type Rejection } from "./connection.js";
 import { failResponse } from "./delivery.js";
-import { Exchange } from "./exchange.js";
+import { Exchange, type IncomingExchange } from "./exchange.js";
 import type { Gateway } from "./gateway.js";
 import { NEWS_PATH } from "./gossip.js";
 import { OBSERVATIONS_PATH } from "./rolloutcontroller.js";
@@ -335,14 +335,14 @@
     const openOrders = OpenOrders.create();
     return Listener.listen(createServer(), address, {
         ...limitsOf(gateway, "gateways", descriptors, GATEWAYS_SHARE),
-        serve: (request, response) => {
+        serve: (request, response, receivedAt, connection) => {
             if (request.url === CHANGES_PATH) {
                 if (gateway.phase === "serving" && follow(response)) return;
                 response.writeHead(503, { "content-length": 0 });
                 response.end();
                 return;
             }
-            servePeer(gateway, openOrders, request, response).catch((error: unknown) => {
+            servePeer(gateway, openOrders, { request, response, receivedAt, connection }).catch((error: unknown) => {
                 const fields = { path: request.url, error: describeError(error) };
                 gateway.context.onDecision("peer call failed unexpectedly", fields);
                 failResponse(response, "unexpected error");
@@ -351,13 +351,11 @@
     });
 }
 
-async function servePeer(
-    gateway: Gateway,
-    openOrders: OpenOrders,
-    request: IncomingMessage,
-    response: ServerResponse,
-): Promise<void> {
-    const body = RequestBody.read(request, {
+/** A call from another gateway, as its connection hands it over. */
+type PeerCall = Pick<IncomingExchange, "request" | "response" | "receivedAt" | "connection">;
+
+async function servePeer(gateway: Gateway, openOrders: OpenOrders, call: PeerCall): Promise<void> {
+    const body = RequestBody.read(call.request, {
         account: gateway.context.memory,
         party: "gateways",
         maximumBytes: MAXIMUM_ORDER_BYTES,
@@ -365,19 +363,15 @@
     });
     try {
         const read = await body.outcome;
-        if (read.kind === "read") await servePeerCall(gateway, openOrders, request, response, read.bytes.toString());
-        else endUnreadPeerCall(request, response, read.kind);
+        if (read.kind === "read") await servePeerCall(gateway, openOrders, call, read.bytes.toString());
+        else endUnreadPeerCall(call, read.kind);
     } finally {
         body.close();
     }
 }
 
 /** Ends a call whose body was not read. Its sender may take a 503 for the answer of a gateway that cannot take the call now. */
-function endUnreadPeerCall(
-    request: IncomingMessage,
-    response: ServerResponse,
-    kind: Exclude<RequestBodyOutcome["kind"], "read">,
-): void {
+function endUnreadPeerCall({ request, response }: PeerCall, kind: Exclude<RequestBodyOutcome["kind"], "read">): void {
     if (kind !== "noMemory") {
         request.destroy();
         return;
@@ -386,14 +380,9 @@
     response.end();
 }
 
-async function servePeerCall(
-    gateway: Gateway,
-    openOrders: OpenOrders,
-    request: IncomingMessage,
-    response: ServerResponse,
-    body: string,
-): Promise<void> {
-    if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, body, response);
+async function servePeerCall(gateway: Gateway, openOrders: OpenOrders, call: PeerCall, body: string): Promise<void> {
+    const { request, response } = call;
+    if (request.url === PEER_PATHS.make) return serveOrder(gateway, openOrders, call, body);
     if (request.url === OBSERVATIONS_PATH || request.url === NEWS_PATH) {
         const receiver = request.url === NEWS_PATH ? gateway.gossip : gateway.rolloutController;
         const answer = receiver.receive(body);
@@ -410,8 +399,8 @@
 async function serveOrder(
     gateway: Gateway,
     openOrders: OpenOrders,
+    { response, connection }: PeerCall,
     body: string,
-    response: ServerResponse,
 ): Promise<void> {
     const order = decodeOrder(body);
     if (order === undefined || gateway.phase === "stopping") {
@@ -428,8 +417,13 @@
         return;
     }
     const abort = new AbortController();
-    response.once("close", () => {
+    const onLeft = (): void => {
         if (!response.writableFinished) abort.abort();
+    };
+    const cancelLeft = connection.whenLeft(onLeft);
+    response.once("close", () => {
+        cancelLeft();
+        onLeft();
     });
     response.writeHead(200, { "content-type": "application/json" });
     // Spaces before the JSON text show the other gateway that this one is still working on its order.
--- a/test/gateway/unsendable.test.ts
+++ b/test/gateway/unsendable.test.ts
@@ -71,7 +71,13 @@
             const closesConnection = (): boolean => true;
             if (context === undefined) return;
             const receivedAt = performance.now();
-            const connection = { hasWaiting: false, openedAt: receivedAt, acceptingMs: 0, leftAt: undefined };
+            const connection = {
+                hasWaiting: false,
+                openedAt: receivedAt,
+                acceptingMs: 0,
+                leftAt: undefined,
+                whenLeft: () => () => undefined,
+            };
             void Exchange.serve(context, { request, response, receivedAt, connection, closesConnection });
         });
         const address = await freeAddress();
