Send a request only once the turn in which its connection opened has ended

Callers saw: as before, work went on after they had left. Cause: a turn of the event loop hands over what has arrived in an order that does not depend on when it arrived, so the opening of a connection to a target may be handled before the end of the caller's connection, however old that is. Evidence: an attempt that is aborted in the turn in which its connection opens was sent (test/gateway/departures.test.ts failed, outcome cancelled and sent). Change: openConnection waits for the end of the turn, without a further one, then looks at the signal and the deadline. The timeout of the connection and the silence of a stream's target count up to the opening, as before; the test of a delayed gateway in secondattempts failed without that. An attempt that ended before it was sent counts as no run in the log. After: test/gateway/departures.test.ts 5 of 5, secondattempts and test/model pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -19,6 +19,7 @@
 import { whenReset } from "../model/connectionreset.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
+import { endOfTurn } from "../model/turn.js";
 
 /** The request to send. */
 export interface AttemptRequest {
@@ -100,8 +101,15 @@
     readonly signal: AbortSignal;
     /** Maximum wait in milliseconds for the response head; undefined for the whole deadline. */
     readonly headTimeoutMs?: number | undefined;
-    /** Called when the connection is open and the request is about to be sent. */
-    readonly onConnected?: () => void;
+    /** Called when a new connection is open. */
+    readonly onOpen?: (() => void) | undefined;
+    /** Called when the request is about to be sent on a new connection. */
+    readonly onSending?: (() => void) | undefined;
+    /**
+     * Called when a new connection is open. The request is sent once what it returns has resolved, unless the attempt was
+     * aborted by then; by default at the end of the turn of the event loop.
+     */
+    readonly beforeSending?: (() => Promise<void>) | undefined;
 }
 
 /** Signal of attempts that are not aborted. */
@@ -116,7 +124,7 @@
     const connection = await openConnection(attemptRequest.address, limits);
     if (connection.kind !== "connected") return connection;
     const { socket } = connection;
-    limits.onConnected?.();
+    limits.onSending?.();
     const outcome = await sendOnConnection({ createConnection: () => socket }, attemptRequest, limits);
     if (outcome.kind === "unsendable") socket.destroy();
     return outcome;
@@ -151,7 +159,10 @@
     return new Promise(resolve => {
         const socket = connect(address);
         socket.setNoDelay(true);
+        let settled = false;
         const finish = (outcome: ConnectionOutcome): void => {
+            if (settled) return;
+            settled = true;
             cancelTimeout();
             limits.signal.removeEventListener("abort", onAbort);
             socket.removeAllListeners("connect");
@@ -174,7 +185,14 @@
             Math.min(CONNECT_TIMEOUT_MS, remaining),
         );
         limits.signal.addEventListener("abort", onAbort);
-        socket.once("connect", () => finish({ kind: "connected", socket }));
+        const settle = (): void =>
+            finish(limits.deadline.passed() ? { kind: "expired", sent: false } : { kind: "connected", socket });
+        socket.once("connect", () => {
+            cancelTimeout();
+            limits.onOpen?.();
+            // The caller may have left meanwhile, which another socket reports in the same turn.
+            void (limits.beforeSending ?? endOfTurn)().then(settle);
+        });
         socket.once("error", error => finish({ kind: "unreachable", reason: error.message }));
     });
 }
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -43,8 +43,9 @@
     readonly lastEventId?: string | undefined;
     /** Ends the attempt; by default the signal of the request. */
     readonly signal?: AbortSignal;
-    /** Called when the connection is open and the request is about to be sent. */
-    readonly onConnected?: () => void;
+    /** Called when the connection is open, and when the request is about to be sent. */
+    readonly onOpen?: () => void;
+    readonly onSending?: () => void;
 }
 
 /** The attempts of one request. */
@@ -260,7 +261,7 @@
     }
 
     /** Sends the request to a target. */
-    send(target: Target, { inputs, lastEventId, signal, onConnected }: AttemptOptions): Promise<AttemptOutcome> {
+    send(target: Target, { inputs, lastEventId, signal, onOpen, onSending }: AttemptOptions): Promise<AttemptOutcome> {
         const { context, request } = this;
         const { route, metadata, body } = request;
         const headers = context.dialect.attemptHeaders(request.rawHeaders, {
@@ -288,9 +289,10 @@
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
             signal: signal ?? request.signal,
-            onConnected: () => {
+            onOpen,
+            onSending: () => {
                 this.sentAt = performance.now();
-                onConnected?.();
+                onSending?.();
             },
         });
     }
@@ -305,10 +307,12 @@
     ): Promise<ExchangeResult | "again"> {
         const { targets } = this.context;
         targets.recordEnded(target);
-        if (outcome.kind === "unreachable" || ("sent" in outcome && !outcome.sent)) this.retries.recordNothingSent();
+        if (outcome.kind === "unreachable" || ("sent" in outcome && !outcome.sent)) {
+            this.choice.recordNotRun(target);
+            this.retries.recordNothingSent();
+        }
         switch (outcome.kind) {
             case "unreachable":
-                this.choice.recordNotRun(target);
                 targets.recordUnreachable(target);
                 this.logDecision("target unreachable", target, { reason: outcome.reason });
                 return "again";
--- a/src/gateway/streamattempt.ts
+++ b/src/gateway/streamattempt.ts
@@ -2,6 +2,7 @@
 import type { MemoryAccount } from "../memory/index.js";
 import { withTimeout } from "../model/pause.js";
 import type { AttemptOutcome, ResponseHead } from "./attempt.js";
+import type { AttemptOptions } from "./attempts.js";
 import type { StreamWriter } from "./delivery.js";
 import type { ResponseMetadata } from "./dialect.js";
 import { HeldBody, type HeldBodyOutcome } from "./heldbody.js";
@@ -34,6 +35,9 @@
     /** The request goes on at another target. */
     | { readonly kind: "left" };
 
+/** Options of sending the request of an attempt. */
+type StreamSendOptions = Required<Pick<AttemptOptions, "signal" | "onOpen" | "onSending">>;
+
 /** What an attempt depends on. */
 export interface StreamAttemptOptions {
     /** Memory held for answers. */
@@ -43,8 +47,7 @@
     /** Prompt tokens that the target has to process. */
     readonly promptTokens: number;
     readonly writer: StreamWriter;
-    /** `onConnected` is to be called when the connection is open and the request is about to be sent. */
-    readonly send: (signal: AbortSignal, onConnected: () => void) => Promise<AttemptOutcome>;
+    readonly send: (options: StreamSendOptions) => Promise<AttemptOutcome>;
     readonly readResponse: (head: ResponseHead) => ResponseMetadata;
     /** Whether the attempt may write an event, or else a comment, to the caller: another attempt may be in progress. */
     readonly claim: (attempt: StreamAttempt, isEvent: boolean) => boolean;
@@ -136,10 +139,15 @@
 
     private async run(signal: AbortSignal): Promise<StreamAttemptEnd> {
         const { memory, request, target, writer, send, readResponse, claim, onFirstEvent } = this.options;
-        const outcome = await send(signal, () => {
-            this.isSentValue = true;
-            // Until now the target could not answer, though the connection may have taken long, or this process to see it.
-            this.heard = performance.now();
+        // Until then the target could not answer, though the connection may have taken long, or this process to see it.
+        const resetSilence = (): void => void (this.heard = performance.now());
+        const outcome = await send({
+            signal,
+            onOpen: resetSilence,
+            onSending: () => {
+                this.isSentValue = true;
+                resetSilence();
+            },
         });
         if (outcome.kind !== "answered") return { kind: "unanswered", outcome };
         const { head, body } = outcome;
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -115,7 +115,7 @@
             target,
             promptTokens: attempts.uncachedTokens(target),
             writer: this.writer,
-            send: (signal, onConnected) => attempts.send(target, { inputs, lastEventId, signal, onConnected }),
+            send: options => attempts.send(target, { inputs, lastEventId, ...options }),
             readResponse: head => {
                 const metadata = dialect.readResponse(head.status, head.headers);
                 targets.recordReport(target, metadata);
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -27,7 +27,7 @@
     readonly deadline: Deadline;
     /** Closes the call. */
     readonly signal: AbortSignal;
-    /** Called when the connection is established. */
+    /** Called when the connection is open and the call is about to be sent. */
     readonly onSent: () => void;
 }
 
@@ -57,7 +57,7 @@
     const limits = { deadline, signal };
     const call = dialect.pieceCall(target.registration.id, orders);
     const order = { ...call, address: target.registration.address };
-    const sent = await sendAttempt(order, { ...limits, onConnected: onSent });
+    const sent = await sendAttempt(order, { ...limits, onSending: onSent });
     if (sent.kind === "unreachable" || sent.kind === "unsendable") return { kind: "notSent", reason: sent.reason };
     if (sent.kind === "cancelled") return { kind: "cancelled" };
     if (sent.kind === "expired") return { kind: "gaveUp", reason: "no answer in time" };
