Read what waits on a connection before its request is sent on

Callers saw: requests behind another one, and requests with much behind them, were sent on after their caller had left. Cause: the end of a connection is only noticed while the connection is read. It was not read behind a request whose body comes in chunks, whatever its size; and one turn of the event loop reads 64 KiB, so an end behind more came after the request was sent. Ruled out: reading suspended while memory gives way; the case passes before as well. Change: chunks that wait are read up to 4 KiB, counted with all that they may take; an attempt waits for turns in which nothing more is read, 8 at most. A connection on which as much waits as may wait is still not read: one request of it may be sent on.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -289,6 +289,7 @@
         return sendAttempt(attemptRequest, {
             deadline: request.deadline,
             signal: signal ?? request.signal,
+            beforeSending: request.watchInput(),
             onOpen,
             onSending: () => {
                 this.sentAt = performance.now();
--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { isFragmented, type MemoryAccount, type MemoryHolding, type MemoryParty } from "../memory/index.js";
+import { endOfTurn } from "../model/turn.js";
 import { hasMarkedEnd } from "./delivery.js";
 
 /** Maximum time in milliseconds for which a connection is read after it was closed for writing. */
@@ -18,10 +19,15 @@
 
 /**
  * Requests that may wait behind another one, and the bytes since the first of them was read, before the connection is no
- * longer read. Only while it is read is it noticed that the caller has left.
+ * longer read. Only while it is read is it noticed that the caller has left. The limit is lower if a body comes in chunks,
+ * since a chunk may take far more memory than its bytes.
  */
 const MAXIMUM_WAITING_REQUESTS = 64;
 const MAXIMUM_WAITING_BYTES = 262_144;
+const MAXIMUM_WAITING_CHUNK_BYTES = 4_096;
+
+/** Turns of the event loop in which all bytes that may wait are read. */
+const MAXIMUM_CATCH_UP_TURNS = 8;
 
 /** What is known of the connection of a request. Times are readings of `performance.now()`. */
 export interface RequestConnection {
@@ -38,6 +44,11 @@
      * the event loop later. Returns a function that cancels it.
      */
     readonly whenLeft: (listener: () => void) => () => void;
+    /**
+     * Begins to watch what is read. The function that it returns is to be called in a later turn of the event loop; it resolves
+     * once everything was read that had arrived by that turn, or the connection is no longer read because too much waits.
+     */
+    readonly watchInput: () => () => Promise<void>;
 }
 
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
@@ -193,6 +204,17 @@
         return () => void this.leftListeners.delete(listener);
     }
 
+    watchInput(): () => Promise<void> {
+        let { bytesRead } = this.socket;
+        return async () => {
+            for (let turn = 0; turn < MAXIMUM_CATCH_UP_TURNS; turn += 1) {
+                await endOfTurn();
+                if (bytesRead === this.socket.bytesRead || this.leftAt !== undefined || this.isFull) return;
+                ({ bytesRead } = this.socket);
+            }
+        };
+    }
+
     private recordLeft(): void {
         if (this.leftAt !== undefined) return;
         this.leftAt = performance.now();
@@ -221,7 +243,7 @@
         const waitingBytes = first === undefined ? 0 : this.socket.bytesRead - first.bytesRead;
         // The chunks may be in the same read as the head.
         const contentBytes = this.hasWaitingChunks
-            ? CHUNKED_FACTOR * Math.max(waitingBytes, Math.min(READ_BYTES, this.socket.bytesRead))
+            ? CHUNKED_FACTOR * (waitingBytes + Math.min(READ_BYTES, this.socket.bytesRead))
             : HEAD_FACTOR * waitingBytes;
         this.holding?.resize(this.waiting.length * WAITING_REQUEST_BYTES + contentBytes);
     }
@@ -390,8 +412,8 @@
         const [first] = this.waiting;
         if (first === undefined) return false;
         const waitingBytes = this.socket.bytesRead - first.bytesRead;
-        const isLong = this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= MAXIMUM_WAITING_BYTES;
-        return isLong || this.hasWaitingChunks;
+        const maximumBytes = this.hasWaitingChunks ? MAXIMUM_WAITING_CHUNK_BYTES : MAXIMUM_WAITING_BYTES;
+        return this.waiting.length >= MAXIMUM_WAITING_REQUESTS || waitingBytes >= maximumBytes;
     }
 
     /** Whether the body of a request that waits comes in chunks. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -228,6 +228,7 @@
                 return shutdown.limit(ownDeadline);
             },
             receivedAt: this.receivedAt,
+            watchInput: () => this.connection.watchInput(),
             signal: this.abortController.signal,
         });
     }
--- a/src/gateway/routedrequest.ts
+++ b/src/gateway/routedrequest.ts
@@ -1,6 +1,7 @@
 /** A request that has passed routing, authentication and reading, and the result of a request. */
 import type { Deadline } from "../model/index.js";
 import type { Route } from "./configuration.js";
+import type { RequestConnection } from "./connection.js";
 import type { RequestMetadata } from "./dialect.js";
 
 /** A routed request, as its stages and attempts need it. */
@@ -27,6 +28,8 @@
     readonly receivedAt: number;
     /** What it has in common with other requests, for recognising requests that crash targets; computed when needed. */
     readonly traits: () => readonly string[];
+    /** As `watchInput` of the caller's connection. */
+    readonly watchInput: RequestConnection["watchInput"];
     /** Aborted when the caller closes its connection, or a planned stop leaves no more time. */
     readonly signal: AbortSignal;
 }
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -2,12 +2,18 @@
  * Callers that leave just before their request is sent: the end of their connection arrives in the same turn of the event
  * loop as what the gateway waits for, and may be read after it. No request may be sent then.
  */
+import { createServer } from "node:http";
 import { connect, Socket } from "node:net";
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { sendAttempt } from "../../src/gateway/attempt.js";
+import type { RequestHandler } from "../../src/gateway/connection.js";
+import { Listener } from "../../src/gateway/server.js";
+import { MemoryAccount } from "../../src/memory/index.js";
 import { Deadline } from "../../src/model/index.js";
 import { pause } from "../../src/model/pause.js";
+import { endOfTurn } from "../../src/model/turn.js";
 import { StandInTarget } from "../platform/standintarget.js";
+import { freeAddress } from "../processes/daemons.js";
 import { Deployment } from "./harness.js";
 import { RawCaller, requestHead } from "./rawcaller.js";
 
@@ -79,3 +85,70 @@
         }
     });
 });
+
+describe("a caller that leaves while a request waits behind another one", () => {
+    const CHUNKED = { "transfer-encoding": "chunked" };
+    const chunks = (count: number): string => "1\r\nx\r\n".repeat(count) + "0\r\n\r\n";
+
+    it.each([
+        { body: "a length", headers: { "content-length": 4 }, text: "body" },
+        { body: "one chunk", headers: CHUNKED, text: chunks(1) },
+        { body: "many chunks", headers: CHUNKED, text: chunks(300) },
+    ])("has neither sent on when the body of the second has $body", async ({ headers, text }) => {
+        deployment = await Deployment.start({ bookings: 1 });
+        const target = deployment.target("bookings-0");
+        target.behaviour = ({ id }) => (id === "first" ? { kind: "answer", after: pause(500) } : { kind: "answer" });
+        caller = await RawCaller.connect(deployment.callers[0] ?? "");
+        caller.write(requestHead("GET", "/check/1", "first"));
+        await vi.waitFor(() => expect(arrivals()).toEqual(["first"]));
+        caller.write(requestHead("POST", "/check/1", "second", headers) + text);
+        await pause(100);
+        caller.close();
+        await vi.waitFor(() => expect(target.abandoned).toEqual(["first"]), 400);
+        await pause(600);
+        expect(arrivals()).toEqual(["first"]);
+    });
+});
+
+describe("a caller that has left behind more than is read in one turn", () => {
+    it("has no request sent on", async () => {
+        deployment = await Deployment.start({ bookings: 1 });
+        caller = await RawCaller.connect(deployment.callers[0] ?? "");
+        const second = requestHead("POST", "/check/1", "second", { "content-length": 150_000 });
+        caller.write(requestHead("GET", "/check/1", "first") + second + "x".repeat(150_000));
+        caller.close();
+        await pause(300);
+        expect(arrivals()).toEqual([]);
+    });
+});
+
+describe("the end of a connection that is not read while memory gives way", () => {
+    it("is read before the handler of its request goes on", async () => {
+        const memory = MemoryAccount.create({ maximumBytes: 20_000 });
+        let report: (hasLeft: boolean) => void = () => undefined;
+        const hasLeft = new Promise<boolean>(resolve => (report = resolve));
+        const serve: RequestHandler = (_request, _response, _receivedAt, connection) => {
+            caller?.close();
+            // The other connection has to give way.
+            memory.open("callers", () => undefined).resize(10_000);
+            const caughtUp = connection.watchInput();
+            void endOfTurn()
+                .then(caughtUp)
+                .then(() => report(connection.leftAt !== undefined));
+        };
+        const address = await freeAddress();
+        const limits = { memory, party: "callers", maximumConnections: 10 } as const;
+        const listener = await Listener.listen(createServer(), address, { ...limits, serve });
+        const other = await RawCaller.connect(address);
+        try {
+            other.write(`GET / HTTP/1.1\r\nx: ${"x".repeat(7_000)}`);
+            await vi.waitFor(() => expect(memory.totalBytes).toBeGreaterThan(14_000));
+            caller = await RawCaller.connect(address);
+            caller.write(requestHead("GET", "/", "first"));
+            expect(await hasLeft).toBe(true);
+        } finally {
+            other.close();
+            await listener.close();
+        }
+    });
+});
--- a/test/gateway/unsendable.test.ts
+++ b/test/gateway/unsendable.test.ts
@@ -77,6 +77,7 @@
                 acceptingMs: 0,
                 leftAt: undefined,
                 whenLeft: () => () => undefined,
+                watchInput: () => () => Promise.resolve(),
             };
             void Exchange.serve(context, { request, response, receivedAt, connection, closesConnection });
         });
