Order no pieces for callers that have left

An order goes out on a connection that is open, or to the gateway's own queue, in the turn in which the request was read; a gateway that gathers begins an order in the turn in which it was read; and a call whose pieces were all withdrawn while its connection was opened was sent. Evidence: the four cases 'pieces for a caller that has left' of test/gateway/departures.test.ts failed before. Change: model/arrivedinput holds the wait for what has arrived on a connection. Requests with pieces, and orders of other gateways, wait for one turn of the event loop; calls that nobody needs are closed until they are sent.

--- a/src/gateway/connection.ts
+++ b/src/gateway/connection.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { isFragmented, type MemoryAccount, type MemoryHolding, type MemoryParty } from "../memory/index.js";
-import { endOfTurn } from "../model/turn.js";
+import { readArrived, watchInput } from "../model/arrivedinput.js";
 import { hasMarkedEnd } from "./delivery.js";
 
 /** Maximum time in milliseconds for which a connection is read after it was closed for writing. */
@@ -26,9 +26,6 @@
 const MAXIMUM_WAITING_BYTES = 262_144;
 const MAXIMUM_WAITING_CHUNK_BYTES = 4_096;
 
-/** Turns of the event loop in which all bytes that may wait are read. */
-const MAXIMUM_CATCH_UP_TURNS = 8;
-
 /** What is known of the connection of a request. Times are readings of `performance.now()`. */
 export interface RequestConnection {
     /** Whether requests wait behind this one now; a response that closes the connection leaves them without one. */
@@ -44,11 +41,10 @@
      * the event loop later. Returns a function that cancels it.
      */
     readonly whenLeft: (listener: () => void) => () => void;
-    /**
-     * Begins to watch what is read. The function that it returns is to be called in a later turn of the event loop; it resolves
-     * once everything was read that had arrived by that turn, or the connection is no longer read because too much waits.
-     */
+    /** As `watchInput` of `model/arrivedinput`, until the caller has left or too much waits. */
     readonly watchInput: () => () => Promise<void>;
+    /** As `readArrived` of `model/arrivedinput`, until the caller has left or too much waits. */
+    readonly catchUp: () => Promise<void>;
 }
 
 /** Serves one request, which was received at `receivedAt`, a reading of `performance.now()`. */
@@ -205,14 +201,11 @@
     }
 
     watchInput(): () => Promise<void> {
-        let { bytesRead } = this.socket;
-        return async () => {
-            for (let turn = 0; turn < MAXIMUM_CATCH_UP_TURNS; turn += 1) {
-                await endOfTurn();
-                if (bytesRead === this.socket.bytesRead || this.leftAt !== undefined || this.isFull) return;
-                ({ bytesRead } = this.socket);
-            }
-        };
+        return watchInput(this.socket, () => this.leftAt !== undefined || this.isFull);
+    }
+
+    catchUp(): Promise<void> {
+        return readArrived(this.socket, () => this.leftAt !== undefined || this.isFull);
     }
 
     private recordLeft(): void {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -312,6 +312,11 @@
         const { route, metadata } = request;
         const pieceCount = route.stages.reduce((sum, _, index) => sum + (metadata.pieces[index] ?? 0), 0);
         if (pieceCount === 0) return { kind: "ready", inputs: [], release: () => undefined };
+        // An order for pieces goes out on a connection that is open, so nothing is read before it otherwise.
+        await this.connection.catchUp();
+        if (request.signal.aborted) {
+            return { kind: "ended", result: { outcome: "cancelled", status: 0, reason: "caller left" } };
+        }
         const holding = this.context.memory.open("callers", () => undefined);
         try {
             holding.resize(pieceCount * PIECE_BYTES);
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -408,6 +408,8 @@
         response.end();
         return;
     }
+    await connection.catchUp();
+    if (connection.leftAt !== undefined) return;
     const holding = gateway.context.memory.open("gateways", () => undefined);
     holding.resize(order.jobs.length * PIECE_BYTES);
     if (!holding.retain()) {
--- a/src/stages/stagecalls.ts
+++ b/src/stages/stagecalls.ts
@@ -30,6 +30,8 @@
     readonly capacity: StageCapacity;
     readonly expectedMs: number;
     readonly abort: AbortController;
+    /** Whether the call was sent; until then its connection is being opened. */
+    isSent: boolean;
     /** Whether the call has outlasted its timeout. */
     isSilent: boolean;
 }
@@ -92,7 +94,7 @@
         const expectedMs = capacity.callMs + pieces.length * capacity.pieceMs;
         const startedAt = performance.now();
         const abort = new AbortController();
-        const call = { target, pieces, capacity, expectedMs, startedAt, abort, isSilent: false };
+        const call = { target, pieces, capacity, expectedMs, startedAt, abort, isSent: false, isSilent: false };
         this.begin(call);
         const timeoutMs = tracker.callTimeoutMs(expectedMs);
         const cancelTimeout = startTimeout(() => run(() => this.recordSilent(call)), timeoutMs);
@@ -104,6 +106,7 @@
                 deadline: Deadline.after(Math.max(timeoutMs, ...pieces.map(({ deadline }) => deadline.remainingMs()))),
                 signal: abort.signal,
                 onSent: () => {
+                    call.isSent = true;
                     // A probe may be silent, and its pieces then need their inputs again.
                     if (tracker.isImpaired) return;
                     readTimer = setTimeout(() => run(() => this.recordInputsRead(pieces)), readMs);
@@ -123,13 +126,18 @@
     }
 
     /**
-     * Closes the silent calls of a settled piece that no other piece needs either and that wait at their target. A target
-     * drops a call that waits when its connection closes, but not one that it works on; the results of that are released.
+     * Closes the calls of a settled piece that no other piece needs either: those that were not sent yet, and the silent ones
+     * that wait at their target. A target drops a call that waits when its connection closes, but not one that it works on;
+     * the results of that are released.
      */
     closeUnneeded(piece: QueuedPiece): void {
         for (const call of this.open) {
-            if (!call.isSilent || !piece.callsInProgress.has(call)) continue;
+            if ((call.isSent && !call.isSilent) || !piece.callsInProgress.has(call)) continue;
             if (!call.pieces.every(({ isSettled }) => isSettled)) continue;
+            if (!call.isSent) {
+                call.abort.abort();
+                continue;
+            }
             const atTarget = [...this.open].filter(({ target }) => target === call.target);
             if (atTarget.indexOf(call) >= call.capacity.slots) call.abort.abort();
         }
--- a/test/gateway/departures.test.ts
+++ b/test/gateway/departures.test.ts
@@ -11,6 +11,7 @@
 import { MemoryAccount } from "../../src/memory/index.js";
 import { Deadline } from "../../src/model/index.js";
 import { pause } from "../../src/model/pause.js";
+import { encodeOrder, PEER_PATHS } from "../../src/stages/index.js";
 import { endOfTurn } from "../../src/model/turn.js";
 import { StandInTarget } from "../platform/standintarget.js";
 import { freeAddress } from "../processes/daemons.js";
@@ -36,8 +37,10 @@
     const { connect } = Socket.prototype;
     const connectAndReport = function (this: Socket, ...parameters: unknown[]): Socket {
         const text = JSON.stringify(parameters);
-        if (text.includes(`"port":${address.split(":")[1]}`)) setImmediate(listener);
-        return Reflect.apply(connect, this, parameters) as Socket;
+        const socket = Reflect.apply(connect, this, parameters) as Socket;
+        // Node begins the connection in the next tick.
+        if (text.includes(`"port":${address.split(":")[1]}`)) process.nextTick(listener);
+        return socket;
     };
     vi.spyOn(Socket.prototype, "connect").mockImplementation(connectAndReport as typeof connect);
 }
@@ -152,3 +155,77 @@
         }
     });
 });
+
+describe("pieces for a caller that has left", () => {
+    const STAGED = { "x-parsleyrun-pieces": "2,2", "content-length": 4 };
+
+    function pieceCalls(): number {
+        return deployment?.target("encode-0").pieceCalls.length ?? 0;
+    }
+
+    it.each([
+        { case: "gathered by the same gateway", gateways: 1 },
+        { case: "gathered by one of two gateways", gateways: 2 },
+    ])("are not asked for if the close was there when the request was read: $case", async ({ gateways }) => {
+        deployment = await Deployment.start({ engines: 1, encode: 1, rank: 1 }, gateways);
+        for (const address of deployment.callers) {
+            caller = await RawCaller.connect(address);
+            caller.write(requestHead("POST", "/staged/1", "left", STAGED) + "body");
+            caller.close();
+        }
+        await vi.waitFor(() => expect(deployment?.linesOf("request ended", "left")).toHaveLength(gateways));
+        await pause(100);
+        expect(pieceCalls()).toBe(0);
+        expect(arrivals()).toEqual([]);
+    });
+
+    it("are not asked for if it leaves while the connection to their target is opened", async () => {
+        deployment = await Deployment.start({ engines: 1, encode: 1, rank: 1 });
+        caller = await RawCaller.connect(deployment.callers[0] ?? "");
+        const leave = vi.fn(() => caller?.close());
+        whenConnecting(deployment.target("encode-0").address, leave);
+        caller.write(requestHead("POST", "/staged/1", "left", STAGED) + "body");
+        await vi.waitFor(() => expect(deployment?.linesOf("request ended", "left")).toHaveLength(1));
+        expect(leave).toHaveBeenCalledOnce();
+        await pause(100);
+        expect(pieceCalls()).toBe(0);
+    });
+
+    it("are not asked for if the order of another gateway was closed when it was read", async () => {
+        deployment = await Deployment.start({ engines: 1, encode: 1, rank: 1 });
+        const order = encodeOrder("encode", [
+            {
+                service: "encode",
+                requestId: "left",
+                stage: 0,
+                index: 0,
+                pieces: 1,
+                key: undefined,
+                inputs: [],
+                isLastUse: false,
+                inputBytes: 0,
+                resultBytes: 1_000,
+                fetches: 0,
+                priority: 1,
+                deadline: Deadline.after(2_000),
+                targetTime: Deadline.after(1_000),
+                zone: "east",
+                begun: false,
+            },
+        ]);
+        const head = requestHead("POST", PEER_PATHS.make, "order", { "content-length": order.length });
+        const [ordered, closed] = [
+            await RawCaller.connect(deployment.peers[0] ?? ""),
+            await RawCaller.connect(deployment.peers[0] ?? ""),
+        ];
+        closed.write(head + order);
+        closed.close();
+        await pause(200);
+        expect(pieceCalls()).toBe(0);
+        // An order that stays open is served.
+        ordered.write(head + order);
+        await vi.waitFor(() => expect(ordered.text).toContain("made"));
+        expect(pieceCalls()).toBe(1);
+        ordered.close();
+    });
+});
--- a/test/gateway/unsendable.test.ts
+++ b/test/gateway/unsendable.test.ts
@@ -78,6 +78,7 @@
                 leftAt: undefined,
                 whenLeft: () => () => undefined,
                 watchInput: () => () => Promise.resolve(),
+                catchUp: () => Promise.resolve(),
             };
             void Exchange.serve(context, { request, response, receivedAt, connection, closesConnection });
         });
