Entries: begin no work for callers that have left

Callers saw: the product's entries served a request whose connection had ended behind it. Cause: as in the gateway, the end of a connection is read a turn after the request, and the response is closed a turn after that; the stages are ordered on links that are open. Evidence: two cases of test/entry/callers.test.ts failed before. Change: an entry waits for what has arrived on the connection, and takes its end for the caller's departure.

--- a/src/entry/callers.ts
+++ b/src/entry/callers.ts
@@ -7,6 +7,7 @@
 import { checkAccess } from "../admission/index.js";
 import type { Configuration, ConfigurationHolder } from "../configuration/index.js";
 import { splitAddress } from "../link/index.js";
+import { readArrived } from "../model/arrivedinput.js";
 import type { RequestOutcome } from "../model/index.js";
 import type { Metrics, StateLogger } from "../observability/index.js";
 import type { EntrySettings } from "../settings/schema.js";
@@ -145,10 +146,19 @@
             return;
         }
         const controller = new AbortController();
-        response.once("close", () => {
+        const { socket } = request;
+        const onLeft = (): void => {
             if (!response.writableFinished) controller.abort();
+        };
+        // The response is closed a turn of the event loop after the end of the connection was read.
+        socket.once("end", onLeft);
+        response.once("close", () => {
+            socket.off("end", onLeft);
+            onLeft();
         });
-        if (response.closed) controller.abort();
+        if (response.closed || socket.readableEnded) controller.abort();
+        await readArrived(socket, () => controller.signal.aborted);
+        if (controller.signal.aborted) return;
         if (request.headers.accept?.includes("text/event-stream") === true) {
             const stream = EventStream.create(response, () => controller.abort());
             stream.end(await this.handle(checked.value, controller.signal, stream));
--- a/test/entry/callers.test.ts
+++ b/test/entry/callers.test.ts
@@ -66,6 +66,24 @@
 const large = `{"input":1}${" ".repeat(1024 * 1024)}`;
 const deep = `{"input":${"[".repeat(200_000)}${"]".repeat(200_000)}}`;
 
+// Guards against work for callers that had left before it began: the end of a connection is read after its request.
+describe("a caller that has closed its connection behind its request", () => {
+    it.each([
+        { case: "alone", repeated: 1 },
+        { case: "behind more than is read in one turn", repeated: 150_000 },
+    ])("gets no work done: $case", async ({ repeated }) => {
+        handled = [];
+        handler = () => Promise.resolve(done);
+        const [host = "", port = ""] = server.address.split(":");
+        const socket = connect(Number(port), host).resume();
+        const body = '{"input":{"prompt":"x"}}' + " ".repeat(repeated);
+        const head = `POST ${ask} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer api-key\r\n`;
+        socket.end(`${head}content-length: ${body.length}\r\n\r\n${body}`);
+        await new Promise(resolve => socket.once("close", resolve));
+        expect(handled).toEqual([]);
+    });
+});
+
 describe("a bad request gives no work", () => {
     it.each<[number, string, string, Record<string, string>, string?]>([
         [404, "unknown path", "/v2/pipelines/ask", {}],
