--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -67,7 +67,7 @@
     private loggedObstacle: string | undefined;
     /** Monotonic time in milliseconds at which the attempt was sent that serves the request. */
     private servedSentAt: number | undefined;
-    private sentAt: number | undefined;
+    private latestSentAt: number | undefined;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -94,9 +94,9 @@
         return this.choice.triedNames;
     }
 
-    /** Monotonic time in milliseconds at which a connection for the request was last open, and it was sent. */
+    /** Monotonic time in milliseconds at which the request was last sent; undefined if it was not. */
     get lastSentAt(): number | undefined {
-        return this.sentAt;
+        return this.latestSentAt;
     }
 
     /** Why the request was not sent although there are targets; undefined if it was. */
@@ -292,7 +292,7 @@
             beforeSending: request.watchInput(),
             onOpen,
             onSending: () => {
-                this.sentAt = performance.now();
+                this.latestSentAt = performance.now();
                 onSending?.();
             },
         });
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -70,6 +70,7 @@
     private readonly incoming: IncomingMessage;
     private readonly response: ServerResponse;
     private readonly receivedAt: number;
+    /** Monotonic time in milliseconds at which the requests before it on its connection had ended. */
     private readonly servedAt = performance.now();
     private readonly connection: RequestConnection;
     private readonly closesConnection: () => boolean;
