--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -60,7 +60,11 @@
     const isPoison = prompt.includes(`${PART}:`);
     if (isPoison) poisonArrivals.push(performance.now());
     record.write("arrived", { id, replica: replica.id, isPoison });
-    response.writeHead(200, { ...replica.headers(id), "content-type": "text/event-stream" });
+    response.writeHead(200, {
+        ...replica.headers(id),
+        "content-type": "text/event-stream",
+        "X-Parsleyrun-Weight-Versions": "1",
+    });
     for (let event = 1; event <= SOUND_EVENTS; event += 1) {
         await pause(EVENT_MS);
         if (response.destroyed) return;
--- a/review/standins-2/gateways.mjs
+++ b/review/standins-2/gateways.mjs
@@ -31,6 +31,9 @@
 
     static async create() {
         const gateways = new Gateways();
+        // Whatever ends this process, the gateways end with it.
+        process.once("exit", () => gateways.kill());
+        for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.once(signal, () => process.exit(2));
         gateways.folder = await mkdtemp(join(tmpdir(), "parsleyrun-review-"));
         return gateways;
     }
@@ -99,9 +102,13 @@
         throw new Error(`${gateway.name} is not ready`);
     }
 
+    kill() {
+        for (const { child, ended } of this.running) if (ended === undefined) child.kill("SIGKILL");
+    }
+
     /** Ends all gateways that were started here. */
     async close() {
-        for (const { child, ended } of this.running) if (ended === undefined) child.kill("SIGKILL");
+        this.kill();
         await new Promise(resolve => setTimeout(resolve, 200));
         if (process.env.KEEP === undefined) await rm(this.folder, { recursive: true, force: true });
         else console.log(this.folder);
--- a/review/standins-2/replica.mjs
+++ b/review/standins-2/replica.mjs
@@ -67,6 +67,8 @@
         return {
             "X-Parsleyrun-Request-Id": id,
             "X-Parsleyrun-Server-Stamp": `stamp.${this.id}.${id}`,
+            // A replica that leaves says so in all its answers.
+            ...(this.isLeaving ? { "Server-Leaving": "1" } : {}),
             ...(length === undefined ? {} : { "content-length": length }),
         };
     }
