Log crashes that are not recorded, and traits that are dropped

Change: 'crash not recorded' (a crashed target whose request had had an event) and 'traits dropped' (more than 64 traits of one crash); both are counted in parsleyrun_changes or parsleyrun_decisions. What is recorded is unchanged.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -191,9 +191,10 @@
      * served does not crash targets.
      */
     async checkForCrash(target: Target, isResponding: boolean): Promise<void> {
-        if (this.hasBeenServed || target.registration.state !== "available") return;
+        if (target.registration.state !== "available") return;
         if (!(await refusesConnections(target.registration.address))) return;
-        this.trial.recordCrash(target, isResponding);
+        if (this.hasBeenServed) this.logDecision("crash not recorded", target, { reason: "request was served" });
+        else this.trial.recordCrash(target, isResponding);
     }
 
     /** Chooses a usable target, preferably an untried one. Waits a limited time when there is none. */
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -308,7 +308,7 @@
             delivered: this.writer.lastDeliveredEventId,
             parts: attempts.loggedParts,
         });
-        if (!attempt.hasEvent) await attempts.checkForCrash(target, true);
+        await attempts.checkForCrash(target, true);
         this.failure = result;
         return undefined;
     }
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -180,7 +180,10 @@
     recordCrash(target: Target, { traits, isResponding, tried }: CrashedRequest): void {
         const { id, incarnation } = target.registration;
         const crash = this.crashOf(`${id} ${incarnation}`, performance.now());
-        addAll(isResponding ? crash.responding : crash.waiting, traits);
+        const held = isResponding ? crash.responding : crash.waiting;
+        addAll(held, traits);
+        const dropped = traits.filter(trait => !held.has(trait)).length;
+        if (dropped > 0) this.onChange("traits dropped", { target: id, dropped, kept: held.size });
         addAll(crash.tried, tried);
         this.judge();
         this.onNews();
