Recognise requests that crash a target at any event of their stream

Cause: the first event of a stream counted as proof that its request is harmless, at three places. It cleared the request's traits of all earlier crashes (Suspects.recordServed); a crash after it was not recorded (Attempts.checkForCrash); and a stream whose target crashed was not even checked (StreamExchange.recordIncomplete). Clearing only at the end is not enough: then all streams in progress at a crash are candidates with all their parts, a shared part is suspected with the deadly one, and a trial that another request's crash ends blocks the shared part.

Change: - Only a request that is served to its end clears its traits, and a crash is recorded whatever was received before. - A crash has for each trait the number of requests with it, by gateway, and the time since the oldest was sent, in place of two sets. A crash is attributed to the repeated traits that the fewest requests had, so parts that all requests share are not suspected beside a rarer one. - A request that goes on at a second target after a crash is no new evidence against its own traits. - Targets that crash together count once for requests in progress, and separately for requests that were sent after the crash before. - After a failed trial those requests are blocked that have all uncleared traits of the tried one, for 60 s only if no other request at the target may be the cause, else for 5 s, then 30 s. So the waiting of requests with several suspect traits is gone. - 'trait suspected' and 'trait cleared' are one line with at most eight traits. - News has the counts in new fields beside the old lists, so gateways of both versions read each other's.

Tests: test/gateway/crashevents.test.ts (10 cases; 8 failed on: crashes at the first, fifth, last and another event, short and long streams), two cases of crashes of all targets with streams in progress in crashingpart.test.ts (held before), crashjudge.test.ts and suspects.test.ts on the new counts. Replaced in these: crashes in the same millisecond are now 200 ms apart, since they are one event; a request with two suspect traits is tried at once and refused after its crash, where it was refused first and tried after 10 s.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -10,7 +10,7 @@
 import { bodyFailureReason, type HeldBodyOutcome, isUnacceptable, NO_MEMORY } from "./heldbody.js";
 import { type HoldBack, HoldBacks, STOPPING, SUSPECTED } from "./holdbacks.js";
 import { RequestRetries } from "./requestretries.js";
-import { RequestTrial } from "./requesttrial.js";
+import { type CrashProgress, NO_PROGRESS, RequestTrial } from "./requesttrial.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import type { Target } from "./target.js";
 import { type OtherTarget, TargetChoice } from "./targetchoice.js";
@@ -54,7 +54,7 @@
     private unacceptableCount = 0;
     /** Whether an answer had to give way, so that another one would have to as well. */
     private isOutOfMemory = false;
-    private hasBeenServed = false;
+    private hasBegun = false;
     private lastHoldBack: HoldBack | undefined;
     private readonly markSent: () => void;
     private readonly retries: RequestRetries;
@@ -68,6 +68,8 @@
     /** Monotonic time in milliseconds at which the attempt was sent that serves the request. */
     private servedSentAt: number | undefined;
     private latestSentAt: number | undefined;
+    /** Monotonic time in milliseconds at which the request was last sent to a target, by its name. */
+    private readonly sentAtByTarget = new Map<string, number>();
 
     private constructor(
         private readonly context: GatewayContext,
@@ -144,7 +146,7 @@
             const target = await this.chooseTarget(inputs);
             const stopHoldBack = this.holdBacks.byStop();
             // A begun stream would be cut otherwise, so that a try loses nothing.
-            const isBegunStream = this.request.route.streaming && this.hasBeenServed;
+            const isBegunStream = this.request.route.streaming && this.hasBegun;
             if (stopHoldBack !== undefined && !isBegunStream) {
                 if (this.count > 0) this.logNoFurtherAttempt(stopHoldBack.reason);
                 this.lastHoldBack = stopHoldBack;
@@ -174,10 +176,14 @@
         }
     }
 
-    /** Records that a target has served the request that was sent at that time: with its response, or the first event. */
-    recordServed(sentAt: number): void {
-        this.hasBeenServed = true;
+    /** Records that a target has begun to serve the request that was sent at that time: with the first event of a stream. */
+    recordBegun(sentAt: number): void {
+        this.hasBegun = true;
         this.servedSentAt = sentAt;
+    }
+
+    /** Records that a target has served the request to its end. */
+    recordServed(): void {
         this.trial.recordServed();
     }
 
@@ -186,15 +192,12 @@
         this.areInputsReleased = inputs.length > 0;
     }
 
-    /**
-     * Finds out whether the target of a broken attempt has crashed, and records it. A request that another target has
-     * served does not crash targets.
-     */
-    async checkForCrash(target: Target, isResponding: boolean): Promise<void> {
+    /** Finds out whether the target of a broken attempt has crashed, and records it. */
+    async checkForCrash(target: Target, progress: CrashProgress): Promise<void> {
         if (target.registration.state !== "available") return;
+        const ageMs = performance.now() - (this.sentAtByTarget.get(target.name) ?? this.request.receivedAt);
         if (!(await refusesConnections(target.registration.address))) return;
-        if (this.hasBeenServed) this.logDecision("crash not recorded", target, { reason: "request was served" });
-        else this.trial.recordCrash(target, isResponding);
+        this.trial.recordCrash(target, progress, ageMs);
     }
 
     /** Chooses a usable target, preferably an untried one. Waits a limited time when there is none. */
@@ -294,6 +297,7 @@
             onOpen,
             onSending: () => {
                 this.latestSentAt = performance.now();
+                this.sentAtByTarget.set(target.name, this.latestSentAt);
                 onSending?.();
             },
         });
@@ -327,7 +331,7 @@
                 if (outcome.reason === HEAD_TOO_LONG) this.recordUnacceptable(target);
                 else targets.recordFailure(target, this.request.route.name);
                 this.logDecision("attempt broken", target, { reason: outcome.reason, parts: this.loggedParts });
-                if (outcome.reason !== HEAD_TOO_LONG) await this.checkForCrash(target, false);
+                if (outcome.reason !== HEAD_TOO_LONG) await this.checkForCrash(target, NO_PROGRESS);
                 return { outcome: "failed", status: 502, reason: outcome.reason };
             case "expired":
                 if (outcome.sent) targets.recordExpired(target, this.request.route.name);
--- a/src/gateway/crashjudge.ts
+++ b/src/gateway/crashjudge.ts
@@ -3,67 +3,171 @@
  *
  * A trait is something that requests may share: a part of their prompts, or their whole content. A crash takes all
  * requests at its target along, harmless ones among them, so one crash proves nothing. A trait is cleared of a crash when a
- * request with it is served later, as one that crashes targets never is. What a crash leaves uncleared is attributed to
- * the traits that were in the most crashes before.
+ * request with it is served to the end later, as one that crashes targets never is.
+ *
+ * Traits of several crashes that nothing has cleared are suspect. Harmless ones among them are usually those that most
+ * requests have, since others seldom come to one crashing target after the other, and a request that crashes its target
+ * is seldom beside many others like it. So a crash is attributed to the traits of about as many crashes as any other
+ * that the fewest requests had.
+ *
+ * When a request on trial is at a crash, requests that have all of its uncleared traits are blocked. If others at the target
+ * had further uncleared traits, the crash may be theirs, and the block only keeps both kinds of requests apart for a while.
  */
 
-/** A crash of a target, and the traits of the requests that it had not begun to serve. */
-export interface Crash {
-    /** Monotonic time in milliseconds. */
-    readonly at: number;
-    /** Traits of requests to which the target had begun to respond, without any content. */
-    readonly responding: ReadonlySet<string>;
-    /** Traits of requests that waited for the head of a response. */
-    readonly waiting: ReadonlySet<string>;
-    /** Traits whose conclusive trial the crash ended. */
-    readonly tried: ReadonlySet<string>;
-}
+import { type Crash, type Frequency, repeatedTraits, SAME_CAUSE_MS } from "./crashfrequency.js";
 
 /** What speaks against a trait. */
 export interface Suspicion {
-    /** Number of crashes since a request with the trait was last served. */
+    /** Number of crashes that are attributed to the trait; crashes at the same time may count as a fraction. */
     readonly crashes: number;
-    /** Number of those that ended a conclusive trial of the trait. */
+    /** Number of failed trials after which requests with the trait were blocked. */
     readonly failedTrials: number;
-    /** Monotonic time in milliseconds of the latest of them. */
+    /** Monotonic time in milliseconds of the latest of these crashes. */
     readonly lastAt: number;
 }
 
+/** Requests that are refused after a failed trial. */
+export interface Block {
+    /** Traits that a request has to have all of. */
+    readonly traits: readonly string[];
+    /** Monotonic time in milliseconds. */
+    readonly until: number;
+}
+
 /** What crashes say about requests. */
 export interface Verdict {
+    /** Traits that may crash targets. */
     readonly suspicions: ReadonlyMap<string, Suspicion>;
-    /** For each crash, the traits to which it is attributed: one of them is its cause. */
-    readonly causes: readonly (readonly string[])[];
+    readonly blocks: readonly Block[];
 }
 
-/**
- * Time in milliseconds within which crashes count once for requests that waited. A request is at one target at a time, so
- * targets that crash together, with many requests waiting at each, have another cause.
- */
-const SAME_CAUSE_MS = 100;
+/** Crashes that make a trait suspect. */
+const CRASHES_TO_SUSPECT = 2;
+
+/** Tolerance for sums of fractions. */
+const ROUNDING_TOLERANCE = 1e-6;
+
+/** Ratio of mean requests at each event up to which two traits are equally likely causes. */
+const EQUAL_FREQUENCY_RATIO = 1.5;
+
+/** Fraction of the crashes of another trait with which a trait is as likely a cause. */
+const EQUAL_CRASHES_RATIO = 0.75;
 
-/** Attributes crashes to traits; `servedAt` has the time at which a request with a trait was last served. */
+/** Times in milliseconds of blocks after the first failed trial without another possible cause, the second, and so on. */
+const BLOCK_TIMES_MS = [60_000, 600_000] as const;
+
+/** The same for failed trials with other possible causes. */
+const SEPARATION_TIMES_MS = [5_000, 30_000] as const;
+
+/** Attributes crashes to traits; `servedAt` has the time at which a request with a trait was last served to the end. */
 export function judgeCrashes(crashes: readonly Crash[], servedAt: ReadonlyMap<string, number>): Verdict {
+    const ordered = [...crashes]
+        .sort((left, right) => left.at - right.at)
+        .map(crash => ({ at: crash.at, trials: crash.trials, requests: unclearedRequests(crash, servedAt) }));
+    const frequencies = repeatedTraits(ordered);
+    const failures = ordered.flatMap(crash => failedTrials(crash, ordered, frequencies));
+    const proofs = failures.filter(({ isProof }) => isProof);
+    const proofsFor = ({ requests }: Crash): readonly FailedTrial[] =>
+        proofs.filter(({ traits }) => traits.every(trait => requests.has(trait)));
+    const attributed = ordered.map(crash => {
+        const proven = proofsFor(crash).flatMap(({ traits }) => traits);
+        return proven.length > 0 ? [...new Set(proven)] : likeliestTraits(crash, frequencies);
+    });
     const suspicions = new Map<string, Suspicion>();
-    const causes: (readonly string[])[] = [];
-    for (const crash of [...crashes].sort((left, right) => left.at - right.at)) {
-        const isUncleared = (trait: string): boolean => (servedAt.get(trait) ?? Number.NEGATIVE_INFINITY) <= crash.at;
-        const responding = [...crash.responding].filter(isUncleared);
-        // A target begins to respond when it begins to run a request, so such a request is the likelier cause.
-        const candidates = responding.length > 0 ? responding : [...crash.waiting].filter(isUncleared);
-        const crashesOf = (trait: string): number => suspicions.get(trait)?.crashes ?? 0;
-        const most = Math.max(0, ...candidates.map(crashesOf));
-        const attributed = candidates.filter(candidate => crashesOf(candidate) === most);
-        causes.push(attributed);
-        for (const trait of attributed) {
-            const before = suspicions.get(trait) ?? { crashes: 0, failedTrials: 0, lastAt: Number.NEGATIVE_INFINITY };
-            const isSeparate = responding.length > 0 || crash.at - before.lastAt > SAME_CAUSE_MS;
+    for (const [index, { at }] of ordered.entries()) {
+        for (const trait of attributed[index] ?? []) {
+            const weight = frequencies.get(trait)?.weights.get(index) ?? 0;
             suspicions.set(trait, {
-                crashes: before.crashes + Number(isSeparate),
-                failedTrials: before.failedTrials + Number(isSeparate && crash.tried.has(trait)),
-                lastAt: crash.at,
+                crashes: (suspicions.get(trait)?.crashes ?? 0) + weight,
+                failedTrials: proofs.filter(({ traits }) => traits.includes(trait)).length,
+                lastAt: at,
             });
         }
     }
-    return { suspicions, causes };
+    for (const [trait, { crashes: count }] of suspicions) if (!isEnough(count)) suspicions.delete(trait);
+    const unexplained = failures.filter(({ crash, isProof }) => isProof || proofsFor(crash).length === 0);
+    return {
+        suspicions,
+        blocks: blocksOf(unexplained.filter(({ traits }) => traits.some(trait => suspicions.has(trait)))),
+    };
+}
+
+function unclearedRequests({ at, requests }: Crash, servedAt: ReadonlyMap<string, number>): Crash["requests"] {
+    return new Map([...requests].filter(([trait]) => (servedAt.get(trait) ?? Number.NEGATIVE_INFINITY) <= at));
+}
+
+/** The repeated traits of a crash that were at about as many as any other, and that the fewest requests had. */
+function likeliestTraits(crash: Crash, frequencies: ReadonlyMap<string, Frequency>): readonly string[] {
+    const candidates = [...crash.requests.keys()].flatMap(trait => {
+        const frequency = frequencies.get(trait);
+        return frequency !== undefined && isEnough(frequency.crashes) ? [{ trait, ...frequency }] : [];
+    });
+    const most = Math.max(...candidates.map(({ crashes }) => crashes));
+    const frequent = candidates.filter(({ crashes }) => crashes >= most * EQUAL_CRASHES_RATIO);
+    const fewest = Math.min(...frequent.map(({ meanRequests }) => meanRequests));
+    return frequent
+        .filter(({ meanRequests }) => meanRequests <= fewest * EQUAL_FREQUENCY_RATIO)
+        .map(({ trait }) => trait);
+}
+
+/** Trials of requests with the same uncleared traits that ended with a crash. */
+interface FailedTrial {
+    readonly crash: Crash;
+    /** Uncleared traits of the requests that may be the cause. */
+    readonly traits: readonly string[];
+    /** Whether no other request at the target had further ones. */
+    readonly isProof: boolean;
+}
+
+function failedTrials(
+    crash: Crash,
+    all: readonly Crash[],
+    frequencies: ReadonlyMap<string, Frequency>,
+): readonly FailedTrial[] {
+    const possible = [...crash.requests.keys()].filter(trait => frequencies.has(trait)).sort();
+    const byTraits = new Map<string, FailedTrial>();
+    for (const tried of crash.trials) {
+        // Another target that crashes meanwhile without a trial says that the crashes have another cause.
+        const sentAt = crash.at - Math.min(...tried.map(trait => crash.requests.get(trait)?.oldestMs ?? Infinity));
+        const hasOtherCause = all.some(
+            ({ at, trials }) => trials.length === 0 && at >= sentAt && Math.abs(at - crash.at) <= SAME_CAUSE_MS,
+        );
+        const traits = possible.filter(trait => tried.includes(trait));
+        if (hasOtherCause || traits.length === 0) continue;
+        byTraits.set(keyOf(traits), { crash, traits, isProof: traits.length === possible.length });
+    }
+    const trials = [...byTraits.values()];
+    const proofs = trials.filter(({ isProof }) => isProof);
+    if (proofs.length > 0) return proofs;
+    // If two kinds of requests were both blocked, neither could show that it is harmless.
+    const likelihoodOf = ({ traits }: FailedTrial): number =>
+        Math.max(...traits.map(trait => likelihood(frequencies.get(trait))));
+    const isBefore = (left: FailedTrial, right: FailedTrial): boolean => keyOf(left.traits) < keyOf(right.traits);
+    return trials
+        .sort((left, right) => likelihoodOf(right) - likelihoodOf(left) || (isBefore(left, right) ? -1 : 1))
+        .slice(0, 1);
+}
+
+function likelihood(frequency: Frequency | undefined): number {
+    return frequency === undefined ? 0 : frequency.crashes / frequency.meanRequests;
+}
+
+/** The blocks after failed trials; each further one with the same traits blocks them for longer. */
+function blocksOf(failures: readonly FailedTrial[]): readonly Block[] {
+    const counts = new Map<string, number>();
+    return failures.map(({ crash, traits, isProof }) => {
+        const times = isProof ? BLOCK_TIMES_MS : SEPARATION_TIMES_MS;
+        const key = `${isProof} ${keyOf(traits)}`;
+        const before = counts.get(key) ?? 0;
+        counts.set(key, before + 1);
+        return { traits, until: crash.at + (times[Math.min(before, times.length - 1)] ?? 0) };
+    });
+}
+
+function keyOf(traits: readonly string[]): string {
+    return JSON.stringify(traits);
+}
+
+function isEnough(crashes: number): boolean {
+    return crashes >= CRASHES_TO_SUSPECT - ROUNDING_TOLERANCE;
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -21,13 +21,14 @@
 import { bodyFailureReason, HeldBody, type HeldBodyOutcome } from "./heldbody.js";
 import { STOPPING } from "./holdbacks.js";
 import { Reply } from "./reply.js";
+import { RESPONDING } from "./requesttrial.js";
 import { isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamExchange } from "./streamexchange.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
 import { RequestBody, type RequestBodyOutcome } from "./requestbody.js";
 import type { Target } from "./target.js";
-import { lazyTraitsOf } from "./suspects.js";
+import { lazyTraitsOf } from "./traits.js";
 
 /** Shortest `Retry-After` in milliseconds for a request without a usable target. */
 const NO_TARGET_RETRY_MS = 500;
@@ -406,12 +407,13 @@
                 }
                 if (outcome.kind !== "complete") {
                     attempts.recordIncomplete(target, outcome);
-                    if (outcome.kind === "broken") await attempts.checkForCrash(target, true);
+                    if (outcome.kind === "broken") await attempts.checkForCrash(target, RESPONDING);
                     failure = { outcome: "failed", status: 502, reason: bodyFailureReason(outcome) };
                     if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
                     continue;
                 }
-                attempts.recordServed(startedAt);
+                attempts.recordBegun(startedAt);
+                attempts.recordServed();
                 if (attempt.head.status >= 500) {
                     this.context.targets.recordFailure(target, request.route.name);
                     errorResponse?.body.release();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -193,7 +193,7 @@
             onPeerCall: options.onPeerCall,
             eventLoopDelayMs: options.eventLoopDelayMs,
         });
-        this.suspects = Suspects.create(() => this.gossip.spread(), onChange);
+        this.suspects = Suspects.create(peers.self.name, () => this.gossip.spread(), onChange);
         this.limits = TargetLimits.create(
             () => this.gossip.spread(),
             (target, perSecond) =>
--- a/src/gateway/holdbacks.ts
+++ b/src/gateway/holdbacks.ts
@@ -4,7 +4,7 @@
  */
 import type { GatewayContext } from "./gateway.js";
 import type { RoutedRequest } from "./routedrequest.js";
-import type { Admission } from "./suspects.js";
+import { type Admission, MAXIMUM_LOGGED_TRAITS } from "./suspects.js";
 import { pauseReturnMs } from "./targetpause.js";
 
 /** Fraction of the remaining time for which a request waits for a usable target. */
@@ -65,6 +65,7 @@
         this.context.onDecision("request held back", {
             id: this.request.metadata.requestId,
             ...admission,
+            ...(admission.kind === "trial" ? { traits: admission.traits.slice(0, MAXIMUM_LOGGED_TRAITS) } : {}),
             retryAfterMs: Math.round(retryAfterMs),
         });
         return { reason: SUSPECTED, retryAfterMs };
--- a/src/gateway/requesttrial.ts
+++ b/src/gateway/requesttrial.ts
@@ -4,15 +4,25 @@
  */
 import type { GatewayContext } from "./gateway.js";
 import type { RoutedRequest } from "./routedrequest.js";
-import type { Admission } from "./suspects.js";
+import { type Admission, MAXIMUM_LOGGED_TRAITS } from "./suspects.js";
 import type { Target } from "./target.js";
 
-/** Maximum number of traits in one log line. */
-const MAXIMUM_LOGGED_TRAITS = 8;
+/** How far a target had got with a request when it crashed. */
+export interface CrashProgress {
+    /** Whether the head of a response had come. */
+    readonly isResponding: boolean;
+    /** Whether an event of a stream had come. */
+    readonly hasEvent: boolean;
+}
+
+/** Progress of an attempt without a response, and of one whose response has begun but has no event. */
+export const NO_PROGRESS: CrashProgress = { isResponding: false, hasEvent: false };
+export const RESPONDING: CrashProgress = { isResponding: true, hasEvent: false };
 
 /** The trial of one request, if it needs one. */
 export class RequestTrial {
     private held: Extract<Admission, { kind: "trial" }> | undefined;
+    private hasCrashedTarget = false;
 
     private constructor(
         private readonly context: GatewayContext,
@@ -36,30 +46,34 @@
         if (this.held !== undefined) return { kind: "admitted" };
         if (admission.kind !== "trial" || !suspects.startTrial(admission.traits)) return admission;
         this.held = admission;
-        onDecision("trial started", { id: this.request.metadata.requestId, traits: admission.traits });
+        onDecision("trial started", {
+            id: this.request.metadata.requestId,
+            traits: admission.traits.slice(0, MAXIMUM_LOGGED_TRAITS),
+        });
         return { kind: "admitted" };
     }
 
-    /** Records that a target has served the request, which clears its traits. */
+    /** Records that a target has served the request to its end, which clears its traits. */
     recordServed(): void {
         this.context.suspects.recordServed(this.request.traits);
         this.end();
     }
 
-    /** Records that a target has crashed to which the request was sent. */
-    recordCrash(target: Target, isResponding: boolean): void {
+    /** Records that a target has crashed that the request was at; `ageMs` is the time since it was sent there. */
+    recordCrash(target: Target, progress: CrashProgress, ageMs: number): void {
         const { context, request, held } = this;
         const traits = request.traits();
-        const tried = held?.isConclusive === true ? held.traits : [];
         context.onDecision("target crashed", {
             id: request.metadata.requestId,
             target: target.name,
-            isResponding,
+            ...progress,
             traits: traits.slice(0, MAXIMUM_LOGGED_TRAITS),
-            tried,
+            tried: held?.traits.slice(0, MAXIMUM_LOGGED_TRAITS),
         });
         context.targets.recordUnreachable(target);
-        context.suspects.recordCrash(target, { traits, isResponding, tried });
+        const tried = held?.traits ?? [];
+        context.suspects.recordCrash(target, { traits, isFirstCrash: !this.hasCrashedTarget, ageMs, tried });
+        this.hasCrashedTarget = true;
         this.end();
     }
 
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -125,7 +125,7 @@
             onHeard: () => targets.recordHeard(target),
             onFirstEvent: ({ startedAt, promptTokens }) => {
                 const tookMs = performance.now() - startedAt;
-                attempts.recordServed(startedAt);
+                attempts.recordBegun(startedAt);
                 onFirstEvent(performance.now() - request.receivedAt);
                 firstEventTimes.record(request.route.name, tookMs);
                 targets.recordPromptRead(target, promptTokens);
@@ -234,6 +234,7 @@
         switch (end.kind) {
             case "complete":
                 if (!attempt.hasEvent) context.targets.recordInconclusive(target);
+                attempts.recordServed();
                 return { outcome: "answered", status: 200, reason: "complete" };
             case "misdirected":
                 context.targets.recordFailure(target, request.route.name);
@@ -308,7 +309,7 @@
             delivered: this.writer.lastDeliveredEventId,
             parts: attempts.loggedParts,
         });
-        await attempts.checkForCrash(target, true);
+        await attempts.checkForCrash(target, { isResponding: true, hasEvent: attempt.hasEvent });
         this.failure = result;
         return undefined;
     }
--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -5,29 +5,29 @@
 import { pause } from "../../src/model/pause.js";
 import type { Behaviour } from "../platform/standintarget.js";
 import { afterEach, describe, expect, it, vi } from "vitest";
+import * as crashing from "./crashingengines.js";
+import { CRASHES_TO_RECOGNISE, DOWN_MS, REQUESTS_AFTER_RECOGNITION } from "./crashingengines.js";
 import { Deployment, type CallAnswer } from "./harness.js";
 
-/** Number of crashes after which the part is known, and of requests that may still reach targets then. */
-const CRASHES_TO_RECOGNISE = 5;
-const REQUESTS_AFTER_RECOGNITION = 3;
-
 /** Time in milliseconds in which all gateways learn of crashes. */
 const CONTACT_MS = 3_000;
 
-const DOWN_MS = 120;
 const ROUNDS = 30;
 
 let deployment: Deployment;
 
 afterEach(() => deployment.close());
 
-/** Registers targets again when they are back after a crash, with a later start. */
+function crashes(): number {
+    return crashing.crashesOf(deployment);
+}
+
 function registerAfterCrashes(service: string): void {
-    const { targets } = deployment;
-    const register = deployment.register.bind(deployment);
-    for (const target of targets.values()) {
-        target.onRestart = () => register(service, target.id, { born: 1_000 + target.crashCount });
-    }
+    crashing.registerAfterCrashes(deployment, service);
+}
+
+function ask(id: string, path: string, parts: readonly string[], gateway: number): Promise<CallAnswer> {
+    return crashing.ask(deployment, { id, path, parts }, gateway);
 }
 
 function crashOn(part: string): void {
@@ -40,16 +40,6 @@
     }
 }
 
-function crashes(): number {
-    return [...deployment.targets.values()].reduce((sum, { crashCount }) => sum + crashCount, 0);
-}
-
-function ask(id: string, path: string, parts: readonly string[], gateway: number): Promise<CallAnswer> {
-    const prompt = [...parts, `own-${id}`].map(part => `${part}:100`).join(",");
-    const headers = { "x-parsleyrun-prefix-hash": prompt, "x-parsleyrun-token-count": "400,10" };
-    return deployment.call({ id, path, body: `body of ${id}`, headers }, gateway);
-}
-
 describe("a request that crashes targets and comes again", () => {
     // The same path, caller and body: it has no parts, so it is recognised by its content.
     it.each([
@@ -77,10 +67,16 @@
 
 describe("targets that crash for another reason", () => {
     // Harmless requests with the same parts wait at all of them, and come again when the targets are back.
-    it.each([{ times: 1 }, { times: 3 }])("all at once, $times times, hold no request back", async ({ times }) => {
+    const waits: Behaviour = { kind: "delayedStream", events: 3, delayMs: 150 };
+    const isInProgress: Behaviour = { kind: "stream", events: 10, gapMs: 30 };
+    it.each([
+        { times: 1, requests: "wait", slow: waits },
+        { times: 3, requests: "wait", slow: waits },
+        { times: 1, requests: "are in progress", slow: isInProgress },
+        { times: 3, requests: "are in progress", slow: isInProgress },
+    ])("all at once, $times times, while requests $requests, hold no request back", async ({ times, slow }) => {
         deployment = await Deployment.start({ engines: 6 }, 3);
         registerAfterCrashes("engines");
-        const slow: Behaviour = { kind: "delayedStream", events: 3, delayMs: 150 };
         for (const target of deployment.targets.values()) {
             target.behaviour = () => slow;
         }
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -41,8 +41,11 @@
     | { readonly kind: "unfinished"; readonly first: string; readonly bytes: Buffer }
     | { readonly kind: "full"; readonly after?: Promise<void> }
     | { readonly kind: "inputsGone" }
-    /** Writes the head of a response; then the target is down for `downMs`, and listens again at its address. */
-    | { readonly kind: "crash"; readonly downMs: number }
+    /**
+     * Writes the head of a response, and `events` of a stream with pauses of `gapMs` before them; then the target is down for
+     * `downMs`, and listens again at its address.
+     */
+    | { readonly kind: "crash"; readonly downMs: number; readonly events?: number; readonly gapMs?: number }
     /** Writes bytes to the connection and closes it. */
     | { readonly kind: "raw"; readonly text: string }
     /** Writes bytes to the connection and stays silent. */
@@ -247,6 +250,10 @@
             case "crash":
                 response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
                 response.flushHeaders();
+                for (let id = 1; id <= (behaviour.events ?? 0); id += 1) {
+                    await pause(behaviour.gapMs ?? 1);
+                    response.write(`id: ${id}\ndata: event ${id} of ${arrival.id}\n\n`);
+                }
                 setTimeout(() => this.crash(behaviour.downMs), HEAD_TRANSIT_MS);
                 return;
             case "raw":
