Keep the traits of a crash by what they tell, not by the order in which requests broke

Cause: a crash kept the 64 traits that came first. They come in the order in which the requests broke and of the parts in the prompt, and the hash of the content comes last. What was beyond was lost at all crashes alike, so it could never be in two. Raising the limit alone is not enough: with 250 shared parts a cut set of traits differs from crash to crash, so parts that each request has look rare.

Change: a crash keeps 48 KB of traits if it is one of the latest four, else 3 KB. Beyond that, traits are given up first that a served request has cleared, then those of no other crash; among equal ones a sample by a hash of target and trait, which is the same at all gateways and another one for each crash. A trial is recorded with its own traits, within 8 KB those that the fewest requests have. The limits are applied once for each verdict. 'traits dropped' says how many were given up and kept. Earlier versions get, in the lists that they read, the 64 traits that tell most.

--- a/src/gateway/crashfrequency.ts
+++ b/src/gateway/crashfrequency.ts
@@ -14,13 +14,20 @@
     readonly oldestMs: number;
 }
 
+/** A request on trial that was at a crash. */
+export interface Trial {
+    readonly traits: readonly string[];
+    /** Time in milliseconds from sending it until the crash. */
+    readonly ageMs: number;
+}
+
 /** A crash of a target, and the requests that were at it. */
 export interface Crash {
     /** Monotonic time in milliseconds. */
     readonly at: number;
     readonly requests: ReadonlyMap<string, TraitRequests>;
-    /** The traits of each request that was on trial at the target. */
-    readonly trials: readonly (readonly string[])[];
+    /** The requests on trial at the target. */
+    readonly trials: readonly Trial[];
 }
 
 /** Time in milliseconds within which crashes may have one cause that is no request. */
--- a/src/gateway/crashjudge.ts
+++ b/src/gateway/crashjudge.ts
@@ -126,13 +126,14 @@
 ): readonly FailedTrial[] {
     const possible = [...crash.requests.keys()].filter(trait => frequencies.has(trait)).sort();
     const byTraits = new Map<string, FailedTrial>();
-    for (const tried of crash.trials) {
+    for (const { traits: tried, ageMs } of crash.trials) {
         // Another target that crashes meanwhile without a trial says that the crashes have another cause.
-        const sentAt = crash.at - Math.min(...tried.map(trait => crash.requests.get(trait)?.oldestMs ?? Infinity));
         const hasOtherCause = all.some(
-            ({ at, trials }) => trials.length === 0 && at >= sentAt && Math.abs(at - crash.at) <= SAME_CAUSE_MS,
+            ({ at, trials }) =>
+                trials.length === 0 && at >= crash.at - ageMs && Math.abs(at - crash.at) <= SAME_CAUSE_MS,
         );
-        const traits = possible.filter(trait => tried.includes(trait));
+        const triedTraits = new Set(tried);
+        const traits = possible.filter(trait => triedTraits.has(trait));
         if (hasOtherCause || traits.length === 0) continue;
         byTraits.set(keyOf(traits), { crash, traits, isProof: traits.length === possible.length });
     }
--- a/src/gateway/crashrecord.ts
+++ b/src/gateway/crashrecord.ts
@@ -1,5 +1,6 @@
 /** One crash of a target, as several gateways have observed it. */
-import type { Crash, TraitRequests } from "./crashfrequency.js";
+import { createHash } from "node:crypto";
+import type { Crash, TraitRequests, Trial } from "./crashfrequency.js";
 
 /** Reporter of requests that an earlier version, which does not count them, has observed. */
 const UNKNOWN_REPORTER = "";
@@ -16,29 +17,40 @@
     readonly ageMs: number;
 }
 
-/** What is kept of a crash at most. */
+/** What is kept of a crash at most, in characters. */
 export interface CrashLimits {
     readonly traits: number;
+    /** Limit on the traits of all trials together. */
     readonly trials: number;
 }
 
+/** What is known of a trait of a crash. */
+export type TraitStanding =
+    /** It was cleared of the crash. */
+    "cleared" | "atOneCrash" | "atSeveralCrashes";
+
+/** Order in which traits are given up. */
+const GIVEN_UP_FIRST: readonly TraitStanding[] = ["cleared", "atOneCrash", "atSeveralCrashes"];
+
+/** Limit in characters on the traits of one trial; those are kept that the fewest requests at the crash have. */
+const MAXIMUM_TRIAL_LENGTH = 8_192;
+
 /** A crash of a target. */
 export class CrashRecord implements Crash {
     /** The requests with a trait, by the gateway that has sent them. */
     private readonly reportsByName = new Map<string, Map<string, TraitRequests>>();
     private readonly total = new Map<string, TraitRequests>();
     private readonly triedTraits = new Set<string>();
-    private readonly trialsByText = new Map<string, readonly string[]>();
+    private readonly trialsByText = new Map<string, Trial>();
 
     private constructor(
         /** Id and start of the target. */
         readonly target: string,
         readonly at: number,
-        private readonly limits: CrashLimits,
     ) {}
 
-    static create(target: string, at: number, limits: CrashLimits): CrashRecord {
-        return new CrashRecord(target, at, limits);
+    static create(target: string, at: number): CrashRecord {
+        return new CrashRecord(target, at);
     }
 
     get requests(): ReadonlyMap<string, TraitRequests> {
@@ -50,7 +62,7 @@
         return [...this.triedTraits];
     }
 
-    get trials(): readonly (readonly string[])[] {
+    get trials(): readonly Trial[] {
         return [...this.trialsByText.values()];
     }
 
@@ -61,18 +73,21 @@
         for (const trait of traits) this.set(report, trait, sumOf(report.get(trait), added));
     }
 
-    /**
-     * Adds the traits of a request on trial, as far as they are kept, and those for which it was on trial. Returns whether
-     * anything is new.
-     */
-    addTrial(traits: readonly string[], tried: readonly string[]): boolean {
-        const newlyTried = tried.filter(trait => this.total.has(trait) && !this.triedTraits.has(trait));
+    /** Adds a request on trial, of which `tried` are the suspect traits. Returns whether anything is new. */
+    addTrial({ traits, ageMs }: Trial, tried: readonly string[]): boolean {
+        const countOf = (trait: string): number => this.total.get(trait)?.count ?? 0;
+        const rarestFirst = traits.toSorted((left, right) => countOf(left) - countOf(right));
+        const kept = withinLength(rarestFirst, MAXIMUM_TRIAL_LENGTH);
+        return this.mergeTrial({ traits: kept.toSorted(), ageMs: Math.round(ageMs) }, tried);
+    }
+
+    /** Takes over a request on trial of another gateway. Returns whether anything is new. */
+    mergeTrial(trial: Trial, tried: readonly string[]): boolean {
+        const newlyTried = tried.filter(trait => !this.triedTraits.has(trait));
         for (const trait of newlyTried) this.triedTraits.add(trait);
-        const kept = traits.filter(trait => this.total.has(trait)).sort();
-        const text = JSON.stringify(kept);
-        const hasRoom = this.trialsByText.size < this.limits.trials;
-        if (kept.length === 0 || this.trialsByText.has(text) || !hasRoom) return newlyTried.length > 0;
-        this.trialsByText.set(text, kept);
+        const text = JSON.stringify(trial);
+        if (this.trialsByText.has(text)) return newlyTried.length > 0;
+        this.trialsByText.set(text, trial);
         return true;
     }
 
@@ -80,6 +95,7 @@
     reports(): Record<string, Record<string, string[]>> {
         const reports: Record<string, Record<string, string[]>> = {};
         for (const [reporter, report] of this.reportsByName) {
+            if (report.size === 0) continue;
             const traits: Record<string, string[]> = {};
             for (const [trait, { count, oldestMs }] of report) (traits[`${count} ${oldestMs}`] ??= []).push(trait);
             reports[reporter] = traits;
@@ -98,7 +114,9 @@
                 const known = report.get(trait) ?? { count: -1, oldestMs: -1 };
                 const later = { count: Math.max(count, known.count), oldestMs: Math.max(oldestMs, known.oldestMs) };
                 const isKnown = later.count === known.count && later.oldestMs === known.oldestMs;
-                if (!isKnown && this.set(report, trait, later)) hasChanged = true;
+                if (isKnown) continue;
+                this.set(report, trait, later);
+                hasChanged = true;
             }
         }
         return hasChanged;
@@ -109,7 +127,8 @@
         const isCounted = [...this.reportsByName.keys()].some(reporter => reporter !== UNKNOWN_REPORTER);
         if (isCounted) return false;
         const hasTraits = this.mergeReport(UNKNOWN_REPORTER, { "1 0": traits });
-        return this.addTrial(tried, tried) || hasTraits;
+        if (tried.length === 0) return hasTraits;
+        return this.mergeTrial({ traits: tried, ageMs: 0 }, tried) || hasTraits;
     }
 
     /** A text that is the same for equal crashes. */
@@ -120,13 +139,57 @@
         return [this.target, requests.sort().join(";"), [...this.trialsByText.keys()].sort().join(";")].join("\n");
     }
 
-    /** Sets the requests of a gateway with a trait if there is room for the trait. Returns whether there is. */
-    private set(report: Map<string, TraitRequests>, trait: string, requests: TraitRequests): boolean {
-        if (!this.total.has(trait) && this.total.size >= this.limits.traits) return false;
+    /**
+     * Drops what exceeds limits: first traits that were cleared, then those of no other crash. Of traits with the same
+     * standing, all gateways drop the same ones, and other ones for each crash, so that none is always dropped. Returns the
+     * number of dropped traits.
+     */
+    limit({ traits, trials }: CrashLimits, standingOf: (trait: string) => TraitStanding): number {
+        this.limitTrials(trials, standingOf);
+        if (lengthOf(this.total.keys()) <= traits) return 0;
+        const ordered = [...this.total.keys()]
+            .map(trait => ({
+                trait,
+                rank: GIVEN_UP_FIRST.indexOf(standingOf(trait)),
+                order: this.sampleOrder(trait),
+            }))
+            .sort((left, right) => right.rank - left.rank || (left.order < right.order ? -1 : 1))
+            .map(({ trait }) => trait);
+        const dropped = ordered.slice(withinLength(ordered, traits).length);
+        for (const trait of dropped) {
+            this.total.delete(trait);
+            for (const report of this.reportsByName.values()) report.delete(trait);
+        }
+        return dropped.length;
+    }
+
+    /** Drops traits of trials that were cleared, and then trials, the same ones at all gateways. */
+    private limitTrials(maximumLength: number, standingOf: (trait: string) => TraitStanding): void {
+        const lengthOfAll = (): number =>
+            [...this.trialsByText.values()].reduce((sum, { traits }) => sum + lengthOf(traits), 0);
+        if (lengthOfAll() > maximumLength) {
+            const shortened = [...this.trialsByText.values()].map(({ traits, ageMs }) => ({
+                traits: traits.filter(trait => standingOf(trait) !== "cleared"),
+                ageMs,
+            }));
+            this.trialsByText.clear();
+            for (const trial of shortened) this.trialsByText.set(JSON.stringify(trial), trial);
+        }
+        for (const text of [...this.trialsByText.keys()].sort().reverse()) {
+            if (lengthOfAll() > maximumLength) this.trialsByText.delete(text);
+        }
+        const tried = [...this.triedTraits].sort();
+        for (const trait of tried.slice(withinLength(tried, maximumLength).length)) this.triedTraits.delete(trait);
+    }
+
+    private sampleOrder(trait: string): string {
+        return createHash("sha1").update(`${this.target}\n${trait}`).digest("base64");
+    }
+
+    private set(report: Map<string, TraitRequests>, trait: string, requests: TraitRequests): void {
         report.set(trait, requests);
         const all = [...this.reportsByName.values()].map(each => each.get(trait));
         this.total.set(trait, all.reduce(sumOf) ?? requests);
-        return true;
     }
 
     private reportOf(reporter: string): Map<string, TraitRequests> {
@@ -144,3 +207,16 @@
     if (left === undefined || right === undefined) return left ?? right;
     return { count: left.count + right.count, oldestMs: Math.max(left.oldestMs, right.oldestMs) };
 }
+
+function lengthOf(traits: Iterable<string>): number {
+    let length = 0;
+    for (const trait of traits) length += trait.length;
+    return length;
+}
+
+/** The first traits that have at most a number of characters together. */
+function withinLength(traits: readonly string[], maximumLength: number): readonly string[] {
+    let length = 0;
+    const firstBeyond = traits.findIndex(trait => (length += trait.length) > maximumLength);
+    return firstBeyond === -1 ? traits : traits.slice(0, firstBeyond);
+}
--- a/src/gateway/crashrecords.ts
+++ b/src/gateway/crashrecords.ts
@@ -8,7 +8,7 @@
 import { createHash } from "node:crypto";
 import { z } from "zod";
 import type { Crash } from "./crashfrequency.js";
-import { CrashRecord, type ObservedRequest } from "./crashrecord.js";
+import { type CrashLimits, CrashRecord, type ObservedRequest, type TraitStanding } from "./crashrecord.js";
 
 /** Time in milliseconds for which a crash is remembered; longer than the longest block. */
 const CRASH_MEMORY_MS = 900_000;
@@ -19,12 +19,25 @@
  */
 const SAME_CRASH_MS = 1_000;
 
-/** Limits on memory and on the size of a message. */
+/** Limits on memory and on the size of a message. Traits that were at one old crash only are given up first. */
 const MAXIMUM_CRASHES = 64;
-const MAXIMUM_TRIALS_PER_CRASH = 64;
-const MAXIMUM_TRAITS_PER_CRASH = 64;
+const RECENT_CRASHES = 4;
+const RECENT_LIMITS: CrashLimits = { traits: 49_152, trials: 12_288 };
+const OLD_LIMITS: CrashLimits = { traits: 3_072, trials: 2_048 };
+const MAXIMUM_SERVED = 4_096;
 
-const traitsSchema = z.array(z.string().max(128)).max(MAXIMUM_TRAITS_PER_CRASH).readonly();
+/** Number of requests at crashed targets after which the limits are applied, though nothing has asked for a verdict. */
+const MAXIMUM_UNTIDIED = 16;
+
+/** Number of traits in each list that earlier versions read. */
+const EARLIER_MAXIMUM_TRAITS = 64;
+
+/** Number of served traits that earlier versions send. */
+const EARLIER_MAXIMUM_SERVED = 8_192;
+
+const traitsSchema = z.array(z.string().max(128)).readonly();
+
+const trialSchema = z.object({ traits: traitsSchema, ageMs: z.number() });
 
 const crashSchema = z.object({
     target: z.string(),
@@ -35,15 +48,14 @@
     tried: traitsSchema,
     /** Traits by the gateway that has sent the requests, and by `count` and `oldestMs`. */
     reports: z.record(z.string(), z.record(z.string(), traitsSchema)).optional(),
-    /** The traits of each request that was on trial. */
-    trials: z.array(traitsSchema).max(MAXIMUM_TRIALS_PER_CRASH).readonly().optional(),
+    trials: z.array(trialSchema).readonly().optional(),
 });
 
 const newsSchema = z.object({
     crashes: z.array(crashSchema).max(MAXIMUM_CRASHES).readonly(),
     served: z
         .array(z.object({ trait: z.string(), ageMs: z.number() }))
-        .max(2 * MAXIMUM_CRASHES * MAXIMUM_TRAITS_PER_CRASH)
+        .max(EARLIER_MAXIMUM_SERVED)
         .readonly(),
 });
 
@@ -55,20 +67,36 @@
     readonly tried: readonly string[];
 }
 
+/** Numbers of traits of a crash that were given up and that are left. */
+export interface DroppedTraits {
+    readonly dropped: number;
+    readonly kept: number;
+}
+
 /** The crashes that are known, and the traits that were served since. */
 export class CrashRecords {
     private records: readonly CrashRecord[] = [];
     private readonly servedAtByTrait = new Map<string, number>();
     /** Monotonic time in milliseconds of the latest crash with a trait. */
     private readonly lastCrashAt = new Map<string, number>();
+    /** Number of crashes with a trait; computed when it is needed. */
+    private knownCrashCounts: ReadonlyMap<string, number> | undefined;
+    private recordedSinceTidied = 0;
+    private isWithinLimits = true;
     /** The digest, until something changes. */
     private knownDigest: string | undefined;
 
-    private constructor(private readonly reporter: string) {}
+    private constructor(
+        private readonly reporter: string,
+        private readonly onDropped: (target: string, counts: DroppedTraits) => void,
+    ) {}
 
-    /** `reporter` is the name of this gateway. */
-    static create(reporter: string): CrashRecords {
-        return new CrashRecords(reporter);
+    /** `reporter` is the name of this gateway. `onDropped` is called with the id of a target and its start. */
+    static create(
+        reporter: string,
+        onDropped: (target: string, counts: DroppedTraits) => void = () => undefined,
+    ): CrashRecords {
+        return new CrashRecords(reporter, onDropped);
     }
 
     get isEmpty(): boolean {
@@ -85,18 +113,15 @@
         return this.servedAtByTrait;
     }
 
-    /**
-     * Records a request that was at a target when it crashed. Returns the number of its traits for which there was no room,
-     * and the number of traits that are kept for the crash.
-     */
-    recordCrash(target: string, request: CrashedRequest): { readonly dropped: number; readonly kept: number } {
+    /** Records a request that was at a target when it crashed. */
+    recordCrash(target: string, request: CrashedRequest): void {
         const { traits, tried } = request;
         const record = this.recordOf(target, performance.now());
         record.add(this.reporter, request);
-        if (tried.length > 0) record.addTrial(traits, tried);
+        if (tried.length > 0) record.addTrial({ traits, ageMs: request.ageMs }, tried);
         this.noteChange(record);
-        const kept = record.requests;
-        return { dropped: traits.filter(trait => !kept.has(trait)).length, kept: kept.size };
+        this.recordedSinceTidied += 1;
+        if (this.recordedSinceTidied >= MAXIMUM_UNTIDIED) this.tidy();
     }
 
     /** Records that a request was served to its end. Returns whether that clears a trait of a crash. */
@@ -108,8 +133,14 @@
         return cleared.length > 0;
     }
 
-    /** Forgets old crashes and what only they are about. Returns whether there were any. */
-    forgetOld(): boolean {
+    /** Keeps within the limits, and forgets old crashes. Returns whether anything was given up. */
+    tidy(): boolean {
+        this.recordedSinceTidied = 0;
+        const hasForgotten = this.forgetOld();
+        return this.limitTraits() || hasForgotten;
+    }
+
+    private forgetOld(): boolean {
         const oldestAt = performance.now() - CRASH_MEMORY_MS;
         if ((this.records[0]?.at ?? oldestAt) >= oldestAt) return false;
         this.retain(this.records.filter(({ at }) => at >= oldestAt));
@@ -128,13 +159,15 @@
             crashes: this.records.map(record => ({
                 target: record.target,
                 ageMs: Math.round(now - record.at),
-                responding: [...record.requests.keys()],
+                responding: this.mostTelling(record).slice(0, EARLIER_MAXIMUM_TRAITS),
                 waiting: [],
-                tried: record.tried,
+                tried: record.tried.slice(0, EARLIER_MAXIMUM_TRAITS),
                 reports: record.reports(),
                 trials: record.trials,
             })),
-            served: [...this.servedAtByTrait].map(([trait, at]) => ({ trait, ageMs: Math.round(now - at) })),
+            served: [...this.servedAtByTrait]
+                .slice(-MAXIMUM_SERVED)
+                .map(([trait, at]) => ({ trait, ageMs: Math.round(now - at) })),
         } satisfies z.infer<typeof newsSchema>;
     }
 
@@ -164,15 +197,26 @@
         const changes = [
             ...Object.entries(reports ?? {}).map(([reporter, counts]) => record.mergeReport(reporter, counts)),
             reports === undefined && record.mergeUncounted([...responding, ...waiting], tried),
-            ...trials.map(traits => record.addTrial(traits, tried)),
+            ...trials.map(trial => record.mergeTrial(trial, tried)),
         ];
         if (!isNew && !changes.includes(true)) return false;
         this.noteChange(record);
         return true;
     }
 
+    private get crashCounts(): ReadonlyMap<string, number> {
+        if (this.knownCrashCounts !== undefined) return this.knownCrashCounts;
+        const counts = new Map<string, number>();
+        for (const { requests } of this.records) {
+            for (const trait of requests.keys()) counts.set(trait, (counts.get(trait) ?? 0) + 1);
+        }
+        return (this.knownCrashCounts = counts);
+    }
+
     private noteChange(record: CrashRecord): void {
         this.knownDigest = undefined;
+        this.knownCrashCounts = undefined;
+        this.isWithinLimits = false;
         for (const trait of record.requests.keys()) {
             if ((this.lastCrashAt.get(trait) ?? record.at) <= record.at) this.lastCrashAt.set(trait, record.at);
         }
@@ -195,16 +239,45 @@
     private recordOf(target: string, at: number): CrashRecord {
         const known = this.findRecord(target, at);
         if (known !== undefined) return known;
-        const created = CrashRecord.create(target, at, {
-            traits: MAXIMUM_TRAITS_PER_CRASH,
-            trials: MAXIMUM_TRIALS_PER_CRASH,
-        });
+        const created = CrashRecord.create(target, at);
         const byTime = [...this.records, created].sort((left, right) => left.at - right.at);
         if (byTime.length > MAXIMUM_CRASHES) this.retain(byTime.slice(-MAXIMUM_CRASHES));
         else this.records = byTime;
         return created;
     }
 
+    /** Drops traits for which there is no room. Returns whether there were any. */
+    private limitTraits(): boolean {
+        if (this.isWithinLimits) return false;
+        this.isWithinLimits = true;
+        const firstRecent = this.records.length - RECENT_CRASHES;
+        let hasDropped = false;
+        for (const [index, record] of this.records.entries()) {
+            const limits = index >= firstRecent ? RECENT_LIMITS : OLD_LIMITS;
+            const dropped = record.limit(limits, trait => this.standingOf(trait, record));
+            if (dropped === 0) continue;
+            hasDropped = true;
+            this.onDropped(record.target, { dropped, kept: record.requests.size });
+        }
+        if (!hasDropped) return false;
+        this.retain(this.records);
+        this.isWithinLimits = true;
+        return true;
+    }
+
+    private standingOf(trait: string, crash: Crash): TraitStanding {
+        if ((this.servedAtByTrait.get(trait) ?? Number.NEGATIVE_INFINITY) > crash.at) return "cleared";
+        return (this.crashCounts.get(trait) ?? 0) > 1 ? "atSeveralCrashes" : "atOneCrash";
+    }
+
+    /** The traits of a crash, first those that tell most of its cause. */
+    private mostTelling(crash: CrashRecord): readonly string[] {
+        const traits = [...crash.requests.keys()];
+        if (traits.length <= EARLIER_MAXIMUM_TRAITS) return traits;
+        const isTelling = (trait: string): boolean => this.standingOf(trait, crash) === "atSeveralCrashes";
+        return [...traits.filter(isTelling), ...traits.filter(trait => !isTelling(trait))];
+    }
+
     private retain(records: readonly CrashRecord[]): void {
         this.records = records;
         this.lastCrashAt.clear();
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -38,7 +38,9 @@
         private readonly onNews: () => void,
         private readonly onChange: (change: string, fields: LineFields) => void,
     ) {
-        this.records = CrashRecords.create(reporter);
+        this.records = CrashRecords.create(reporter, (target, { dropped, kept }) =>
+            this.onChange("traits dropped", { target, dropped, kept }),
+        );
     }
 
     /**
@@ -88,8 +90,7 @@
     /** Records that a target crashed while a request was at it. */
     recordCrash(target: Target, request: CrashedRequest): void {
         const { id, incarnation } = target.registration;
-        const { dropped, kept } = this.records.recordCrash(`${id} ${incarnation}`, request);
-        if (dropped > 0) this.onChange("traits dropped", { target: id, dropped, kept });
+        this.records.recordCrash(`${id} ${incarnation}`, request);
         this.isJudged = false;
         this.onNews();
     }
@@ -121,8 +122,8 @@
 
     /** The verdict on what is known now. A crash is recorded for each request at the target, and judged once. */
     private currentVerdict(): Verdict {
-        const hasForgotten = this.records.forgetOld();
-        if (this.isJudged && !hasForgotten) return this.verdict;
+        const hasGivenUp = this.records.tidy();
+        if (this.isJudged && !hasGivenUp) return this.verdict;
         const before = this.verdict.suspicions;
         this.verdict = judgeCrashes(this.records.crashes, this.records.servedAt);
         this.isJudged = true;
--- a/test/gateway/crashevents.test.ts
+++ b/test/gateway/crashevents.test.ts
@@ -100,6 +100,15 @@
             name: "after the first event, as the first part",
             streams: { ...SHORT, position: 0 },
         },
+        // Of the traits of a crash only 64 were once kept, those that came first.
+        {
+            name: "before the first event, behind 88 other parts",
+            streams: { ...SHORT, eventsBeforeCrash: () => 0, sharedParts: 98, position: 88 },
+        },
+        {
+            name: "after the third event, behind 140 other parts, beside long streams with 40 parts of their own",
+            streams: { ...LONG, eventsBeforeCrash: () => 3, sharedParts: 150, position: 140, ownParts: 40 },
+        },
     ])("is recognised $name", async ({ streams }) => {
         deployment = await Deployment.start({ engines: 6 }, 3);
         const sound = await serveStreams(streams);
--- a/test/gateway/crashjudge.test.ts
+++ b/test/gateway/crashjudge.test.ts
@@ -36,7 +36,8 @@
             byTrait.set(trait, { count: count + Number(!wasAtCrash), oldestMs: Math.max(oldestMs, ageMs) });
         }
     }
-    return { at, requests: byTrait, trials: requests.filter(({ isOnTrial }) => isOnTrial).map(({ traits }) => traits) };
+    const trials = requests.flatMap(({ traits, ageMs = 10, isOnTrial }) => (isOnTrial ? [{ traits, ageMs }] : []));
+    return { at, requests: byTrait, trials };
 }
 
 function crashesByTrait(crashes: readonly Seen[], served: Readonly<Record<string, number>>): Record<string, number> {
