Recognise requests whose targets crash in the middle of an error answer

What callers would see: a part that crashes targets while they write an answer with an error status was never recognised, so each request with it cost a target.

Cause: the answer to a stream that breaks off was checked for a crash if its status was 200 only; the path of other statuses (StreamExchange.recordRefused) recorded the failure of the target and nothing about the request.

Change: a broken error answer is checked for a crash, as a plain call's answer is.

--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -14,6 +14,7 @@
 import type { GatewayContext } from "./gateway.js";
 import { bodyFailureReason, NO_MEMORY } from "./heldbody.js";
 import type { Reply } from "./reply.js";
+import { RESPONDING } from "./requesttrial.js";
 import { inputsGone, isFinal, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamAttempt, type StreamAttemptEnd } from "./streamattempt.js";
@@ -253,15 +254,16 @@
         }
     }
 
-    private recordRefused(
+    private async recordRefused(
         target: Target,
         { head, outcome, body }: Extract<StreamAttemptEnd, { kind: "refused" }>,
         isOther: boolean,
-    ): ExchangeResult | undefined {
+    ): Promise<ExchangeResult | undefined> {
         const { context, request, attempts, reply } = this.options;
         const isComplete = outcome.kind === "complete";
         if (!isComplete && outcome.kind !== "cancelled" && outcome.kind !== "expired") {
             attempts.recordIncomplete(target, outcome);
+            if (outcome.kind === "broken") await attempts.checkForCrash(target, RESPONDING);
         } else if (head.status >= 500) {
             context.targets.recordFailure(target, request.route.name);
         } else {
--- a/test/gateway/crashingpart.test.ts
+++ b/test/gateway/crashingpart.test.ts
@@ -119,6 +119,19 @@
         expect(later.filter(({ status, complete }) => status === 200 && complete)).toHaveLength(later.length);
     });
 
+    // The answer to a stream was checked for a crash only if its status was 200.
+    it("is recognised when its targets crash in the middle of an error answer", async () => {
+        deployment = await Deployment.start({ engines: 6 }, 3);
+        registerAfterCrashes("engines");
+        for (const target of deployment.targets.values()) {
+            target.behaviour = () => ({ kind: "crashInError", downMs: DOWN_MS });
+        }
+        for (let round = 0; round < ROUNDS; round += 1) {
+            await ask(`deadly-${round}`, "/draft/1", ["first", "deadly"], round % 3);
+        }
+        expect(crashes()).toBeLessThanOrEqual(CRASHES_TO_RECOGNISE + REQUESTS_AFTER_RECOGNITION);
+    });
+
     it("is refused before any stage is run, with the time to come back", async () => {
         deployment = await Deployment.start({ engines: 4, encode: 1, rank: 1 });
         crashOn("deadly");
--- a/test/platform/standintarget.ts
+++ b/test/platform/standintarget.ts
@@ -46,6 +46,8 @@
      * `downMs`, and listens again at its address.
      */
     | { readonly kind: "crash"; readonly downMs: number; readonly events?: number; readonly gapMs?: number }
+    /** Writes the head of an error answer and half of its body; then the target is down for `downMs`. */
+    | { readonly kind: "crashInError"; readonly downMs: number }
     /** Writes bytes to the connection and closes it. */
     | { readonly kind: "raw"; readonly text: string }
     /** Writes bytes to the connection and stays silent. */
@@ -256,6 +258,11 @@
                 }
                 setTimeout(() => this.crash(behaviour.downMs), HEAD_TRANSIT_MS);
                 return;
+            case "crashInError":
+                response.writeHead(500, { ...headers, "content-length": 100 });
+                response.write("half");
+                setTimeout(() => this.crash(behaviour.downMs), HEAD_TRANSIT_MS);
+                return;
             case "raw":
                 socket?.end(behaviour.text);
                 return;
