Send each trait once in news of crashes, and only what is new when it spreads

Cause: with counts by gateway, a message had the traits of a crash once for each gateway that reported it, and each message that spreads news had all crashes. Small gateways have links of 7 Mbit/s, and control is to stay small.

Ruled out: leaving reports out; the counts of all gateways are needed to tell rare traits from common ones.

Change: a message has each trait once and numbers it (crashnews). Messages in the rounds that spread news, and the answers to them, have what has changed in the last 2 s; gateways whose digests differ still exchange everything once a second.

Tests: crashrecords.test.ts, "news of crashes".

--- a/src/gateway/crashrecord.ts
+++ b/src/gateway/crashrecord.ts
@@ -5,7 +5,7 @@
 /** Reporter of requests that an earlier version, which does not count them, has observed. */
 const UNKNOWN_REPORTER = "";
 
-/** Traits by `count` and `oldestMs` of their requests, separated by a space, as they are sent. */
+/** Traits by `count` and `oldestMs` of their requests, separated by a space. */
 export type TraitsByRequests = Readonly<Record<string, readonly string[]>>;
 
 /** A request of a gateway. */
@@ -91,9 +91,9 @@
         return true;
     }
 
-    /** The requests of all gateways, as they are sent. */
-    reports(): Record<string, Record<string, string[]>> {
-        const reports: Record<string, Record<string, string[]>> = {};
+    /** The requests of all gateways, by the gateway that has sent them. */
+    reports(): Record<string, TraitsByRequests> {
+        const reports: Record<string, TraitsByRequests> = {};
         for (const [reporter, report] of this.reportsByName) {
             if (report.size === 0) continue;
             const traits: Record<string, string[]> = {};
--- a/src/gateway/crashrecords.ts
+++ b/src/gateway/crashrecords.ts
@@ -6,8 +6,8 @@
  * a count only grows, so of two counts of the same gateway the larger one is the later one.
  */
 import { createHash } from "node:crypto";
-import { z } from "zod";
 import type { Crash } from "./crashfrequency.js";
+import { decodeNews, encodeNews, type ReceivedCrash } from "./crashnews.js";
 import { type CrashLimits, CrashRecord, type ObservedRequest, type TraitStanding } from "./crashrecord.js";
 
 /** Time in milliseconds for which a crash is remembered; longer than the longest block. */
@@ -29,38 +29,6 @@
 /** Number of requests at crashed targets after which the limits are applied, though nothing has asked for a verdict. */
 const MAXIMUM_UNTIDIED = 16;
 
-/** Number of traits in each list that earlier versions read. */
-const EARLIER_MAXIMUM_TRAITS = 64;
-
-/** Number of served traits that earlier versions send. */
-const EARLIER_MAXIMUM_SERVED = 8_192;
-
-const traitsSchema = z.array(z.string().max(128)).readonly();
-
-const trialSchema = z.object({ traits: traitsSchema, ageMs: z.number() });
-
-const crashSchema = z.object({
-    target: z.string(),
-    ageMs: z.number(),
-    /** Traits of one or more requests, and those that were on trial. Earlier versions send and read these lists only. */
-    responding: traitsSchema,
-    waiting: traitsSchema,
-    tried: traitsSchema,
-    /** Traits by the gateway that has sent the requests, and by `count` and `oldestMs`. */
-    reports: z.record(z.string(), z.record(z.string(), traitsSchema)).optional(),
-    trials: z.array(trialSchema).readonly().optional(),
-});
-
-const newsSchema = z.object({
-    crashes: z.array(crashSchema).max(MAXIMUM_CRASHES).readonly(),
-    served: z
-        .array(z.object({ trait: z.string(), ageMs: z.number() }))
-        .max(EARLIER_MAXIMUM_SERVED)
-        .readonly(),
-});
-
-type CrashNews = z.infer<typeof crashSchema>;
-
 /** A request that was at a target when it crashed. */
 export interface CrashedRequest extends ObservedRequest {
     /** Suspect traits for which it was on trial; empty if it was not. */
@@ -81,6 +49,8 @@
     private readonly lastCrashAt = new Map<string, number>();
     /** Number of crashes with a trait; computed when it is needed. */
     private knownCrashCounts: ReadonlyMap<string, number> | undefined;
+    /** Monotonic time in milliseconds of the latest change of a record. */
+    private readonly changedAt = new WeakMap<CrashRecord, number>();
     private recordedSinceTidied = 0;
     private isWithinLimits = true;
     /** The digest, until something changes. */
@@ -152,36 +122,37 @@
         return (this.knownDigest ??= this.computeDigest());
     }
 
-    /** What is known, for other gateways. */
-    news(): unknown {
+    /** What is known, or what has changed in the last milliseconds, for other gateways. */
+    news(withinMs = Number.POSITIVE_INFINITY): unknown {
         const now = performance.now();
-        return {
-            crashes: this.records.map(record => ({
-                target: record.target,
-                ageMs: Math.round(now - record.at),
-                responding: this.mostTelling(record).slice(0, EARLIER_MAXIMUM_TRAITS),
-                waiting: [],
-                tried: record.tried.slice(0, EARLIER_MAXIMUM_TRAITS),
-                reports: record.reports(),
-                trials: record.trials,
-            })),
-            served: [...this.servedAtByTrait]
-                .slice(-MAXIMUM_SERVED)
-                .map(([trait, at]) => ({ trait, ageMs: Math.round(now - at) })),
-        } satisfies z.infer<typeof newsSchema>;
+        const since = now - withinMs;
+        const served = [...this.servedAtByTrait].filter(([, at]) => at >= since).slice(-MAXIMUM_SERVED);
+        return encodeNews({
+            crashes: this.records
+                .filter(record => (this.changedAt.get(record) ?? since) >= since)
+                .map(record => ({
+                    target: record.target,
+                    ageMs: Math.round(now - record.at),
+                    mostTelling: this.mostTelling(record),
+                    tried: record.tried,
+                    reports: record.reports(),
+                    trials: record.trials,
+                })),
+            served: served.map(([trait, at]) => ({ trait, ageMs: Math.round(now - at) })),
+        });
     }
 
     /** Takes over what another gateway knows. Returns whether anything was new, or undefined if it is malformed. */
-    merge(news: unknown): boolean | undefined {
-        const parsed = newsSchema.safeParse(news);
-        if (!parsed.success) return undefined;
+    merge(text: unknown): boolean | undefined {
+        const news = decodeNews(text);
+        if (news === undefined) return undefined;
         const now = performance.now();
         let hasChanged = false;
-        for (const crash of parsed.data.crashes) {
+        for (const crash of news.crashes) {
             if (crash.ageMs > CRASH_MEMORY_MS) continue;
             if (this.mergeCrash(crash, now - crash.ageMs)) hasChanged = true;
         }
-        for (const { trait, ageMs } of parsed.data.served) {
+        for (const { trait, ageMs } of news.served) {
             if (!this.isHeldAgainst(trait, now - ageMs)) continue;
             this.servedAtByTrait.set(trait, now - ageMs);
             hasChanged = true;
@@ -190,13 +161,12 @@
         return hasChanged;
     }
 
-    private mergeCrash(crash: CrashNews, at: number): boolean {
-        const { target, responding, waiting, tried, reports, trials = [] } = crash;
+    private mergeCrash({ target, uncounted, tried, reports, trials }: ReceivedCrash, at: number): boolean {
         const isNew = this.findRecord(target, at) === undefined;
         const record = this.recordOf(target, at);
         const changes = [
-            ...Object.entries(reports ?? {}).map(([reporter, counts]) => record.mergeReport(reporter, counts)),
-            reports === undefined && record.mergeUncounted([...responding, ...waiting], tried),
+            ...Object.entries(reports).map(([reporter, traits]) => record.mergeReport(reporter, traits)),
+            uncounted.length > 0 && record.mergeUncounted(uncounted, tried),
             ...trials.map(trial => record.mergeTrial(trial, tried)),
         ];
         if (!isNew && !changes.includes(true)) return false;
@@ -214,6 +184,11 @@
     }
 
     private noteChange(record: CrashRecord): void {
+        this.changedAt.set(record, performance.now());
+        this.noteTraits(record);
+    }
+
+    private noteTraits(record: CrashRecord): void {
         this.knownDigest = undefined;
         this.knownCrashCounts = undefined;
         this.isWithinLimits = false;
@@ -273,7 +248,6 @@
     /** The traits of a crash, first those that tell most of its cause. */
     private mostTelling(crash: CrashRecord): readonly string[] {
         const traits = [...crash.requests.keys()];
-        if (traits.length <= EARLIER_MAXIMUM_TRAITS) return traits;
         const isTelling = (trait: string): boolean => this.standingOf(trait, crash) === "atSeveralCrashes";
         return [...traits.filter(isTelling), ...traits.filter(trait => !isTelling(trait))];
     }
@@ -281,7 +255,7 @@
     private retain(records: readonly CrashRecord[]): void {
         this.records = records;
         this.lastCrashAt.clear();
-        for (const record of records) this.noteChange(record);
+        for (const record of records) this.noteTraits(record);
         for (const trait of this.servedAtByTrait.keys()) {
             if (!this.lastCrashAt.has(trait)) this.servedAtByTrait.delete(trait);
         }
--- a/src/gateway/gossip.ts
+++ b/src/gateway/gossip.ts
@@ -32,6 +32,9 @@
 const GATHER_MS = 20;
 const ROUND_INTERVAL_MS = 100;
 
+/** Time in milliseconds for which something is news to the gateways that are told of it, longer than all rounds. */
+const RECENT_MS = 2_000;
+
 /** Interval in milliseconds at which digests are compared. */
 const COMPARE_INTERVAL_MS = 1_000;
 
@@ -43,12 +46,18 @@
 
 type Message = z.infer<typeof messageSchema>;
 
+/** How much of what is known a message has. */
+type Extent = "nothing" | "recent" | "all";
+
 /** The knowledge that is spread. */
 export interface SharedKnowledge {
     /** A text that is the same at all gateways that know the same. */
     digest(): string;
-    /** What is known, as a value that can be encoded as JSON. */
-    news(): unknown;
+    /**
+     * What is known, as a value that can be encoded as JSON. With `withinMs`, what has not changed in these last milliseconds
+     * may be left out.
+     */
+    news(withinMs?: number): unknown;
     /** Takes over what another gateway knows. Returns false if it is malformed. */
     merge(news: unknown): boolean;
 }
@@ -94,7 +103,8 @@
     receive(text: string): string | undefined {
         const message = this.merge(text);
         if (message === undefined) return undefined;
-        return this.encode(message.digest !== this.digest());
+        if (message.digest === this.digest()) return this.encode("nothing");
+        return this.encode(message.topics === undefined ? "all" : "recent");
     }
 
     /** Asks a few gateways for what they know. */
@@ -119,7 +129,7 @@
         // By chance alone, some gateways would hear news from nobody.
         const successor = successorOf(self, others);
         const receivers = new Set([...(successor === undefined ? [] : [successor]), ...this.somePeers(FAN_OUT)]);
-        for (const peer of receivers) this.run(() => this.send(peer, true));
+        for (const peer of receivers) this.run(() => this.send(peer, "recent"));
     }
 
     private somePeers(count: number): readonly GatewayPeer[] {
@@ -134,15 +144,15 @@
 
     /** Compares digests with another gateway. If they differ, both learn what the other one knows. */
     async compare(peer: GatewayPeer): Promise<void> {
-        const answer = await this.send(peer, false);
-        if (answer !== undefined && answer.digest !== this.digest()) await this.send(peer, true);
+        const answer = await this.send(peer, "nothing");
+        if (answer !== undefined && answer.digest !== this.digest()) await this.send(peer, "all");
     }
 
     /** Sends a message and takes the answer; undefined if there is none. */
-    private async send(peer: GatewayPeer, withTopics: boolean): Promise<Message | undefined> {
+    private async send(peer: GatewayPeer, extent: Extent): Promise<Message | undefined> {
         const { peerCalls, onChange } = this.environment;
         const limits = { deadline: Deadline.after(ANSWER_TIMEOUT_MS), signal: NEVER_ABORTED };
-        const outcome = await peerCalls.call(peer, NEWS_PATH, this.encode(withTopics), limits);
+        const outcome = await peerCalls.call(peer, NEWS_PATH, this.encode(extent), limits);
         if (outcome.kind === "failed") {
             onChange("news not exchanged", { peer: peer.name, reason: outcome.reason });
             return undefined;
@@ -160,10 +170,11 @@
         return hash.digest("base64url");
     }
 
-    private encode(withTopics: boolean): string {
+    private encode(extent: Extent): string {
         const digest = this.digest();
-        if (!withTopics) return JSON.stringify({ digest } satisfies Message);
-        const topics = Object.entries(this.environment.topics).map(([name, topic]) => [name, topic.news()]);
+        if (extent === "nothing") return JSON.stringify({ digest } satisfies Message);
+        const withinMs = extent === "recent" ? RECENT_MS : undefined;
+        const topics = Object.entries(this.environment.topics).map(([name, topic]) => [name, topic.news(withinMs)]);
         return JSON.stringify({ digest, topics: Object.fromEntries(topics) } satisfies Message);
     }
 
--- a/src/gateway/suspects.ts
+++ b/src/gateway/suspects.ts
@@ -107,9 +107,9 @@
         return this.records.digest();
     }
 
-    news(): unknown {
+    news(withinMs?: number): unknown {
         this.currentVerdict();
-        return this.records.news();
+        return this.records.news(withinMs);
     }
 
     merge(news: unknown): boolean {
--- a/test/gateway/crashrecords.test.ts
+++ b/test/gateway/crashrecords.test.ts
@@ -132,6 +132,39 @@
     });
 });
 
+describe("news of crashes", () => {
+    const CRASHES = 3;
+    const REPORTERS = 10;
+
+    /** Crashes at which requests of all gateways share their parts, as one gateway knows them. */
+    function sharedCrashes(): CrashRecords {
+        const gateways = Array.from({ length: REPORTERS }, (_, index) => CrashRecords.create(`gateway-${index}`));
+        for (let crash = 0; crash < CRASHES; crash += 1) {
+            for (const records of gateways) {
+                const request = { traits: parts(98, "shared"), isFirstCrash: true, ageMs: 50, tried: [] };
+                records.recordCrash(`t${crash} 1`, request);
+                gateways[0]?.merge(records.news());
+            }
+            vi.advanceTimersByTime(GAP_MS);
+        }
+        return gateways[0] as CrashRecords;
+    }
+
+    it("names each trait once beside the lists for earlier versions, however many gateways report it", () => {
+        const text = JSON.stringify(sharedCrashes().news());
+        expect(text.split('"part shared-7"').length - 1).toBeLessThanOrEqual(1 + CRASHES);
+    });
+
+    it("is limited to what has changed when a few gateways are told of it at once", () => {
+        const records = sharedCrashes();
+        vi.advanceTimersByTime(5_000);
+        expect(records.news(1_000)).toMatchObject({ crashes: [], served: [] });
+        records.recordCrash("later 1", { traits: ["part later"], isFirstCrash: true, ageMs: 50, tried: [] });
+        expect(records.news(1_000)).toMatchObject({ crashes: [{ target: "later 1" }], traits: ["part later"] });
+        expect(records.news()).toMatchObject({ crashes: { length: CRASHES + 1 } });
+    });
+});
+
 describe("news during a roll-out of gateways", () => {
     // What the version before counted requests reads; a message beyond it is rejected whole.
     const traits = z.array(z.string().max(128)).max(64);
