Tell a deadly part from retries of sound requests, and block it for longer when it is the likelier cause

Ruled out: that the crash of the trial was not recorded; that gateways disagreed (all three have the same lines).

Change: a second crash of a request counts. Traits of one request alone are no other cause, and are left out of a block if the tried request has shared ones. How long a block lasts depends on the crashes of the strongest other trait at the target: 5 s if it was at three quarters of those of the tried ones or more, 15 s, or 60 s if it was at less than 0.3 of them.

Tests in crashjudge.test.ts; 'does not hold it against a request that it goes on' is replaced by its opposite and by the case that such a request's traits do not hide a deadly one.

--- a/src/gateway/crashfrequency.ts
+++ b/src/gateway/crashfrequency.ts
@@ -3,7 +3,7 @@
  *
  * Targets that crash at the same time, of an overload or a loss of power, have requests in progress that share traits. Such
  * crashes count as one occurrence of these traits. A request that was sent after a crash has no part in the cause of that
- * one, so its own crash counts separately.
+ * one, so its own crash counts separately. A request that goes on at another target after a crash is counted once.
  */
 
 /** The requests with a trait that were at a crash. */
@@ -48,6 +48,8 @@
     /** Number of crashes; those at the same time count as a fraction. */
     readonly crashes: number;
     readonly occurrences: number;
+    /** Number of different requests. */
+    readonly requests: number;
     /** Mean number of requests at each occurrence. */
     readonly meanRequests: number;
     /** For how much a crash counts, by its index. */
@@ -60,11 +62,9 @@
     for (const [index, { at, requests }] of crashes.entries()) {
         for (const [trait, { count, oldestMs }] of requests) {
             const known = occurrences.get(trait) ?? new Map<number, Occurrence>();
+            occurrences.set(trait, known);
             const last = [...known.values()].at(-1);
             if (last !== undefined && last.lastIndex + 1 === index) last.lastIndex = index;
-            // A request that goes on at another target after a crash says nothing new about its own traits.
-            if (count === 0) continue;
-            occurrences.set(trait, known);
             // A crash may have a cause that is no request if it comes at the same time as one without the trait, or as one
             // before which the request was sent.
             const hasOwnCause = last !== undefined && at - oldestMs > last.lastAt && last.lastIndex === index;
@@ -89,11 +89,13 @@
 
 function frequencyOf(byCrash: ReadonlyMap<number, Occurrence>, distinct: readonly Occurrence[]): Frequency {
     // Targets that crash together while a request with the trait is at each seldom do so because of the trait.
-    const weightOf = ({ targets, requests }: Occurrence): number => 1 / Math.min(targets, requests);
+    const weightOf = ({ targets, requests }: Occurrence): number => 1 / Math.min(targets, Math.max(1, requests));
+    const requests = distinct.reduce((sum, occurrence) => sum + occurrence.requests, 0);
     return {
         crashes: distinct.reduce((sum, occurrence) => sum + weightOf(occurrence), 0),
         occurrences: distinct.length,
-        meanRequests: distinct.reduce((sum, { requests }) => sum + requests, 0) / distinct.length,
+        requests,
+        meanRequests: Math.max(1, requests / distinct.length),
         weights: new Map([...byCrash].map(([index, occurrence]) => [index, weightOf(occurrence) / occurrence.targets])),
     };
 }
--- a/src/gateway/crashjudge.ts
+++ b/src/gateway/crashjudge.ts
@@ -11,7 +11,8 @@
  * that the fewest requests had.
  *
  * When a request on trial is at a crash, requests that have all of its uncleared traits are blocked. If others at the target
- * had further uncleared traits, the crash may be theirs, and the block only keeps both kinds of requests apart for a while.
+ * had further uncleared traits, the crash may be theirs. The block is then short and keeps both kinds of requests apart, so
+ * that the others can show whether they are harmless.
  */
 
 import { type Crash, type Frequency, repeatedTraits, SAME_CAUSE_MS } from "./crashfrequency.js";
@@ -53,11 +54,16 @@
 /** Fraction of the crashes of another trait with which a trait is as likely a cause. */
 const EQUAL_CRASHES_RATIO = 0.75;
 
-/** Times in milliseconds of blocks after the first failed trial without another possible cause, the second, and so on. */
-const BLOCK_TIMES_MS = [60_000, 600_000] as const;
+/** Fraction of the crashes of another trait that a trait may be at by chance. */
+const CHANCE_CRASHES_RATIO = 0.3;
 
-/** The same for failed trials with other possible causes. */
-const SEPARATION_TIMES_MS = [5_000, 30_000] as const;
+/** Times in milliseconds of blocks after the first failed trial, the second, and so on. */
+const BLOCK_TIMES_MS: Readonly<Record<Proof, readonly number[]>> = {
+    certain: [60_000, 600_000],
+    // Until then, what may be the cause beside the tried traits has probably been cleared, and the proof is certain.
+    likely: [15_000, 30_000],
+    undecided: [5_000, 30_000],
+};
 
 /** Attributes crashes to traits; `servedAt` has the time at which a request with a trait was last served to the end. */
 export function judgeCrashes(crashes: readonly Crash[], servedAt: ReadonlyMap<string, number>): Verdict {
@@ -66,7 +72,7 @@
         .map(crash => ({ at: crash.at, trials: crash.trials, requests: unclearedRequests(crash, servedAt) }));
     const frequencies = repeatedTraits(ordered);
     const failures = ordered.flatMap(crash => failedTrials(crash, ordered, frequencies));
-    const proofs = failures.filter(({ isProof }) => isProof);
+    const proofs = failures.filter(({ proof }) => proof === "certain");
     const proofsFor = ({ requests }: Crash): readonly FailedTrial[] =>
         proofs.filter(({ traits }) => traits.every(trait => requests.has(trait)));
     const attributed = ordered.map(crash => {
@@ -85,7 +91,7 @@
         }
     }
     for (const [trait, { crashes: count }] of suspicions) if (!isEnough(count)) suspicions.delete(trait);
-    const unexplained = failures.filter(({ crash, isProof }) => isProof || proofsFor(crash).length === 0);
+    const unexplained = failures.filter(({ crash, proof }) => proof === "certain" || proofsFor(crash).length === 0);
     return {
         suspicions,
         blocks: blocksOf(unexplained.filter(({ traits }) => traits.some(trait => suspicions.has(trait)))),
@@ -115,8 +121,16 @@
     readonly crash: Crash;
     /** Uncleared traits of the requests that may be the cause. */
     readonly traits: readonly string[];
-    /** Whether no other request at the target had further ones. */
-    readonly isProof: boolean;
+    readonly proof: Proof;
+}
+
+/** How sure it is that the crash is of a request with these traits, by what other requests at the target had in common. */
+type Proof = "certain" | "likely" | "undecided";
+
+/** `crashes` is the most that a tried trait was at, `otherCrashes` the most of another uncleared one at the target. */
+function proofOf(crashes: number, otherCrashes: number): Proof {
+    if (otherCrashes < crashes * CHANCE_CRASHES_RATIO) return "certain";
+    return otherCrashes < crashes * EQUAL_CRASHES_RATIO ? "likely" : "undecided";
 }
 
 function failedTrials(
@@ -124,7 +138,10 @@
     all: readonly Crash[],
     frequencies: ReadonlyMap<string, Frequency>,
 ): readonly FailedTrial[] {
-    const possible = [...crash.requests.keys()].filter(trait => frequencies.has(trait)).sort();
+    const mostCrashes = (traits: readonly string[]): number =>
+        Math.max(0, ...traits.map(trait => frequencies.get(trait)?.crashes ?? 0));
+    const isShared = (trait: string): boolean => (frequencies.get(trait)?.requests ?? 0) > 1;
+    const repeated = [...crash.requests.keys()].filter(trait => frequencies.has(trait)).sort();
     const byTraits = new Map<string, FailedTrial>();
     for (const { traits: tried, ageMs } of crash.trials) {
         // Another target that crashes meanwhile without a trial says that the crashes have another cause.
@@ -133,12 +150,16 @@
                 trials.length === 0 && at >= crash.at - ageMs && Math.abs(at - crash.at) <= SAME_CAUSE_MS,
         );
         const triedTraits = new Set(tried);
-        const traits = possible.filter(trait => triedTraits.has(trait));
+        const own = repeated.filter(trait => triedTraits.has(trait));
+        // A request that was at several crashes has repeated traits that no other request has.
+        const shared = own.filter(trait => isShared(trait));
+        const traits = shared.length > 0 ? shared : own;
         if (hasOtherCause || traits.length === 0) continue;
-        byTraits.set(keyOf(traits), { crash, traits, isProof: traits.length === possible.length });
+        const others = repeated.filter(trait => !triedTraits.has(trait) && isShared(trait));
+        byTraits.set(keyOf(traits), { crash, traits, proof: proofOf(mostCrashes(traits), mostCrashes(others)) });
     }
     const trials = [...byTraits.values()];
-    const proofs = trials.filter(({ isProof }) => isProof);
+    const proofs = trials.filter(({ proof }) => proof === "certain");
     if (proofs.length > 0) return proofs;
     // If two kinds of requests were both blocked, neither could show that it is harmless.
     const likelihoodOf = ({ traits }: FailedTrial): number =>
@@ -156,9 +177,9 @@
 /** The blocks after failed trials; each further one with the same traits blocks them for longer. */
 function blocksOf(failures: readonly FailedTrial[]): readonly Block[] {
     const counts = new Map<string, number>();
-    return failures.map(({ crash, traits, isProof }) => {
-        const times = isProof ? BLOCK_TIMES_MS : SEPARATION_TIMES_MS;
-        const key = `${isProof} ${keyOf(traits)}`;
+    return failures.map(({ crash, traits, proof }) => {
+        const times = BLOCK_TIMES_MS[proof];
+        const key = `${proof} ${keyOf(traits)}`;
         const before = counts.get(key) ?? 0;
         counts.set(key, before + 1);
         return { traits, until: crash.at + (times[Math.min(before, times.length - 1)] ?? 0) };
--- a/test/gateway/crashjudge.test.ts
+++ b/test/gateway/crashjudge.test.ts
@@ -123,12 +123,24 @@
             expected: { a: 2 },
         },
         {
-            name: "does not hold it against a request that it goes on at another target that crashes",
+            name: "suspects a request that goes on at another target, which crashes as well",
             crashes: [
                 { at: 0, requests: [request("a")] },
                 { at: 200, requests: [{ traits: ["a"], wasAtCrash: true }] },
             ],
-            expected: {},
+            expected: { a: 2 },
+        },
+        {
+            name: "prefers the trait of several requests to that of one that goes on",
+            crashes: times(3, index => ({
+                at: index * 200,
+                requests: [
+                    ...times(2, () => request("deadly", "common")),
+                    ...times(3, () => request("common")),
+                    { traits: ["own", "common"], wasAtCrash: index === 1 },
+                ].slice(0, index === 2 ? 5 : 6),
+            })),
+            expected: { deadly: 3 },
         },
     ])("$name", ({ crashes, served = {}, expected }) => {
         expect(crashesByTrait(crashes, served)).toEqual(expected);
@@ -153,6 +165,23 @@
             served: { c: 500 },
             expected: [{ traits: ["a", "b"], until: 60_400 }],
         },
+        {
+            name: "requests like it are blocked for longer if another one was at fewer crashes",
+            last: [
+                { at: 400, requests: [request("a", "b")] },
+                { at: 600, requests: [request("a", "b")] },
+                { at: 800, requests: [tried("a", "b"), request("c")] },
+            ],
+            expected: [{ traits: ["a", "b"], until: 15_800 }],
+        },
+        {
+            name: "traits that only the tried request has are left out",
+            last: [
+                { at: 400, requests: [request("own")] },
+                { at: 600, requests: [{ traits: ["a", "b", "own"], isOnTrial: true, wasAtCrash: true }] },
+            ],
+            expected: [{ traits: ["a", "b"], until: 60_600 }],
+        },
         {
             name: "only one of two kinds is blocked if both were on trial",
             last: [{ at: 400, requests: [tried("a", "b"), tried("c")] }],
