Remove fields of the verdict on crashes that nothing reads

Cause: the time of the latest crash and the number of occurrences were left from earlier forms of the verdict.

Change: both are gone; comments say what they mean in one place.

--- a/src/gateway/crashfrequency.ts
+++ b/src/gateway/crashfrequency.ts
@@ -47,7 +47,6 @@
 export interface Frequency {
     /** Number of crashes; those at the same time count as a fraction. */
     readonly crashes: number;
-    readonly occurrences: number;
     /** Number of different requests. */
     readonly requests: number;
     /** Mean number of requests at each occurrence. */
@@ -93,7 +92,6 @@
     const requests = distinct.reduce((sum, occurrence) => sum + occurrence.requests, 0);
     return {
         crashes: distinct.reduce((sum, occurrence) => sum + weightOf(occurrence), 0),
-        occurrences: distinct.length,
         requests,
         meanRequests: Math.max(1, requests / distinct.length),
         weights: new Map([...byCrash].map(([index, occurrence]) => [index, weightOf(occurrence) / occurrence.targets])),
--- a/src/gateway/crashjudge.ts
+++ b/src/gateway/crashjudge.ts
@@ -14,7 +14,6 @@
  * had further uncleared traits, the crash may be theirs. The block is then short and keeps both kinds of requests apart, so
  * that the others can show whether they are harmless.
  */
-
 import { type Crash, type Frequency, repeatedTraits, SAME_CAUSE_MS } from "./crashfrequency.js";
 
 /** What speaks against a trait. */
@@ -23,8 +22,6 @@
     readonly crashes: number;
     /** Number of failed trials after which requests with the trait were blocked. */
     readonly failedTrials: number;
-    /** Monotonic time in milliseconds of the latest of these crashes. */
-    readonly lastAt: number;
 }
 
 /** Requests that are refused after a failed trial. */
@@ -48,7 +45,7 @@
 /** Tolerance for sums of fractions. */
 const ROUNDING_TOLERANCE = 1e-6;
 
-/** Ratio of mean requests at each event up to which two traits are equally likely causes. */
+/** Ratio of mean requests at each occurrence up to which two traits are equally likely causes. */
 const EQUAL_FREQUENCY_RATIO = 1.5;
 
 /** Fraction of the crashes of another trait with which a trait is as likely a cause. */
@@ -80,13 +77,12 @@
         return proven.length > 0 ? [...new Set(proven)] : likeliestTraits(crash, frequencies);
     });
     const suspicions = new Map<string, Suspicion>();
-    for (const [index, { at }] of ordered.entries()) {
-        for (const trait of attributed[index] ?? []) {
+    for (const [index, traits] of attributed.entries()) {
+        for (const trait of traits) {
             const weight = frequencies.get(trait)?.weights.get(index) ?? 0;
             suspicions.set(trait, {
                 crashes: (suspicions.get(trait)?.crashes ?? 0) + weight,
-                failedTrials: proofs.filter(({ traits }) => traits.includes(trait)).length,
-                lastAt: at,
+                failedTrials: proofs.filter(proof => proof.traits.includes(trait)).length,
             });
         }
     }
--- a/src/gateway/crashrecord.ts
+++ b/src/gateway/crashrecord.ts
@@ -24,15 +24,13 @@
     readonly trials: number;
 }
 
-/** What is known of a trait of a crash. */
-export type TraitStanding =
-    /** It was cleared of the crash. */
-    "cleared" | "atOneCrash" | "atSeveralCrashes";
+/** What is known of a trait of a crash: whether it was cleared of it, and otherwise whether it was at others too. */
+export type TraitStanding = "cleared" | "atOneCrash" | "atSeveralCrashes";
 
 /** Order in which traits are given up. */
 const GIVEN_UP_FIRST: readonly TraitStanding[] = ["cleared", "atOneCrash", "atSeveralCrashes"];
 
-/** Limit in characters on the traits of one trial; those are kept that the fewest requests at the crash have. */
+/** Limit in characters on the traits of one trial. */
 const MAXIMUM_TRIAL_LENGTH = 8_192;
 
 /** A crash of a target. */
@@ -73,7 +71,10 @@
         for (const trait of traits) this.set(report, trait, sumOf(report.get(trait), added));
     }
 
-    /** Adds a request on trial, of which `tried` are the suspect traits. Returns whether anything is new. */
+    /**
+     * Adds a request on trial, of which `tried` are the suspect traits. Of many traits, those are kept that the fewest requests
+     * have: they tell requests apart. Returns whether anything is new.
+     */
     addTrial({ traits, ageMs }: Trial, tried: readonly string[]): boolean {
         const countOf = (trait: string): number => this.total.get(trait)?.count ?? 0;
         const rarestFirst = traits.toSorted((left, right) => countOf(left) - countOf(right));
