--- a/test/gateway/crashrecords.test.ts
+++ b/test/gateway/crashrecords.test.ts
@@ -2,6 +2,7 @@
  * Crashes with more traits than are kept. The trait that crashes targets must not be given up because of its place in a
  * prompt or the order in which requests broke, and what is kept and sent must stay within its limits.
  */
+import fc from "fast-check";
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { z } from "zod";
 import { CrashRecords } from "../../src/gateway/crashrecords.js";
@@ -155,6 +156,29 @@
         expect(text.split('"part shared-7"').length - 1).toBeLessThanOrEqual(1 + CRASHES);
     });
 
+    it("is taken over or rejected without an exception, whatever it has", () => {
+        const odd = fc.oneof(fc.integer(), fc.double(), fc.string(), fc.constant(null), fc.constant("__proto__"));
+        const numbers = fc.array(fc.oneof(fc.integer({ min: -2, max: 5 }), odd), { maxLength: 4 });
+        const key = fc.oneof(fc.constantFrom("1 10", "0 5", "-1 3", "x", "__proto__", "1"), fc.string());
+        const reports = fc.dictionary(key, fc.dictionary(key, numbers));
+        const trials = fc.array(fc.record({ traits: numbers, ageMs: fc.oneof(fc.integer(), odd) }), { maxLength: 3 });
+        const traits = fc.array(fc.oneof(fc.string(), odd), { maxLength: 4 });
+        const crash = fc.record(
+            { target: odd, ageMs: odd, responding: traits, waiting: traits, tried: traits, reports, trials },
+            { requiredKeys: ["target"] },
+        );
+        const news = fc.record({ traits, crashes: fc.array(crash, { maxLength: 3 }), served: fc.array(fc.anything()) });
+        fc.assert(
+            fc.property(fc.oneof(news, fc.anything()), encoded => {
+                const suspects = Suspects.create("gateway-0");
+                expect(typeof suspects.merge(encoded)).toBe("boolean");
+                suspects.admission(() => ["part a"]);
+                expect(Suspects.create("gateway-1").merge(JSON.parse(JSON.stringify(suspects.news())))).toBe(true);
+            }),
+            { seed: 19, numRuns: 2_000 },
+        );
+    });
+
     it("is limited to what has changed when a few gateways are told of it at once", () => {
         const records = sharedCrashes();
         vi.advanceTimersByTime(5_000);
