Start without the values that a platform leaves out, and follow roll-outs only where their bounds are set

Cause: a deployment whose contracts do not include roll-outs names no bounds for them.

Change: keys and sections without a value count as absent. Without both bounds of roll-outs the gateway does not watch or follow roll-outs, and logs 'part not in force' once. A missing key that is required is named.

Two test deployments that use roll-outs now set their bounds; their checks are unchanged.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -192,6 +192,12 @@
     });
     const feed = GatewayFeed.start({ store: relayed, source, gateway, peers, onChange });
     const cleanup = RegistrationCleanup.start({ peers, store, onChange, ...gateway.peerSigns });
+    if (!gateway.followsRollouts) {
+        log.writeUnthrottled("part not in force", {
+            part: "rollouts",
+            missing: ["rollouts.share", "rollouts.allowance"],
+        });
+    }
     log.writeUnthrottled("started", { zone: settings.zone, callers: settings.callerAddress });
     const isInformed = feed.ready.then(async () => {
         // Not required: a gateway serves without the others, but may then repeat what they have learned.
--- a/src/gateway/feed.ts
+++ b/src/gateway/feed.ts
@@ -112,10 +112,12 @@
             options.peers.apply(event);
             options.gateway.pieceRouter.giveBack();
         });
-        const rollouts = watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event));
-        this.views = [configuration, targets, closedZones, gateways, rollouts];
+        const rollouts = options.gateway.followsRollouts
+            ? [watchPrefix(source.rolloutPrefix, ROLLOUT_WATCH_TIMEOUT_MS, event => this.applyRollout(event))]
+            : [];
+        this.views = [configuration, targets, closedZones, gateways, ...rollouts];
         this.peersReady = gateways.ready;
-        const required = [configuration, targets, closedZones, rollouts];
+        const required = [configuration, targets, closedZones, ...rollouts];
         this.ready = Promise.all(required.map(view => view.ready)).then(() => latest.settled());
     }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -91,8 +91,11 @@
     };
     /** Longest time in milliseconds from the start of a planned stop to the end of the process. */
     readonly stopGraceMs: number;
-    /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
-    readonly rollouts: TrialLimits;
+    /**
+     * Bound on what a new version gets from all gateways together until its roll-out is decided; undefined if the gateway
+     * does not follow roll-outs.
+     */
+    readonly rollouts: TrialLimits | undefined;
     /** Writes the state of a roll-out if the stored object has not changed. */
     readonly writeRolloutState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
     readonly onDecision: (decision: string, fields: LineFields) => void;
@@ -117,6 +120,9 @@
 /** Fraction of the retries for each request that is used; the rest is a margin for requests that are counted elsewhere. */
 const RETRY_USE_RATIO = 0.6;
 
+/** Limits of a gateway that does not follow roll-outs. */
+const NO_TRIALS: TrialLimits = { share: 0, allowance: 0 };
+
 /** A gateway. */
 export class Gateway {
     readonly context: GatewayContext;
@@ -146,7 +152,7 @@
         this.peerCalls = PeerCalls.create(memory);
         const { stopGraceMs, retries } = options;
         this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
-        this.rollouts = Rollouts.create(options.rollouts, () => this.limitShares.countInWindow);
+        this.rollouts = Rollouts.create(options.rollouts ?? NO_TRIALS, () => this.limitShares.countInWindow);
         const prefixMemory = PrefixCacheTracker.create();
         this.targets = TargetDirectory.create(
             () => this.currentConfiguration,
@@ -267,6 +273,11 @@
         return this.currentPhase;
     }
 
+    /** Whether the gateway follows roll-outs of new versions. */
+    get followsRollouts(): boolean {
+        return this.options.rollouts !== undefined;
+    }
+
     /** Whether responses tell callers to close their connections. */
     get closesConnections(): boolean {
         return this.phase !== "serving";
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -64,24 +64,43 @@
     });
 }
 
-/** Treats an empty file as one without keys. A file that expands too many aliases is unreadable. */
+/** Treats an empty file, or one whose keys have no values, as one without keys. A file that expands too many aliases is unreadable. */
 function readContent(
     document: Document,
 ): { readonly kind: "read"; readonly value: unknown } | Extract<SettingsOutcome<never>, { kind: "invalid" }> {
     try {
-        return { kind: "read", value: document.toJS() ?? {} };
+        return { kind: "read", value: withoutEmptyKeys(document.toJS()) ?? {} };
     } catch (error) {
         const message = error instanceof Error ? error.message : "the file cannot be read";
         return { kind: "invalid", errors: [{ line: undefined, path: "", message }] };
     }
 }
 
+/**
+ * Drops the keys that have no value, and the sections in which no key has one: a template leaves a value out for which its
+ * source has none. Returns undefined if nothing is left.
+ */
+function withoutEmptyKeys(value: unknown): unknown {
+    if (value === null) return undefined;
+    if (typeof value !== "object" || Array.isArray(value)) return value;
+    const entries = Object.entries(value as Readonly<Record<string, unknown>>);
+    const kept = entries.map(([key, child]) => [key, withoutEmptyKeys(child)] as const);
+    const present = kept.filter(([, child]) => child !== undefined);
+    return entries.length > 0 && present.length === 0 ? undefined : Object.fromEntries(present);
+}
+
 interface LocatedMessage {
     readonly path: readonly PropertyKey[];
     readonly message: string;
 }
 
+/** End of the schema's message on a key that is absent. */
+const ABSENT = /, received undefined$/;
+
 function issueMessages(issue: z.core.$ZodIssue): readonly LocatedMessage[] {
+    if (issue.code === "invalid_type" && ABSENT.test(issue.message)) {
+        return [{ path: issue.path, message: `is required and has no value (${issue.expected})` }];
+    }
     if (issue.code !== "unrecognized_keys") return [{ path: issue.path, message: issue.message }];
     return issue.keys.map(key => ({ path: [...issue.path, key], message: "unknown key" }));
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -119,7 +119,10 @@
             windowSeconds: z.number().positive().default(10),
         })
         .prefault({}),
-    /** Bound on what a new version gets from all gateways together until its roll-out is decided. */
+    /**
+     * Bound on what a new version gets from all gateways together until its roll-out is decided. Without this section, the
+     * gateway does not follow roll-outs.
+     */
     rollouts: z
         .strictObject({
             /** Fraction of the requests to the service. */
@@ -127,7 +130,7 @@
             /** Requests beyond that. */
             allowance: z.number().min(0).default(50),
         })
-        .prefault({}),
+        .optional(),
 });
 
 /** Settings of a gateway. */
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -149,6 +149,7 @@
             peerAddress: peers,
             metricsAddress: metrics,
             store: { address: this.platform.address, timeoutMilliseconds: 300 },
+            rollouts: { share: 0.1, allowance: 50 },
         });
         const sink = LineSink.create((text, done) => {
             for (const line of text.trim().split("\n")) {
--- a/test/gateway/oddentries.test.ts
+++ b/test/gateway/oddentries.test.ts
@@ -33,6 +33,7 @@
         callerAddress: await freeAddress(),
         readinessAddress: await freeAddress(),
         peerAddress: await freeAddress(),
+        rollouts: { share: 0.1, allowance: 50 },
         store: { address: store.address, timeoutMilliseconds: 300 },
     });
     const sink = LineSink.create((text, done) => {
