Withdraw gateways that are short of processor time from rotation where larger ones can take their callers

All 172 reported delays of the event loop until second 20 were at the small ones, while the larger ones used a fraction of their processors. The load balancer gives each gateway the same number of connections.

Change: a gateway whose timers are late by 25 ms on average over a second says that it is not ready and asks its callers to connect anew, if half of its zone's gateways have at least twice its processor time. It returns after 4 s or more, once its timers are on time, and stays away for twice as long if the same load makes it short again. Zones of equal machines are served as before.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -97,15 +97,18 @@
         maximumBytes: settings.machine.memoryMegabytes * 1e6 * HELD_MEMORY_SHARE,
         onGivenUp: holding => onChange("memory given up", { ...holding }),
     });
-    const eventLoop = EventLoopMonitor.start(({ delayMs, processorMs }) => {
-        recordProcess("eventLoopDelay", "", delayMs);
-        onChange("event loop delayed", {
-            delayMs: Math.round(delayMs),
-            processorMs: Math.round(processorMs),
-            residentBytes: process.memoryUsage.rss(),
-            heldBytes: memory.totalBytes,
-        });
-    });
+    const eventLoop = EventLoopMonitor.start(
+        ({ delayMs, processorMs }) => {
+            recordProcess("eventLoopDelay", "", delayMs);
+            onChange("event loop delayed", {
+                delayMs: Math.round(delayMs),
+                processorMs: Math.round(processorMs),
+                residentBytes: process.memoryUsage.rss(),
+                heldBytes: memory.totalBytes,
+            });
+        },
+        meanDelayMs => gateway.recordEventLoopDelay(meanDelayMs),
+    );
     const peers = GatewayPeers.create(
         {
             name: settings.name,
@@ -240,7 +243,7 @@
         const deadline = Deadline.after(requestedAt + graceMs - margin - performance.now());
         const responseMargin = Math.min(RESPONSE_MARGIN_MS, graceMs * MAXIMUM_RESPONSE_MARGIN_SHARE);
         // One that was never ready has no callers to send elsewhere.
-        const drainMs = gateway.isReady ? Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE) : 0;
+        const drainMs = gateway.isServing ? Math.min(DRAIN_MS, graceMs * MAXIMUM_DRAIN_SHARE) : 0;
         const takesUntil = Deadline.after(requestedAt + drainMs - performance.now());
         gateway.shutdown.begin(deadline.earlierBy(responseMargin), takesUntil);
         log.writeUnthrottled("stopping", { openRequests: callers.openRequests });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,6 +29,7 @@
 import type { GatewayPeer, GatewayPeers } from "./peers.js";
 import { PrefixCacheTracker } from "./placement.js";
 import type { RegistrationCleanupEnvironment } from "./registrationcleanup.js";
+import { mayWithdraw, Rotation } from "./rotation.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
 import { Shutdown } from "./shutdown.js";
@@ -146,10 +147,12 @@
     private readonly budgets = new Map<string, WindowBudget>();
     private readonly queues = new Map<string, StageQueue>();
     private readonly schedule: StageSchedule;
+    private readonly rotation: Rotation;
 
     private constructor(private readonly options: GatewayOptions) {
         const { dialect, zone, memory, peers, onDecision, onRequestEnd: onEnd, onChange } = options;
         this.peerCalls = PeerCalls.create(memory);
+        this.rotation = Rotation.create(() => mayWithdraw(peers.self, peers.others));
         const { stopGraceMs, retries } = options;
         this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
         this.rollouts = Rollouts.create(options.rollouts ?? NO_TRIALS, () => this.limitShares.countInWindow);
@@ -280,15 +283,28 @@
 
     /** Whether responses tell callers to close their connections. */
     get closesConnections(): boolean {
-        return this.phase !== "serving";
+        return this.phase !== "serving" || this.rotation.isWithdrawn;
     }
 
-    /** Whether the gateway takes new requests. */
-    get isReady(): boolean {
+    /** Whether the gateway serves new requests. */
+    get isServing(): boolean {
         const knowsEnough = this.informed && this.currentConfiguration !== undefined && this.targets.size > 0;
         return knowsEnough && this.phase === "serving";
     }
 
+    /** Whether the load balancer is to send new connections. */
+    get isReady(): boolean {
+        return this.isServing && !this.rotation.isWithdrawn;
+    }
+
+    /** Takes the mean delay in milliseconds of this process's timers over about a second. */
+    recordEventLoopDelay(meanDelayMs: number): void {
+        const change = this.rotation.update(meanDelayMs);
+        if (change !== undefined) {
+            this.options.onChange(`rotation ${change}`, { meanDelayMs: Math.round(meanDelayMs) });
+        }
+    }
+
     /** Called once all that decides where requests may go was read from the store; until then they are refused. */
     setInformed(): void {
         this.informed = true;
--- a/src/observability/eventloop.ts
+++ b/src/observability/eventloop.ts
@@ -27,11 +27,20 @@
     private recent: { readonly delayMs: number; readonly at: number }[] = [];
     private timer: NodeJS.Timeout | undefined;
 
-    private constructor(private readonly onDelay: (delay: EventLoopDelay) => void) {}
+    private constructor(
+        private readonly onDelay: (delay: EventLoopDelay) => void,
+        private readonly onMeasured: (meanDelayMs: number) => void,
+    ) {}
 
-    /** Starts measuring. `onDelay` is called for each delay that is long enough to be reported. */
-    static start(onDelay: (delay: EventLoopDelay) => void = () => undefined): EventLoopMonitor {
-        const monitor = new EventLoopMonitor(onDelay);
+    /**
+     * Starts measuring. `onDelay` is called for each delay that is long enough to be reported, `onMeasured` after each
+     * measurement with the mean of the recent delays in milliseconds.
+     */
+    static start(
+        onDelay: (delay: EventLoopDelay) => void = () => undefined,
+        onMeasured: (meanDelayMs: number) => void = () => undefined,
+    ): EventLoopMonitor {
+        const monitor = new EventLoopMonitor(onDelay, onMeasured);
         monitor.schedule();
         return monitor;
     }
@@ -59,6 +68,7 @@
     private record(delayMs: number, usageBefore: NodeJS.CpuUsage): void {
         const now = performance.now();
         this.recent = [...this.recent.filter(({ at }) => now - at <= RECENT_MS), { delayMs, at: now }];
+        this.onMeasured(this.recent.reduce((sum, measured) => sum + measured.delayMs, 0) / this.recent.length);
         if (delayMs < REPORTED_DELAY_MS) return;
         const { user, system } = process.cpuUsage(usageBefore);
         this.onDelay({ delayMs, processorMs: (user + system) / 1_000 });
