Take answers with a status above 599 for failures of the target

Callers got statuses 600 to 999 as answers, and a refusal with such a status made the gateway send a request that must not be repeated to another target.

Cause: attempt.ts rejected statuses below 200 only; the parser of Node accepts any three digits.

Change: isFinalStatus (200 to 599) decides. Other statuses are handled like a head that cannot be read: 502 for a request that is not repeated, a retry for one that is. Statuses with other than three digits or without digits, a status line without a status and 1xx as the last answer failed in the parser before; the table of cases shows that they still do.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -17,6 +17,7 @@
 import { connect, type Socket } from "node:net";
 import { parseSocketAddress } from "../model/address.js";
 import { whenReset } from "../model/connectionreset.js";
+import { isFinalStatus } from "../model/finalstatus.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 import { endOfTurn } from "../model/turn.js";
@@ -280,9 +281,9 @@
 
 /** The head of a response; undefined if it cannot be sent on. The parser takes more than `writeHead` does. */
 function responseHead(message: IncomingMessage): ResponseHead | undefined {
-    const { statusCode: status = 0, statusMessage = "", headers, rawHeaders } = message;
+    const { statusCode: status, statusMessage = "", headers, rawHeaders } = message;
     const hasValidNames = rawHeaders.every((name, index) => index % 2 === 1 || HEADER_NAME.test(name));
-    if (status < 200 || !hasValidNames) return undefined;
+    if (!isFinalStatus(status) || !hasValidNames) return undefined;
     return { status, statusText: statusMessage.replaceAll(CONTROL_CHARACTERS, ""), headers, rawHeaders };
 }
 
