Check the status of answers in the store client, the engine client and releases

Cause and effect, each seen in a test: - The store clients took the era from an answer with status 000 or 600, so that all later answers of the store counted as those of an earlier era. The call was not counted as failed. - The engine client reported an execution with status 000, 099, 101, 600 or 999 as failed by the engine; it may have run, so it is lost. It read the load of an engine whatever the status.

Change: both clients use isFinalStatus; the load needs status 200; a closed connection settles a call; a release fails with status 500 and above.

--- a/src/agent/engineclient.ts
+++ b/src/agent/engineclient.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { z } from "zod";
 import { whenReset } from "../model/connectionreset.js";
+import { invalidStatusReason, isFinalStatus } from "../model/finalstatus.js";
 import type { Engine, EngineEvent, EngineLoad, EngineOrder, EngineRequest, OrderOutcome } from "./engine.js";
 import { decodeEvent, eventOfStatus } from "./engineprotocol.js";
 
@@ -101,6 +102,10 @@
         const signal = AbortSignal.timeout(SHORT_CALL_TIMEOUT_MS);
         try {
             const response = await this.call({ method: "GET", path: "/v1/load", signal });
+            if (response.statusCode !== 200) {
+                response.resume();
+                return undefined;
+            }
             return loadSchema.parse(JSON.parse(await textOf(response)));
         } catch {
             return undefined;
@@ -158,14 +163,20 @@
                 // A cancelled response may have no reader left to handle its error.
                 response.on("error", () => undefined);
                 whenReset(response, error => response.destroy(error));
-                resolve(response);
+                if (isFinalStatus(response.statusCode)) return resolve(response);
+                reject(new Error(invalidStatusReason(response.statusCode)));
+                outgoing.destroy();
             });
             // After a complete response the connection is back in the HTTP agent's pool, or serves another call.
             const cancel = (): void => {
                 if (!incoming?.complete) outgoing.destroy(new Error("cancelled or no answer in time"));
             };
             signal.addEventListener("abort", cancel);
-            outgoing.on("close", () => signal.removeEventListener("abort", cancel));
+            outgoing.on("close", () => {
+                signal.removeEventListener("abort", cancel);
+                // An upgrade of the connection closes it without another event.
+                reject(new Error("connection closed"));
+            });
             outgoing.on("error", reject);
             if (signal.aborted) cancel();
             else outgoing.end(call.body);
--- a/src/stages/piececall.ts
+++ b/src/stages/piececall.ts
@@ -94,7 +94,9 @@
     const sent = await sendAttempt({ ...call, address: target.registration.address }, limits);
     if (sent.kind !== "answered") return sent.kind;
     sent.body.discard();
-    return undefined;
+    const { status } = sent.head;
+    // Other statuses say that the target no longer holds the results, or another one has its address.
+    return status >= 500 ? `status ${status}` : undefined;
 }
 
 /** The pieces that an answer has no result for, each with the kind of its answer. */
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -2,6 +2,7 @@
 import { Agent, type IncomingHttpHeaders, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
 import { COLLECTION_FAILURE_TEXTS, MemoryAccount, readWhole } from "../memory/index.js";
 import { whenReset } from "../model/connectionreset.js";
+import { invalidStatusReason, isFinalStatus } from "../model/finalstatus.js";
 import { parseJson } from "../model/json.js";
 import { startTimeout } from "../model/timeout.js";
 
@@ -82,14 +83,15 @@
         const outgoing = httpRequest(`http://${address}${call.path}`, options, response => {
             const maximumBytes = Math.min(call.maximumBytes ?? MAXIMUM_RESPONSE_BYTES, MAXIMUM_RESPONSE_BYTES);
             const limits = { account: memory, party: "store", maximumBytes } as const;
+            const { statusCode: status, headers } = response;
             whenReset(response, error => response.destroy(error));
             void readWhole(response, limits).then(read => {
                 if (read.kind === "broken") fail(read.error ?? new Error("connection closed"));
                 else if (read.kind !== "read") fail(new Error(COLLECTION_FAILURE_TEXTS[read.kind]));
                 else if (hasTooManyValues(read.bytes)) fail(new Error("answer has too many values"));
+                else if (!isFinalStatus(status)) fail(new Error(invalidStatusReason(status)));
                 else {
                     cancelTimeout();
-                    const { statusCode: status = 0, headers } = response;
                     const body = parseJson(read.bytes.toString());
                     resolve({ kind: "answered", status, headers, body, bytes: read.bytes.length });
                 }
