Take an answer that ends during the upload for a broken one

A target answered a long upload with a 200 without a length, sent part of its body and ended the connection in order while the upload was being written. Callers got that part as a complete answer, also of a booking; a stream ended as if it were complete. The store client took such an answer to a write for written, the engine client one to an order for applied, and calls between gateways had an answer.

Cause: a body without a length ends with its connection, and only resets were told from that end. A kernel resets a connection only when more of the request arrives at a closed end, so a target that fails during an upload may show an orderly end first.

Change: whenReset becomes whenBrokenOff, which also knows the request: an end before the kernel has taken all of the request is no end of the body, unless the status is 400 or above; servers refuse long bodies in that way. The caller gets 502 for a request that is not repeated, and the answer of another target for one that is.

Resets are seen in all cases, as before.

--- a/src/agent/engineclient.ts
+++ b/src/agent/engineclient.ts
@@ -1,7 +1,7 @@
 /** HTTP/1.1 client of a target. */
 import { Agent, type IncomingMessage, request as httpRequest } from "node:http";
 import { z } from "zod";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
 import { invalidStatusReason, isFinalStatus } from "../model/finalstatus.js";
 import type { Engine, EngineEvent, EngineLoad, EngineOrder, EngineRequest, OrderOutcome } from "./engine.js";
 import { decodeEvent, eventOfStatus } from "./engineprotocol.js";
@@ -162,7 +162,7 @@
                 incoming = response;
                 // A cancelled response may have no reader left to handle its error.
                 response.on("error", () => undefined);
-                whenReset(response, error => response.destroy(error));
+                whenBrokenOff(outgoing, response, error => response.destroy(error));
                 if (isFinalStatus(response.statusCode)) return resolve(response);
                 reject(new Error(invalidStatusReason(response.statusCode)));
                 outgoing.destroy();
--- a/src/commandline/client.ts
+++ b/src/commandline/client.ts
@@ -1,7 +1,7 @@
 /** Client of the operators' HTTP interface. */
 import { request as httpRequest } from "node:http";
 import { COLLECTION_FAILURE_TEXTS, MemoryAccount, readWhole } from "../memory/index.js";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
 import { parseJson } from "../model/json.js";
 import {
     type ChangeResult,
@@ -109,7 +109,7 @@
         const headers = { "authorization": `Bearer ${key}`, "content-type": "application/json" };
         const url = `http://${entry}${OPERATOR_PREFIX}${path}`;
         const request = httpRequest(url, { method, headers, timeout: ANSWER_TIMEOUT_MS }, response => {
-            whenReset(response, error => response.destroy(error));
+            whenBrokenOff(request, response, error => response.destroy(error));
             void readWhole(response, { account, party: "operators", maximumBytes: MAXIMUM_ANSWER_BYTES }).then(read => {
                 if (read.kind === "read") {
                     resolve(parseResponse(entry, response.statusCode ?? 0, read.bytes.toString()));
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,7 +16,7 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { parseSocketAddress } from "../model/address.js";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
 import { isFinalStatus } from "../model/finalstatus.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
@@ -323,8 +323,8 @@
     ) {
         // The connection can fail before `read` is called.
         message.on("error", error => (this.failureReason ??= error.message));
-        // A body without a length ends when the connection closes. The parser takes a reset for that end as well.
-        whenReset(message, error => (this.failureReason ??= error.message));
+        // A body without a length ends when the connection closes. The parser takes a failure of it for that end as well.
+        whenBrokenOff(outgoing, message, error => (this.failureReason ??= error.message));
     }
 
     /** `isPooled` says whether the connection stays open after a complete response. */
--- a/src/membership/vmlist.ts
+++ b/src/membership/vmlist.ts
@@ -5,7 +5,7 @@
 import { get } from "node:http";
 import { z } from "zod";
 import { MemoryAccount, readWhole } from "../memory/index.js";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
 import type { Vm } from "../model/index.js";
 
 const POLL_TIMEOUT_MS = 2_000;
@@ -82,7 +82,7 @@
     const account = MemoryAccount.create({ maximumBytes: 2 * MAXIMUM_ANSWER_BYTES });
     const text = await new Promise<string | undefined>(resolve => {
         const request = get(`http://${address}/vms`, { timeout: POLL_TIMEOUT_MS }, response => {
-            whenReset(response, error => response.destroy(error));
+            whenBrokenOff(request, response, error => response.destroy(error));
             void readWhole(response, { account, party: "store", maximumBytes: MAXIMUM_ANSWER_BYTES }).then(read => {
                 resolve(read.kind === "read" && response.statusCode === 200 ? read.bytes.toString() : undefined);
                 if (read.kind !== "read") request.destroy();
--- a/src/store/call.ts
+++ b/src/store/call.ts
@@ -1,7 +1,7 @@
 /** One HTTP call to a store, and its outcome. */
 import { Agent, type IncomingHttpHeaders, type OutgoingHttpHeaders, request as httpRequest } from "node:http";
 import { COLLECTION_FAILURE_TEXTS, MemoryAccount, readWhole } from "../memory/index.js";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
 import { invalidStatusReason, isFinalStatus } from "../model/finalstatus.js";
 import { parseJson } from "../model/json.js";
 import { startTimeout } from "../model/timeout.js";
@@ -84,7 +84,7 @@
             const maximumBytes = Math.min(call.maximumBytes ?? MAXIMUM_RESPONSE_BYTES, MAXIMUM_RESPONSE_BYTES);
             const limits = { account: memory, party: "store", maximumBytes } as const;
             const { statusCode: status, headers } = response;
-            whenReset(response, error => response.destroy(error));
+            whenBrokenOff(outgoing, response, error => response.destroy(error));
             void readWhole(response, limits).then(read => {
                 if (read.kind === "broken") fail(read.error ?? new Error("connection closed"));
                 else if (read.kind !== "read") fail(new Error(COLLECTION_FAILURE_TEXTS[read.kind]));
