--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -16,7 +16,8 @@
 } from "node:http";
 import { connect, type Socket } from "node:net";
 import { parseSocketAddress } from "../model/address.js";
-import { whenReset } from "../model/connectionreset.js";
+import { whenBrokenOff } from "../model/connectionreset.js";
+import { isFinalStatus } from "../model/finalstatus.js";
 import { Deadline } from "../model/index.js";
 import { startTimeout } from "../model/timeout.js";
 import { endOfTurn } from "../model/turn.js";
@@ -280,9 +281,9 @@
 
 /** The head of a response; undefined if it cannot be sent on. The parser takes more than `writeHead` does. */
 function responseHead(message: IncomingMessage): ResponseHead | undefined {
-    const { statusCode: status = 0, statusMessage = "", headers, rawHeaders } = message;
+    const { statusCode: status, statusMessage = "", headers, rawHeaders } = message;
     const hasValidNames = rawHeaders.every((name, index) => index % 2 === 1 || HEADER_NAME.test(name));
-    if (status < 200 || !hasValidNames) return undefined;
+    if (!isFinalStatus(status) || !hasValidNames) return undefined;
     return { status, statusText: statusMessage.replaceAll(CONTROL_CHARACTERS, ""), headers, rawHeaders };
 }
 
@@ -322,8 +323,8 @@
     ) {
         // The connection can fail before `read` is called.
         message.on("error", error => (this.failureReason ??= error.message));
-        // A body without a length ends when the connection closes. The parser takes a reset for that end as well.
-        whenReset(message, error => (this.failureReason ??= error.message));
+        // A body without a length ends when the connection closes. The parser takes a failure of it for that end as well.
+        whenBrokenOff(outgoing, message, error => (this.failureReason ??= error.message));
     }
 
     /** `isPooled` says whether the connection stays open after a complete response. */
