Report usage by one gateway at a time

Cause: a deployment requires one report of usage per window, sent by one gateway with a fencing token, with the requests of all gateways. Change: settings section duties, the adapter for the calls, counts by window and account, their hand-over between gateways, one lease for the duties, and reports that are fixed in the store before they are sent.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -21,6 +21,7 @@
     ProcessMetrics,
     renderMetrics,
 } from "../observability/index.js";
+import type { DutyOptions, DutyPlatform } from "../duties/index.js";
 import { MEMORY_PARTIES, MemoryAccount } from "../memory/index.js";
 import { runInBackground } from "../model/background.js";
 import { Deadline } from "../model/index.js";
@@ -37,6 +38,7 @@
     readonly store: Store;
     readonly writeRolloutState: GatewayOptions["writeRolloutState"];
     readonly ledger: CallCounter;
+    readonly duties: DutyPlatform;
     readonly log: DecisionLog;
 }
 
@@ -127,6 +129,7 @@
         stopGraceMs: settings.stopGraceSeconds * 1_000,
         rollouts: settings.rollouts,
         writeRolloutState,
+        duties: dutyOptions(settings, environment),
         onDecision: (decision, fields) => {
             metrics.increment("decisions", 1, { decision });
             log.write(decision, fields);
@@ -250,11 +253,12 @@
         const unregistration = peers.unregister(store, () => isEnded);
         await pause(takesUntil.remainingMs());
         gateway.enterPhase("stopping");
-        await Promise.race([unregistration, pause(LAST_WRITES_MS)]);
+        await Promise.race([Promise.all([unregistration, gateway.duties?.release()]), pause(LAST_WRITES_MS)]);
         // Requests of other gateways wait for the pieces that this one gathers.
         await waitUntilQuiet([callers, peerCalls], deadline);
         await callers.closeIdle(deadline);
         await waitUntilQuiet([callers, peerCalls], deadline);
+        await gateway.duties?.flush();
         log.writeUnthrottled("stopped", { openRequests: callers.openRequests });
         await kill();
         await pause(LAST_WRITES_MS / 4);
@@ -265,3 +269,22 @@
     };
     return { name: settings.name, gateway, stop, kill, reload };
 }
+
+/** The duties that the settings enable; undefined without an address for calls, or without any duty. */
+function dutyOptions(settings: GatewaySettings, { duties, store }: GatewayEnvironment): DutyOptions | undefined {
+    if (settings.duties === undefined) return undefined;
+    const { address, usageWindowSeconds, callsPerSecond, usageTolerance, usageDueSeconds } = settings.duties;
+    const { leaseMilliseconds, resumeMilliseconds } = settings.duties;
+    if (address === undefined || usageWindowSeconds === undefined) return undefined;
+    return {
+        ...duties,
+        store,
+        address,
+        callsPerSecond,
+        leaseMs: leaseMilliseconds,
+        resumeMs: resumeMilliseconds,
+        windowMs: usageWindowSeconds * 1_000,
+        usageTolerance,
+        usageDueMs: usageDueSeconds * 1_000,
+    };
+}
--- /dev/null
+++ b/src/duties/index.ts
@@ -0,0 +1,4 @@
+export * from "./calls.js";
+export { Duties, type DutyEnvironment, type DutyOptions, type DutyPlatform } from "./duties.js";
+export { DUTIES_PATH } from "./handover.js";
+export { type CountRun, RequestUsage } from "./usagecounter.js";
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -3,6 +3,7 @@
  * sends the request there, records what a missing response says about the target, and decides whether the request may be
  * retried.
  */
+import { RequestUsage } from "../duties/index.js";
 import { pause } from "../model/pause.js";
 import type { StageResult } from "../stages/index.js";
 import { type AttemptOutcome, HEAD_TOO_LONG, refusesConnections, sendAttempt } from "./attempt.js";
@@ -61,6 +62,7 @@
     private readonly trial: RequestTrial;
     private readonly holdBacks: HoldBacks;
     private readonly choice: TargetChoice;
+    private readonly usage: RequestUsage;
     /** Whether results that every attempt needs are gone. */
     private areInputsReleased = false;
     /** What was last in the way of another attempt beside a silent one. */
@@ -79,6 +81,7 @@
         this.retries = RequestRetries.create(context.retryBudgetOf(request.service));
         this.trial = RequestTrial.create(context, request);
         this.holdBacks = HoldBacks.create(context, request);
+        this.usage = RequestUsage.create(context.countRun, request.accountName);
         this.choice = TargetChoice.create(context, request, this.retries);
     }
 
@@ -179,6 +182,7 @@
     /** Records that a target has begun to serve the request that was sent at that time: with the first event of a stream. */
     recordBegun(sentAt: number): void {
         this.hasBegun = true;
+        if (this.request.route.streaming) this.usage.recordRun();
         this.servedSentAt = sentAt;
     }
 
@@ -298,6 +302,7 @@
             onSending: () => {
                 this.latestSentAt = performance.now();
                 this.sentAtByTarget.set(target.name, this.latestSentAt);
+                if (!route.streaming) this.usage.recordRun();
                 onSending?.();
             },
         });
@@ -324,6 +329,7 @@
                 return "again";
             case "unsendable":
                 this.choice.recordNotRun(target);
+                if (!this.request.route.streaming) this.usage.recordNoRun();
                 targets.recordInconclusive(target);
                 this.logDecision("request not sendable", target, { reason: outcome.reason });
                 return { outcome: "rejected", status: 400, reason: "request cannot be sent" };
@@ -369,6 +375,7 @@
     /** Records that a target declined the request: it states that it has not run it. */
     handleDeclined(target: Target, wrongTarget: boolean): void {
         this.choice.recordDeclined(target);
+        if (!this.request.route.streaming) this.usage.recordNoRun();
         this.declinedCount += 1;
         this.context.targets.recordInconclusive(target);
         if (wrongTarget) this.context.targets.recordUnreachable(target);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  * This is the current configuration, the targets, this gateway's parts of the limits for all gateways together, and the
  * queues of the stage services whose pieces it gathers.
  */
+import { Duties, type CountRun, type DutyOptions } from "../duties/index.js";
 import type { MemoryAccount } from "../memory/index.js";
 import type { LineFields } from "../observability/index.js";
 import { WindowBudget } from "../routing/index.js";
@@ -68,6 +69,8 @@
     /** Usual times from a request to the end of its response, and from its sending to a target to that end. */
     readonly requestTimes: UsualTimes;
     readonly attemptTimes: UsualTimes;
+    /** Counts a request of an account that a target begins to run; undefined if requests are not counted. */
+    readonly countRun: CountRun | undefined;
     /** Whether new requests are refused because the process is stopping. */
     readonly isStopping: () => boolean;
     readonly onDecision: (decision: string, fields: LineFields) => void;
@@ -98,6 +101,8 @@
     readonly rollouts: TrialLimits | undefined;
     /** Writes the state of a roll-out if the stored object has not changed. */
     readonly writeRolloutState: (rollout: SeenRollout, state: RolloutState) => Promise<WriteOutcome>;
+    /** Duties that one gateway holds at a time; undefined if no gateway has any. */
+    readonly duties?: DutyOptions | undefined;
     readonly onDecision: (decision: string, fields: LineFields) => void;
     readonly onChange: (change: string, fields: LineFields) => void;
     readonly onRequestEnd: (fields: LineFields, route: Route | undefined, milliseconds: number) => void;
@@ -131,6 +136,8 @@
     readonly rolloutController: RolloutController;
     readonly gossip: Gossip;
     readonly shutdown = Shutdown.create();
+    /** Undefined if no gateway has duties. */
+    readonly duties: Duties | undefined;
     private readonly suspects: Suspects;
     private readonly limits: TargetLimits;
     private readonly limitShares: LimitShares;
@@ -211,6 +218,10 @@
             topics: { crashes: this.suspects, limits: this.limits },
             onChange,
         });
+        this.duties =
+            options.duties === undefined
+                ? undefined
+                : Duties.start(options.duties, { peers, peerCalls: this.peerCalls, onChange });
         this.schedule = StageSchedule.create({
             capacity: service => this.currentConfiguration?.service(service)?.stage,
             waitMs: service => this.pieceRouter.recentWaitMs(service),
@@ -242,6 +253,7 @@
             stopReturnMs: () => (peers.others.length > 0 ? 0 : this.shutdown.returnMs()),
             requestTimes: UsualTimes.create(),
             attemptTimes: UsualTimes.create(),
+            countRun: this.duties?.countRun,
             isStopping: () => this.phase === "stopping",
             onDecision,
             onRequestEnd: onEnd,
@@ -310,6 +322,7 @@
         this.pieceRouter.stop();
         this.rolloutController.stop();
         this.gossip.stop();
+        this.duties?.stop();
         this.peerCalls.close();
     }
 
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -1,6 +1,7 @@
 /** The gateway's HTTP listeners: for callers, readiness checks, metrics and other gateways. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { DUTIES_PATH } from "../duties/index.js";
 import type { MemoryAccount } from "../memory/index.js";
 import { describeError } from "../model/error.js";
 import { Deadline } from "../model/index.js";
@@ -391,6 +392,12 @@
         response.end(answer ?? "");
         return;
     }
+    if (request.url === DUTIES_PATH) {
+        const answer = gateway.duties?.receive(body);
+        response.writeHead(answer === undefined ? 400 : 200, { "content-type": "application/json" });
+        response.end(answer ?? "");
+        return;
+    }
     const release = request.url === PEER_PATHS.release ? decodeRelease(body) : undefined;
     if (release !== undefined) gateway.pieceRouter.releaseHere(release);
     response.writeHead(release === undefined ? 400 : 200, { "content-length": 0 });
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -36,11 +36,17 @@
     authorization: "authorization",
     /** In all answers of the store: rises by one each time the store is restored from a copy. */
     storeEra: "store-era",
+    dutyHolder: "x-parsleyrun-duty-holder",
+    /** Rises with each change of a duty's holder. */
+    fencingToken: "x-parsleyrun-fencing-token",
 } as const;
 
 /** Paths of calls to targets. */
 export const PATH = { makePieces: "/stage-run", releaseResults: "/stage-free" } as const;
 
+/** Paths of calls that are the duty of one gateway at a time. */
+export const DUTY_PATH = { usage: "/usage", scale: "/scale" } as const;
+
 /** Kinds of objects in the store. */
 export const KIND = {
     configuration: "config",
@@ -51,4 +57,6 @@
     rollouts: "rollouts",
     /** The gateways' own registrations. */
     gateways: "parsleyrun-gateways",
+    /** The lease of the duties, and what its holders have to remember. */
+    duties: "parsleyrun-duties",
 } as const;
--- a/src/platform/source.ts
+++ b/src/platform/source.ts
@@ -3,6 +3,7 @@
 import type { FeedSource } from "../gateway/index.js";
 import { decodeConfiguration, decodeRollout, decodeTarget, encodeRolloutStatus } from "./configuration.js";
 import { platformDialect } from "./dialect.js";
+import { callPlatform } from "./duties.js";
 import { KIND } from "./names.js";
 import { PlatformStore, type PlatformStoreOptions } from "./store.js";
 
@@ -32,5 +33,6 @@
                 rollout.revision,
             ),
         ledger: options.ledger,
+        duties: { callPlatform, leaseKey: `${KIND.duties}/holder`, usageKey: `${KIND.duties}/usage` },
     };
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -131,6 +131,24 @@
             allowance: z.number().min(0).default(50),
         })
         .optional(),
+    /** Calls to the platform that are the duty of one gateway at a time. Without an address, no gateway has duties. */
+    duties: z
+        .strictObject({
+            address: address.optional(),
+            /** Calls that are accepted from all gateways together. */
+            callsPerSecond: z.number().positive().default(50),
+            /** Time within which a duty may not return to an earlier holder. */
+            leaseMilliseconds: z.number().min(500).max(60_000).default(3_000),
+            /** Time after a freeze in which calls do not count against a holder. */
+            resumeMilliseconds: z.number().min(0).default(300),
+            /** Length of a usage window. Without it, usage is not reported. */
+            usageWindowSeconds: z.number().min(1).max(3_600).optional(),
+            /** Fraction by which a count may be off. */
+            usageTolerance: z.number().min(0).max(1).default(0.05),
+            /** Time after the end of a window by which its report is due. */
+            usageDueSeconds: z.number().min(3).max(3_600).default(10),
+        })
+        .optional(),
 });
 
 /** Settings of a gateway. */
--- a/src/store/lease.ts
+++ b/src/store/lease.ts
@@ -163,6 +163,16 @@
         return !this.hasEnded && performance.now() < this.heldUntil;
     }
 
+    /** Time in milliseconds for which the lease is still held unless it is renewed; 0 if it has ended. */
+    get remainingMs(): number {
+        return this.hasEnded ? 0 : Math.max(0, this.heldUntil - performance.now());
+    }
+
+    /** Monotonic time in milliseconds at which the last successful renewal was sent. */
+    get renewedAt(): number {
+        return this.heldUntil - this.options.durationMilliseconds;
+    }
+
     /** Releases the lease, so that candidates need not wait until it expires. */
     async release(): Promise<void> {
         const wasHeld = this.isHeld();
--- a/test/settings/template.test.ts
+++ b/test/settings/template.test.ts
@@ -30,6 +30,13 @@
     "Bounds.BudgetWindowS": "12",
     "Bounds.ExposureShare": "0.2",
     "Bounds.ExposureTolerance": "40",
+    "CloudApi.Address": "10.200.1.9:8630",
+    "CloudApi.DutiesPerS": "40",
+    "Bounds.LeaseMs": "2500",
+    "Bounds.ThawMs": "250",
+    "Bounds.ReportWindowS": "6",
+    "Bounds.UsageOff": "0.04",
+    "Bounds.UsageLateS": "11",
 };
 
 /** What is missing, and the settings that the gateway then has. */
@@ -45,6 +52,13 @@
     ["Bounds.BudgetWindowS", { retries: { windowSeconds: 10 } }],
     ["Bounds.ExposureShare", { rollouts: { share: 0.1, allowance: 40 } }],
     ["Bounds.ExposureTolerance", { rollouts: { share: 0.2, allowance: 50 } }],
+    ["CloudApi.Address", { duties: { callsPerSecond: 40 } }],
+    ["CloudApi.DutiesPerS", { duties: { callsPerSecond: 50 } }],
+    ["Bounds.LeaseMs", { duties: { leaseMilliseconds: 3_000 } }],
+    ["Bounds.ThawMs", { duties: { resumeMilliseconds: 300 } }],
+    ["Bounds.ReportWindowS", { duties: { usageDueSeconds: 11 } }],
+    ["Bounds.UsageOff", { duties: { usageTolerance: 0.05 } }],
+    ["Bounds.UsageLateS", { duties: { usageDueSeconds: 10 } }],
 ];
 
 const required: readonly (readonly [string, string])[] = [
@@ -90,6 +104,12 @@
         const settings = settingsWithout(...optional.map(([name]) => name));
         expect(settings).toMatchObject({ retries: { allowance: 50 }, machine: { descriptors: 4_096 } });
         expect(settings).not.toHaveProperty("rollouts");
+        expect(settings).not.toHaveProperty("duties");
+    });
+
+    it("has no usage windows and no address of duties that the platform leaves out", () => {
+        expect(settingsWithout("Bounds.ReportWindowS")).not.toHaveProperty("duties.usageWindowSeconds");
+        expect(settingsWithout("CloudApi.Address")).not.toHaveProperty("duties.address");
     });
 
     it.each(required)("names the key that needs %s", (missing, path) => {
