--- a/src/duties/callpacer.ts
+++ b/src/duties/callpacer.ts
@@ -4,7 +4,6 @@
 const RATE_SHARE = 0.5;
 
 const FIRST_PAUSE_MS = 200;
-const LONGEST_PAUSE_MS = 2_000;
 
 /** Says when the next call may be sent. */
 export class CallPacer {
@@ -13,12 +12,13 @@
 
     private constructor(
         private readonly callsPerSecond: number,
+        private readonly longestPauseMs: number,
         private readonly random: () => number,
     ) {}
 
     /** `callsPerSecond` are accepted from all gateways together. */
-    static create(callsPerSecond: number, random: () => number = Math.random): CallPacer {
-        return new CallPacer(callsPerSecond, random);
+    static create(callsPerSecond: number, longestPauseMs: number, random: () => number = Math.random): CallPacer {
+        return new CallPacer(callsPerSecond, longestPauseMs, random);
     }
 
     get mayCall(): boolean {
@@ -32,9 +32,12 @@
 
     /** `retryAfterMs` is the pause that the platform asks for, if it does. */
     recordNotAccepted(retryAfterMs?: number): void {
-        const grown = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** this.failures);
+        const grown = Math.min(this.longestPauseMs, FIRST_PAUSE_MS * 2 ** this.failures);
         this.failures += 1;
-        const pauseMs = Math.max(grown * (0.75 + this.random() / 2), Math.min(retryAfterMs ?? 0, 2 * LONGEST_PAUSE_MS));
+        const pauseMs = Math.max(
+            grown * (0.75 + this.random() / 2),
+            Math.min(retryAfterMs ?? 0, 2 * this.longestPauseMs),
+        );
         this.nextAt = performance.now() + pauseMs;
     }
 }
--- a/src/duties/usagerecord.ts
+++ b/src/duties/usagerecord.ts
@@ -78,6 +78,11 @@
         return this.isFirst;
     }
 
+    /** The oldest window in the record. Older ones are too late, or from before there were gateways. */
+    get oldestWindow(): number {
+        return Math.min(...this.reports.keys());
+    }
+
     report(windowId: number): FixedReport | undefined {
         return this.reports.get(windowId);
     }
--- a/src/duties/usagereporter.ts
+++ b/src/duties/usagereporter.ts
@@ -21,6 +21,9 @@
 /** Shortest time in which a call is begun; a renewal of the lease gives more. */
 const SHORTEST_CALL_MS = 300;
 
+/** Longest pause between calls that are not accepted, relative to the time in which a report is due: some must be left. */
+const LONGEST_PAUSE_SHARE = 0.1;
+
 /** What the reporter depends on. */
 export interface UsageReporterOptions {
     readonly store: Store;
@@ -59,7 +62,7 @@
     private readonly timer: NodeJS.Timeout;
 
     private constructor(private readonly options: UsageReporterOptions) {
-        this.pacer = CallPacer.create(options.callsPerSecond);
+        this.pacer = CallPacer.create(options.callsPerSecond, options.dueMs * LONGEST_PAUSE_SHARE);
         this.startedAt = options.now();
         this.timer = setInterval(() => this.tick(), TICK_MS);
         this.timer.unref();
@@ -130,7 +133,10 @@
         const { now, windowMs, ledger } = this.options;
         const current = Math.floor(now() / windowMs);
         const started = Math.min(Math.floor(this.startedAt / windowMs), ledger.oldestWindow ?? current);
-        const first = Math.max(current - KEPT_WINDOWS + 1, record.isNew ? started : 0);
+        const first = Math.max(
+            current - KEPT_WINDOWS + 1,
+            record.isNew ? started : Math.min(record.oldestWindow, current),
+        );
         const ids = Array.from({ length: Math.max(0, current - first) }, (_, index) => first + index);
         return ids.filter(id => record.report(id)?.isAcknowledged !== true && !ledger.isClosed(id));
     }
