Place requests by the speed and pace of targets that report their pace

Cause: the cost of an engine used the same constants for all engines, so one with a lasting speed of 0.7, or slowed down by a neighbour, was expected to be as fast as the others. The fourth figure of the load header, the pace, was dropped.

Change: the load has an optional pace. src/placement/ has the lasting speed of each target (learnt from first events, relative to the median of its service), the times per prompt token and per running stream of each service, the expected time at each engine with its components, and the choice. It applies while a target of the service has reported its pace within ten seconds; otherwise cheapestEngine and leastLoadedTarget decide as before. placement.ts moved there from src/gateway/.

Result: test/placement (exchange: 60 streams to three engines, of which one reports a pace of 400 %: fewer than 10 of them there; 90 streams, of which one engine's begin 120 instead of 20 ms late: fewer than 20 there), test/platform/boundary, test/gateway/gateway, silenttargets and secondattempts pass.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -4,6 +4,7 @@
  * retried.
  */
 import { pause } from "../model/pause.js";
+import type { EngineCost } from "../placement/index.js";
 import type { StageResult } from "../stages/index.js";
 import { type AttemptOutcome, HEAD_TOO_LONG, refusesConnections, sendAttempt } from "./attempt.js";
 import type { GatewayContext } from "./gateway.js";
@@ -131,6 +132,11 @@
         return this.choice.uncachedTokens(target);
     }
 
+    /** The cost at which an engine was chosen; undefined while its service does not report paces. */
+    expectedCost(target: Target): EngineCost | undefined {
+        return this.choice.expectedCost(target);
+    }
+
     /** Records how long a request took that was served. */
     recordTimes(): void {
         const { context, request, servedSentAt } = this;
--- a/src/gateway/dialect.ts
+++ b/src/gateway/dialect.ts
@@ -47,6 +47,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes at this moment: 1 is usual, 2.5 two and a half times as long; undefined if not stated. */
+    readonly pace?: number | undefined;
 }
 
 /** Time for which a target wants no requests of this gateway. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
  */
 import type { MemoryAccount } from "../memory/index.js";
 import type { LineFields } from "../observability/index.js";
+import { PrefixCacheTracker, SpeedEstimates } from "../placement/index.js";
 import { WindowBudget } from "../routing/index.js";
 import type { WriteOutcome } from "../store/index.js";
 import {
@@ -27,7 +28,6 @@
 import { LimitQueue } from "./limitqueue.js";
 import { LimitShares } from "./limitshares.js";
 import type { GatewayPeer, GatewayPeers } from "./peers.js";
-import { PrefixCacheTracker } from "./placement.js";
 import type { RegistrationCleanupEnvironment } from "./registrationcleanup.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
@@ -53,6 +53,8 @@
     readonly holderOf: (handle: string) => Target | undefined;
     readonly prefixCaches: PrefixCacheTracker;
     readonly firstEventTimes: FirstEventTimes;
+    /** Measured speeds of targets. */
+    readonly speeds: SpeedEstimates;
     /** This gateway's retry budget for a service. */
     readonly retryBudgetOf: (service: string) => WindowBudget;
     readonly makePieces: MakePieces;
@@ -154,12 +156,14 @@
         this.limitShares = LimitShares.create(peers, { windowMs: retries.windowMs, stopGraceMs });
         this.rollouts = Rollouts.create(options.rollouts ?? NO_TRIALS, () => this.limitShares.countInWindow);
         const prefixMemory = PrefixCacheTracker.create();
+        const speeds = SpeedEstimates.create(onChange);
         this.targets = TargetDirectory.create(
             () => this.currentConfiguration,
             () => this.limitShares.countAtPresent,
             (change, target, detail) => {
                 if (change === "removed" || change === "restarted") {
                     prefixMemory.forget(target);
+                    speeds.forget(target);
                     this.limitParts.delete(target);
                 }
                 onChange(`target ${change}`, { target, ...detail });
@@ -227,6 +231,7 @@
             holderOf: handle => this.holderOf(handle),
             prefixCaches: prefixMemory,
             firstEventTimes: this.firstEventTimes,
+            speeds,
             retryBudgetOf: service => this.budgetOf(service),
             makePieces: (jobs, signal) => this.pieceRouter.make(jobs, signal),
             releaseResults: (service, handles) => this.pieceRouter.release(service, handles),
--- a/src/gateway/streamexchange.ts
+++ b/src/gateway/streamexchange.ts
@@ -108,7 +108,8 @@
 
     private start(target: Target): StreamAttempt {
         const { context, request, attempts, inputs, releaseInputs, onFirstEvent } = this.options;
-        const { targets, dialect, firstEventTimes } = context;
+        const { targets, dialect, firstEventTimes, speeds } = context;
+        const expectedCost = attempts.expectedCost(target);
         const lastEventId = this.writer.lastDeliveredEventId;
         const attempt = StreamAttempt.start({
             memory: context.memory,
@@ -129,6 +130,7 @@
                 attempts.recordBegun(startedAt);
                 onFirstEvent(performance.now() - request.receivedAt);
                 firstEventTimes.record(request.route.name, tookMs);
+                if (expectedCost !== undefined) speeds.record(expectedCost, tookMs);
                 targets.recordPromptRead(target, promptTokens);
                 releaseInputs();
                 attempts.recordInputsReleased(inputs);
--- a/src/gateway/targetchoice.ts
+++ b/src/gateway/targetchoice.ts
@@ -2,9 +2,18 @@
  * Chooses among the usable targets of one request, from what is known of its attempts: which targets were tried, which ones
  * may have run it, and which ones were left before they had begun to answer.
  */
+import {
+    cheapestEngine,
+    chooseEngine,
+    type EngineCost,
+    engineCosts,
+    fastestTarget,
+    leastLoadedTarget,
+    type PlacementInput,
+    reportsPace,
+} from "../placement/index.js";
 import type { StageResult } from "../stages/index.js";
 import type { GatewayContext } from "./gateway.js";
-import { cheapestEngine, leastLoadedTarget, type PlacementInput } from "./placement.js";
 import type { RequestRetries } from "./requestretries.js";
 import type { RoutedRequest } from "./routedrequest.js";
 import { moveMs } from "./streamtimeouts.js";
@@ -23,6 +32,8 @@
     private readonly mayHaveRun = new Set<Target>();
     /** Targets that were left before they had begun to answer, and that may get the request again. */
     private readonly left = new Set<Target>();
+    /** The costs at which targets were chosen, as far as they report their pace. */
+    private readonly expectedCosts = new Map<Target, EngineCost>();
     private possibleRuns = 0;
     private lastDeclinedAt = Number.NEGATIVE_INFINITY;
 
@@ -116,6 +127,11 @@
         );
     }
 
+    /** The cost at which an engine was chosen; undefined while its service does not report paces. */
+    expectedCost(target: Target): EngineCost | undefined {
+        return this.expectedCosts.get(target);
+    }
+
     /**
      * What is chosen of the targets that are not silent, or else of all. A silent target is better than none, also if
      * those that are not silent may not get the request or are not allowed by a roll-out.
@@ -157,13 +173,27 @@
         const { request, context } = this;
         const eligible = (service: string): readonly Target[] => context.targets.eligible(service);
         const allowed = context.rollouts.allowed(request.service, targets, eligible);
-        return request.route.streaming
-            ? this.cheapest(allowed, inputs)
+        if (request.route.streaming) return this.cheapest(allowed, inputs);
+        return reportsPace(allowed, performance.now())
+            ? fastestTarget(allowed, context.zone, Math.random)
             : leastLoadedTarget(allowed, context.zone, Math.random);
     }
 
     private cheapest(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
-        return cheapestEngine(targets, this.placementInput(inputs), this.context.prefixCaches);
+        const input = this.placementInput(inputs);
+        const { prefixCaches, speeds } = this.context;
+        const now = performance.now();
+        if (!reportsPace(targets, now)) {
+            this.expectedCosts.clear();
+            return cheapestEngine(targets, input, prefixCaches);
+        }
+        const { service, route, receivedAt } = this.request;
+        const { eventGapLimitMs, latencyObjectiveMs } = route;
+        const knowledge = { prefixCaches, speeds: speeds.of(service), now };
+        const costs = engineCosts(targets, { ...input, eventGapLimitMs }, knowledge);
+        const chosen = chooseEngine(costs, receivedAt + latencyObjectiveMs - now, Math.random);
+        if (chosen !== undefined) this.expectedCosts.set(chosen.target, chosen);
+        return chosen?.target;
     }
 
     private placementInput(inputs: readonly StageResult[]): PlacementInput {
--- /dev/null
+++ b/src/placement/enginecost.ts
@@ -0,0 +1,146 @@
+/**
+ * The expected time to the first event of a generation at each engine of a pool, with its components.
+ *
+ * Load pattern: engines of unequal, changing speed under a load near their capacity, with loads that are some hundred
+ * milliseconds old. An engine that was not heard of for longer is assumed to have the mean load of the pool, not none.
+ */
+import { rendezvousTarget } from "./placement.js";
+import type { PlacementInput, PrefixCacheTracker } from "./placement.js";
+import type { Target } from "../gateway/target.js";
+import { halfLifeWeight } from "../model/decay.js";
+import { type Work, workMs } from "./servicetimes.js";
+import { presentPace, type ServiceSpeeds } from "./speedestimate.js";
+
+/** Half-life in milliseconds of a reported load; a stream takes longer than that. */
+const LOAD_HALF_LIFE_MS = 1_000;
+
+/** Cost in milliseconds of transferring a megabyte of stage results between zones. */
+const ZONE_TRANSFER_MS_PER_MEGABYTE = 20;
+
+/** Fraction of the shared tokens that the preferred engine is assumed to have cached without this gateway's requests. */
+const ASSUMED_CACHED_RATIO = 0.6;
+
+/** A generation to be placed. */
+export interface EngineRequest extends PlacementInput {
+    /** Maximum time in milliseconds between two events of a stream that is on time. */
+    readonly eventGapLimitMs: number | undefined;
+}
+
+/** What the costs are computed from beside the candidates. */
+export interface EngineKnowledge {
+    readonly prefixCaches: PrefixCacheTracker;
+    readonly speeds: ServiceSpeeds;
+    /** Monotonic time in milliseconds. */
+    readonly now: number;
+}
+
+/** The expected time at one engine and its components; all times are in milliseconds at its present speed. */
+export interface EngineCost {
+    readonly target: Target;
+    /** Sum of the times below. */
+    readonly expectedMs: number;
+    /** Prompts of this gateway that the engine has yet to process. */
+    readonly pendingMs: number;
+    /** The request's own tokens that are not cached. */
+    readonly ownMs: number;
+    readonly runningMs: number;
+    readonly waitingMs: number;
+    readonly transferMs: number;
+    /** Time that cached tokens save; not part of the sum. */
+    readonly savedMs: number;
+    readonly cachedTokens: number;
+    /** Expected time between two events of a stream at this engine. */
+    readonly eventGapMs: number;
+    readonly exceedsEventGapLimit: boolean;
+    readonly work: Work;
+    readonly slots: number;
+    /** Pace at this moment; 1 is usual, more is slower. */
+    readonly pace: number;
+    /** Lasting speed relative to the pool; more is faster. */
+    readonly speed: number;
+    readonly speedConfidence: number;
+}
+
+interface PoolLoad {
+    readonly runningRatio: number;
+    readonly waitingRatio: number;
+}
+
+/** The costs of all candidates. It changes nothing and draws no random numbers. */
+export function engineCosts(
+    candidates: readonly Target[],
+    request: EngineRequest,
+    { prefixCaches, speeds, now }: EngineKnowledge,
+): readonly EngineCost[] {
+    // The last part is the request's own; the one before it is the largest that requests share.
+    const sharedParts = request.promptParts.slice(0, -1);
+    const affinityKey = sharedParts.at(-1)?.id;
+    const preferred = affinityKey === undefined ? undefined : rendezvousTarget(candidates, affinityKey);
+    const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+    const totalBytes = [...request.inputBytesByZone.values()].reduce((sum, bytes) => sum + bytes, 0);
+    const pool = poolLoad(candidates, now);
+    const { times } = speeds;
+    return candidates.map(target => {
+        const assumedTokens = target === preferred ? ASSUMED_CACHED_RATIO * sharedTokens : 0;
+        const knownTokens = prefixCaches.cachedTokens(target.name, request.promptParts);
+        const cachedTokens = Math.min(request.promptTokens, Math.max(knownTokens, assumedTokens));
+        const transferBytes = totalBytes - (request.inputBytesByZone.get(target.registration.zone) ?? 0);
+        const transferMs = (transferBytes / 1_000_000) * ZONE_TRANSFER_MS_PER_MEGABYTE;
+        const slots = slotsOf(target);
+        const { running, waiting } = loadOf(target, slots, pool, now);
+        const { speed, confidence } = speeds.speedOf(target.name);
+        const pace = presentPace(target, now);
+        const slowness = pace / speed;
+        const ownTokens = request.promptTokens - cachedTokens;
+        const work: Work = { tokens: target.pendingPromptTokens + ownTokens, running, waiting };
+        const eventGapMs = slowness * times.runningMs * (running + 1);
+        return {
+            target,
+            expectedMs: slowness * workMs(work, times) + transferMs,
+            pendingMs: slowness * target.pendingPromptTokens * times.tokenMs,
+            ownMs: slowness * ownTokens * times.tokenMs,
+            runningMs: slowness * running * times.runningMs,
+            waitingMs: slowness * waiting * times.waitingMs,
+            transferMs,
+            savedMs: slowness * cachedTokens * times.tokenMs,
+            cachedTokens,
+            eventGapMs,
+            exceedsEventGapLimit: eventGapMs > (request.eventGapLimitMs ?? Number.POSITIVE_INFINITY),
+            work,
+            slots,
+            pace,
+            speed,
+            speedConfidence: confidence,
+        };
+    });
+}
+
+function slotsOf({ load, registration }: Target): number {
+    return Math.max(1, load?.slots ?? registration.slots);
+}
+
+/** Mean use of slots in the pool, from the reports that are not old. */
+function poolLoad(candidates: readonly Target[], now: number): PoolLoad {
+    let [weightSum, runningSum, waitingSum] = [0, 0, 0];
+    for (const target of candidates) {
+        const { load, loadReportedAt } = target;
+        if (load === undefined) continue;
+        const weight = halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
+        weightSum += weight;
+        runningSum += (weight * load.running) / slotsOf(target);
+        waitingSum += (weight * load.waiting) / slotsOf(target);
+    }
+    if (weightSum === 0) return { runningRatio: 0, waitingRatio: 0 };
+    return { runningRatio: runningSum / weightSum, waitingRatio: waitingSum / weightSum };
+}
+
+/** Expected running and waiting requests. A request that finds all slots taken waits for one at least. */
+function loadOf(target: Target, slots: number, pool: PoolLoad, now: number): { running: number; waiting: number } {
+    const { load, loadReportedAt, outstanding } = target;
+    const weight = load === undefined ? 0 : halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
+    const reported = weight * (load?.running ?? 0) + (1 - weight) * pool.runningRatio * slots;
+    const waiting = weight * (load?.waiting ?? 0) + (1 - weight) * pool.waitingRatio * slots;
+    const present = Math.max(outstanding, reported);
+    const running = Math.min(slots, present);
+    return { running, waiting: Math.max(waiting, Math.max(0, present + 1 - slots)) };
+}
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,5 @@
+export * from "./callchoice.js";
+export * from "./enginechoice.js";
+export * from "./enginecost.js";
+export * from "./placement.js";
+export * from "./speedestimate.js";
--- a/src/gateway/placement.ts
+++ b/src/placement/placement.ts
@@ -6,8 +6,8 @@
  * results from other zones. Requests with the same prompt part prefer the same engine at every gateway.
  */
 import { rendezvousWeight } from "../routing/index.js";
-import type { PromptPart } from "./dialect.js";
-import { expectedLoad, type Target } from "./target.js";
+import type { PromptPart } from "../gateway/dialect.js";
+import { expectedLoad, type Target } from "../gateway/target.js";
 
 /** Prompt tokens that an engine processes per millisecond, as published for the engines. */
 const PROMPT_TOKENS_PER_MS = 57;
@@ -111,7 +111,8 @@
     return best;
 }
 
-function rendezvousTarget(candidates: readonly Target[], key: string): Target | undefined {
+/** The target that requests with a key prefer at every gateway. */
+export function rendezvousTarget(candidates: readonly Target[], key: string): Target | undefined {
     let best: Target | undefined;
     let bestWeight = -1;
     for (const candidate of candidates) {
--- a/src/platform/dialect.ts
+++ b/src/platform/dialect.ts
@@ -55,6 +55,9 @@
 const REQUEST_ID_LINE = new RegExp(`^${HEADER.requestId}:[ \\t]*([\\x21-\\x7e]{1,256})[ \\t]*\\r?$`, "im");
 const MAXIMUM_SEARCHED_BYTES = 16_384;
 
+/** Largest pace that is read: a thousand times slower than usual. */
+const MAXIMUM_PACE_PERCENT = 100_000;
+
 const PAUSE_SECONDS = /^\d+(\.\d*)?$/;
 
 const pieceAnswersSchema = z.object({
@@ -199,8 +202,14 @@
     });
 }
 
+/** A pace in percent of the usual time; values that no machine can have are dropped. */
+function readPace(percent: number | undefined): number | undefined {
+    if (percent === undefined || percent <= 0 || percent > MAXIMUM_PACE_PERCENT) return undefined;
+    return percent / 100;
+}
+
 function readLoad(value: string | undefined): TargetLoad | undefined {
-    const [running, waiting, slots] = readNumbers(value);
+    const [running, waiting, slots, pacePercent] = readNumbers(value);
     if (running === undefined || waiting === undefined || slots === undefined) return undefined;
-    return { running, waiting, slots };
+    return { running, waiting, slots, pace: readPace(pacePercent) };
 }
