Estimate loads and prefixes so that pools near their capacity are not overloaded

An engine that was not heard of was assumed to have the mean load whatever its speed, so the fast ones always looked better than they were, and a load counted for a second. Under overload, requests left the engines with their prefixes although no other engine was in time either, which added the work of reading the prefixes again. A forgotten target kept its speed until the next computation.

Change: the mean load of the pool is in proportion to speed, a load has a half-life of 150 ms, and a prefix is given up for the objective only if another engine meets it. Forgetting a target computes the speeds again. The clock is read once for the parts of a prompt.

--- a/src/placement/enginechoice.ts
+++ b/src/placement/enginechoice.ts
@@ -55,7 +55,9 @@
     if (most === 0) return undefined;
     const cached = lowestExpected(candidates.filter(({ cachedTokens }) => cachedTokens >= SIMILAR_PREFIX_RATIO * most));
     if (cached === undefined || cached.expectedMs > fastest.expectedMs + cached.savedMs) return undefined;
-    return cached === fastest || cached.expectedMs <= OBJECTIVE_RATIO * remainingMs ? cached : undefined;
+    // If no engine meets the objective, a spilled request would only add the work of reading its prefix again.
+    const limitMs = OBJECTIVE_RATIO * remainingMs;
+    return cached.expectedMs <= limitMs || fastest.expectedMs > limitMs ? cached : undefined;
 }
 
 function lowestExpected(costs: readonly EngineCost[]): EngineCost | undefined {
--- a/src/placement/enginecost.ts
+++ b/src/placement/enginecost.ts
@@ -11,8 +11,11 @@
 import { type Work, workMs } from "./servicetimes.js";
 import { presentPace, type ServiceSpeeds } from "./speedestimate.js";
 
-/** Half-life in milliseconds of a reported load; a stream takes longer than that. */
-const LOAD_HALF_LIFE_MS = 1_000;
+/**
+ * Half-life in milliseconds of a reported load. Queues of 30 gateways change within some first events; with 500 ms and more,
+ * simulated gateways sent too much to engines whose queues had been short.
+ */
+const LOAD_HALF_LIFE_MS = 150;
 
 /** Cost in milliseconds of transferring a megabyte of stage results between zones. */
 const ZONE_TRANSFER_MS_PER_MEGABYTE = 20;
@@ -78,7 +81,7 @@
     const preferred = affinityKey === undefined ? undefined : rendezvousTarget(candidates, affinityKey);
     const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
     const totalBytes = [...request.inputBytesByZone.values()].reduce((sum, bytes) => sum + bytes, 0);
-    const pool = poolLoad(candidates, now);
+    const pool = poolLoad(candidates, speeds, now);
     const { times } = speeds;
     return candidates.map(target => {
         const assumedTokens = target === preferred ? ASSUMED_CACHED_RATIO * sharedTokens : 0;
@@ -87,8 +90,8 @@
         const transferBytes = totalBytes - (request.inputBytesByZone.get(target.registration.zone) ?? 0);
         const transferMs = (transferBytes / 1_000_000) * ZONE_TRANSFER_MS_PER_MEGABYTE;
         const slots = slotsOf(target);
-        const { running, waiting } = loadOf(target, slots, pool, now);
         const { speed, confidence } = speeds.speedOf(target.name);
+        const { running, waiting } = loadOf(target, slots * speed, pool, now);
         const pace = presentPace(target, now);
         const slowness = pace / speed;
         const ownTokens = request.promptTokens - cachedTokens;
@@ -119,27 +122,33 @@
     return Math.max(1, load?.slots ?? registration.slots);
 }
 
-/** Mean use of slots in the pool, from the reports that are not old. */
-function poolLoad(candidates: readonly Target[], now: number): PoolLoad {
+/**
+ * Mean load of the pool by slot and speed, from the reports that are not old. Engines that are chosen by their expected time
+ * have loads in proportion to their speed; with the same load for all, each fast engine that was not heard of would look
+ * better than it is.
+ */
+function poolLoad(candidates: readonly Target[], { speedOf }: ServiceSpeeds, now: number): PoolLoad {
     let [weightSum, runningSum, waitingSum] = [0, 0, 0];
     for (const target of candidates) {
         const { load, loadReportedAt } = target;
         if (load === undefined) continue;
         const weight = halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
         weightSum += weight;
-        runningSum += (weight * load.running) / slotsOf(target);
-        waitingSum += (weight * load.waiting) / slotsOf(target);
+        const capacity = slotsOf(target) * speedOf(target.name).speed;
+        runningSum += (weight * load.running) / capacity;
+        waitingSum += (weight * load.waiting) / capacity;
     }
     if (weightSum === 0) return { runningRatio: 0, waitingRatio: 0 };
     return { runningRatio: runningSum / weightSum, waitingRatio: waitingSum / weightSum };
 }
 
 /** Expected running and waiting requests. A request that finds all slots taken waits for one at least. */
-function loadOf(target: Target, slots: number, pool: PoolLoad, now: number): { running: number; waiting: number } {
+function loadOf(target: Target, capacity: number, pool: PoolLoad, now: number): { running: number; waiting: number } {
     const { load, loadReportedAt, outstanding } = target;
+    const slots = slotsOf(target);
     const weight = load === undefined ? 0 : halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
-    const reported = weight * (load?.running ?? 0) + (1 - weight) * pool.runningRatio * slots;
-    const waiting = weight * (load?.waiting ?? 0) + (1 - weight) * pool.waitingRatio * slots;
+    const reported = weight * (load?.running ?? 0) + (1 - weight) * pool.runningRatio * capacity;
+    const waiting = weight * (load?.waiting ?? 0) + (1 - weight) * pool.waitingRatio * capacity;
     const present = Math.max(outstanding, reported);
     const running = Math.min(slots, present);
     return { running, waiting: Math.max(waiting, Math.max(0, present + 1 - slots)) };
--- a/src/placement/placement.ts
+++ b/src/placement/placement.ts
@@ -72,10 +72,12 @@
     /** Number of tokens of the prompt's beginning that the engine is assumed to have cached. */
     cachedTokens(target: string, parts: readonly PromptPart[]): number {
         const sentParts = this.sentAt.get(target);
+        if (sentParts === undefined) return 0;
+        const now = performance.now();
         let cached = 0;
         for (const { id, tokens } of parts) {
-            const sentAt = sentParts?.get(id);
-            if (sentAt === undefined || performance.now() - sentAt > CACHE_LIFETIME_MS) break;
+            const sentAt = sentParts.get(id);
+            if (sentAt === undefined || now - sentAt > CACHE_LIFETIME_MS) break;
             cached += tokens;
         }
         return cached;
--- a/src/placement/speedestimate.ts
+++ b/src/placement/speedestimate.ts
@@ -121,8 +121,10 @@
 
     /** Forgets a target that was removed or has restarted. */
     forget(target: string): void {
-        for (const [service, { samples }] of this.services) {
-            if (samples.delete(target) && samples.size === 0) this.services.delete(service);
+        for (const [service, estimate] of this.services) {
+            if (!estimate.samples.delete(target)) continue;
+            estimate.computedAt = Number.NEGATIVE_INFINITY;
+            if (estimate.samples.size === 0) this.services.delete(service);
         }
     }
 
