--- a/src/gateway/placement.ts
+++ b/src/placement/placement.ts
@@ -6,8 +6,8 @@
  * results from other zones. Requests with the same prompt part prefer the same engine at every gateway.
  */
 import { rendezvousWeight } from "../routing/index.js";
-import type { PromptPart } from "./dialect.js";
-import { expectedLoad, type Target } from "./target.js";
+import type { PromptPart } from "../gateway/dialect.js";
+import { expectedLoad, type Target } from "../gateway/target.js";
 
 /** Prompt tokens that an engine processes per millisecond, as published for the engines. */
 const PROMPT_TOKENS_PER_MS = 57;
@@ -72,10 +72,12 @@
     /** Number of tokens of the prompt's beginning that the engine is assumed to have cached. */
     cachedTokens(target: string, parts: readonly PromptPart[]): number {
         const sentParts = this.sentAt.get(target);
+        if (sentParts === undefined) return 0;
+        const now = performance.now();
         let cached = 0;
         for (const { id, tokens } of parts) {
-            const sentAt = sentParts?.get(id);
-            if (sentAt === undefined || performance.now() - sentAt > CACHE_LIFETIME_MS) break;
+            const sentAt = sentParts.get(id);
+            if (sentAt === undefined || now - sentAt > CACHE_LIFETIME_MS) break;
             cached += tokens;
         }
         return cached;
@@ -111,7 +113,8 @@
     return best;
 }
 
-function rendezvousTarget(candidates: readonly Target[], key: string): Target | undefined {
+/** The target that requests with a key prefer at every gateway. */
+export function rendezvousTarget(candidates: readonly Target[], key: string): Target | undefined {
     let best: Target | undefined;
     let bestWeight = -1;
     for (const candidate of candidates) {
