Decide when a slow call is sent to a second target

Cause: some targets of a pool are slow for a moment, and a call that waits at one could be answered by another one sooner.

Change: src/hedging/ has the decision (plain values in, a decision out), the recent 95th percentile of each route's latencies, and the budget of copies by number and by time of targets. Nothing uses it yet. SlidingCount also adds amounts.

Result: test/hedging/copydecision.test.ts passes: 1,000 calls that are due at once get 10 copies with a limit of 0.05 of 200 requests; no copy is sent from 70% of a pool's slots on.

--- a/src/gateway/shutdown.ts
+++ b/src/gateway/shutdown.ts
@@ -37,6 +37,11 @@
         }, due.remainingMs()).unref();
     }
 
+    /** Whether the stop has begun. */
+    get hasBegun(): boolean {
+        return Number.isFinite(this.dueAt);
+    }
+
     /** The earlier of a request's deadline and the end of the time for responses. */
     limit(deadline: Deadline): Deadline {
         return deadline.limitedTo(this.dueAt - performance.now());
--- /dev/null
+++ b/src/hedging/index.ts
@@ -0,0 +1,3 @@
+export * from "./copybudget.js";
+export * from "./copydecision.js";
+export * from "./routelatencies.js";
--- a/src/routing/slidingcount.ts
+++ b/src/routing/slidingcount.ts
@@ -24,9 +24,10 @@
         return this.counts.reduce((sum, count) => sum + count, 0);
     }
 
-    add(): void {
+    /** Adds an event, or an amount. */
+    add(amount = 1): void {
         this.forgetOld();
-        this.counts[0] = (this.counts[0] ?? 0) + 1;
+        this.counts[0] = (this.counts[0] ?? 0) + amount;
     }
 
     /** Takes back the latest event, if there is one in the window. */
