Move plain calls out of the exchange

Cause: one function of the exchange sent a call, read and recorded its answers and decided on repeats, which leaves no room for a second attempt beside the first.

Change: callattempt is one attempt from its sending to the end of its answer, with what is recorded of its target; callexchange goes from attempt to attempt. What callers see is unchanged.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,34 +11,24 @@
 import type { LineFields } from "../observability/index.js";
 import { MAXIMUM_PIECES, PIECE_BYTES, type PieceLossReason, type StageResult } from "../stages/index.js";
 import { runStages } from "../stages/run.js";
-import type { AttemptOutcome, ResponseHead } from "./attempt.js";
 import { Attempts } from "./attempts.js";
+import { CallExchange } from "./callexchange.js";
 import { chooseService, type Route } from "./configuration.js";
 import type { RequestConnection } from "./connection.js";
 import type { RequestMetadata } from "./dialect.js";
 import { failResponse } from "./delivery.js";
 import type { GatewayContext } from "./gateway.js";
-import { bodyFailureReason, HeldBody, type HeldBodyOutcome } from "./heldbody.js";
-import { STOPPING } from "./holdbacks.js";
+import { NO_TARGET_RETRY_MS, STOPPING } from "./holdbacks.js";
 import { Reply } from "./reply.js";
-import { RESPONDING } from "./requesttrial.js";
-import { isFinal, isResponseTo, withoutRefusalStatus } from "./results.js";
 import type { ExchangeResult, RoutedRequest } from "./routedrequest.js";
 import { StreamExchange } from "./streamexchange.js";
 import { callerWaitLimitMs } from "./streamtimeouts.js";
 import { RequestBody, type RequestBodyOutcome } from "./requestbody.js";
-import type { Target } from "./target.js";
 import { lazyTraitsOf } from "./traits.js";
 
-/** Shortest `Retry-After` in milliseconds for a request without a usable target. */
-const NO_TARGET_RETRY_MS = 500;
-
 /** Time in milliseconds after which a request may come back for whose body there was no memory. */
 const NO_MEMORY_RETRY_MS = 1_000;
 
-/** Size limit in bytes of a response that is buffered until it is complete. */
-const MAXIMUM_RESPONSE_BYTES = 4_194_304;
-
 /** Time in milliseconds that the stages leave the engine before the caller stops waiting. */
 const FIRST_EVENT_RESERVE_MS = 150;
 
@@ -53,14 +43,6 @@
     readonly closesConnection: () => boolean;
 }
 
-/** An answer to a plain call. The bodies of answers that are not passed on are not read. */
-type CallAnswer =
-    | { readonly kind: "read"; readonly outcome: HeldBodyOutcome; readonly body: HeldBody }
-    /** The target states that it has not run the request. */
-    | { readonly kind: "declined"; readonly wrongTarget: boolean }
-    /** The target has sent the answer to another request. */
-    | { readonly kind: "misdirected" };
-
 /** How the stages of a request ended. */
 type StagesEnd =
     | { readonly kind: "ready"; readonly inputs: readonly StageResult[]; readonly release: () => void }
@@ -362,102 +344,14 @@
         return this.reply.refuse(`stage ${reason}`, Math.max(retryAfterMs, NO_TARGET_RETRY_MS));
     }
 
-    /** Serves a plain call: the response is buffered until it is complete. */
-    private async serveCall(
+    private serveCall(
         request: RoutedRequest,
         attempts: Attempts,
         inputs: readonly StageResult[],
     ): Promise<ExchangeResult> {
-        let failure: ExchangeResult | undefined;
-        let errorResponse: { readonly head: ResponseHead; readonly body: HeldBody } | undefined;
-        try {
-            while (failure === undefined || attempts.mayRetry()) {
-                const target = await attempts.nextTarget(inputs);
-                if (target === undefined) break;
-                const startedAt = performance.now();
-                const attempt = await attempts.send(target, { inputs });
-                if (attempt.kind !== "answered") {
-                    const unanswered = await attempts.handleUnanswered(target, attempt);
-                    if (unanswered === "again") continue;
-                    if (isFinal(unanswered)) {
-                        return this.reply.endWith(
-                            failure === undefined ? unanswered : withoutRefusalStatus(unanswered),
-                        );
-                    }
-                    failure = unanswered;
-                    continue;
-                }
-                const answer = await this.readAnswer(target, attempt, request);
-                if (answer.kind === "declined") {
-                    attempts.handleDeclined(target, answer.wrongTarget);
-                    if (failure === undefined && !attempts.mayTryAnotherTarget()) {
-                        return this.reply.refuse("targets are full", NO_TARGET_RETRY_MS);
-                    }
-                    continue;
-                }
-                if (answer.kind === "misdirected") {
-                    this.context.targets.recordFailure(target, request.route.name);
-                    failure = { outcome: "failed", status: 502, reason: "answer of another" };
-                    continue;
-                }
-                const { outcome, body } = answer;
-                if (outcome.kind === "cancelled") {
-                    this.context.targets.recordInconclusive(target);
-                    return { outcome: "cancelled", status: 0, reason: "caller left" };
-                }
-                if (outcome.kind !== "complete") {
-                    attempts.recordIncomplete(target, outcome);
-                    if (outcome.kind === "broken") await attempts.checkForCrash(target, RESPONDING);
-                    failure = { outcome: "failed", status: 502, reason: bodyFailureReason(outcome) };
-                    if (outcome.kind === "expired") return this.reply.respond("expired", 504, "answer took too long");
-                    continue;
-                }
-                attempts.recordBegun(startedAt);
-                attempts.recordServed();
-                if (attempt.head.status >= 500) {
-                    this.context.targets.recordFailure(target, request.route.name);
-                    errorResponse?.body.release();
-                    errorResponse = { head: attempt.head, body };
-                    failure = { outcome: "failed", status: attempt.head.status, reason: "target failed" };
-                    continue;
-                }
-                this.context.targets.recordSuccess(
-                    target,
-                    (performance.now() - startedAt) / request.route.latencyObjectiveMs,
-                    request.route.name,
-                );
-                return this.reply.forward(attempt.head, body);
-            }
-            if (errorResponse !== undefined) {
-                const { head, body } = errorResponse;
-                errorResponse = undefined;
-                return this.reply.forward(head, body);
-            }
-            if (failure !== undefined) return this.reply.endWith(failure);
-            return this.endUnsent(request, attempts);
-        } finally {
-            errorResponse?.body.release();
-        }
-    }
-
-    /** Reads an answer to its end. The attempt has ended then, and its connection is closed, also after an exception. */
-    private async readAnswer(
-        target: Target,
-        { head, body }: Extract<AttemptOutcome, { kind: "answered" }>,
-        request: RoutedRequest,
-    ): Promise<CallAnswer> {
-        const { dialect, memory, targets } = this.context;
-        try {
-            const metadata = dialect.readResponse(head.status, head.headers);
-            targets.recordReport(target, metadata);
-            if (!isResponseTo(request, metadata)) return { kind: "misdirected" };
-            if (metadata.notExecuted) return { kind: "declined", wrongTarget: metadata.wrongTarget };
-            const holding = { memory, party: "targets", maximumBytes: MAXIMUM_RESPONSE_BYTES } as const;
-            return { kind: "read", ...(await HeldBody.read(body, request, holding)) };
-        } finally {
-            body.discard();
-            targets.recordEnded(target);
-        }
+        const { context, reply } = this;
+        const endUnsent = (): ExchangeResult => this.endUnsent(request, attempts);
+        return CallExchange.serve({ context, request, attempts, inputs, reply, endUnsent });
     }
 
     private serveStream(
--- a/src/gateway/holdbacks.ts
+++ b/src/gateway/holdbacks.ts
@@ -10,6 +10,9 @@
 /** Fraction of the remaining time for which a request waits for a usable target. */
 const TARGET_WAIT_SHARE = 0.25;
 
+/** Shortest `Retry-After` in milliseconds for a request without a usable target. */
+export const NO_TARGET_RETRY_MS = 500;
+
 /** Reason of a request that a planned stop leaves no time for. */
 export const STOPPING = "stopping";
 
