Send slow calls to a second target within a limit

Cause: a call waits for a target that is slow for a moment while others are free.

Without the section nothing changes.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -124,6 +124,7 @@
         memory,
         peers,
         retries: { ...settings.retries, windowMs: settings.retries.windowSeconds * 1_000 },
+        hedging: settings.hedging,
         stopGraceMs: settings.stopGraceSeconds * 1_000,
         rollouts: settings.rollouts,
         writeRolloutState,
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -251,6 +251,26 @@
         return undefined;
     }
 
+    /** Whether a copy of the request may run beside the attempt in progress, as far as its attempts have shown. */
+    get mayBeCopied(): boolean {
+        return this.hasAttemptLeft() && this.declinedCount <= MAXIMUM_DECLINES;
+    }
+
+    /** Whether a retry is left for a copy. */
+    get isRetryLeft(): boolean {
+        return this.retries.available();
+    }
+
+    /** The target among those given that would get a copy of the request. */
+    copyTarget(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
+        return this.choice.untriedOf(targets, inputs);
+    }
+
+    /** Takes the retry that a copy uses. Call only if `isRetryLeft` is true. */
+    takeRetryForCopy(): void {
+        this.retries.take();
+    }
+
     /** What is in the way of another attempt beside a silent one, whatever other targets there are. */
     private obstacleToOther(): string | undefined {
         if (!this.request.route.idempotent) return "stream cannot be resumed";
--- a/src/gateway/callattempt.ts
+++ b/src/gateway/callattempt.ts
@@ -51,8 +51,10 @@
     readonly sent: Promise<void>;
     /** Rejects if handling the attempt throws. */
     readonly ended: Promise<CallEnd>;
+    /** Resolves when the attempt has ended, also by an exception. */
+    readonly settled: Promise<void>;
     private sentAtValue: number | undefined;
-    private endValue: CallEnd | undefined;
+    private isSettledValue = false;
     private isLeft = false;
     private readonly abortController = new AbortController();
 
@@ -65,10 +67,15 @@
             reportSent();
         };
         this.ended = this.run(signal, onSending)
-            .then(end => (this.endValue = this.isLeft ? this.asLeft(end) : end))
-            .finally(reportSent);
-        // Whoever waits for the end gets the exception as well.
-        this.ended.catch(() => undefined);
+            .then(end => (this.isLeft ? this.asLeft(end) : end))
+            .finally(() => {
+                this.isSettledValue = true;
+                reportSent();
+            });
+        this.settled = this.ended.then(
+            () => undefined,
+            () => undefined,
+        );
     }
 
     static start(options: CallAttemptOptions): CallAttempt {
@@ -79,9 +86,8 @@
         return this.options.target;
     }
 
-    /** How the attempt ended; undefined while it is in progress. */
-    get end(): CallEnd | undefined {
-        return this.endValue;
+    get isSettled(): boolean {
+        return this.isSettledValue;
     }
 
     /** Monotonic time in milliseconds at which the request was sent; undefined while it was not. */
@@ -91,7 +97,7 @@
 
     /** Ends the attempt and closes its connection, unless it has ended. */
     leave(): void {
-        if (this.endValue !== undefined) return;
+        if (this.isSettledValue) return;
         this.isLeft = true;
         this.abortController.abort();
     }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -194,6 +194,7 @@
         };
         const traits = lazyTraitsOf({ ...content, promptParts: metadata.promptParts });
         this.context.retryBudgetOf(service).deposit();
+        this.context.hedging?.budgetOf(service).recordRequest();
         return this.serveRouted({
             route,
             service,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  * This is the current configuration, the targets, this gateway's parts of the limits for all gateways together, and the
  * queues of the stage services whose pieces it gathers.
  */
+import { CopyBudget, RouteLatencies } from "../hedging/index.js";
 import type { MemoryAccount } from "../memory/index.js";
 import type { LineFields } from "../observability/index.js";
 import { WindowBudget } from "../routing/index.js";
@@ -55,6 +56,8 @@
     readonly firstEventTimes: FirstEventTimes;
     /** This gateway's retry budget for a service. */
     readonly retryBudgetOf: (service: string) => WindowBudget;
+    /** What second copies of slow calls depend on; undefined if none may be sent. */
+    readonly hedging: Hedging | undefined;
     readonly makePieces: MakePieces;
     readonly releaseResults: (service: string, handles: readonly string[]) => void;
     /** Time by which a stage has to be ready if the response or its first event is due at `latest`. */
@@ -74,6 +77,12 @@
     readonly onRequestEnd: (fields: LineFields, route: Route | undefined, milliseconds: number) => void;
 }
 
+/** The limits of second copies, and the latencies by which a call counts as slow. */
+export interface Hedging {
+    readonly latencies: RouteLatencies;
+    readonly budgetOf: (service: string) => CopyBudget;
+}
+
 /** Settings and dependencies of a gateway. */
 export interface GatewayOptions {
     readonly dialect: Dialect;
@@ -89,6 +98,12 @@
         /** Length of the window in milliseconds. */
         readonly windowMs: number;
     };
+    /**
+     * Second copies of slow calls allowed to all gateways together: a fraction of the requests, and of the time of targets,
+     * which is the same by default. Absent or with a fraction of 0, none are sent.
+     */
+    readonly hedging?:
+        { readonly fractionOfRequests: number; readonly fractionOfTargetTime?: number | undefined } | undefined;
     /** Longest time in milliseconds from the start of a planned stop to the end of the process. */
     readonly stopGraceMs: number;
     /**
@@ -117,8 +132,11 @@
     readonly part: number;
 }
 
-/** Fraction of the retries for each request that is used; the rest is a margin for requests that are counted elsewhere. */
-const RETRY_USE_RATIO = 0.6;
+/**
+ * Fraction of the retries and copies for each request that is used; the rest is a margin for requests that are counted
+ * elsewhere.
+ */
+const USE_RATIO = 0.6;
 
 /** Limits of a gateway that does not follow roll-outs. */
 const NO_TRIALS: TrialLimits = { share: 0, allowance: 0 };
@@ -144,6 +162,8 @@
     private currentConfiguration: GatewayConfiguration | undefined;
     private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, WindowBudget>();
+    private readonly latencies = RouteLatencies.create();
+    private readonly copyBudgets = new Map<string, CopyBudget>();
     private readonly queues = new Map<string, StageQueue>();
     private readonly schedule: StageSchedule;
 
@@ -228,6 +248,7 @@
             prefixCaches: prefixMemory,
             firstEventTimes: this.firstEventTimes,
             retryBudgetOf: service => this.budgetOf(service),
+            hedging: this.hedging(),
             makePieces: (jobs, signal) => this.pieceRouter.make(jobs, signal),
             releaseResults: (service, handles) => this.pieceRouter.release(service, handles),
             stageReadyBy: (route, stage, latest) =>
@@ -326,10 +347,12 @@
     private forgetRemoved(configuration: GatewayConfiguration): void {
         const routes = new Set(configuration.content.routes.map(({ name }) => name));
         const { requestTimes, attemptTimes, firstEventTimes } = this.context;
-        for (const times of [requestTimes, attemptTimes, firstEventTimes]) times.keepOnly(routes);
-        for (const [service, budget] of this.budgets) {
-            // A service may return within the window of its budget.
-            if (configuration.service(service) === undefined && budget.isUnused) this.budgets.delete(service);
+        for (const times of [requestTimes, attemptTimes, firstEventTimes, this.latencies]) times.keepOnly(routes);
+        for (const budgets of [this.budgets, this.copyBudgets]) {
+            for (const [service, budget] of budgets) {
+                // A service may return within the window of its budget.
+                if (configuration.service(service) === undefined && budget.isUnused) budgets.delete(service);
+            }
         }
     }
 
@@ -414,7 +437,7 @@
         const { retries, onDecision } = this.options;
         const created = WindowBudget.create({
             windowMs: retries.windowMs,
-            fractionOfRequests: retries.fractionOfRequests * RETRY_USE_RATIO,
+            fractionOfRequests: retries.fractionOfRequests * USE_RATIO,
             allowance: () => this.limitShares.partOfAllowance(service, retries.allowance),
             onBeyondFraction: use =>
                 onDecision("retry from the allowance", {
@@ -427,4 +450,25 @@
         this.budgets.set(service, created);
         return created;
     }
+
+    /** What second copies depend on; undefined if the settings allow none. */
+    private hedging(): Hedging | undefined {
+        const { hedging, retries } = this.options;
+        if (hedging === undefined) return undefined;
+        const { fractionOfRequests, fractionOfTargetTime = fractionOfRequests } = hedging;
+        if (fractionOfRequests === 0 || fractionOfTargetTime === 0) return undefined;
+        const budgetOptions = {
+            windowMs: retries.windowMs,
+            fractionOfRequests: fractionOfRequests * USE_RATIO,
+            fractionOfTargetTime: fractionOfTargetTime * USE_RATIO,
+        };
+        return {
+            latencies: this.latencies,
+            budgetOf: service => {
+                const budget = this.copyBudgets.get(service) ?? CopyBudget.create(budgetOptions);
+                this.copyBudgets.set(service, budget);
+                return budget;
+            },
+        };
+    }
 }
--- a/src/gateway/targetchoice.ts
+++ b/src/gateway/targetchoice.ts
@@ -99,6 +99,15 @@
         return { kind: "none", obstacle: mayRunElsewhere ? "no other target" : "no attempt is left" };
     }
 
+    /** The best of the targets that have not got the request, if more targets may run it. */
+    untriedOf(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
+        if (!this.mayRunAtMoreTargets()) return undefined;
+        return this.bestAllowed(
+            targets.filter(target => !this.tried.has(target)),
+            inputs,
+        );
+    }
+
     /** Zone of the target that will probably get the request. */
     preferredZone(): string {
         const { request, context } = this;
--- a/src/hedging/copydecision.ts
+++ b/src/hedging/copydecision.ts
@@ -38,7 +38,7 @@
     /** Milliseconds until its caller stops waiting. */
     readonly remainingMs: number;
     /** Whether its route lets a further target run it, and its stage results are still there. */
-    readonly isRepeatable: boolean;
+    readonly hasAttemptLeft: boolean;
     readonly isStopping: boolean;
     readonly isSuspected: boolean;
     readonly hasRetryLeft: boolean;
@@ -47,13 +47,13 @@
     readonly isLimitReached: boolean;
     /** Work at all usable targets of the service. */
     readonly pool: readonly TargetWork[];
-    /** Work at the target that would get the copy; undefined if there is none. */
-    readonly other: TargetWork | undefined;
+    /** Work at the target that would get the copy; undefined if there is none. Asked only if nothing else is in the way. */
+    readonly other: () => TargetWork | undefined;
 }
 
 /** Why no copy is sent although the call is slow. */
 export type CopyObstacle =
-    | "call is not repeatable"
+    | "no attempt is left"
     | "stopping"
     | "request may crash targets"
     | "no time is left"
@@ -90,20 +90,21 @@
 }
 
 function obstacleTo(call: SlowCall, slowMs: number): CopyObstacle | undefined {
-    if (!call.isRepeatable) return "call is not repeatable";
+    if (!call.hasAttemptLeft) return "no attempt is left";
     if (call.isStopping) return "stopping";
     if (call.isSuspected) return "request may crash targets";
     // Nearly all answers of other targets would still be in time.
     if (call.remainingMs < slowMs) return "no time is left";
     if (!call.hasCopyLeft) return "no copy is left";
     if (!call.hasRetryLeft) return "no retry is left";
-    if (call.other === undefined) return "no other target";
-    if (call.isLimitReached || isBusy(call.pool) || call.other.waiting > 0) return "targets are busy";
-    return call.other.running < Math.max(1, call.other.slots) ? undefined : "targets are busy";
+    if (call.isLimitReached || isBusy(call.pool)) return "targets are busy";
+    const other = call.other();
+    if (other === undefined) return "no other target";
+    return other.waiting === 0 && other.running < Math.max(1, other.slots) ? undefined : "targets are busy";
 }
 
 function isBusy(pool: readonly TargetWork[]): boolean {
     const work = pool.reduce((sum, { running, waiting }) => sum + running + waiting, 0);
     const slots = pool.reduce((sum, target) => sum + Math.max(1, target.slots), 0);
-    return work >= BUSY_RATIO * slots;
+    return slots > 0 && work >= BUSY_RATIO * slots;
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -119,6 +119,15 @@
             windowSeconds: z.number().positive().default(10),
         })
         .prefault({}),
+    /** Second copies of slow calls that may be repeated. Without this section, none are sent. */
+    hedging: z
+        .strictObject({
+            /** Copies allowed per request to a service. */
+            fractionOfRequests: z.number().min(0).max(1).default(0),
+            /** Time of targets that copies may use, relative to that of other attempts; by default the same value. */
+            fractionOfTargetTime: z.number().min(0).max(1).optional(),
+        })
+        .optional(),
     /**
      * Bound on what a new version gets from all gateways together until its roll-out is decided. Without this section, the
      * gateway does not follow roll-outs.
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -82,15 +82,19 @@
     private readonly logs: DecisionLog[] = [];
     private readonly writtenLines: Readonly<Record<string, unknown>>[] = [];
 
-    private constructor(readonly platform: StandInPlatform) {}
+    private constructor(
+        readonly platform: StandInPlatform,
+        private readonly settings: Readonly<Record<string, unknown>>,
+    ) {}
 
-    /** Starts the platform with a configuration, targets by service, and gateways. */
+    /** Starts the platform with a configuration, targets by service, and gateways; `settings` are added to theirs. */
     static async start(
         services: Readonly<Record<string, number>>,
         gateways = 1,
         configuration: unknown = CONFIGURATION,
+        settings: Readonly<Record<string, unknown>> = {},
     ): Promise<Deployment> {
-        const deployment = new Deployment(await StandInPlatform.start());
+        const deployment = new Deployment(await StandInPlatform.start(), settings);
         deployment.platform.put("config", "main", configuration);
         for (const [service, count] of Object.entries(services)) {
             for (let index = 0; index < count; index += 1) await deployment.addTarget(service, `${service}-${index}`);
@@ -150,6 +154,7 @@
             metricsAddress: metrics,
             store: { address: this.platform.address, timeoutMilliseconds: 300 },
             rollouts: { share: 0.1, allowance: 50 },
+            ...this.settings,
         });
         const sink = LineSink.create((text, done) => {
             for (const line of text.trim().split("\n")) {
--- a/test/hedging/copydecision.test.ts
+++ b/test/hedging/copydecision.test.ts
@@ -21,14 +21,14 @@
     slowMs: 100,
     latencyObjectiveMs: 500,
     remainingMs: 1_000,
-    isRepeatable: true,
+    hasAttemptLeft: true,
     isStopping: false,
     isSuspected: false,
     hasRetryLeft: true,
     hasCopyLeft: true,
     isLimitReached: false,
     pool: [IDLE, IDLE],
-    other: IDLE,
+    other: () => IDLE,
 };
 
 beforeEach(() => vi.useFakeTimers());
@@ -49,16 +49,17 @@
     });
 
     it.each([
-        { change: { isRepeatable: false }, obstacle: "call is not repeatable" },
+        { change: { hasAttemptLeft: false }, obstacle: "no attempt is left" },
         { change: { isStopping: true }, obstacle: "stopping" },
         { change: { isSuspected: true }, obstacle: "request may crash targets" },
         { change: { remainingMs: 99 }, obstacle: "no time is left" },
         { change: { hasCopyLeft: false }, obstacle: "no copy is left" },
         { change: { hasRetryLeft: false }, obstacle: "no retry is left" },
-        { change: { other: undefined }, obstacle: "no other target" },
+        { change: { other: (): undefined => undefined }, obstacle: "no other target" },
+        { change: { pool: [], other: (): undefined => undefined }, obstacle: "no other target" },
         { change: { isLimitReached: true }, obstacle: "targets are busy" },
-        { change: { other: { ...IDLE, waiting: 1 } }, obstacle: "targets are busy" },
-        { change: { other: { ...IDLE, running: 4 } }, obstacle: "targets are busy" },
+        { change: { other: (): TargetWork => ({ ...IDLE, waiting: 1 }) }, obstacle: "targets are busy" },
+        { change: { other: (): TargetWork => ({ ...IDLE, running: 4 }) }, obstacle: "targets are busy" },
         { change: { pool: [{ ...IDLE, running: 4, waiting: 2 }, IDLE] }, obstacle: "targets are busy" },
     ])("is denied: $change", ({ change, obstacle }) => {
         expect(decideCopy({ ...SLOW, ...change })).toEqual({ kind: "denied", obstacle });
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -24,6 +24,15 @@
 seat: { index: 0, count: 2 }
 `;
 
+const GATEWAY = `name: gateway1
+zone: east
+callerAddress: 127.0.0.1:7001
+readinessAddress: 127.0.0.1:7002
+peerAddress: 127.0.0.1:7003
+store:
+  address: 127.0.0.1:7900
+`;
+
 const faults = [
     { fault: "unknown key", from: "seat:", to: "seats: 1\nseat:", line: 10, path: "seats" },
     { fault: "unknown nested key", from: "  address", to: "  timeout: 3\n  address", line: 9, path: "store.timeout" },
@@ -59,6 +68,20 @@
         });
     });
 
+    it.each([
+        { text: "hedging:\n", hedging: undefined },
+        { text: "hedging: {}\n", hedging: { fractionOfRequests: 0 } },
+        {
+            text: "hedging: { fractionOfRequests: 0.05, fractionOfTargetTime: }\n",
+            hedging: { fractionOfRequests: 0.05 },
+        },
+        { text: "hedging: { fractionOfRequests: 1.5 }\n", hedging: "invalid" },
+        { text: "hedging: { fractionOfTargetTime: -1 }\n", hedging: "invalid" },
+    ])("of a gateway limit second copies only within 0 to 1: $text", ({ text, hedging }) => {
+        const outcome = parseSettings(gatewaySettingsSchema, GATEWAY + text);
+        expect(outcome.kind === "loaded" ? outcome.settings.hedging : outcome.kind).toEqual(hedging);
+    });
+
     it("in an unreadable file are rejected with an error of the whole file", async () => {
         const outcome = await loadSettings(entrySettingsSchema, "does-not-exist.yaml");
         expect(outcome).toMatchObject({ kind: "invalid", errors: [{ line: undefined, path: "" }] });
