--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -88,7 +88,7 @@
         private readonly furtherSettings: Readonly<Record<string, unknown>>,
     ) {}
 
-    /** Starts the platform with a configuration, targets by service, and gateways. */
+    /** Starts the platform with a configuration, targets by service, and gateways; `settings` are added to theirs. */
     static async start(
         services: Readonly<Record<string, number>>,
         gateways = 1,
