--- a/src/placement/speedestimate.ts
+++ b/src/placement/speedestimate.ts
@@ -136,6 +136,15 @@
         return { times: estimate.times.current, speedOf: target => speeds.get(target) ?? UNKNOWN_SPEED };
     }
 
+    /** What was last computed for a service. It changes nothing, so it does for explanations of decisions. */
+    lastOf(service: string): ServiceSpeeds {
+        const estimate = this.services.get(service);
+        return {
+            times: estimate?.times.current ?? INITIAL_WORK_TIMES,
+            speedOf: target => estimate?.speeds.get(target) ?? UNKNOWN_SPEED,
+        };
+    }
+
     private estimateOf(service: string): ServiceEstimate {
         const existing = this.services.get(service);
         if (existing !== undefined) return existing;
--- a/test/placement/choice.test.ts
+++ b/test/placement/choice.test.ts
@@ -237,6 +237,15 @@
         expect(speedOf("d").speed).toBeLessThanOrEqual(5);
     });
 
+    it("are not computed again by an explanation", () => {
+        const estimates = SpeedEstimates.create();
+        learn(estimates, { a: 1, b: 1, c: 0.5 }, 57);
+        const before = estimates.of("engines").speedOf("c");
+        vi.advanceTimersByTime(30_000);
+        for (let index = 0; index < 1_000; index += 1) expect(estimates.lastOf("engines").speedOf("c")).toBe(before);
+        expect(estimates.of("engines").speedOf("c").speed).toBeGreaterThan(before.speed);
+    });
+
     it("are forgotten with the target, and have few log lines", () => {
         const lines: unknown[] = [];
         const estimates = SpeedEstimates.create((_, fields) => lines.push(fields));
