Test that a call and its copy end after an exception

Cause: an exception in one of two attempts must not leave the other one open at its target.

Change: a case in secondcopies.test.ts.

--- a/test/gateway/secondcopies.test.ts
+++ b/test/gateway/secondcopies.test.ts
@@ -269,6 +269,22 @@
         expect(deployment.linesOf("request ended")[0]).toMatchObject({ outcome: "cancelled" });
     });
 
+    it("end with the request after an exception in one of them", async () => {
+        await start();
+        const gateway = deployment.gateways[0]?.gateway;
+        if (gateway === undefined) throw new Error("no gateway");
+        script(answerAfter(1_500, "first"), () => {
+            vi.spyOn(gateway.targets, "recordReport").mockImplementationOnce(() => {
+                throw new Error("fault in the program");
+            });
+            return answerAfter(0, "copy")();
+        });
+        expect((await deployment.call({ path: "/check/1" })).status).toBe(500);
+        await vi.waitFor(() => expect(abandoned()).toHaveLength(1), 500);
+        expect(deployment.linesOf("request failed unexpectedly")).toHaveLength(1);
+        expect(gateway.targets.usable("bookings").map(({ outstanding }) => outstanding)).toEqual([0, 0, 0]);
+    });
+
     it("end at the deadline of the call", async () => {
         await start();
         script(answerAfter(1_500, "first"), answerAfter(1_500, "copy"));
