Order numbers of targets while a gateway holds the duties

Cause: a deployment bills targets by the second and expects orders for the services that have limits of their number. The last orders are told to all gateways for the next holder.

--- a/src/daemon/gateway.ts
+++ b/src/daemon/gateway.ts
@@ -270,12 +270,12 @@
     return { name: settings.name, gateway, stop, kill, reload };
 }
 
-/** The duties that the settings enable; undefined without an address for calls, or without any duty. */
+/** The duties that the settings enable; undefined without an address for calls. */
 function dutyOptions(settings: GatewaySettings, { duties, store }: GatewayEnvironment): DutyOptions | undefined {
     if (settings.duties === undefined) return undefined;
     const { address, usageWindowSeconds, callsPerSecond, usageTolerance, usageDueSeconds } = settings.duties;
     const { leaseMilliseconds, resumeMilliseconds } = settings.duties;
-    if (address === undefined || usageWindowSeconds === undefined) return undefined;
+    if (address === undefined) return undefined;
     return {
         ...duties,
         store,
@@ -283,7 +283,7 @@
         callsPerSecond,
         leaseMs: leaseMilliseconds,
         resumeMs: resumeMilliseconds,
-        windowMs: usageWindowSeconds * 1_000,
+        windowMs: usageWindowSeconds === undefined ? undefined : usageWindowSeconds * 1_000,
         usageTolerance,
         usageDueMs: usageDueSeconds * 1_000,
     };
--- a/src/duties/handover.ts
+++ b/src/duties/handover.ts
@@ -16,6 +16,8 @@
 import type { LineFields } from "../observability/index.js";
 import type { PeerCalls } from "../stages/index.js";
 import { candidateOrder, CANDIDATES } from "./candidates.js";
+import { type FleetLoads, type ZoneLoad, zoneLoadSchema } from "./fleetloads.js";
+import { type TargetOrders, toldOrderSchema } from "./targetorders.js";
 import type { UsageCounter } from "./usagecounter.js";
 import { Acknowledgements, entrySchema, type LedgerEntry, type UsageLedger } from "./usageledger.js";
 
@@ -51,6 +53,8 @@
     /** Fencing number of the sender, if it holds the duties. */
     fencing: z.int().min(1).optional(),
     entries: z.array(entrySchema),
+    /** What the sender has open at targets of services that are scaled. */
+    loads: z.array(zoneLoadSchema).optional(),
 });
 
 const answerSchema = z.object({
@@ -62,6 +66,8 @@
     holder: holderSchema.optional(),
     /** Windows that need no report any more. */
     closed: z.array(z.int()),
+    /** The last orders for targets. */
+    orders: z.array(toldOrderSchema).optional(),
 });
 
 /** What the hand-over depends on. */
@@ -76,6 +82,10 @@
     readonly tolerance: number;
     /** Fencing number of this gateway's tenure, if it holds the duties. */
     readonly fencing: () => number | undefined;
+    /** What all gateways have open at targets, and what this one has. */
+    readonly fleetLoads: FleetLoads;
+    readonly loads: () => readonly ZoneLoad[];
+    readonly orders: Pick<TargetOrders, "told" | "learn">;
     readonly onChange: (change: string, fields: LineFields) => void;
 }
 
@@ -126,9 +136,11 @@
         if (message === undefined) return undefined;
         if (message.fencing !== undefined) this.learn({ name: message.from, fencing: message.fencing }, true);
         for (const entry of message.entries) this.options.ledger.put(entry);
+        if (message.loads !== undefined) this.options.fleetLoads.put(message.from, message.loads);
         const { start, ledger } = this.options;
         const fencing = this.options.fencing();
-        const answer = { start, fencing, holder: this.holder(), closed: [...ledger.closed] };
+        const orders = fencing === undefined ? undefined : [...this.options.orders.told];
+        const answer = { start, fencing, holder: this.holder(), closed: [...ledger.closed], orders };
         return JSON.stringify(answer satisfies z.infer<typeof answerSchema>);
     }
 
@@ -167,6 +179,8 @@
     private tick(): void {
         const { counter, peers, windowMs, tolerance } = this.options;
         counter.update();
+        const loads = this.options.loads();
+        this.options.fleetLoads.put(peers.self.name, loads);
         const receiver = this.isCalling ? undefined : this.findReceiver();
         if (receiver === undefined) return;
         const sinceMs = performance.now() - this.sentAt;
@@ -174,7 +188,7 @@
         const pending = this.pending();
         const intervalMs = handOverIntervalMs(windowMs, tolerance, peers.others.length + 1);
         const isDue = pending.some(({ isFinal }) => isFinal) || (pending.length > 0 && sinceMs >= intervalMs);
-        const isSearching = this.known === undefined || this.rank < CANDIDATES;
+        const isSearching = this.known === undefined || this.rank < CANDIDATES || loads.length > 0;
         const isProbe = sinceMs >= (isSearching ? CANDIDATE_PROBE_MS : PROBE_MS);
         if (!isDue && !isProbe) return;
         this.sentAt = performance.now();
@@ -217,6 +231,7 @@
             return;
         }
         for (const id of answer.closed) this.options.ledger.close(id);
+        if (answer.fencing !== undefined) this.options.orders.learn(answer.orders ?? []);
         if (isHolder || answer.fencing !== undefined) {
             const identity = JSON.stringify([receiver.name, answer.start, answer.fencing ?? ""]);
             if (identity !== this.receiver) this.acknowledged = Acknowledgements.create();
@@ -246,7 +261,13 @@
         entries: readonly LedgerEntry[],
     ): Promise<z.infer<typeof answerSchema> | undefined> {
         const { peers, peerCalls, onChange } = this.options;
-        const message = { from: peers.self.name, fencing: this.options.fencing(), entries: [...entries] };
+        const loads = this.options.loads();
+        const message = {
+            from: peers.self.name,
+            fencing: this.options.fencing(),
+            entries: [...entries],
+            loads: loads.length > 0 ? [...loads] : undefined,
+        };
         const text = JSON.stringify(message satisfies z.infer<typeof messageSchema>);
         const limits = { deadline: Deadline.after(ANSWER_TIMEOUT_MS), signal: NEVER_ABORTED };
         const outcome = await peerCalls.call(peer, DUTIES_PATH, text, limits);
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -4,6 +4,7 @@
  * A configuration is an immutable value with a version. A gateway only moves to higher versions, so that a stale read
  * of the store cannot undo a change.
  */
+import type { ReplicaBounds } from "../duties/index.js";
 
 /** A stage that has to run before the request's own service can run the request. */
 export interface RouteStage {
@@ -82,6 +83,8 @@
     readonly coldRequestsPerSecond: number;
     readonly stage: StageCapacity | undefined;
     readonly engine: EngineCapacity | undefined;
+    /** Limits of the number of targets in each zone; undefined if they are not ordered. */
+    readonly scaling?: ReplicaBounds | undefined;
 }
 
 /** Limits of a caller's connection. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -32,6 +32,7 @@
 import type { RegistrationCleanupEnvironment } from "./registrationcleanup.js";
 import { RolloutController } from "./rolloutcontroller.js";
 import { type Rollout, Rollouts, type RolloutState, type SeenRollout, type TrialLimits } from "./rollouts.js";
+import { scaledZones } from "./scaledzones.js";
 import { Shutdown } from "./shutdown.js";
 import type { Target } from "./target.js";
 import { TargetDirectory } from "./targetdirectory.js";
@@ -221,7 +222,12 @@
         this.duties =
             options.duties === undefined
                 ? undefined
-                : Duties.start(options.duties, { peers, peerCalls: this.peerCalls, onChange });
+                : Duties.start(options.duties, {
+                      peers,
+                      peerCalls: this.peerCalls,
+                      scaledZones: () => scaledZones(this.currentConfiguration, this.targets),
+                      onChange,
+                  });
         this.schedule = StageSchedule.create({
             capacity: service => this.currentConfiguration?.service(service)?.stage,
             waitMs: service => this.pieceRouter.recentWaitMs(service),
--- a/src/gateway/targetdirectory.ts
+++ b/src/gateway/targetdirectory.ts
@@ -117,6 +117,16 @@
         return this.targets.ofService(service).map(({ name }) => name);
     }
 
+    /** The registered targets of a service, whether or not they may be used. */
+    registered(service: string): readonly Target[] {
+        return this.targets.ofService(service);
+    }
+
+    /** Whether targets of a zone get no requests. */
+    isClosed(zone: string): boolean {
+        return this.closedZones.has(zone);
+    }
+
     /** Sets the zones whose targets get no requests. */
     closeZones(zones: ReadonlySet<string>): void {
         for (const zone of zones) if (!this.closedZones.has(zone)) this.onChange("zoneClosed", zone, {});
--- a/src/platform/configuration.ts
+++ b/src/platform/configuration.ts
@@ -67,6 +67,12 @@
         .optional(),
     /** Capacity of a model engine. */
     Backend: z.object({ Slots: count, KvCapacity: nonNegative }).optional(),
+    /** Limits of the number of targets in each zone. A form that cannot be read must not cost the configuration. */
+    Autoscale: z
+        .object({ Min: count, Max: z.int().min(1), BootS: nonNegative.optional() })
+        .refine(({ Min, Max }) => Min <= Max)
+        .optional()
+        .catch(undefined),
 });
 
 const configurationSchema = z.object({
@@ -220,8 +226,11 @@
     };
 }
 
+/** Time in seconds until a new target serves where the configuration does not say. */
+const DEFAULT_BOOT_SECONDS = 30;
+
 function decodeService(service: z.infer<typeof serviceSchema>): Service {
-    const { Segments, Backend } = service;
+    const { Segments, Backend, Autoscale } = service;
     return {
         name: service.Name,
         healthPath: service.HealthPath ?? "/healthz",
@@ -238,6 +247,14 @@
                       memoryBytes: Segments.HeadroomMb * BYTES_PER_MEGABYTE,
                       resultLifetimeMs: Segments.HandleTtlS * 1_000,
                   },
+        scaling:
+            Autoscale === undefined
+                ? undefined
+                : {
+                      minimum: Autoscale.Min,
+                      maximum: Autoscale.Max,
+                      bootMs: (Autoscale.BootS ?? DEFAULT_BOOT_SECONDS) * 1_000,
+                  },
         engine: Backend === undefined ? undefined : { slots: Backend.Slots, tokens: Backend.KvCapacity },
     };
 }
--- a/test/duties/deployment.ts
+++ b/test/duties/deployment.ts
@@ -17,7 +17,7 @@
     ) {}
 
     /** Starts gateways and waits until one of them holds the duties. */
-    static async start(gateways: number): Promise<DutyDeployment> {
+    static async start(gateways: number, configuration?: unknown): Promise<DutyDeployment> {
         const cloud = await StandInCloud.start();
         const settings = {
             address: cloud.address,
@@ -29,7 +29,7 @@
             usageDueSeconds: DUE_MS / 1_000,
         };
         const services = { bookings: 2, engines: 2 };
-        const deployment = await Deployment.start(services, gateways, undefined, { duties: settings });
+        const deployment = await Deployment.start(services, gateways, configuration, { duties: settings });
         for (const id of ["engines-0", "engines-1"]) {
             deployment.target(id).behaviour = () => ({ kind: "stream", events: 3 });
         }
--- a/test/duties/duties.test.ts
+++ b/test/duties/duties.test.ts
@@ -5,6 +5,7 @@
  */
 import { afterEach, describe, expect, it, vi } from "vitest";
 import { pause } from "../../src/model/pause.js";
+import { CONFIGURATION } from "../gateway/harness.js";
 import { DutyDeployment, WINDOW_MS } from "./deployment.js";
 
 const LONG_MS = 60_000;
@@ -56,3 +57,22 @@
         LONG_MS,
     );
 });
+
+describe("orders for targets", () => {
+    it(
+        "are sent by the holder for services with limits, and no others",
+        async () => {
+            const [bookings, ...rest] = CONFIGURATION.Services;
+            const Services = [{ ...bookings, Autoscale: { Min: 3, Max: 5, BootS: 2 } }, ...rest];
+            duties = await DutyDeployment.start(2, { ...CONFIGURATION, Services });
+            const orders = (): readonly unknown[] => duties.cloud.calls.filter(({ path }) => path === "/scale");
+            await vi.waitFor(() => expect(orders()).toHaveLength(1), 8_000);
+            await pause(2_000);
+            expect(orders()).toMatchObject([
+                { body: { Service: "bookings", Zone: "east", Desired: 3 }, holder: `gateway-${duties.holder()}` },
+            ]);
+            expect(duties.deployment.linesOf("targets ordered")).toMatchObject([{ desired: 3, registered: 2 }]);
+        },
+        LONG_MS,
+    );
+});
