Decide in one function whether targets are compared by speed or by constants

Cause: the simulation of the tests had its own copy of that decision, so the test of a pool without the figure did not run the code of requests.

Change: placement/choice has it for generations and plain calls; gateway/targetchoice and the simulation call it. A table shows for plain calls that without the figure, or with one that is older than ten seconds, the same random numbers give the same targets as before.

--- a/src/gateway/targetchoice.ts
+++ b/src/gateway/targetchoice.ts
@@ -2,16 +2,7 @@
  * Chooses among the usable targets of one request, from what is known of its attempts: which targets were tried, which ones
  * may have run it, and which ones were left before they had begun to answer.
  */
-import {
-    cheapestEngine,
-    chooseEngine,
-    type EngineCost,
-    engineCosts,
-    fastestTarget,
-    leastLoadedTarget,
-    type PlacementInput,
-    reportsPace,
-} from "../placement/index.js";
+import { chooseCallTarget, chooseEngineTarget, type EngineCost, type PlacementInput } from "../placement/index.js";
 import type { StageResult } from "../stages/index.js";
 import type { GatewayContext } from "./gateway.js";
 import type { RequestRetries } from "./requestretries.js";
@@ -173,26 +164,22 @@
         const { request, context } = this;
         const eligible = (service: string): readonly Target[] => context.targets.eligible(service);
         const allowed = context.rollouts.allowed(request.service, targets, eligible);
-        if (request.route.streaming) return this.cheapest(allowed, inputs);
-        return reportsPace(allowed, performance.now())
-            ? fastestTarget(allowed, context.zone, Math.random)
-            : leastLoadedTarget(allowed, context.zone, Math.random);
+        return request.route.streaming
+            ? this.cheapest(allowed, inputs)
+            : chooseCallTarget(allowed, context.zone, Math.random);
     }
 
     private cheapest(targets: readonly Target[], inputs: readonly StageResult[]): Target | undefined {
-        const input = this.placementInput(inputs);
         const { prefixCaches, speeds } = this.context;
-        const now = performance.now();
-        if (!reportsPace(targets, now)) {
-            this.expectedCosts.clear();
-            return cheapestEngine(targets, input, prefixCaches);
-        }
         const { service, route, receivedAt } = this.request;
         const { eventGapLimitMs, latencyObjectiveMs } = route;
+        const now = performance.now();
+        const request = { ...this.placementInput(inputs), eventGapLimitMs };
         const knowledge = { prefixCaches, speeds: speeds.of(service), now };
-        const costs = engineCosts(targets, { ...input, eventGapLimitMs }, knowledge);
-        const chosen = chooseEngine(costs, receivedAt + latencyObjectiveMs - now, Math.random);
-        if (chosen !== undefined) this.expectedCosts.set(chosen.target, chosen);
+        const remainingMs = receivedAt + latencyObjectiveMs - now;
+        const chosen = chooseEngineTarget(targets, request, knowledge, remainingMs, Math.random);
+        if (chosen?.cost === undefined) this.expectedCosts.clear();
+        else this.expectedCosts.set(chosen.target, chosen.cost);
         return chosen?.target;
     }
 
--- a/test/placement/choice.test.ts
+++ b/test/placement/choice.test.ts
@@ -5,11 +5,13 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import type { KnownTarget } from "../../src/gateway/knowntarget.js";
 import {
+    chooseCallTarget,
     chooseEngine,
     type EngineCost,
     engineCosts,
     fastestTarget,
     type LastingSpeed,
+    leastLoadedTarget,
     PrefixCacheTracker,
     presentPace,
     reportsPace,
@@ -273,6 +275,22 @@
         }
     });
 
+    it.each([["without the figure", undefined] as const, ["with an old figure", 2] as const])(
+        "is the one by constants %s, on the same random numbers",
+        (_, pace) => {
+            const loadReportedAt = performance.now() - 10_001;
+            const targets = Array.from({ length: 9 }, (_, index) => ({
+                ...loadedTarget(`t-${index}`, { running: index % 3, pace }),
+                loadReportedAt: pace === undefined ? performance.now() : loadReportedAt,
+            }));
+            const [random, sameRandom] = [seededRandom(7), seededRandom(7)];
+            for (let index = 0; index < 200; index += 1) {
+                const expected = leastLoadedTarget(targets, "a", sameRandom);
+                expect(chooseCallTarget(targets, "a", random)).toBe(expected);
+            }
+        },
+    );
+
     it("is none without candidates", () => {
         expect(fastestTarget([], "a", () => 0)).toBeUndefined();
     });
--- a/test/placement/simulation.ts
+++ b/test/placement/simulation.ts
@@ -4,16 +4,7 @@
  */
 import { vi } from "vitest";
 import type { PromptPart } from "../../src/gateway/dialect.js";
-import type { KnownTarget } from "../../src/gateway/knowntarget.js";
-import {
-    cheapestEngine,
-    chooseEngine,
-    type EngineCost,
-    engineCosts,
-    PrefixCacheTracker,
-    reportsPace,
-    SpeedEstimates,
-} from "../../src/placement/index.js";
+import { cheapestEngine, chooseEngineTarget, PrefixCacheTracker, SpeedEstimates } from "../../src/placement/index.js";
 import { idleTarget, seededRandom } from "./pool.js";
 
 /** What an engine does at usual speed; other figures than the initial ones of the gateway, as at some deployments. */
@@ -177,20 +168,16 @@
         parts.push({ id: `own-${now()}`, tokens: 300 + Math.floor(900 * random()) });
         const promptTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0);
         const input = { promptTokens, promptParts: parts, inputBytesByZone: new Map<string, number>() };
-        let cost: EngineCost | undefined;
-        let target: KnownTarget | undefined;
-        if (options.byConstants !== true && reportsPace(targets, performance.now())) {
-            const knowledge = { prefixCaches, speeds: speeds.of("engines"), now: performance.now() };
-            const costs = engineCosts(targets, { ...input, eventGapLimitMs: undefined }, knowledge);
-            cost = chooseEngine(costs, options.objectiveMs, random);
-            target = targets.find(({ name }) => name === cost?.target.name);
-        } else {
-            const chosen = cheapestEngine(targets, input, prefixCaches);
-            target = targets.find(({ name }) => name === chosen?.name);
-        }
+        const request = { ...input, eventGapLimitMs: undefined };
+        const knowledge = { prefixCaches, speeds: speeds.of("engines"), now: performance.now() };
+        const chosen =
+            options.byConstants === true
+                ? { target: cheapestEngine(targets, input, prefixCaches), cost: undefined }
+                : chooseEngineTarget(targets, request, knowledge, options.objectiveMs, random);
+        const cost = chosen?.cost;
+        const target = targets.find(({ name }) => name === chosen?.target?.name);
         if (target === undefined) return;
         const index = targets.indexOf(target);
-        const chosenTarget = target;
         const sentAt = now();
         const uncached = promptTokens - prefixCaches.cachedTokens(target.name, parts.slice(0, -1));
         target.outstanding += 1;
@@ -204,7 +191,7 @@
             onFirstEvent: () => {
                 const engine = engines[index];
                 const tookMs = now() - sentAt;
-                chosenTarget.pendingPromptTokens -= uncached;
+                target.pendingPromptTokens -= uncached;
                 const pace = options.withoutPace?.has(index) === true ? undefined : options.pace(index, now());
                 const load = {
                     running: engine?.running ?? 0,
@@ -214,8 +201,8 @@
                 };
                 const reportedAt = performance.now();
                 agenda.add(now() + options.reportDelayMs, () => {
-                    chosenTarget.load = load;
-                    chosenTarget.loadReportedAt = reportedAt + options.reportDelayMs;
+                    target.load = load;
+                    target.loadReportedAt = reportedAt + options.reportDelayMs;
                 });
                 if (cost !== undefined) speeds.record(cost, tookMs);
                 if (sentAt < options.warmUpMs) return;
@@ -223,7 +210,7 @@
                 placed[index] = (placed[index] ?? 0) + 1;
                 if (tookMs <= options.objectiveMs) totals.inTime += 1;
             },
-            onEnd: () => (chosenTarget.outstanding -= 1),
+            onEnd: () => (target.outstanding -= 1),
         });
         readNext(index);
     };
