Let reported loads count for longer where a gateway hears of its engines often

Change: the half-life follows from the mean age of the pool's reports, 150 to 1,000 ms. Tests for paces that change several times a second.

--- a/src/placement/enginecost.ts
+++ b/src/placement/enginecost.ts
@@ -12,10 +12,15 @@
 import { presentPace, type ServiceSpeeds } from "./speedestimate.js";
 
 /**
- * Half-life in milliseconds of a reported load. Queues of 30 gateways change within some first events; with 500 ms and more,
- * simulated gateways sent too much to engines whose queues had been short.
+ * Bounds of the half-life in milliseconds of a reported load. A gateway that hears of its engines often sends a large part of
+ * their work, and its reports hold until the next one. Where 30 gateways hear of each engine every few seconds, queues have
+ * changed before: with 500 ms and more, simulated ones sent too much to engines whose queues had been short.
  */
-const LOAD_HALF_LIFE_MS = 150;
+const SHORTEST_HALF_LIFE_MS = 150;
+const LONGEST_HALF_LIFE_MS = 1_000;
+
+/** Mean age in milliseconds of the pool's reports up to which the longest half-life holds. */
+const FRESH_AGE_MS = 300;
 
 /** Cost in milliseconds of transferring a megabyte of stage results between zones. */
 const ZONE_TRANSFER_MS_PER_MEGABYTE = 20;
@@ -65,6 +70,7 @@
 }
 
 interface PoolLoad {
+    readonly halfLifeMs: number;
     readonly runningRatio: number;
     readonly waitingRatio: number;
 }
@@ -128,25 +134,39 @@
  * better than it is.
  */
 function poolLoad(candidates: readonly Target[], { speedOf }: ServiceSpeeds, now: number): PoolLoad {
+    const halfLifeMs = loadHalfLifeMs(candidates, now);
     let [weightSum, runningSum, waitingSum] = [0, 0, 0];
     for (const target of candidates) {
         const { load, loadReportedAt } = target;
         if (load === undefined) continue;
-        const weight = halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
+        const weight = halfLifeWeight(now - loadReportedAt, halfLifeMs);
         weightSum += weight;
         const capacity = slotsOf(target) * speedOf(target.name).speed;
         runningSum += (weight * load.running) / capacity;
         waitingSum += (weight * load.waiting) / capacity;
     }
-    if (weightSum === 0) return { runningRatio: 0, waitingRatio: 0 };
-    return { runningRatio: runningSum / weightSum, waitingRatio: waitingSum / weightSum };
+    if (weightSum === 0) return { halfLifeMs, runningRatio: 0, waitingRatio: 0 };
+    return { halfLifeMs, runningRatio: runningSum / weightSum, waitingRatio: waitingSum / weightSum };
+}
+
+/** The half-life of the pool's loads: the shorter, the older its reports are on average. */
+function loadHalfLifeMs(candidates: readonly Target[], now: number): number {
+    let [count, ageSum] = [0, 0];
+    for (const { load, loadReportedAt } of candidates) {
+        if (load === undefined) continue;
+        count += 1;
+        ageSum += now - loadReportedAt;
+    }
+    const meanAgeMs = count === 0 ? 0 : ageSum / count;
+    const halfLifeMs = (LONGEST_HALF_LIFE_MS * FRESH_AGE_MS) / Math.max(FRESH_AGE_MS, meanAgeMs);
+    return Math.max(SHORTEST_HALF_LIFE_MS, halfLifeMs);
 }
 
 /** Expected running and waiting requests. A request that finds all slots taken waits for one at least. */
 function loadOf(target: Target, capacity: number, pool: PoolLoad, now: number): { running: number; waiting: number } {
     const { load, loadReportedAt, outstanding } = target;
     const slots = slotsOf(target);
-    const weight = load === undefined ? 0 : halfLifeWeight(now - loadReportedAt, LOAD_HALF_LIFE_MS);
+    const weight = load === undefined ? 0 : halfLifeWeight(now - loadReportedAt, pool.halfLifeMs);
     const reported = weight * (load?.running ?? 0) + (1 - weight) * pool.runningRatio * capacity;
     const waiting = weight * (load?.waiting ?? 0) + (1 - weight) * pool.waitingRatio * capacity;
     const present = Math.max(outstanding, reported);
--- a/test/placement/pools.test.ts
+++ b/test/placement/pools.test.ts
@@ -90,6 +90,31 @@
     });
 });
 
+describe("paces that change several times a second", () => {
+    /** One engine after the other is slow for 300 ms. */
+    const pace = (engine: number, at: number): number => (Math.floor(at / 300) % 6 === engine ? 2.5 : 1);
+    const options = { speeds: [1, 1, 1, 1, 1, 1], gateways: 2, pace, reportDelayMs: 0, rate: () => 75 };
+
+    it("keep work away from engines that are slow at the moment", () => {
+        const slowRatio = (results: readonly SimulationResult[]): number =>
+            results.reduce((sum, { sentWhileSlow }) => sum + sentWhileSlow, 0) /
+            results.reduce((sum, { count }) => sum + count, 0);
+        const bySpeed = simulateSeeds(options);
+        const byConstants = simulateSeeds({ ...options, byConstants: true });
+        expect(slowRatio(bySpeed)).toBeLessThan(0.75 * slowRatio(byConstants));
+        expect(inTimeRatio(bySpeed)).toBeGreaterThan(0.98);
+    });
+
+    it("are not learnt as lasting speeds", () => {
+        for (const { speeds } of simulateSeeds(options)) {
+            for (const speed of speeds) {
+                expect(speed).toBeGreaterThan(0.6);
+                expect(speed).toBeLessThan(1.6);
+            }
+        }
+    });
+});
+
 describe("a burst of 2.5 times", () => {
     it("leaves prefixes where they are cached, and is over when it ends", () => {
         const rate = (at: number): number => (at % 10_000 > 8_000 ? 500 : 200);
--- a/test/placement/simulation.ts
+++ b/test/placement/simulation.ts
@@ -41,6 +41,8 @@
     readonly placed: readonly number[];
     readonly inTime: number;
     readonly count: number;
+    /** Requests that were sent to an engine while its pace was slower than usual. */
+    readonly sentWhileSlow: number;
     readonly cachedTokens: number;
     readonly sharedTokens: number;
     readonly medianMs: number;
@@ -125,7 +127,7 @@
     }));
     const placed = options.speeds.map(() => 0);
     const times: number[] = [];
-    const totals = { inTime: 0, cachedTokens: 0, sharedTokens: 0 };
+    const totals = { inTime: 0, sentWhileSlow: 0, cachedTokens: 0, sharedTokens: 0 };
 
     const readNext = (index: number): void => {
         const engine = engines[index];
@@ -180,6 +182,7 @@
         const index = targets.indexOf(target);
         const sentAt = now();
         const uncached = promptTokens - prefixCaches.cachedTokens(target.name, parts.slice(0, -1));
+        if (sentAt >= options.warmUpMs && options.pace(index, sentAt) > 1) totals.sentWhileSlow += 1;
         target.outstanding += 1;
         target.pendingPromptTokens += uncached;
         prefixCaches.recordSent(target.name, parts);
