Judge a route of which few calls are known by the calls to its service

Cause: a gateway needs 30 latencies of a route before a copy may be due. With nine safe calls a second over 24 gateways, that takes more than a minute at each.

Change: until then the 95th percentile of all plain calls to the service counts, relative to the latency objectives of their routes.

--- a/src/gateway/callcopies.ts
+++ b/src/gateway/callcopies.ts
@@ -51,11 +51,6 @@
         return delayMs === undefined ? undefined : delayMs - elapsedMs(first);
     }
 
-    /** Records the time in milliseconds from sending an attempt until it or its copy was answered. */
-    recordLatency(milliseconds: number): void {
-        this.hedging.latencies.record(this.request.route.name, milliseconds);
-    }
-
     /** Takes the permit for a copy of an attempt that is slow; undefined if none may be sent. */
     take(first: CallAttempt, inputs: readonly StageResult[]): CopyPermit | undefined {
         const { context, request, attempts, hedging } = this;
@@ -93,11 +88,27 @@
         return { target, longestMs, grant: budget.take(longestMs) };
     }
 
+    /** The 95th percentile of the call's route or, while too little is known of it, as expected from its service. */
     private slowMs(): number | undefined {
-        return this.hedging.latencies.slowMs(this.request.route.name);
+        const { latencies, serviceLatencies } = this.hedging;
+        const { service, route } = this.request;
+        const slowness = serviceLatencies.slowMs(service);
+        const expectedMs = slowness === undefined ? undefined : slowness * route.latencyObjectiveMs;
+        return latencies.slowMs(route.name) ?? expectedMs;
     }
 }
 
+/** Records the time in milliseconds from sending an attempt of a plain call until it or its copy was answered. */
+export function recordCallLatency(
+    hedging: Hedging | undefined,
+    { route, service }: RoutedRequest,
+    milliseconds: number,
+): void {
+    hedging?.latencies.record(route.name, milliseconds);
+    // A route with few calls at one gateway is judged by all calls to its targets, relative to their objectives.
+    hedging?.serviceLatencies.record(service, milliseconds / route.latencyObjectiveMs);
+}
+
 /** Milliseconds since an attempt was sent; 0 if it was not. */
 function elapsedMs({ sentAt }: CallAttempt): number {
     return sentAt === undefined ? 0 : performance.now() - sentAt;
--- a/src/gateway/callexchange.ts
+++ b/src/gateway/callexchange.ts
@@ -12,7 +12,7 @@
 import type { ResponseHead } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { CallAttempt, type CallEnd } from "./callattempt.js";
-import { CallCopies, type CopyPermit } from "./callcopies.js";
+import { CallCopies, type CopyPermit, recordCallLatency } from "./callcopies.js";
 import type { GatewayContext } from "./gateway.js";
 import type { HeldBody } from "./heldbody.js";
 import { NO_TARGET_RETRY_MS } from "./holdbacks.js";
@@ -81,7 +81,8 @@
         const permit = await this.permitCopy(first);
         const ends = permit === undefined ? [await this.endOf(first)] : await this.race(first, permit);
         if (first.sentAt !== undefined && ends.some(isAnswer)) {
-            this.copies?.recordLatency(performance.now() - first.sentAt);
+            const { context, request } = this.options;
+            recordCallLatency(context.hedging, request, performance.now() - first.sentAt);
         }
         return ends;
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -87,6 +87,8 @@
 /** The limits of second copies, and the latencies by which a call counts as slow. */
 export interface Hedging {
     readonly latencies: RouteLatencies;
+    /** Latencies by service, each as a multiple of its route's latency objective. */
+    readonly serviceLatencies: RouteLatencies;
     readonly budgetOf: (service: string) => CopyBudget;
 }
 
@@ -174,6 +176,7 @@
     private readonly firstEventTimes = FirstEventTimes.create();
     private readonly budgets = new Map<string, WindowBudget>();
     private readonly latencies = RouteLatencies.create();
+    private readonly serviceLatencies = RouteLatencies.create();
     private readonly copyBudgets = new Map<string, CopyBudget>();
     private readonly queues = new Map<string, StageQueue>();
     private readonly schedule: StageSchedule;
@@ -504,6 +507,7 @@
         };
         return {
             latencies: this.latencies,
+            serviceLatencies: this.serviceLatencies,
             budgetOf: service => {
                 const budget = this.copyBudgets.get(service) ?? CopyBudget.create(budgetOptions);
                 this.copyBudgets.set(service, budget);
--- a/test/gateway/secondcopies.test.ts
+++ b/test/gateway/secondcopies.test.ts
@@ -411,3 +411,21 @@
     for (let retry = 0; retry < count; retry += 1) budget?.giveBack();
     return count;
 }
+
+describe("a route of which few calls are known", () => {
+    /** Fraction of the latency objective in which calls to the service usually end. */
+    const USUAL_SHARE = 0.1;
+
+    it.each([
+        { name: "is judged by the calls to its service", known: 30, lines: ["copy sent", "copy won"] },
+        { name: "has no copies before enough is known of its service", known: 29, lines: [] },
+    ])("$name", async ({ known, lines }) => {
+        await start();
+        const hedging = deployment.gateways[0]?.gateway.context.hedging;
+        hedging?.latencies.keepOnly(new Set());
+        for (let index = 0; index < known; index += 1) hedging?.serviceLatencies.record("bookings", USUAL_SHARE);
+        script(answerAfter(300, "first"), answerAfter(0, "copy"));
+        expect((await deployment.call({ path: "/check/a", id: "few-calls" })).status).toBe(200);
+        expect(copyLines()).toEqual(lines);
+    });
+});
