--- a/review/standins-3/case.mjs
+++ b/review/standins-3/case.mjs
@@ -2,19 +2,17 @@
 import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 
-/** Whether the run has its disruption. */
-export const hasTrouble = process.env.TROUBLE !== "0";
-
-const EXIT = { held: 0, broken: 1, notRun: 2 };
+/** Exit codes for run.sh. Node.js itself ends with 1 after an error, so that code does not say that the rule was broken. */
+const EXIT = { held: 0, broken: 10, notRun: 2 };
 
 /** Longest time in milliseconds that a script takes. */
 const LONGEST_MS = 115_000;
 
 /**
  * Runs a script. `run` gets a function that adds a line to the record, and one that names what has to be ended; it returns
- * the breaches of the rule that were seen.
+ * the breaches of the rule that were seen. An error, a signal or a lack of time says that the case could not run.
  */
-export async function runCase(directory, run) {
+export async function runCase(directory, hasTrouble, run) {
     const startedAt = performance.now();
     const lines = [];
     const ends = [];
@@ -24,20 +22,21 @@
         writeFileSync(join(directory, "record.txt"), `${lines.join("\n")}\n`);
         process.exit(code);
     };
-    const timer = setTimeout(() => {
-        record("the script took too long");
+    const giveUp = reason => {
+        record(`the case could not run: ${reason instanceof Error ? reason.stack : String(reason)}`);
         finish(EXIT.notRun);
-    }, LONGEST_MS);
+    };
+    process.on("uncaughtException", giveUp);
+    process.on("unhandledRejection", giveUp);
+    for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => giveUp(signal));
+    setTimeout(() => giveUp("it took too long"), LONGEST_MS);
     record(hasTrouble ? "with the disruption" : "without the disruption");
     try {
-        const breaches = await run({ record, endWith: end => ends.push(end), startedAt });
+        const breaches = await run({ record, endWith: end => ends.push(end) });
         for (const breach of breaches) record(`BROKEN: ${breach}`);
         record(breaches.length === 0 ? "the rule held" : "the rule was broken");
-        clearTimeout(timer);
         finish(breaches.length === 0 ? EXIT.held : EXIT.broken);
     } catch (error) {
-        record(`the case could not run: ${error instanceof Error ? error.stack : String(error)}`);
-        clearTimeout(timer);
-        finish(EXIT.notRun);
+        giveUp(error);
     }
 }
--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -1,5 +1,5 @@
 /** A small deployment: a store, replicas and gateways. */
-import { GatewayProcess, temporaryFolder } from "./gateway.mjs";
+import { freePorts, GatewayProcess, PORTS_OF_GATEWAY, temporaryFolder } from "./gateway.mjs";
 import { Replica } from "./replica.mjs";
 import { Store } from "./store.mjs";
 
@@ -40,7 +40,7 @@
 };
 
 /** Starts a deployment and waits until its gateways are ready. */
-export async function startDeployment({ configuration, replicas, gateways = 1, endWith, storePort }) {
+export async function startDeployment({ configuration, replicas, gateways = 1, endWith }) {
     const directory = temporaryFolder();
     const store = await Store.start();
     endWith(() => store.close());
@@ -53,10 +53,15 @@
         started.push(replica);
     }
     const processes = [];
-    for (let index = 1; index <= gateways; index += 1) {
-        const name = `edge-${index}`;
-        const port = storePort?.(store) ?? store.port;
-        const gateway = await GatewayProcess.start({ name, storePort: port, directory });
+    const ports = await freePorts(gateways * PORTS_OF_GATEWAY);
+    for (let index = 0; index < gateways; index += 1) {
+        const own = ports.slice(index * PORTS_OF_GATEWAY, (index + 1) * PORTS_OF_GATEWAY);
+        const gateway = GatewayProcess.start({
+            name: `edge-${index + 1}`,
+            storePort: store.port,
+            directory,
+            ports: own,
+        });
         endWith(() => gateway.kill());
         processes.push(gateway);
     }
--- a/review/standins-3/gateway.mjs
+++ b/review/standins-3/gateway.mjs
@@ -40,11 +40,14 @@
     });
 }
 
+/** Number of ports on which a gateway listens. */
+export const PORTS_OF_GATEWAY = 4;
+
 /** A gateway process. */
 export class GatewayProcess {
-    static async start({ name, zone = "zone-a", storePort, directory }) {
+    static start({ name, zone = "zone-a", storePort, directory, ports }) {
         const gateway = new GatewayProcess();
-        const [callers, readiness, peers, metrics] = await freePorts(4);
+        const [callers, readiness, peers, metrics] = ports;
         const fields = {
             ...FIELDS,
             NodeName: name,
--- a/review/standins-3/replica.mjs
+++ b/review/standins-3/replica.mjs
@@ -56,8 +56,6 @@
         const common = {
             "x-parsleyrun-request-id": headers["x-parsleyrun-request-id"] ?? "",
             "x-parsleyrun-instance-id": this.id,
-            // A replica that leaves says so in all its answers.
-            ...(this.isLeaving ? { "server-leaving": "1" } : {}),
         };
         if (expected !== undefined && expected !== this.id) {
             request.resume();
--- a/review/standins-3/store.mjs
+++ b/review/standins-3/store.mjs
@@ -53,13 +53,6 @@
         return this.change(kind, name, undefined);
     }
 
-    /** Ends the watches of a kind that wait, without an answer. Returns how many there were. */
-    cutWatches(kind) {
-        const cut = [...this.waiting].filter(watch => watch.kind === kind);
-        for (const watch of cut) watch.response.socket?.destroy();
-        return cut.length;
-    }
-
     change(kind, name, content) {
         const key = `${kind}/${name}`;
         const known = this.objects.get(key);
@@ -89,7 +82,7 @@
     }
 
     async serve(request, response) {
-        const url = new URL(request.url, "http://store");
+        const url = new URL(request.url, "http://127.0.0.1");
         const [, root, kind = "", encodedName, part] = url.pathname.split("/");
         if (root !== "objects") return json(response, 404, {});
         const name = encodedName === undefined ? undefined : decodeURIComponent(encodedName);
